--- /dev/null
+++ b/internal/app/app.go
@@ -0,0 +1,91 @@
+// Package app runs a program's parts as one group: the first part that ends stops
+// the others, SIGTERM and SIGINT drain, and a second signal ends the process at once.
+package app
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"bamboofork/internal/events"
+)
+
+// Version is the release of all programs of this repository.
+const Version = "0.1.0"
+
+// Exit codes of all programs.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1 // the operation failed
+	ExitUsage    = 2 // wrong flags or arguments
+	ExitSettings = 3 // a settings file is invalid
+	ExitForced   = 4 // a second signal ended the program without draining
+)
+
+// Part is one component of a program. Run blocks until ctx ends, then drains and returns.
+type Part struct {
+	Name string
+	Run  func(ctx context.Context) error
+}
+
+// Run executes the parts until one fails, ctx ends, or a stop signal arrives. The parts
+// then get drain to finish. It returns nil after a requested stop.
+func Run(ctx context.Context, log zerolog.Logger, parts ...Part) error {
+	var g run.Group
+	for _, p := range parts {
+		partCtx, cancel := context.WithCancel(ctx)
+		g.Add(func() error {
+			err := p.Run(partCtx)
+			if err != nil && partCtx.Err() == nil {
+				return eris.Wrapf(err, "%s", p.Name)
+			}
+			return nil
+		}, func(error) { cancel() })
+	}
+	addSignals(&g, log)
+	events.ProcessStarted.Log(&log).Str("version", Version).Send()
+	err := g.Run()
+	events.ProcessStopped.Log(&log).AnErr("cause", err).Send()
+	return err
+}
+
+// forcedExit ends the process; a variable so that tests can observe it.
+var forcedExit = func() { os.Exit(ExitForced) }
+
+func addSignals(g *run.Group, log zerolog.Logger) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	done := make(chan struct{})
+	g.Add(func() error {
+		select {
+		case s := <-signals:
+			events.ProcessStopping.Log(&log).Str("signal", s.String()).Send()
+			go forceOnSecondSignal(signals, log)
+			return nil
+		case <-done:
+			return nil
+		}
+	}, func(error) { close(done) })
+}
+
+func forceOnSecondSignal(signals <-chan os.Signal, log zerolog.Logger) {
+	<-signals
+	events.StopForced.Log(&log).Send()
+	forcedExit()
+}
+
+// NewLogger returns a JSON logger to stderr at the given level ("debug", "info", "warn", "error").
+func NewLogger(program, level string) (zerolog.Logger, error) {
+	lvl, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Logger{}, eris.Wrapf(err, "log level %q", level)
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	return zerolog.New(os.Stderr).Level(lvl).With().Timestamp().Str("program", program).Logger(), nil
+}
--- /dev/null
+++ b/internal/store/memstore/faults.go
@@ -0,0 +1,251 @@
+package memstore
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"bamboofork/internal/store"
+)
+
+// Faults describes how a Faulty store misbehaves. The zero value is a healthy store.
+type Faults struct {
+	Down         bool          `json:"down" yaml:"down"`                     // every call fails without effect; watches are cut
+	Delay        time.Duration `json:"delay" yaml:"delay"`                   // added before each call
+	LoseAnswer   float64       `json:"lose_answer" yaml:"lose_answer"`       // probability that a write takes effect but its answer is lost
+	WritesPerSec float64       `json:"writes_per_sec" yaml:"writes_per_sec"` // 0: unlimited
+	ReadsPerSec  float64       `json:"reads_per_sec" yaml:"reads_per_sec"`   // 0: unlimited; a waiting watch counts as one read per second
+}
+
+// Faulty wraps a store with injected faults and counts calls per kind.
+type Faulty struct {
+	inner store.Store
+
+	mu     sync.Mutex
+	faults Faults
+	rnd    *rand.Rand
+	writes *rate.Limiter
+	reads  *rate.Limiter
+	calls  map[string]int64
+	cut    chan struct{} // closed and replaced when watches are cut
+}
+
+// NewFaulty wraps inner. The seed fixes which answers are lost.
+func NewFaulty(inner store.Store, seed uint64) *Faulty {
+	return &Faulty{
+		inner: inner,
+		rnd:   rand.New(rand.NewPCG(seed, seed)),
+		calls: map[string]int64{},
+		cut:   make(chan struct{}),
+	}
+}
+
+var _ store.Store = (*Faulty)(nil)
+
+// Set replaces the faults. Setting Down cuts all watches.
+func (f *Faulty) Set(faults Faults) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults = faults
+	f.writes = limiter(faults.WritesPerSec)
+	f.reads = limiter(faults.ReadsPerSec)
+	if faults.Down {
+		f.cutLocked()
+	}
+}
+
+// Faults returns the faults in force.
+func (f *Faulty) Faults() Faults {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.faults
+}
+
+// CutWatches ends all open watches once.
+func (f *Faulty) CutWatches() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cutLocked()
+}
+
+func (f *Faulty) cutLocked() {
+	close(f.cut)
+	f.cut = make(chan struct{})
+}
+
+// Calls returns the number of calls per kind since the start.
+func (f *Faulty) Calls() map[string]int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]int64, len(f.calls))
+	for k, v := range f.calls {
+		out[k] = v
+	}
+	return out
+}
+
+func limiter(perSec float64) *rate.Limiter {
+	if perSec <= 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(perSec), int(perSec)+1)
+}
+
+// before counts the call, waits the injected delay and refuses it if a fault says so.
+func (f *Faulty) before(ctx context.Context, kind string, write bool) error {
+	f.mu.Lock()
+	f.calls[kind]++
+	faults := f.faults
+	lim := f.reads
+	if write {
+		lim = f.writes
+	}
+	f.mu.Unlock()
+	if faults.Delay > 0 {
+		select {
+		case <-time.After(faults.Delay):
+		case <-ctx.Done():
+			return store.ErrUnavailable
+		}
+	}
+	if faults.Down {
+		return store.ErrUnavailable
+	}
+	if lim != nil && !lim.Allow() {
+		return store.ErrRateLimited
+	}
+	return nil
+}
+
+func (f *Faulty) loseAnswer() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.faults.LoseAnswer > 0 && f.rnd.Float64() < f.faults.LoseAnswer
+}
+
+// Get implements store.Store.
+func (f *Faulty) Get(ctx context.Context, key string) (store.KV, error) {
+	if err := f.before(ctx, "get", false); err != nil {
+		return store.KV{}, err
+	}
+	return f.inner.Get(ctx, key)
+}
+
+// List implements store.Store.
+func (f *Faulty) List(ctx context.Context, from, to string, limit int) ([]store.KV, int64, error) {
+	if err := f.before(ctx, "list", false); err != nil {
+		return nil, 0, err
+	}
+	return f.inner.List(ctx, from, to, limit)
+}
+
+// CompareAndSwap implements store.Store.
+func (f *Faulty) CompareAndSwap(ctx context.Context, key string, expect int64, value []byte, lease store.LeaseID) (store.CASResult, error) {
+	if err := f.before(ctx, "cas", true); err != nil {
+		return store.CASResult{}, err
+	}
+	res, err := f.inner.CompareAndSwap(ctx, key, expect, value, lease)
+	if err == nil && f.loseAnswer() {
+		return store.CASResult{}, store.ErrUncertain
+	}
+	return res, err
+}
+
+// DeleteRange implements store.Store.
+func (f *Faulty) DeleteRange(ctx context.Context, from, to string) (int64, error) {
+	if err := f.before(ctx, "delete", true); err != nil {
+		return 0, err
+	}
+	n, err := f.inner.DeleteRange(ctx, from, to)
+	if err == nil && f.loseAnswer() {
+		return 0, store.ErrUncertain
+	}
+	return n, err
+}
+
+// GrantLease implements store.Store.
+func (f *Faulty) GrantLease(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	if err := f.before(ctx, "lease_grant", true); err != nil {
+		return 0, err
+	}
+	id, err := f.inner.GrantLease(ctx, ttl)
+	if err == nil && f.loseAnswer() {
+		return 0, store.ErrUncertain
+	}
+	return id, err
+}
+
+// KeepAlive implements store.Store.
+func (f *Faulty) KeepAlive(ctx context.Context, id store.LeaseID) (time.Duration, error) {
+	if err := f.before(ctx, "lease_keepalive", true); err != nil {
+		return 0, err
+	}
+	ttl, err := f.inner.KeepAlive(ctx, id)
+	if err == nil && f.loseAnswer() {
+		return 0, store.ErrUncertain
+	}
+	return ttl, err
+}
+
+// RevokeLease implements store.Store.
+func (f *Faulty) RevokeLease(ctx context.Context, id store.LeaseID) error {
+	if err := f.before(ctx, "lease_revoke", true); err != nil {
+		return err
+	}
+	err := f.inner.RevokeLease(ctx, id)
+	if err == nil && f.loseAnswer() {
+		return store.ErrUncertain
+	}
+	return err
+}
+
+// Watch implements store.Store.
+func (f *Faulty) Watch(ctx context.Context, prefix string, from int64) (<-chan store.WatchBatch, error) {
+	if err := f.before(ctx, "watch", false); err != nil {
+		return nil, err
+	}
+	watchCtx, cancel := context.WithCancel(ctx)
+	in, err := f.inner.Watch(watchCtx, prefix, from)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	f.mu.Lock()
+	cut := f.cut
+	f.mu.Unlock()
+	out := make(chan store.WatchBatch)
+	go func() {
+		defer cancel()
+		forwardWatch(ctx, in, out, cut)
+	}()
+	return out, nil
+}
+
+func forwardWatch(ctx context.Context, in <-chan store.WatchBatch, out chan<- store.WatchBatch, cut <-chan struct{}) {
+	defer close(out)
+	for {
+		var batch store.WatchBatch
+		var ok bool
+		select {
+		case <-ctx.Done():
+			return
+		case <-cut:
+			batch, ok = store.WatchBatch{Err: store.ErrUnavailable}, true
+		case batch, ok = <-in:
+		}
+		if !ok {
+			return
+		}
+		select {
+		case out <- batch:
+		case <-ctx.Done():
+			return
+		}
+		if batch.Err != nil {
+			return
+		}
+	}
+}
