--- /dev/null
+++ b/internal/caslog/snapshot.go
@@ -0,0 +1,119 @@
+package caslog
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"bamboofork/internal/store"
+)
+
+// chunkBytes keeps a snapshot chunk below the store's value limit with room for encoding.
+const chunkBytes = 512 << 10
+
+// manifest names the newest complete snapshot. It is replaced by compare-and-swap after all chunks are written.
+type manifest struct {
+	Seq    int64  `json:"seq"`
+	Epoch  int64  `json:"epoch"`
+	Chunks int    `json:"chunks"`
+	Hash   uint64 `json:"hash"`
+	mod    int64
+}
+
+func (l *Log) manifestKey() string { return l.prefix + "/snap/manifest" }
+
+func (l *Log) chunkPrefix(seq int64) string { return fmt.Sprintf("%s/snap/%016d/", l.prefix, seq) }
+
+func (l *Log) chunkKey(seq int64, i int) string {
+	return fmt.Sprintf("%s%04d-%s", l.chunkPrefix(seq), i, l.writer)
+}
+
+func (l *Log) manifest(ctx context.Context) (manifest, error) {
+	kv, err := l.st.Get(ctx, l.manifestKey())
+	if err != nil || kv.ModRevision == 0 {
+		return manifest{}, err
+	}
+	m := manifest{mod: kv.ModRevision}
+	err = json.Unmarshal(kv.Value, &m)
+	return m, eris.Wrap(err, "decode snapshot manifest")
+}
+
+func (l *Log) readChunks(ctx context.Context, m manifest) ([]byte, error) {
+	if m.Seq == 0 {
+		return nil, nil
+	}
+	prefix := l.chunkPrefix(m.Seq)
+	kvs, _, err := l.st.List(ctx, prefix, store.PrefixEnd(prefix), 0)
+	if err != nil {
+		return nil, err
+	}
+	data := []byte{}
+	for _, kv := range kvs {
+		data = append(data, kv.Value...)
+	}
+	if xxhash.Sum64(data) != m.Hash {
+		return nil, store.ErrCompacted
+	}
+	return data, nil
+}
+
+// Snapshot stores data as the state after record seq, then deletes the records up to keepFrom-1 and older
+// snapshots. Two writers of the same snapshot are told apart by the chunk key; the manifest decides.
+func (l *Log) Snapshot(ctx context.Context, seq, epoch int64, data []byte, keepFrom int64) error {
+	old, err := l.manifest(ctx)
+	if err != nil {
+		return err
+	}
+	if old.Seq >= seq || old.Epoch > epoch {
+		return ErrConflict
+	}
+	next := manifest{Seq: seq, Epoch: epoch, Hash: xxhash.Sum64(data)}
+	for off := 0; off < len(data) || off == 0; off += chunkBytes {
+		chunk := data[off:min(off+chunkBytes, len(data))]
+		if err := l.putChunk(ctx, l.chunkKey(seq, next.Chunks), chunk); err != nil {
+			return err
+		}
+		next.Chunks++
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return eris.Wrap(err, "encode snapshot manifest")
+	}
+	res, err := l.st.CompareAndSwap(ctx, l.manifestKey(), old.mod, value, 0)
+	if err != nil {
+		return err
+	}
+	if !res.Swapped {
+		return ErrConflict
+	}
+	return l.compact(ctx, seq, min(keepFrom, seq+1))
+}
+
+func (l *Log) putChunk(ctx context.Context, key string, chunk []byte) error {
+	for {
+		res, err := l.st.CompareAndSwap(ctx, key, 0, chunk, 0)
+		if errors.Is(err, store.ErrUncertain) && ctx.Err() == nil {
+			continue // the key is ours alone, so writing it again is safe
+		}
+		if err != nil {
+			return err
+		}
+		if !res.Swapped && xxhash.Sum64(res.Current.Value) != xxhash.Sum64(chunk) {
+			return ErrConflict
+		}
+		return nil
+	}
+}
+
+// compact deletes what the snapshot replaces. A failure only leaves garbage for the next compaction.
+func (l *Log) compact(ctx context.Context, seq, keepFrom int64) error {
+	if _, err := l.st.DeleteRange(ctx, l.prefix+"/snap/0", l.chunkPrefix(seq)); err != nil {
+		return err
+	}
+	_, err := l.st.DeleteRange(ctx, l.recordKey(0), l.recordKey(keepFrom))
+	return err
+}
--- /dev/null
+++ b/internal/store/etcdgw/client.go
@@ -0,0 +1,254 @@
+package etcdgw
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"bamboofork/internal/store"
+)
+
+// Defaults of Client.
+const (
+	DefaultCallTimeout = 2 * time.Second
+	maxAnswerBytes     = 64 << 20 // a full range of a partition's log
+	maxIdleConns       = 8
+)
+
+// Client is a store.Store over the etcd v3 HTTP/JSON gateway. It is safe for concurrent use.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+}
+
+// NewClient returns a client for the gateway at the base URL ("http://127.0.0.1:2379").
+// A timeout of 0 means DefaultCallTimeout.
+func NewClient(base string, timeout time.Duration) *Client {
+	if timeout == 0 {
+		timeout = DefaultCallTimeout
+	}
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+		MaxIdleConnsPerHost: maxIdleConns,
+	}
+	return &Client{base: base, timeout: timeout, http: &http.Client{Transport: transport}}
+}
+
+var _ store.Store = (*Client)(nil)
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// call posts one request and decodes the answer. Failures after the request may have left are ErrUncertain for
+// writes; reads map them to ErrUnavailable.
+func (c *Client) call(ctx context.Context, path string, in, out any, write bool) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	resp, err := c.post(ctx, path, in)
+	if err != nil {
+		return transportError(err, write)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return transportError(err, write)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return statusError(body, write)
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return transportError(err, write)
+	}
+	return nil
+}
+
+func (c *Client) post(ctx context.Context, path string, in any) (*http.Response, error) {
+	payload, err := json.Marshal(in)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode store request")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(payload))
+	if err != nil {
+		return nil, eris.Wrap(err, "store request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	return c.http.Do(req)
+}
+
+// transportError classifies an error without an answer. A failed dial proves that the request never left.
+func transportError(err error, write bool) error {
+	var opErr *net.OpError
+	if errors.As(err, &opErr) && opErr.Op == "dial" {
+		return store.ErrUnavailable
+	}
+	if write {
+		return store.ErrUncertain
+	}
+	return store.ErrUnavailable
+}
+
+func statusError(body []byte, write bool) error {
+	var e ErrorBody
+	if err := json.Unmarshal(body, &e); err != nil {
+		return transportError(err, write)
+	}
+	switch e.Code {
+	case CodeUnavailable:
+		return store.ErrUnavailable
+	case CodeResourceExhausted:
+		return store.ErrRateLimited
+	case CodeNotFound:
+		return store.ErrLeaseNotFound
+	case CodeOutOfRange:
+		return store.ErrCompacted
+	}
+	if write {
+		return store.ErrUncertain
+	}
+	return store.ErrUnavailable
+}
+
+// Get implements store.Store.
+func (c *Client) Get(ctx context.Context, key string) (store.KV, error) {
+	var out RangeResponse
+	if err := c.call(ctx, PathRange, RangeRequest{Key: []byte(key)}, &out, false); err != nil {
+		return store.KV{}, err
+	}
+	if len(out.KVs) == 0 {
+		return store.KV{Key: key}, nil
+	}
+	return fromWire(out.KVs[0]), nil
+}
+
+// List implements store.Store.
+func (c *Client) List(ctx context.Context, from, to string, limit int) ([]store.KV, int64, error) {
+	var out RangeResponse
+	in := RangeRequest{Key: []byte(from), RangeEnd: []byte(to), Limit: int64(limit)}
+	if err := c.call(ctx, PathRange, in, &out, false); err != nil {
+		return nil, 0, err
+	}
+	kvs := make([]store.KV, len(out.KVs))
+	for i, kv := range out.KVs {
+		kvs[i] = fromWire(kv)
+	}
+	return kvs, out.Header.Revision, nil
+}
+
+// CompareAndSwap implements store.Store with a transaction on the key's modification revision.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, expect int64, value []byte, lease store.LeaseID) (store.CASResult, error) {
+	if len(value) > store.MaxValueBytes {
+		return store.CASResult{}, store.ErrTooLarge
+	}
+	in := TxnRequest{
+		Compare: []Compare{{Result: "EQUAL", Target: "MOD", Key: []byte(key), ModRevision: expect}},
+		Success: []RequestOp{{Put: &PutRequest{Key: []byte(key), Value: value, Lease: int64(lease)}}},
+		Failure: []RequestOp{{Range: &RangeRequest{Key: []byte(key)}}},
+	}
+	var out TxnResponse
+	if err := c.call(ctx, PathTxn, in, &out, true); err != nil {
+		return store.CASResult{}, err
+	}
+	if out.Succeeded {
+		kv := store.KV{Key: key, Value: value, ModRevision: out.Header.Revision, Lease: lease}
+		return store.CASResult{Swapped: true, Current: kv}, nil
+	}
+	current := store.KV{Key: key}
+	if len(out.Responses) > 0 && out.Responses[0].Range != nil && len(out.Responses[0].Range.KVs) > 0 {
+		current = fromWire(out.Responses[0].Range.KVs[0])
+	}
+	return store.CASResult{Current: current}, nil
+}
+
+// DeleteRange implements store.Store.
+func (c *Client) DeleteRange(ctx context.Context, from, to string) (int64, error) {
+	var out DeleteRangeResponse
+	in := DeleteRangeRequest{Key: []byte(from), RangeEnd: []byte(to)}
+	err := c.call(ctx, PathDeleteRange, in, &out, true)
+	return out.Deleted, err
+}
+
+// GrantLease implements store.Store.
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	var out LeaseResponse
+	seconds := int64((ttl + time.Second - 1) / time.Second)
+	err := c.call(ctx, PathLeaseGrant, LeaseRequest{TTL: seconds}, &out, true)
+	return store.LeaseID(out.ID), err
+}
+
+// KeepAlive implements store.Store.
+func (c *Client) KeepAlive(ctx context.Context, id store.LeaseID) (time.Duration, error) {
+	var out KeepAliveResponse
+	if err := c.call(ctx, PathKeepAlive, LeaseRequest{ID: int64(id)}, &out, true); err != nil {
+		return 0, err
+	}
+	if out.Result.TTL <= 0 {
+		return 0, store.ErrLeaseNotFound
+	}
+	return time.Duration(out.Result.TTL) * time.Second, nil
+}
+
+// RevokeLease implements store.Store.
+func (c *Client) RevokeLease(ctx context.Context, id store.LeaseID) error {
+	var out LeaseResponse
+	return c.call(ctx, PathLeaseRevoke, LeaseRequest{ID: int64(id)}, &out, true)
+}
+
+// Watch implements store.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, from int64) (<-chan store.WatchBatch, error) {
+	in := WatchRequest{Create: WatchCreate{Key: []byte(prefix), RangeEnd: []byte(store.PrefixEnd(prefix)), StartRevision: from}}
+	watchCtx, cancel := context.WithCancel(ctx)
+	resp, err := c.post(watchCtx, PathWatch, in)
+	if err != nil {
+		cancel()
+		return nil, transportError(err, false)
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer cancel()
+		defer resp.Body.Close()
+		body, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<16))
+		return nil, statusError(body, false)
+	}
+	out := make(chan store.WatchBatch)
+	go func() {
+		defer cancel()
+		defer resp.Body.Close()
+		readWatch(ctx, json.NewDecoder(resp.Body), out)
+	}()
+	return out, nil
+}
+
+func readWatch(ctx context.Context, dec *json.Decoder, out chan<- store.WatchBatch) {
+	defer close(out)
+	for {
+		var m WatchMessage
+		batch := store.WatchBatch{}
+		if err := dec.Decode(&m); err != nil {
+			batch.Err = store.ErrUnavailable
+		} else if m.Result.Canceled {
+			batch.Err = store.ErrCompacted
+		}
+		batch.Revision = m.Result.Header.Revision
+		for _, ev := range m.Result.Events {
+			batch.Events = append(batch.Events, store.WatchEvent{KV: fromWire(ev.KV), Deleted: ev.Type == "DELETE"})
+		}
+		if batch.Err == nil && len(batch.Events) == 0 {
+			continue
+		}
+		select {
+		case out <- batch:
+		case <-ctx.Done():
+			return
+		}
+		if batch.Err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/store/etcdgw/messages.go
@@ -0,0 +1,166 @@
+// Package etcdgw adapts store.Store to the HTTP/JSON gateway of the etcd v3 API: keys
+// and values are base64 strings, 64-bit integers are decimal strings.
+package etcdgw
+
+import "bamboofork/internal/store"
+
+// Paths of the gateway.
+const (
+	PathRange       = "/v3/kv/range"
+	PathTxn         = "/v3/kv/txn"
+	PathDeleteRange = "/v3/kv/deleterange"
+	PathLeaseGrant  = "/v3/lease/grant"
+	PathLeaseRevoke = "/v3/lease/revoke"
+	PathKeepAlive   = "/v3/lease/keepalive"
+	PathWatch       = "/v3/watch"
+)
+
+// Error codes of the gateway (gRPC status codes).
+const (
+	CodeNotFound          = 5
+	CodeResourceExhausted = 8
+	CodeOutOfRange        = 11
+	CodeUnavailable       = 14
+	CodeUnknown           = 2
+)
+
+// Header carries the store's revision in each answer.
+type Header struct {
+	Revision int64 `json:"revision,string,omitempty"`
+}
+
+// KeyValue is a key with its value.
+type KeyValue struct {
+	Key         []byte `json:"key"`
+	Value       []byte `json:"value,omitempty"`
+	ModRevision int64  `json:"mod_revision,string,omitempty"`
+	Lease       int64  `json:"lease,string,omitempty"`
+}
+
+// RangeRequest reads keys in [Key, RangeEnd), or one key if RangeEnd is empty.
+type RangeRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+	Limit    int64  `json:"limit,string,omitempty"`
+}
+
+// RangeResponse answers RangeRequest.
+type RangeResponse struct {
+	Header Header     `json:"header"`
+	KVs    []KeyValue `json:"kvs,omitempty"`
+}
+
+// PutRequest writes one key.
+type PutRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value,omitempty"`
+	Lease int64  `json:"lease,string,omitempty"`
+}
+
+// Compare is a condition of a transaction. Only EQUAL on MOD is used.
+type Compare struct {
+	Result      string `json:"result"`
+	Target      string `json:"target"`
+	Key         []byte `json:"key"`
+	ModRevision int64  `json:"mod_revision,string"`
+}
+
+// RequestOp is one operation of a transaction.
+type RequestOp struct {
+	Put   *PutRequest   `json:"request_put,omitempty"`
+	Range *RangeRequest `json:"request_range,omitempty"`
+}
+
+// TxnRequest runs Success if all compares hold, else Failure.
+type TxnRequest struct {
+	Compare []Compare   `json:"compare"`
+	Success []RequestOp `json:"success"`
+	Failure []RequestOp `json:"failure"`
+}
+
+// ResponseOp answers one RequestOp.
+type ResponseOp struct {
+	Range *RangeResponse `json:"response_range,omitempty"`
+}
+
+// TxnResponse answers TxnRequest.
+type TxnResponse struct {
+	Header    Header       `json:"header"`
+	Succeeded bool         `json:"succeeded,omitempty"`
+	Responses []ResponseOp `json:"responses,omitempty"`
+}
+
+// DeleteRangeRequest deletes keys in [Key, RangeEnd).
+type DeleteRangeRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+}
+
+// DeleteRangeResponse answers DeleteRangeRequest.
+type DeleteRangeResponse struct {
+	Header  Header `json:"header"`
+	Deleted int64  `json:"deleted,string,omitempty"`
+}
+
+// LeaseRequest grants (TTL set), renews or revokes (ID set) a lease. TTL is in seconds.
+type LeaseRequest struct {
+	TTL int64 `json:"TTL,string,omitempty"`
+	ID  int64 `json:"ID,string,omitempty"`
+}
+
+// LeaseResponse answers LeaseRequest; TTL is in seconds.
+type LeaseResponse struct {
+	Header Header `json:"header"`
+	ID     int64  `json:"ID,string,omitempty"`
+	TTL    int64  `json:"TTL,string,omitempty"`
+}
+
+// KeepAliveResponse wraps the streamed answer of a renewal.
+type KeepAliveResponse struct {
+	Result LeaseResponse `json:"result"`
+}
+
+// WatchRequest opens a watch.
+type WatchRequest struct {
+	Create WatchCreate `json:"create_request"`
+}
+
+// WatchCreate selects the keys and the first revision of a watch.
+type WatchCreate struct {
+	Key           []byte `json:"key"`
+	RangeEnd      []byte `json:"range_end,omitempty"`
+	StartRevision int64  `json:"start_revision,string,omitempty"`
+}
+
+// WatchEvent is a change; Type is empty for a put and "DELETE" for a deletion.
+type WatchEvent struct {
+	Type string   `json:"type,omitempty"`
+	KV   KeyValue `json:"kv"`
+}
+
+// WatchMessage is one line of a watch stream.
+type WatchMessage struct {
+	Result struct {
+		Header          Header       `json:"header"`
+		Created         bool         `json:"created,omitempty"`
+		Canceled        bool         `json:"canceled,omitempty"`
+		CompactRevision int64        `json:"compact_revision,string,omitempty"`
+		Events          []WatchEvent `json:"events,omitempty"`
+	} `json:"result"`
+}
+
+// ErrorBody is the body of an answer that is not 200.
+type ErrorBody struct {
+	Error   string `json:"error"`
+	Code    int    `json:"code"`
+	Message string `json:"message"`
+}
+
+// ToWire converts a store.KV to its JSON form.
+func ToWire(kv store.KV) KeyValue {
+	return KeyValue{Key: []byte(kv.Key), Value: kv.Value, ModRevision: kv.ModRevision, Lease: int64(kv.Lease)}
+}
+
+func fromWire(kv KeyValue) store.KV {
+	return store.KV{Key: string(kv.Key), Value: kv.Value, ModRevision: kv.ModRevision, Lease: store.LeaseID(kv.Lease)}
+}
--- a/internal/store/memstore/memstore.go
+++ b/internal/store/memstore/memstore.go
@@ -322,3 +322,10 @@
 	w.pending = nil
 	return batch
 }
+
+// Revision returns the revision of the last write.
+func (e *Engine) Revision() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.revision
+}
