--- /dev/null
+++ b/cmd/bf-dev/main.go
@@ -0,0 +1,88 @@
+// Command bf-dev runs a whole fleet in one process: the demonstration by default, or a
+// fleet that keeps serving with --serve.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/rs/zerolog"
+
+	"bamboofork/internal/app"
+	"bamboofork/internal/dev"
+)
+
+func main() {
+	profile, serve, port, level := "workshop", false, 0, "error"
+	flaggy.SetName("bf-dev")
+	flaggy.SetDescription("Run a whole bamboofork fleet in one process.")
+	flaggy.SetVersion(app.Version)
+	flaggy.String(&profile, "p", "profile", "Deployment to run: workshop or association.")
+	flaggy.Bool(&serve, "s", "serve", "Keep serving instead of running the demonstration.")
+	flaggy.Int(&port, "", "port", "First port: the store, then the entries; 0 takes free ports.")
+	flaggy.String(&level, "l", "log-level", "Log level: debug, info, warn or error.")
+	flaggy.Parse()
+	os.Exit(run(profile, serve, port, level))
+}
+
+func run(profile string, serve bool, port int, level string) int {
+	log, err := app.NewLogger("bf-dev", level)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return app.ExitUsage
+	}
+	p, err := profileByName(profile)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return app.ExitUsage
+	}
+	if serve && port == 0 {
+		port = 8080
+	}
+	p.FirstPort = port
+	fleet, err := dev.Start(p, log)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return app.ExitFailure
+	}
+	if err := serveOrDemo(fleet, serve, log); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return app.ExitFailure
+	}
+	return app.ExitOK
+}
+
+func profileByName(name string) (dev.Profile, error) {
+	switch name {
+	case "workshop":
+		return dev.Workshop()
+	case "association":
+		return dev.Association()
+	}
+	return dev.Profile{}, fmt.Errorf("unknown profile %q; accepted: workshop, association", name)
+}
+
+const readyTimeout = 20 * time.Second
+
+func serveOrDemo(fleet *dev.Fleet, serve bool, log zerolog.Logger) error {
+	return app.Run(context.Background(), log, app.Part{Name: "fleet", Run: func(ctx context.Context) error {
+		defer fleet.Stop() //nolint:errcheck // the result of the demonstration counts
+		readyCtx, cancel := context.WithTimeout(ctx, readyTimeout)
+		defer cancel()
+		if err := fleet.WaitReady(readyCtx); err != nil {
+			return err
+		}
+		if serve {
+			fmt.Printf("store %s\n", fleet.StoreURL)
+			for i := range fleet.Profile.Entries {
+				fmt.Printf("entry %s\n", fleet.EntryURL(i))
+			}
+			<-ctx.Done()
+			return nil
+		}
+		return dev.NewDemo(fleet, os.Stdout).Run(ctx)
+	}})
+}
--- /dev/null
+++ b/cmd/bf-platform/main.go
@@ -0,0 +1,131 @@
+// Command bf-platform is the stand-in for the platform: the key-value store and one
+// worker for each --worker flag, with fault settings over HTTP.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/labstack/echo/v4"
+
+	"bamboofork/internal/app"
+	"bamboofork/internal/node"
+	"bamboofork/internal/platform"
+	"bamboofork/internal/worker"
+)
+
+// stopDrain bounds the wait for open calls at a stop.
+const stopDrain = time.Second
+
+func main() {
+	storeAddr, level, seed := "127.0.0.1:2379", "info", uint64(1)
+	workers := []string{}
+	flaggy.SetName("bf-platform")
+	flaggy.SetDescription("Stand-in for the platform's key-value store and workers.")
+	flaggy.SetVersion(app.Version)
+	flaggy.String(&storeAddr, "s", "store", "Address of the store; empty for none.")
+	flaggy.StringSlice(&workers, "w", "worker", "A worker as ip:port/cores/memory_mb/accelerators; repeatable.")
+	flaggy.UInt64(&seed, "", "seed", "Seed of the injected faults.")
+	flaggy.String(&level, "l", "log-level", "Log level: debug, info, warn or error.")
+	flaggy.Parse()
+	os.Exit(run(storeAddr, workers, seed, level))
+}
+
+func run(storeAddr string, workers []string, seed uint64, level string) int {
+	log, err := app.NewLogger("bf-platform", level)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return app.ExitUsage
+	}
+	parts := []app.Part{}
+	if storeAddr != "" {
+		part, err := storePart(storeAddr, seed)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return app.ExitFailure
+		}
+		parts = append(parts, part)
+	}
+	for _, spec := range workers {
+		part, err := workerPart(spec, seed)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return app.ExitUsage
+		}
+		parts = append(parts, part)
+	}
+	if err := app.Run(context.Background(), log, parts...); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return app.ExitFailure
+	}
+	return app.ExitOK
+}
+
+func quietEcho() *echo.Echo {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	return e
+}
+
+func serve(name, addr string, e *echo.Echo) (app.Part, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return app.Part{}, err
+	}
+	return app.Part{Name: name, Run: func(ctx context.Context) error { return node.ServeHTTP(ctx, l, e, stopDrain) }}, nil
+}
+
+// leaseTick is how often expired leases are ended without other traffic.
+const leaseTick = 100 * time.Millisecond
+
+func storePart(addr string, seed uint64) (app.Part, error) {
+	s := platform.NewStoreServer(seed)
+	e := quietEcho()
+	s.Register(e)
+	part, err := serve("store", addr, e)
+	if err != nil {
+		return part, err
+	}
+	run := part.Run
+	part.Run = func(ctx context.Context) error {
+		go tick(ctx, s)
+		return run(ctx)
+	}
+	return part, nil
+}
+
+func tick(ctx context.Context, s *platform.StoreServer) {
+	ticker := time.NewTicker(leaseTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.Engine.Tick()
+		}
+	}
+}
+
+func workerPart(spec string, seed uint64) (app.Part, error) {
+	fields := strings.Split(spec, "/")
+	if len(fields) != 4 {
+		return app.Part{}, fmt.Errorf("worker %q: accepted form: ip:port/cores/memory_mb/accelerators", spec)
+	}
+	cores, err1 := strconv.ParseFloat(fields[1], 64)
+	memory, err2 := strconv.ParseInt(fields[2], 10, 64)
+	accelerators, err3 := strconv.Atoi(fields[3])
+	if err1 != nil || err2 != nil || err3 != nil {
+		return app.Part{}, fmt.Errorf("worker %q: cores, memory_mb and accelerators must be numbers", spec)
+	}
+	e := quietEcho()
+	capacity := worker.Resources{Cores: cores, MemoryMB: memory, Accelerators: accelerators}
+	platform.RegisterWorker(e, platform.NewSimWorker("worker-"+fields[0], capacity, nil, seed))
+	return serve("worker "+fields[0], fields[0], e)
+}
--- /dev/null
+++ b/cmd/bf-runner/main.go
@@ -0,0 +1,53 @@
+// Command bf-runner is a sample backend server.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"bamboofork/internal/app"
+	"bamboofork/internal/node"
+	"bamboofork/internal/sample"
+)
+
+func main() {
+	addr, name, level := "127.0.0.1:9000", "runner", "info"
+	slots, service := 8, 20*time.Millisecond
+	flaggy.SetName("bf-runner")
+	flaggy.SetDescription("Sample backend server with quick answers and streams.")
+	flaggy.SetVersion(app.Version)
+	flaggy.String(&addr, "a", "addr", "Address to serve.")
+	flaggy.String(&name, "n", "backend-name", "Name that its answers carry.")
+	flaggy.Int(&slots, "", "slots", "Requests that it runs at once.")
+	flaggy.Duration(&service, "", "service", "Service time of a quick request.")
+	flaggy.String(&level, "l", "log-level", "Log level: debug, info, warn or error.")
+	flaggy.Parse()
+	os.Exit(run(addr, level, sample.Config{Name: name, Slots: slots, Service: service}))
+}
+
+func run(addr, level string, cfg sample.Config) int {
+	log, err := app.NewLogger("bf-runner", level)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return app.ExitUsage
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return app.ExitFailure
+	}
+	server := sample.New(cfg)
+	err = app.Run(context.Background(), log, app.Part{Name: "runner", Run: func(ctx context.Context) error {
+		return node.ServeHTTP(ctx, l, server, 30*time.Second)
+	}})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return app.ExitFailure
+	}
+	return app.ExitOK
+}
--- /dev/null
+++ b/cmd/bf/main.go
@@ -0,0 +1,10 @@
+// Command bf is the command line of operators and callers.
+package main
+
+import (
+	"os"
+
+	"bamboofork/internal/command"
+)
+
+func main() { os.Exit(command.RunCLI(os.Stdout, os.Stderr)) }
--- a/internal/caslog/caslog.go
+++ b/internal/caslog/caslog.go
@@ -159,25 +159,36 @@
 	return rec, eris.Wrap(err, "decode record")
 }
 
+// loadAttempts bounds the restarts of Load when snapshots are replaced during the read.
+const loadAttempts = 5
+
 // Load reads the newest snapshot and the records after it.
 func (l *Log) Load(ctx context.Context) (State, error) {
-	for {
-		manifest, err := l.manifest(ctx)
-		if err != nil {
-			return State{}, err
-		}
-		state := State{SnapshotSeq: manifest.Seq}
-		if state.Snapshot, err = l.readChunks(ctx, manifest); err == nil {
-			state.Records, err = l.Read(ctx, manifest.Seq+1)
-		}
-		if errors.Is(err, store.ErrCompacted) {
-			continue // a newer snapshot replaced this one during the read
-		}
-		if err == nil {
-			checkRecords(state)
+	var state State
+	var err error
+	for range loadAttempts {
+		state, err = l.loadOnce(ctx)
+		if !errors.Is(err, store.ErrCompacted) {
+			break // otherwise a newer snapshot replaced this one during the read
 		}
-		return state, err
 	}
+	if err == nil {
+		checkRecords(state)
+	}
+	return state, err
+}
+
+func (l *Log) loadOnce(ctx context.Context) (State, error) {
+	m, err := l.manifest(ctx)
+	if err != nil {
+		return State{}, err
+	}
+	state := State{SnapshotSeq: m.Seq}
+	if state.Snapshot, err = l.readChunks(ctx, m); err != nil {
+		return State{}, err
+	}
+	state.Records, err = l.Read(ctx, m.Seq+1)
+	return state, err
 }
 
 func checkRecords(state State) {
--- a/internal/caslog/snapshot.go
+++ b/internal/caslog/snapshot.go
@@ -21,6 +21,7 @@
 	Epoch  int64  `json:"epoch"`
 	Chunks int    `json:"chunks"`
 	Hash   uint64 `json:"hash"`
+	Writer string `json:"writer"`
 	mod    int64
 }
 
@@ -28,8 +29,11 @@
 
 func (l *Log) chunkPrefix(seq int64) string { return fmt.Sprintf("%s/snap/%016d/", l.prefix, seq) }
 
+// writerChunks is the key prefix of one writer's chunks, so that two writers of the same position do not mix.
+func (l *Log) writerChunks(seq int64, writer string) string { return l.chunkPrefix(seq) + writer + "/" }
+
 func (l *Log) chunkKey(seq int64, i int) string {
-	return fmt.Sprintf("%s%04d-%s", l.chunkPrefix(seq), i, l.writer)
+	return fmt.Sprintf("%s%04d", l.writerChunks(seq, l.writer), i)
 }
 
 func (l *Log) manifest(ctx context.Context) (manifest, error) {
@@ -46,7 +50,7 @@
 	if m.Seq == 0 {
 		return nil, nil
 	}
-	prefix := l.chunkPrefix(m.Seq)
+	prefix := l.writerChunks(m.Seq, m.Writer)
 	kvs, _, err := l.st.List(ctx, prefix, store.PrefixEnd(prefix), 0)
 	if err != nil {
 		return nil, err
@@ -71,7 +75,7 @@
 	if old.Seq >= seq || old.Epoch > epoch {
 		return ErrConflict
 	}
-	next := manifest{Seq: seq, Epoch: epoch, Hash: xxhash.Sum64(data)}
+	next := manifest{Seq: seq, Epoch: epoch, Hash: xxhash.Sum64(data), Writer: l.writer}
 	for off := 0; off < len(data) || off == 0; off += chunkBytes {
 		chunk := data[off:min(off+chunkBytes, len(data))]
 		if err := l.putChunk(ctx, l.chunkKey(seq, next.Chunks), chunk); err != nil {
--- /dev/null
+++ b/internal/command/node.go
@@ -0,0 +1,49 @@
+// Package command holds the command lines of the programs; it has no logic of its own.
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/integrii/flaggy"
+	"github.com/rs/zerolog"
+
+	"bamboofork/internal/app"
+	"bamboofork/internal/config"
+	"bamboofork/internal/node"
+)
+
+// RunNode is the main function of an entry or agent. It returns the exit code.
+func RunNode(name, description string, agent bool, build func(config.Process, zerolog.Logger) (*node.Node, error)) int {
+	file, check := "", false
+	flaggy.SetName(name)
+	flaggy.SetDescription(description)
+	flaggy.SetVersion(app.Version)
+	flaggy.String(&file, "c", "config", "Settings file of the process (YAML).")
+	flaggy.Bool(&check, "", "check", "Validate the settings file and exit.")
+	flaggy.Parse()
+	cfg, err := config.Load(file, agent)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return app.ExitSettings
+	}
+	if check {
+		fmt.Println("ok")
+		return app.ExitOK
+	}
+	log, err := app.NewLogger(name, cfg.LogLevel)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return app.ExitSettings
+	}
+	n, err := build(cfg, log)
+	if err == nil {
+		err = app.Run(context.Background(), log, app.Part{Name: name, Run: n.Run})
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return app.ExitFailure
+	}
+	return app.ExitOK
+}
--- /dev/null
+++ b/internal/dev/demo.go
@@ -0,0 +1,376 @@
+package dev
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"bamboofork/internal/entry"
+	"bamboofork/internal/ledger"
+	"bamboofork/internal/settings"
+	"bamboofork/internal/store/etcdgw"
+	"bamboofork/internal/worker"
+)
+
+// step is one line of the demonstration's summary.
+type step struct {
+	name   string
+	detail string
+	err    error
+}
+
+// Demo drives a workshop fleet through the main job and prints a narration and a summary.
+type Demo struct {
+	fleet  *Fleet
+	out    io.Writer
+	client *http.Client
+	steps  []step
+}
+
+// NewDemo returns a demonstration on the fleet.
+func NewDemo(f *Fleet, out io.Writer) *Demo {
+	return &Demo{fleet: f, out: out, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+}
+
+func (d *Demo) say(format string, args ...any) { fmt.Fprintf(d.out, format+"\n", args...) }
+
+func (d *Demo) record(name string, err error, format string, args ...any) {
+	s := step{name: name, detail: fmt.Sprintf(format, args...), err: err}
+	d.steps = append(d.steps, s)
+	if err != nil {
+		s.detail = err.Error()
+	}
+	d.say("  %s: %s", name, s.detail)
+}
+
+// demoTimeout bounds the whole demonstration.
+const demoTimeout = 60 * time.Second
+
+// Run executes the demonstration. It returns an error if any step did not happen.
+func (d *Demo) Run(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
+	defer cancel()
+	defer d.client.CloseIdleConnections()
+	d.say("A long-lived watch stays open throughout.")
+	watch := d.openWatch(ctx)
+	d.say("Quick requests are answered by the runners.")
+	lines, err := d.quick(ctx, 200, 8, "")
+	d.record("quick requests", err, "%d answered, each checked against its request", lines)
+	d.say("A moulding plan is submitted as a batch job.")
+	id, err := d.submit(ctx)
+	d.record("batch job accepted", err, "job %s is durable", id)
+	if err == nil {
+		d.batch(ctx, id)
+	}
+	d.say("An operator edits the tree; the edit must be in force everywhere.")
+	took, err := d.edit(ctx)
+	d.record("settings edit", err, "in force in all %d processes after %s", len(d.fleet.Agents)+len(d.fleet.Entries), took.Round(time.Millisecond))
+	d.say("A moulding order is sent three times with one key.")
+	d.record("at most once", d.keyed(ctx), "3 requests, 1 run, the same answer")
+	d.record("long-lived watch", watch.close(), "%d lines without a gap", watch.lines.Load())
+	return d.summary()
+}
+
+func (d *Demo) summary() error {
+	d.say("")
+	t := tabwriter.NewWriter(d.out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "STEP\tRESULT\tDETAIL")
+	var failed error
+	for _, s := range d.steps {
+		result, detail := "ok", s.detail
+		if s.err != nil {
+			result, detail = "FAILED", s.err.Error()
+			failed = eris.Errorf("step %q failed", s.name)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\n", s.name, result, detail)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	return failed
+}
+
+// quick sends n requests from some callers at once and checks every answer.
+func (d *Demo) quick(ctx context.Context, n, callers int, query string) (int64, error) {
+	var ok atomic.Int64
+	var failure atomic.Pointer[error]
+	var wg sync.WaitGroup
+	for c := range callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range n / callers {
+				if err := d.foot(ctx, c, fmt.Sprintf("scan-%d-%d", c, i), query); err != nil {
+					failure.Store(&err)
+					continue
+				}
+				ok.Add(1)
+			}
+		}()
+	}
+	wg.Wait()
+	if err := failure.Load(); err != nil {
+		return ok.Load(), *err
+	}
+	return ok.Load(), nil
+}
+
+func (d *Demo) foot(ctx context.Context, c int, body, query string) error {
+	url := d.fleet.EntryURL(c%d.fleet.Profile.Entries) + "/v1/run/workshop/foot-scan/fitting-desk/-/scan" + query
+	status, answer, err := d.do(ctx, http.MethodPost, url, "", []byte(body))
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK || !bytes.HasSuffix(answer, []byte("/scan "+body+"\n")) {
+		return eris.Errorf("status %d, answer %q to %q", status, answer, body)
+	}
+	return nil
+}
+
+func (d *Demo) do(ctx context.Context, method, url, key string, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, answer, err
+}
+
+// demoRun is the declared run time of the plan's tasks.
+const demoRun = 4 * time.Second
+
+func (d *Demo) submit(ctx context.Context) (string, error) {
+	body, err := json.Marshal(entry.JobRequest{
+		Branch: "workshop/moulding-plans", Tasks: 11,
+		Need: worker.Resources{Cores: 40, MemoryMB: 40_000}, RunMs: demoRun.Milliseconds(),
+	})
+	if err != nil {
+		return "", err
+	}
+	for {
+		status, answer, err := d.do(ctx, http.MethodPost, d.fleet.EntryURL(0)+entry.PathJobs, "demo-plan", body)
+		if err != nil {
+			return "", err
+		}
+		if status == http.StatusAccepted {
+			var out struct{ ID string }
+			return out.ID, json.Unmarshal(answer, &out)
+		}
+		select { // the partitions may still be without an owner right after the start
+		case <-ctx.Done():
+			return "", eris.Errorf("status %d: %s", status, answer)
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+// batch follows the job: placed, evicted under quick load, resumed once per eviction, and finished.
+func (d *Demo) batch(ctx context.Context, id string) {
+	job, err := d.await(ctx, id, func(j ledger.Job) bool { return count(j, ledger.TaskPlaced) > 0 })
+	d.record("batch job placed", err, "%d of %d tasks placed", count(job, ledger.TaskPlaced), len(job.Tasks))
+	d.say("A burst of quick work arrives; the batch work slows it down, so agents throttle and evict.")
+	burst, stop := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for burst.Err() == nil {
+			d.quick(burst, 160, 40, "") //nolint:errcheck // the burst may be cut off
+		}
+	}()
+	job, err = d.await(ctx, id, func(j ledger.Job) bool { return evictions(j) > 0 })
+	stop()
+	<-done
+	d.record("batch task evicted", err, "%d evictions for quick work", evictions(job))
+	job, err = d.await(ctx, id, func(j ledger.Job) bool { return j.Finished() })
+	if err == nil && (resumes(job) != evictions(job) || count(job, ledger.TaskDone) != len(job.Tasks)) {
+		err = eris.Errorf("%d evictions, %d resumes, %d of %d done", evictions(job), resumes(job), count(job, ledger.TaskDone), len(job.Tasks))
+	}
+	d.record("batch job resumed and finished", err, "%d evictions, %d resumes, %d tasks done", evictions(job), resumes(job), count(job, ledger.TaskDone))
+}
+
+func count(j ledger.Job, state ledger.TaskState) int {
+	n := 0
+	for _, t := range j.Tasks {
+		if t.State == state {
+			n++
+		}
+	}
+	return n
+}
+
+func evictions(j ledger.Job) int {
+	n := 0
+	for _, t := range j.Tasks {
+		n += t.Evictions
+	}
+	return n
+}
+
+func resumes(j ledger.Job) int {
+	n := 0
+	for _, t := range j.Tasks {
+		n += t.Resumes
+	}
+	return n
+}
+
+func (d *Demo) await(ctx context.Context, id string, ok func(ledger.Job) bool) (ledger.Job, error) {
+	var job ledger.Job
+	for {
+		status, answer, err := d.do(ctx, http.MethodGet, d.fleet.EntryURL(1)+entry.PathJobs+"/"+id, "", nil)
+		if err == nil && status == http.StatusOK {
+			if err := json.Unmarshal(answer, &job); err != nil {
+				return job, err
+			}
+			if ok(job) {
+				return job, nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return job, eris.Errorf("did not happen within %s", demoTimeout)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func (d *Demo) edit(ctx context.Context) (time.Duration, error) {
+	st := etcdgw.NewClient(d.fleet.StoreURL, 0)
+	defer st.Close()
+	repo := settings.NewRepository(st, "demo-operator")
+	_, base, err := repo.Load(ctx)
+	if err != nil {
+		return 0, err
+	}
+	weight := "55"
+	edit := settings.Edit{Author: "demo", Changes: []settings.Change{{Branch: "workshop/foot-scan/fitting-desk", Set: map[string]*string{"weight": &weight}}}}
+	rev, err := repo.Commit(ctx, base, edit)
+	if err != nil {
+		return 0, err
+	}
+	accepted := time.Now()
+	for !d.fleet.InForce(rev) {
+		select {
+		case <-ctx.Done():
+			return 0, eris.Errorf("revision %d is not in force everywhere", rev)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	return time.Since(accepted), nil
+}
+
+// InForce reports whether the revision is in force in every process.
+func (f *Fleet) InForce(rev int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, hosts := range []map[string]*Host{f.Agents, f.Entries} {
+		for _, h := range hosts {
+			if h.Node.Live.Current().Revision < rev {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (d *Demo) keyed(ctx context.Context) error {
+	var first []byte
+	for i := range 3 {
+		url := d.fleet.EntryURL(i%d.fleet.Profile.Entries) + "/v1/run/workshop/moulding-orders/-/order"
+		status, answer, err := d.do(ctx, http.MethodPost, url, "demo-order-1", []byte("one shell"))
+		if err != nil {
+			return err
+		}
+		if status != http.StatusOK {
+			return eris.Errorf("status %d: %s", status, answer)
+		}
+		if i == 0 {
+			first = answer
+		}
+		if !bytes.Equal(first, answer) {
+			return eris.Errorf("answer %q differs from %q", answer, first)
+		}
+	}
+	runs := 0
+	for _, h := range d.fleet.Agents {
+		runs += h.Backend.Runs()["demo-order-1"]
+	}
+	if runs != 1 {
+		return eris.Errorf("the order ran %d times", runs)
+	}
+	return nil
+}
+
+// watchStream is the long-lived response of the demonstration.
+type watchStream struct {
+	lines  atomic.Int64
+	cancel context.CancelFunc
+	done   chan error
+}
+
+func (d *Demo) openWatch(ctx context.Context) *watchStream {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &watchStream{cancel: cancel, done: make(chan error, 1)}
+	go func() { w.done <- d.readWatch(ctx, w) }()
+	return w
+}
+
+func (d *Demo) readWatch(ctx context.Context, w *watchStream) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.fleet.EntryURL(0)+"/v1/run/workshop/liner-heating/-/stream", nil)
+	if err != nil {
+		return err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return eris.Errorf("watch: status %d", resp.StatusCode)
+	}
+	var name string
+	for i := 0; ; i++ {
+		var n int
+		if _, err := fmt.Fscanf(resp.Body, "%s line %d\n", &name, &n); err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return eris.Wrapf(err, "watch ended after %d lines", i)
+		}
+		if n != i {
+			return eris.Errorf("watch: line %d after %d", n, i)
+		}
+		w.lines.Add(1)
+	}
+}
+
+func (w *watchStream) close() error {
+	select {
+	case err := <-w.done:
+		if err == nil {
+			err = eris.New("the watch ended early")
+		}
+		return err
+	default:
+	}
+	w.cancel()
+	return <-w.done
+}
--- /dev/null
+++ b/internal/dev/fleet.go
@@ -0,0 +1,331 @@
+// Package dev runs a whole fleet in one process: the platform's stand-ins, sample
+// backend servers, agents and entries, connected over TCP on loopback. It serves
+// bf-dev, load runs and end-to-end tests.
+package dev
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"bamboofork/internal/config"
+	"bamboofork/internal/node"
+	"bamboofork/internal/platform"
+	"bamboofork/internal/sample"
+	"bamboofork/internal/settings"
+	"bamboofork/internal/store/etcdgw"
+	"bamboofork/internal/worker"
+)
+
+// Profile sizes a fleet.
+type Profile struct {
+	Name         string
+	Backend      string // pool of the backend servers
+	Domains      int
+	Entries      int
+	Agents       int
+	RackSize     int
+	Slots        int
+	Conns        int
+	Capacity     worker.Resources
+	Reserve      worker.Resources
+	Service      time.Duration
+	Interference map[string]float64 // by kind, see sample.Config
+	Tree         settings.Tree
+	LeaseTTL     time.Duration
+	OutageHold   time.Duration
+	Drain        time.Duration
+	FirstPort    int // 0: any free ports
+}
+
+// Fleet is a running fleet. mu guards the maps.
+type Fleet struct {
+	Profile  Profile
+	Store    *platform.StoreServer
+	StoreURL string
+	log      zerolog.Logger
+
+	mu      sync.Mutex
+	Agents  map[string]*Host
+	Entries map[string]*Host
+	stops   []func()
+}
+
+// Host is one host of the fleet.
+type Host struct {
+	Config  config.Process
+	Node    *node.Node
+	Worker  *platform.SimWorker
+	Backend *sample.Server
+	cancel  context.CancelFunc
+	done    chan error
+}
+
+// Start starts everything and returns when the processes serve.
+func Start(p Profile, log zerolog.Logger) (*Fleet, error) {
+	f := &Fleet{Profile: p, log: log, Agents: map[string]*Host{}, Entries: map[string]*Host{}, Store: platform.NewStoreServer(1)}
+	storeEcho := quietEcho()
+	f.Store.Register(storeEcho)
+	url, err := f.serve(storeEcho, f.port(0))
+	if err != nil {
+		return f, err
+	}
+	f.StoreURL = url
+	f.every(100*time.Millisecond, f.Store.Engine.Tick)
+	if err := f.seedSettings(); err != nil {
+		return f, err
+	}
+	for i := range p.Entries {
+		if err := f.startEntry(i); err != nil {
+			return f, err
+		}
+	}
+	for i := range p.Agents {
+		if err := f.startAgent(i); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+func quietEcho() *echo.Echo {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	return e
+}
+
+func (f *Fleet) port(offset int) string {
+	if f.Profile.FirstPort == 0 {
+		return "127.0.0.1:0"
+	}
+	return fmt.Sprintf("127.0.0.1:%d", f.Profile.FirstPort+offset)
+}
+
+// serve runs a handler on the address until the fleet stops and returns its base URL.
+func (f *Fleet) serve(h http.Handler, addr string) (string, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return "", eris.Wrap(err, "stand-in listener")
+	}
+	srv := &http.Server{Handler: h}
+	go srv.Serve(l) //nolint:errcheck // ends with Close
+	f.stops = append(f.stops, func() { srv.Close() })
+	return "http://" + l.Addr().String(), nil
+}
+
+func (f *Fleet) every(d time.Duration, do func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stops = append(f.stops, cancel)
+	go func() {
+		ticker := time.NewTicker(d)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				do()
+			}
+		}
+	}()
+}
+
+func (f *Fleet) seedSettings() error {
+	st := etcdgw.NewClient(f.StoreURL, 0)
+	defer st.Close()
+	repo := settings.NewRepository(st, "bf-dev")
+	edit := settings.Edit{Author: "bf-dev", Comment: "initial tree", Changes: settings.NewTree().Diff(f.Profile.Tree)}
+	_, err := repo.Commit(context.Background(), 0, edit)
+	return eris.Wrap(err, "seed settings")
+}
+
+// FreeAddr returns a loopback address that was free a moment ago.
+func FreeAddr() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", eris.Wrap(err, "free port")
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func (f *Fleet) process(id string, i int) (config.Process, error) {
+	p := f.Profile
+	control, err := FreeAddr()
+	if err != nil {
+		return config.Process{}, err
+	}
+	return config.Process{
+		ID: id, Region: "region-1", Domain: fmt.Sprintf("domain-%d", i%p.Domains+1), Rack: fmt.Sprintf("rack-%d", i/p.RackSize+1),
+		Listen: config.Listen{Control: control}, Store: f.StoreURL, Seeds: f.seeds(),
+		Partitions: config.DefaultPartitions, MaxPartitions: config.DefaultMaxPartitions,
+		LeaseTTL: p.LeaseTTL, OutageHold: p.OutageHold, Drain: p.Drain, LogLevel: "info",
+	}, nil
+}
+
+// seeds are the control addresses of the entries.
+func (f *Fleet) seeds() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := []string{}
+	for _, h := range f.Entries {
+		out = append(out, h.Config.Listen.Control)
+	}
+	return out
+}
+
+func (f *Fleet) startEntry(i int) error {
+	id := fmt.Sprintf("entry-%d", i+1)
+	cfg, err := f.process(id, i)
+	if err != nil {
+		return err
+	}
+	if cfg.Listen.Callers, err = f.callerAddr(i); err != nil {
+		return err
+	}
+	n, err := node.NewEntry(cfg, f.log)
+	if err != nil {
+		return err
+	}
+	h := &Host{Config: cfg, Node: n}
+	h.run()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Entries[id] = h
+	return nil
+}
+
+func (f *Fleet) callerAddr(i int) (string, error) {
+	if f.Profile.FirstPort > 0 {
+		return f.port(1 + i), nil
+	}
+	return FreeAddr()
+}
+
+func (f *Fleet) startAgent(i int) error {
+	p := f.Profile
+	id := fmt.Sprintf("agent-%d", i+1)
+	w := platform.NewSimWorker(fmt.Sprintf("worker-%d", i+1), p.Capacity, nil, uint64(i))
+	b := sample.New(sample.Config{Name: fmt.Sprintf("runner-%d", i+1), Slots: p.Slots, Service: p.Service, Load: w.Load, Interference: p.Interference})
+	workerEcho := quietEcho()
+	platform.RegisterWorker(workerEcho, w)
+	workerURL, err := f.serve(workerEcho, "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	backendURL, err := f.serve(b, "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	cfg, err := f.process(id, i)
+	if err != nil {
+		return err
+	}
+	if cfg.Listen.Data, err = FreeAddr(); err != nil {
+		return err
+	}
+	cfg.Backend = config.Backend{Name: p.Backend, Addr: backendURL[len("http://"):], Slots: p.Slots, Conns: p.Conns, MaxQueue: config.DefaultMaxQueue}
+	cfg.Worker = config.Worker{URL: workerURL, Reserve: p.Reserve}
+	return f.addAgent(&Host{Config: cfg, Worker: w, Backend: b})
+}
+
+func (f *Fleet) addAgent(h *Host) error {
+	n, err := node.NewAgent(h.Config, f.log)
+	if err != nil {
+		return err
+	}
+	h.Node = n
+	h.run()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Agents[h.Config.ID] = h
+	return nil
+}
+
+func (h *Host) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel, h.done = cancel, make(chan error, 1)
+	go func() { h.done <- h.Node.Run(ctx) }()
+}
+
+// Stop stops one host in order and waits for it.
+func (h *Host) Stop() error {
+	h.cancel()
+	return <-h.done
+}
+
+// EntryURL returns the base URL of an entry's caller API.
+func (f *Fleet) EntryURL(i int) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return "http://" + f.Entries[fmt.Sprintf("entry-%d", i+1)].Config.Listen.Callers
+}
+
+// WaitReady waits until every entry sees every agent and the tree is in force.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	for !f.ready() {
+		select {
+		case <-ctx.Done():
+			return eris.New("the fleet did not become ready")
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) ready() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.Entries {
+		agents := 0
+		for _, m := range e.Node.Table.Members() {
+			if f.Agents[m.ID] != nil && m.Load.Slots > 0 {
+				agents++
+			}
+		}
+		if agents < len(f.Agents) || e.Node.Live.Current().Revision == 0 {
+			return false
+		}
+	}
+	for _, a := range f.Agents {
+		if a.Node.Live.Current().Revision == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Stop stops all hosts in order, agents first, then the stand-ins.
+func (f *Fleet) Stop() error {
+	errs := append(stopAll(f.Agents), stopAll(f.Entries)...)
+	for i := len(f.stops) - 1; i >= 0; i-- {
+		f.stops[i]()
+	}
+	return errors.Join(errs...)
+}
+
+func stopAll(hosts map[string]*Host) []error {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var errs []error
+	for _, h := range hosts {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			err := h.Stop()
+			mu.Lock()
+			defer mu.Unlock()
+			errs = append(errs, err)
+		}()
+	}
+	wg.Wait()
+	return errs
+}
--- /dev/null
+++ b/internal/dev/profiles.go
@@ -0,0 +1,45 @@
+package dev
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"bamboofork/examples"
+	"bamboofork/internal/settings"
+	"bamboofork/internal/worker"
+)
+
+// Workshop returns the workshop's deployment: three failure domains, 11 runners with 8 slots and 64 connections on
+// workers of 64 cores and 250 GB, three to a rack.
+func Workshop() (Profile, error) {
+	p := base()
+	p.Name, p.Backend, p.Domains = "workshop", "fitting-desk", 3
+	p.Capacity = worker.Resources{Cores: 64, MemoryMB: 250_000, Accelerators: 2}
+	p.Interference = map[string]float64{"moulding-plan": 0.06}
+	return withTree(p, "workshop/settings.yaml", examples.Workshop)
+}
+
+// Association returns the association's deployment: four failure domains, 11 runners with 8 slots and 64 connections
+// on workers of 32 cores and 125 GB, three to a rack.
+func Association() (Profile, error) {
+	p := base()
+	p.Name, p.Backend, p.Domains = "association", "print-desk", 4
+	p.Capacity = worker.Resources{Cores: 32, MemoryMB: 125_000, Accelerators: 2}
+	p.Interference = map[string]float64{"separation": 0.1}
+	return withTree(p, "association/settings.yaml", examples.Association)
+}
+
+func base() Profile {
+	return Profile{
+		Entries: 3, Agents: 11, RackSize: 3, Slots: 8, Conns: 64,
+		Reserve: worker.Resources{Cores: 8, MemoryMB: 16_000}, Service: 20 * time.Millisecond,
+		LeaseTTL: 3 * time.Second, OutageHold: 15 * time.Minute, Drain: 3 * time.Second,
+	}
+}
+
+func withTree(p Profile, file string, data []byte) (Profile, error) {
+	tree, err := settings.ParseTree(file, data)
+	p.Tree = tree
+	return p, eris.Wrap(err, "example settings")
+}
--- /dev/null
+++ b/internal/entry/api.go
@@ -0,0 +1,261 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"bamboofork/internal/ledger"
+	"bamboofork/internal/settings"
+	"bamboofork/internal/wire"
+	"bamboofork/internal/worker"
+)
+
+// Paths of the caller API.
+const (
+	PathRun  = "/v1/run/"
+	PathJobs = "/v1/jobs"
+	// pathSplit separates the branch from the path at the backend server.
+	pathSplit = "/-/"
+)
+
+// Problem is the JSON body of an answer that is not a backend server's.
+type Problem struct {
+	Title     string       `json:"title"`
+	Status    int          `json:"status"`
+	Detail    string       `json:"detail,omitempty"`
+	Outcome   wire.Outcome `json:"outcome,omitempty"`
+	RequestID string       `json:"request_id,omitempty"`
+}
+
+// Register adds the caller API to e.
+func (e *Entry) Register(r *echo.Echo) {
+	r.Any(PathRun+"*", e.handleRun)
+	r.POST(PathJobs, e.handleSubmit)
+	r.GET(PathJobs, e.handleJobs)
+	r.GET(PathJobs+"/:id", e.handleJob)
+	r.DELETE(PathJobs+"/:id", e.handleCancel)
+}
+
+func problem(c echo.Context, status int, outcome wire.Outcome, id, detail string) error {
+	h := c.Response().Header()
+	h.Set(echo.HeaderContentType, "application/problem+json")
+	h.Set(wire.HeaderOutcome, string(outcome))
+	h.Set(wire.HeaderRequestID, id)
+	return c.JSON(status, Problem{Title: http.StatusText(status), Status: status, Detail: detail, Outcome: outcome, RequestID: id})
+}
+
+func (e *Entry) handleRun(c echo.Context) error {
+	r := c.Request()
+	id := NewID()
+	branchPath, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, PathRun), pathSplit)
+	branch, ok := e.live.Current().Branch(branchPath)
+	if !ok || branch.Backend == "" {
+		return problem(c, http.StatusNotFound, wire.OutcomeNotRun, id, "unknown branch "+strconv.Quote(branchPath))
+	}
+	key := r.Header.Get(wire.HeaderKey)
+	if !branch.Idempotent && key == "" {
+		return problem(c, http.StatusBadRequest, wire.OutcomeNotRun, id, "the branch is not idempotent; send an Idempotency-Key")
+	}
+	body, tooLarge, err := readBody(r.Body, branch.BodyLimit)
+	if err != nil {
+		return problem(c, http.StatusBadRequest, wire.OutcomeNotRun, id, "request body: "+err.Error())
+	}
+	if tooLarge {
+		return problem(c, http.StatusRequestEntityTooLarge, wire.OutcomeNotRun, id, "body exceeds "+strconv.FormatInt(branch.BodyLimit, 10)+" bytes")
+	}
+	req := &Request{
+		ID: id, Branch: branch, Method: r.Method, Path: "/" + rest, Query: r.URL.RawQuery,
+		Header: callerHeader(r.Header), Body: body, Deadline: time.Now().Add(branch.Deadline),
+	}
+	return e.answer(c, req, key)
+}
+
+// callerHeader drops what a caller must not set and what belongs to one hop.
+func callerHeader(h http.Header) http.Header {
+	out := http.Header{}
+	for name, values := range h {
+		if strings.HasPrefix(name, "Bf-") || name == "Connection" || name == "Upgrade" || name == "Transfer-Encoding" || name == "Keep-Alive" || name == "Te" {
+			continue
+		}
+		out[name] = values
+	}
+	return out
+}
+
+func (e *Entry) answer(c echo.Context, req *Request, key string) error {
+	ctx := c.Request().Context()
+	if req.Branch.Class != settings.ClassStream {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
+		defer cancel()
+	}
+	started := time.Now()
+	var out *Answer
+	if req.Branch.Idempotent {
+		out = e.Send(ctx, req)
+	} else {
+		out = e.SendKeyed(ctx, req, key)
+	}
+	e.metrics.Counter("entry_outcome_" + string(out.Outcome)).Inc(1)
+	if out.Response == nil {
+		return problem(c, out.Status, out.Outcome, req.ID, out.Reason)
+	}
+	err := passOn(c, req, out)
+	out.Close(err != nil)
+	if err != nil {
+		panic(http.ErrAbortHandler) // the caller must see that the answer is cut off
+	}
+	e.metrics.Histogram("entry_latency_us").Update(time.Since(started).Microseconds())
+	return nil
+}
+
+func passOn(c echo.Context, req *Request, out *Answer) error {
+	h := c.Response().Header()
+	for name, values := range out.Response.Header {
+		if !strings.HasPrefix(name, "Bf-") || name == "Bf-Replayed" || name == "Bf-Body" {
+			h[name] = values
+		}
+	}
+	h.Set(wire.HeaderRequestID, req.ID)
+	h.Set(wire.HeaderOutcome, string(out.Outcome))
+	c.Response().WriteHeader(out.Response.StatusCode)
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := out.Response.Body.Read(buf)
+		if n > 0 {
+			if _, err := c.Response().Write(buf[:n]); err != nil {
+				return err
+			}
+			c.Response().Flush()
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// JobRequest is the body of a job submission. Durations are in milliseconds.
+type JobRequest struct {
+	Branch     string           `json:"branch"`
+	Tasks      int              `json:"tasks"`
+	Need       worker.Resources `json:"need"`
+	RunMs      int64            `json:"run_ms"`
+	DeadlineMs int64            `json:"deadline_ms,omitempty"`
+	Gang       bool             `json:"gang,omitempty"`
+	Payload    []byte           `json:"payload,omitempty"`
+}
+
+// Limits of a submission.
+const (
+	maxJobTasks = 1000
+	maxJobBody  = 256 << 10 // bytes
+)
+
+func (r JobRequest) check(live *settings.Snapshot) (*settings.Effective, string) {
+	branch, ok := live.Branch(r.Branch)
+	switch {
+	case !ok:
+		return nil, "unknown branch " + strconv.Quote(r.Branch)
+	case branch.Class != settings.ClassBatch:
+		return nil, "branch " + strconv.Quote(r.Branch) + " does not take batch work"
+	case r.Tasks < 1 || r.Tasks > maxJobTasks:
+		return nil, "tasks must be 1 to " + strconv.Itoa(maxJobTasks)
+	case r.Need.Cores <= 0 || r.Need.MemoryMB < 0 || r.Need.Accelerators < 0:
+		return nil, "need.cores must be positive, the others not negative"
+	case r.RunMs < 1:
+		return nil, "run_ms must be positive"
+	}
+	return branch, ""
+}
+
+func (e *Entry) handleSubmit(c echo.Context) error {
+	id := NewID()
+	var in JobRequest
+	c.Request().Body = http.MaxBytesReader(c.Response(), c.Request().Body, maxJobBody)
+	if err := c.Bind(&in); err != nil {
+		return problem(c, http.StatusBadRequest, wire.OutcomeNotRun, id, "malformed job: "+err.Error())
+	}
+	branch, fault := in.check(e.live.Current())
+	if fault != "" {
+		return problem(c, http.StatusBadRequest, wire.OutcomeNotRun, id, fault)
+	}
+	key := c.Request().Header.Get(wire.HeaderKey)
+	if !branch.Idempotent && key == "" {
+		return problem(c, http.StatusBadRequest, wire.OutcomeNotRun, id, "the branch is not idempotent; send an Idempotency-Key")
+	}
+	if key != "" {
+		key = branch.Branch + "\x00" + key
+	}
+	res := e.Submit(c.Request().Context(), newJob(id, key, branch, in))
+	switch res.Code {
+	case wire.CodeOK:
+		return c.JSON(http.StatusAccepted, map[string]string{"id": res.JobID})
+	case wire.CodeNoStore, wire.CodeNotOwner:
+		return problem(c, http.StatusServiceUnavailable, wire.OutcomeNotRun, id, "not accepted: "+res.Reason)
+	}
+	return problem(c, http.StatusGatewayTimeout, wire.OutcomeUnknown, id, "not known whether it was accepted; repeat with the same Idempotency-Key")
+}
+
+func newJob(id, key string, branch *settings.Effective, in JobRequest) ledger.Job {
+	tasks := make([]ledger.Task, in.Tasks)
+	for i := range tasks {
+		tasks[i].State = ledger.TaskPending
+	}
+	return ledger.Job{
+		ID: id, Key: key, Branch: branch.Branch, Team: branch.Team, Kind: branch.Kind, Idempotent: branch.Idempotent,
+		Need: in.Need, Run: time.Duration(in.RunMs) * time.Millisecond, Deadline: jobDeadline(time.Duration(in.DeadlineMs) * time.Millisecond),
+		Priority: branch.Priority, Gang: in.Gang, Payload: in.Payload, Hold: branch.Hold, Submitted: time.Now(), Tasks: tasks,
+	}
+}
+
+// JobView is a job as callers see it.
+type JobView struct {
+	ledger.Job
+	Explain []string `json:"explain,omitempty"`
+}
+
+func (e *Entry) handleJob(c echo.Context) error {
+	res := e.Job(c.Request().Context(), c.Param("id"))
+	if res.Code != wire.CodeOK {
+		return jobProblem(c, res)
+	}
+	return c.JSON(http.StatusOK, JobView{Job: res.Job, Explain: res.Explain})
+}
+
+func jobProblem(c echo.Context, res JobResult) error {
+	switch res.Code {
+	case wire.CodeUnknown:
+		return problem(c, http.StatusNotFound, "", "", "unknown job")
+	case wire.CodeStale:
+		return problem(c, http.StatusConflict, "", "", "the job has ended or is cancelled already")
+	case wire.CodeNoStore, wire.CodeNotOwner:
+		return problem(c, http.StatusServiceUnavailable, wire.OutcomeNotRun, "", "no owner answers: "+res.Reason)
+	}
+	return problem(c, http.StatusGatewayTimeout, wire.OutcomeUnknown, "", res.Reason)
+}
+
+// listLimit is the number of jobs in a listing.
+const listLimit = 200
+
+func (e *Entry) handleJobs(c echo.Context) error {
+	jobs, missing := e.Jobs(c.Request().Context(), listLimit)
+	return c.JSON(http.StatusOK, map[string]any{"jobs": jobs, "partitions_missing": missing})
+}
+
+func (e *Entry) handleCancel(c echo.Context) error {
+	res := e.Cancel(c.Request().Context(), c.Param("id"))
+	if res.Code != wire.CodeOK {
+		return jobProblem(c, res)
+	}
+	return c.NoContent(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/entry/dial.go
@@ -0,0 +1,5 @@
+package entry
+
+import "net"
+
+func dialer() *net.Dialer { return &net.Dialer{Timeout: dialTimeout} }
--- /dev/null
+++ b/internal/entry/jobs.go
@@ -0,0 +1,145 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"sort"
+	"sync"
+	"time"
+
+	"bamboofork/internal/ledger"
+	"bamboofork/internal/partition"
+	"bamboofork/internal/peer"
+	"bamboofork/internal/store"
+	"bamboofork/internal/wire"
+)
+
+// NewID returns a random identifier.
+func NewID() string { return rand.Text() }
+
+// JobResult is the outcome of a call about a job.
+type JobResult struct {
+	Code    wire.Code
+	Reason  string
+	JobID   string
+	Job     ledger.Job
+	Explain []string
+}
+
+// Submit makes a job durable. CodeOK means accepted; CodeNoStore and CodeNotOwner mean not accepted; CodeUncertain
+// means that it may be accepted, and a repeat with the same key is safe.
+func (e *Entry) Submit(ctx context.Context, job ledger.Job) JobResult {
+	key := job.Key
+	if key == "" {
+		key = job.ID
+	}
+	id := partition.Of(key, e.dir.Partitions)
+	job.ID = jobID(id, job.ID)
+	var reply wire.SubmitReply
+	err := e.callOwner(ctx, id, "Partition.Submit", wire.SubmitArgs{Partition: id, Job: job}, &reply, func() wire.Code { return reply.Code })
+	if err != nil {
+		return JobResult{Code: failureCode(err), Reason: err.Error()}
+	}
+	return JobResult{Code: reply.Code, JobID: reply.JobID}
+}
+
+// Job ids carry their partition, so that a job is found without a directory: "<partition in hex>-<random>".
+func jobID(partition int, random string) string {
+	const digits = "0123456789abcdef"
+	return string([]byte{digits[partition>>4&15], digits[partition&15]}) + "-" + random
+}
+
+// PartitionOfJob parses the partition from a job id; ok is false for other strings.
+func PartitionOfJob(id string) (partitionID int, ok bool) {
+	if len(id) < 4 || id[2] != '-' {
+		return 0, false
+	}
+	for _, c := range id[:2] {
+		switch {
+		case c >= '0' && c <= '9':
+			partitionID = partitionID<<4 | int(c-'0')
+		case c >= 'a' && c <= 'f':
+			partitionID = partitionID<<4 | int(c-'a'+10)
+		default:
+			return 0, false
+		}
+	}
+	return partitionID, true
+}
+
+func (e *Entry) callOwner(ctx context.Context, id int, method string, args, reply any, code func() wire.Code) error {
+	callCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	return e.dir.Call(callCtx, id, method, args, reply, code)
+}
+
+func failureCode(err error) wire.Code {
+	if errors.Is(err, partition.ErrNotOwner) || errors.Is(err, peer.ErrNotSent) {
+		return wire.CodeNotOwner
+	}
+	if errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrRateLimited) {
+		return wire.CodeNoStore
+	}
+	return wire.CodeUncertain
+}
+
+// Job returns one job.
+func (e *Entry) Job(ctx context.Context, id string) JobResult {
+	p, ok := PartitionOfJob(id)
+	if !ok || p >= e.dir.Partitions {
+		return JobResult{Code: wire.CodeUnknown, Reason: "not a job id"}
+	}
+	var reply wire.GetReply
+	err := e.callOwner(ctx, p, "Partition.Get", wire.GetArgs{Partition: p, JobID: id}, &reply, func() wire.Code { return reply.Code })
+	if err != nil {
+		return JobResult{Code: failureCode(err), Reason: err.Error()}
+	}
+	return JobResult{Code: reply.Code, JobID: id, Job: reply.Job, Explain: reply.Explain}
+}
+
+// Cancel cancels a job.
+func (e *Entry) Cancel(ctx context.Context, id string) JobResult {
+	p, ok := PartitionOfJob(id)
+	if !ok || p >= e.dir.Partitions {
+		return JobResult{Code: wire.CodeUnknown, Reason: "not a job id"}
+	}
+	var reply wire.CancelReply
+	err := e.callOwner(ctx, p, "Partition.Cancel", wire.CancelArgs{Partition: p, JobID: id}, &reply, func() wire.Code { return reply.Code })
+	if err != nil {
+		return JobResult{Code: failureCode(err), Reason: err.Error()}
+	}
+	return JobResult{Code: reply.Code, JobID: id}
+}
+
+// Jobs returns the newest jobs of all partitions that answer, and the number that did not.
+func (e *Entry) Jobs(ctx context.Context, limit int) (jobs []ledger.Job, missing int) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for p := range e.dir.Partitions {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			var reply wire.ListReply
+			err := e.callOwner(ctx, p, "Partition.List", wire.ListArgs{Partition: p, Limit: limit}, &reply, func() wire.Code { return reply.Code })
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				missing++
+				return
+			}
+			jobs = append(jobs, reply.Jobs...)
+		}()
+	}
+	wg.Wait()
+	sort.Slice(jobs, func(i, j int) bool { return jobs[i].Submitted.After(jobs[j].Submitted) })
+	return jobs[:min(limit, len(jobs))], missing
+}
+
+// jobDeadline converts a relative deadline.
+func jobDeadline(within time.Duration) time.Time {
+	if within <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(within)
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,358 @@
+// Package ledger is the pure state machine of a partition: jobs, their tasks, and the
+// claims of keyed requests. It does no I/O; package partition makes its operations
+// durable. A State belongs to one partition owner, who serialises all access.
+package ledger
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"bamboofork/internal/invariant"
+	"bamboofork/internal/worker"
+)
+
+// Errors of Apply: the operation does not fit the state and was not applied.
+var (
+	ErrStale     = errors.New("operation is stale")
+	ErrUnknown   = errors.New("unknown job or claim")
+	ErrDuplicate = errors.New("already exists")
+)
+
+// TaskState is where a task is in its life.
+type TaskState string
+
+// States of a task. A placed task may be running; the agent knows.
+const (
+	TaskPending   TaskState = "pending"
+	TaskPlaced    TaskState = "placed"
+	TaskDone      TaskState = "done"
+	TaskFailed    TaskState = "failed"
+	TaskCancelled TaskState = "cancelled"
+	TaskUnknown   TaskState = "unknown" // non-idempotent, started, and its host was lost
+)
+
+// Final reports whether the state never changes again.
+func (s TaskState) Final() bool { return s != TaskPending && s != TaskPlaced }
+
+// Task is one unit of placement.
+type Task struct {
+	State      TaskState `json:"state"`
+	Attempt    int       `json:"attempt"`
+	Agent      string    `json:"agent,omitempty"`
+	AgentInc   int64     `json:"agent_inc,omitempty"`
+	Checkpoint string    `json:"checkpoint,omitempty"`
+	Failures   int       `json:"failures,omitempty"`
+	Evictions  int       `json:"evictions,omitempty"`
+	Resumes    int       `json:"resumes,omitempty"` // placements that started from the checkpoint of an eviction
+	Reason     string    `json:"reason,omitempty"`
+	NotBefore  time.Time `json:"not_before,omitzero"`
+}
+
+// Job is a durable request to run tasks.
+type Job struct {
+	ID         string           `json:"id"`
+	Key        string           `json:"key,omitempty"` // idempotency key of the submission
+	Branch     string           `json:"branch"`
+	Team       string           `json:"team,omitempty"`
+	Kind       string           `json:"kind,omitempty"`
+	Idempotent bool             `json:"idempotent"`
+	Need       worker.Resources `json:"need"` // of each task
+	Run        time.Duration    `json:"run"`  // declared run time of each task
+	Deadline   time.Time        `json:"deadline,omitzero"`
+	Priority   int              `json:"priority"`
+	Gang       bool             `json:"gang,omitempty"` // start all tasks together or none
+	Payload    []byte           `json:"payload,omitempty"`
+	Hold       time.Duration    `json:"hold"`
+	Submitted  time.Time        `json:"submitted"`
+	Cancelled  bool             `json:"cancelled,omitempty"`
+	Tasks      []Task           `json:"tasks"`
+}
+
+// Finished reports whether all tasks are in a final state.
+func (j *Job) Finished() bool {
+	for i := range j.Tasks {
+		if !j.Tasks[i].State.Final() {
+			return false
+		}
+	}
+	return true
+}
+
+// Claim is the durable record of a keyed request. Done is false while its outcome is not recorded.
+type Claim struct {
+	Key       string            `json:"key"`
+	Branch    string            `json:"branch"`
+	RequestID string            `json:"request_id"`
+	At        time.Time         `json:"at"`
+	Done      bool              `json:"done,omitempty"`
+	Outcome   string            `json:"outcome,omitempty"`
+	Status    int               `json:"status,omitempty"` // HTTP status of the answer
+	Header    map[string]string `json:"header,omitempty"`
+	Body      []byte            `json:"body,omitempty"`
+	Truncated bool              `json:"truncated,omitempty"` // the body was too large to keep
+}
+
+// OpKind names an operation.
+type OpKind string
+
+// Operations.
+const (
+	OpSubmit   OpKind = "submit"   // Job
+	OpPlace    OpKind = "place"    // Ref, Agent, AgentInc: pending -> placed
+	OpRefuse   OpKind = "refuse"   // Ref: placed -> pending, proven not started
+	OpEvict    OpKind = "evict"    // Ref, Checkpoint: placed -> pending
+	OpEnd      OpKind = "end"      // Ref, State, Reason, NotBefore
+	OpLost     OpKind = "lost"     // Ref: placed -> pending or unknown, after its hold ran out
+	OpCancel   OpKind = "cancel"   // JobID
+	OpClaim    OpKind = "claim"    // Claim
+	OpComplete OpKind = "complete" // Claim
+	OpRelease  OpKind = "release"  // Claim: proven not run, the key may be claimed again
+	OpPrune    OpKind = "prune"    // JobID or Claim.Key
+)
+
+// Op is one state transition. Only the fields of its kind are set.
+type Op struct {
+	Kind       OpKind      `json:"k"`
+	Job        *Job        `json:"job,omitempty"`
+	JobID      string      `json:"id,omitempty"`
+	Ref        *worker.Ref `json:"ref,omitempty"`
+	Agent      string      `json:"agent,omitempty"`
+	AgentInc   int64       `json:"inc,omitempty"`
+	Checkpoint string      `json:"cp,omitempty"`
+	State      TaskState   `json:"state,omitempty"`
+	Reason     string      `json:"why,omitempty"`
+	NotBefore  time.Time   `json:"nb,omitzero"`
+	Claim      *Claim      `json:"claim,omitempty"`
+}
+
+// State is the content of one partition.
+type State struct {
+	Jobs   map[string]*Job   `json:"jobs"`
+	Keys   map[string]string `json:"keys"` // submission key -> job id
+	Claims map[string]*Claim `json:"claims"`
+}
+
+// NewState returns an empty state.
+func NewState() *State {
+	return &State{Jobs: map[string]*Job{}, Keys: map[string]string{}, Claims: map[string]*Claim{}}
+}
+
+// Encode serialises the state for a snapshot.
+func (s *State) Encode() ([]byte, error) { return json.Marshal(s) }
+
+// Decode parses a snapshot.
+func Decode(data []byte) (*State, error) {
+	s := NewState()
+	err := json.Unmarshal(data, s)
+	return s, err
+}
+
+// TaskRef builds the reference of an attempt.
+func TaskRef(jobID string, index, attempt int) worker.Ref {
+	return worker.Ref{Task: jobID + "/" + strconv.Itoa(index), Attempt: attempt}
+}
+
+// SplitTask parses a task name into its job id and index.
+func SplitTask(task string) (string, int, error) {
+	i := strings.LastIndexByte(task, '/')
+	if i < 0 {
+		return "", 0, fmt.Errorf("task %q has no index", task)
+	}
+	index, err := strconv.Atoi(task[i+1:])
+	return task[:i], index, err
+}
+
+// Task finds a task by name; nil if it does not exist.
+func (s *State) Task(name string) (*Job, *Task) {
+	id, index, err := SplitTask(name)
+	if err != nil {
+		return nil, nil
+	}
+	job := s.Jobs[id]
+	if job == nil || index < 0 || index >= len(job.Tasks) {
+		return nil, nil
+	}
+	return job, &job.Tasks[index]
+}
+
+// Undo reverts one applied operation.
+type Undo func()
+
+// Apply changes the state. The returned Undo must be called in reverse order of application, and only while no
+// later operation stays applied.
+func (s *State) Apply(op Op) (Undo, error) {
+	switch op.Kind {
+	case OpSubmit:
+		return s.submit(op.Job)
+	case OpCancel:
+		return s.cancel(op.JobID)
+	case OpClaim:
+		return s.claim(op.Claim)
+	case OpComplete:
+		return s.complete(op.Claim)
+	case OpRelease:
+		return s.release(op.Claim)
+	case OpPrune:
+		return s.prune(op)
+	case OpPlace, OpRefuse, OpEvict, OpEnd, OpLost:
+		return s.transition(op)
+	}
+	return nil, fmt.Errorf("unknown operation %q", op.Kind)
+}
+
+func (s *State) submit(job *Job) (Undo, error) {
+	if s.Jobs[job.ID] != nil {
+		return nil, ErrDuplicate
+	}
+	if job.Key != "" && s.Keys[job.Key] != "" {
+		return nil, ErrDuplicate
+	}
+	own := *job // the operation is encoded later, while the state changes
+	own.Tasks = append([]Task(nil), job.Tasks...)
+	s.Jobs[job.ID] = &own
+	if job.Key != "" {
+		s.Keys[job.Key] = job.ID
+	}
+	return func() {
+		delete(s.Jobs, job.ID)
+		delete(s.Keys, job.Key)
+	}, nil
+}
+
+func (s *State) transition(op Op) (Undo, error) {
+	job, task := s.Task(op.Ref.Task)
+	if task == nil {
+		return nil, ErrUnknown
+	}
+	before := *task
+	var err error
+	if op.Kind == OpPlace {
+		err = task.place(job, op)
+	} else {
+		err = task.leave(job, op)
+	}
+	if err != nil {
+		*task = before
+		return nil, err
+	}
+	return func() { *task = before }, nil
+}
+
+func (t *Task) place(job *Job, op Op) error {
+	if t.State != TaskPending || job.Cancelled || op.Ref.Attempt != t.Attempt+1 {
+		return ErrStale
+	}
+	if t.Evictions > t.Resumes && t.Checkpoint != "" {
+		t.Resumes++
+	}
+	invariant.Check(t.Resumes <= t.Evictions, "resume_once_per_eviction", "task %s: %d resumes of %d evictions", op.Ref.Task, t.Resumes, t.Evictions)
+	t.State, t.Attempt, t.Agent, t.AgentInc = TaskPlaced, op.Ref.Attempt, op.Agent, op.AgentInc
+	return nil
+}
+
+// leave moves a placed task on. Only its newest attempt may do so.
+func (t *Task) leave(job *Job, op Op) error {
+	if t.State != TaskPlaced || op.Ref.Attempt != t.Attempt {
+		return ErrStale
+	}
+	t.Reason, t.NotBefore = op.Reason, op.NotBefore
+	switch op.Kind {
+	case OpRefuse:
+		t.State = TaskPending
+		if t.Resumes > 0 && t.Checkpoint != "" {
+			t.Resumes-- // the refused attempt did not resume
+		}
+	case OpEvict:
+		t.State, t.Checkpoint = TaskPending, op.Checkpoint
+		t.Evictions++
+	case OpLost:
+		t.State = TaskPending
+		if !job.Idempotent {
+			t.State = TaskUnknown
+		}
+	case OpEnd:
+		t.State = op.State
+		if op.State == TaskPending {
+			t.Failures++
+		}
+	}
+	if t.State == TaskPending && job.Cancelled {
+		t.State = TaskCancelled
+	}
+	t.Agent, t.AgentInc = "", 0
+	return nil
+}
+
+func (s *State) cancel(id string) (Undo, error) {
+	job := s.Jobs[id]
+	if job == nil {
+		return nil, ErrUnknown
+	}
+	if job.Cancelled || job.Finished() {
+		return nil, ErrStale
+	}
+	before := append([]Task(nil), job.Tasks...)
+	job.Cancelled = true
+	for i := range job.Tasks {
+		if job.Tasks[i].State == TaskPending {
+			job.Tasks[i].State = TaskCancelled
+		}
+	}
+	return func() {
+		job.Cancelled = false
+		copy(job.Tasks, before)
+	}, nil
+}
+
+func (s *State) claim(c *Claim) (Undo, error) {
+	if s.Claims[c.Key] != nil {
+		return nil, ErrDuplicate
+	}
+	s.Claims[c.Key] = c
+	return func() { delete(s.Claims, c.Key) }, nil
+}
+
+func (s *State) complete(c *Claim) (Undo, error) {
+	old := s.Claims[c.Key]
+	if old == nil {
+		return nil, ErrUnknown
+	}
+	if old.Done || old.RequestID != c.RequestID {
+		return nil, ErrStale
+	}
+	s.Claims[c.Key] = c
+	return func() { s.Claims[c.Key] = old }, nil
+}
+
+func (s *State) release(c *Claim) (Undo, error) {
+	old := s.Claims[c.Key]
+	if old == nil || old.Done || old.RequestID != c.RequestID {
+		return nil, ErrStale
+	}
+	delete(s.Claims, c.Key)
+	return func() { s.Claims[c.Key] = old }, nil
+}
+
+func (s *State) prune(op Op) (Undo, error) {
+	if op.Claim != nil {
+		old := s.Claims[op.Claim.Key]
+		delete(s.Claims, op.Claim.Key)
+		return func() { s.Claims[op.Claim.Key] = old }, nil
+	}
+	job := s.Jobs[op.JobID]
+	if job == nil || !job.Finished() {
+		return nil, ErrStale
+	}
+	delete(s.Jobs, job.ID)
+	delete(s.Keys, job.Key)
+	return func() {
+		s.Jobs[job.ID] = job
+		if job.Key != "" {
+			s.Keys[job.Key] = job.ID
+		}
+	}, nil
+}
--- /dev/null
+++ b/internal/operatorapi/operatorapi.go
@@ -0,0 +1,56 @@
+// Package operatorapi serves health, readiness, metrics and status of one process.
+package operatorapi
+
+import (
+	"net/http"
+	"sync/atomic"
+
+	"github.com/labstack/echo/v4"
+
+	"bamboofork/internal/app"
+	"bamboofork/internal/membership"
+	"bamboofork/internal/settings"
+	"bamboofork/internal/telemetry"
+)
+
+// Status is what a process knows.
+type Status struct {
+	Self     membership.Member   `json:"self"`
+	Version  string              `json:"version"`
+	Revision int64               `json:"settings_revision"`
+	Members  []membership.Status `json:"members"`
+	Owned    []int               `json:"partitions_owned"`
+}
+
+// API serves the operator endpoints of one process.
+type API struct {
+	Table   *membership.Table
+	Live    *settings.Live
+	Metrics *telemetry.Registry
+	Owned   func() []int // nil: none
+	Ready   atomic.Bool
+}
+
+// Register adds the endpoints to e.
+func (a *API) Register(e *echo.Echo) {
+	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", func(c echo.Context) error {
+		if !a.Ready.Load() {
+			return c.String(http.StatusServiceUnavailable, "not ready\n")
+		}
+		return c.String(http.StatusOK, "ready\n")
+	})
+	e.GET("/metrics", func(c echo.Context) error {
+		c.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
+		return a.Metrics.WriteText(c.Response())
+	})
+	e.GET("/v1/status", func(c echo.Context) error { return c.JSON(http.StatusOK, a.status()) })
+}
+
+func (a *API) status() Status {
+	s := Status{Self: a.Table.Self(), Version: app.Version, Revision: a.Live.Current().Revision, Members: a.Table.Members()}
+	if a.Owned != nil {
+		s.Owned = a.Owned()
+	}
+	return s
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,329 @@
+// Package peer connects the project's own processes with net/rpc. A connection starts
+// with a version handshake, is probed at the application level, and is replaced when a
+// probe is not answered in time. net/rpc carries control messages only.
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"bamboofork/internal/events"
+)
+
+// ProtocolVersion must match on both ends of a connection.
+const ProtocolVersion = "bamboofork/1"
+
+// Timing of connections.
+const (
+	DialTimeout      = 1 * time.Second
+	HandshakeTimeout = 1 * time.Second
+	ProbeInterval    = 1 * time.Second
+	ProbeTimeout     = 2 * time.Second // a silent connection is found within ProbeInterval + ProbeTimeout
+	maxHandshake     = 128             // bytes
+)
+
+// Errors of Call that are not answers of the remote method.
+var (
+	// ErrNotSent: the request never left this process.
+	ErrNotSent = errors.New("peer unreachable, request not sent")
+	// ErrLost: the connection broke or the deadline passed after the request left; the outcome is unknown.
+	ErrLost = errors.New("peer connection lost, outcome unknown")
+)
+
+// PingArgs and PingReply are the probe's messages.
+type (
+	PingArgs  struct{ From string }
+	PingReply struct{ ID string }
+)
+
+// pingService answers probes.
+type pingService struct{ id string }
+
+// Ping implements the probe.
+func (s *pingService) Ping(_ PingArgs, reply *PingReply) error {
+	reply.ID = s.id
+	return nil
+}
+
+// Server accepts connections of other processes.
+type Server struct {
+	rpc *rpc.Server
+	log zerolog.Logger
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+// NewServer returns a server that answers probes as id.
+func NewServer(id string, log zerolog.Logger) *Server {
+	s := &Server{rpc: rpc.NewServer(), log: log, conns: map[net.Conn]bool{}}
+	if err := s.rpc.RegisterName("Peer", &pingService{id: id}); err != nil {
+		panic(err) // the method set is fixed at compile time
+	}
+	return s
+}
+
+// Register adds the exported methods of receiver under the name.
+func (s *Server) Register(name string, receiver any) error { return s.rpc.RegisterName(name, receiver) }
+
+// Serve accepts connections until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { l.Close(); s.closeAll() })
+	defer stop()
+	for {
+		conn, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		go s.serveConn(ctx, conn)
+	}
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.Close()
+	}
+}
+
+func (s *Server) track(c net.Conn, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if on {
+		s.conns[c] = true
+		return
+	}
+	delete(s.conns, c)
+}
+
+func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	defer conn.Close()
+	s.track(conn, true)
+	defer s.track(conn, false)
+	if ctx.Err() != nil {
+		return
+	}
+	if err := acceptHandshake(conn); err != nil {
+		events.PeerRefused.Log(&s.log).Str("remote", conn.RemoteAddr().String()).Err(err).Send()
+		return
+	}
+	s.rpc.ServeConn(conn)
+}
+
+func acceptHandshake(conn net.Conn) error {
+	if err := conn.SetDeadline(time.Now().Add(HandshakeTimeout)); err != nil {
+		return err
+	}
+	line, err := readLine(conn)
+	if err != nil {
+		return err
+	}
+	if line != ProtocolVersion {
+		fmt.Fprintf(conn, "refused, expected %s\n", ProtocolVersion)
+		return fmt.Errorf("peer speaks %q, expected %s", line, ProtocolVersion)
+	}
+	if _, err := fmt.Fprintf(conn, "%s ok\n", ProtocolVersion); err != nil {
+		return err
+	}
+	return conn.SetDeadline(time.Time{})
+}
+
+// readLine reads byte by byte so that nothing after the line is consumed.
+func readLine(conn net.Conn) (string, error) {
+	var b strings.Builder
+	one := make([]byte, 1)
+	for b.Len() < maxHandshake {
+		if _, err := conn.Read(one); err != nil {
+			return "", err
+		}
+		if one[0] == '\n' {
+			return b.String(), nil
+		}
+		b.WriteByte(one[0])
+	}
+	return "", fmt.Errorf("handshake line longer than %d bytes", maxHandshake)
+}
+
+// DialFunc opens a transport connection.
+type DialFunc func(ctx context.Context, addr string) (net.Conn, error)
+
+// Pool keeps one probed connection per address. mu guards clients.
+type Pool struct {
+	id   string
+	log  zerolog.Logger
+	dial DialFunc
+
+	mu      sync.Mutex
+	clients map[string]*client
+	closed  bool
+}
+
+type client struct {
+	addr  string
+	ready chan struct{} // closed when the dial finished
+	rpc   *rpc.Client
+	err   error
+	stop  context.CancelFunc
+}
+
+// NewPool returns an empty pool for the process id. A nil dial uses TCP.
+func NewPool(id string, log zerolog.Logger, dial DialFunc) *Pool {
+	if dial == nil {
+		dial = func(ctx context.Context, addr string) (net.Conn, error) {
+			return (&net.Dialer{Timeout: DialTimeout}).DialContext(ctx, "tcp", addr)
+		}
+	}
+	return &Pool{id: id, log: log, dial: dial, clients: map[string]*client{}}
+}
+
+// Close ends all connections; later calls fail with ErrNotSent.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.clients {
+		c.stop()
+	}
+	p.clients = map[string]*client{}
+}
+
+// Call runs a method at the address. Errors: ErrNotSent, ErrLost, or rpc.ServerError from the method.
+func (p *Pool) Call(ctx context.Context, addr, method string, args, reply any) error {
+	c, err := p.client(addr)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-c.ready:
+	case <-ctx.Done():
+		return ErrNotSent
+	}
+	if c.err != nil {
+		return c.err
+	}
+	return c.call(ctx, method, args, reply)
+}
+
+func (c *client) call(ctx context.Context, method string, args, reply any) error {
+	call := c.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+	case <-ctx.Done():
+		return ErrLost
+	}
+	var answer rpc.ServerError
+	switch {
+	case call.Error == nil, errors.As(call.Error, &answer):
+		return call.Error
+	case errors.Is(call.Error, rpc.ErrShutdown):
+		return ErrNotSent
+	}
+	return ErrLost
+}
+
+// client returns the connection to addr and starts to dial it if there is none.
+func (p *Pool) client(addr string) (*client, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, ErrNotSent
+	}
+	if c := p.clients[addr]; c != nil {
+		return c, nil
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &client{addr: addr, ready: make(chan struct{}), stop: cancel}
+	p.clients[addr] = c
+	go p.run(ctx, c)
+	return c, nil
+}
+
+// run dials, then probes the connection until it fails or the pool closes it.
+func (p *Pool) run(ctx context.Context, c *client) {
+	defer p.forget(c)
+	conn, err := p.connect(ctx, c.addr)
+	if err != nil {
+		c.err = ErrNotSent
+		close(c.ready)
+		return
+	}
+	c.rpc = rpc.NewClient(conn)
+	defer c.rpc.Close()
+	close(c.ready)
+	events.PeerConnected.Log(&p.log).Str("addr", c.addr).Send()
+	err = p.probe(ctx, c)
+	if ctx.Err() == nil {
+		events.PeerLost.Log(&p.log).Str("addr", c.addr).AnErr("cause", err).Send()
+	}
+}
+
+func (p *Pool) connect(ctx context.Context, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	defer cancel()
+	conn, err := p.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	if err := offerHandshake(conn); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+func offerHandshake(conn net.Conn) error {
+	if err := conn.SetDeadline(time.Now().Add(HandshakeTimeout)); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(conn, "%s\n", ProtocolVersion); err != nil {
+		return err
+	}
+	line, err := readLine(conn)
+	if err != nil {
+		return err
+	}
+	if line != ProtocolVersion+" ok" {
+		return fmt.Errorf("peer answered %q", line)
+	}
+	return conn.SetDeadline(time.Time{})
+}
+
+func (p *Pool) probe(ctx context.Context, c *client) error {
+	ticker := time.NewTicker(ProbeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		probeCtx, cancel := context.WithTimeout(ctx, ProbeTimeout)
+		var reply PingReply
+		err := c.call(probeCtx, "Peer.Ping", PingArgs{From: p.id}, &reply)
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (p *Pool) forget(c *client) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.clients[c.addr] == c {
+		delete(p.clients, c.addr)
+	}
+	c.stop()
+}
--- /dev/null
+++ b/internal/platform/workerserver.go
@@ -0,0 +1,76 @@
+package platform
+
+import (
+	"errors"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"bamboofork/internal/worker"
+)
+
+// RegisterWorker serves a stand-in worker over HTTP on e, with its fault settings.
+func RegisterWorker(e *echo.Echo, w *SimWorker) {
+	e.GET(worker.PathCapacity, func(c echo.Context) error {
+		out, err := w.Capacity(c.Request().Context())
+		return answerWorker(c, out, err)
+	})
+	e.GET(worker.PathTasks, func(c echo.Context) error {
+		out, err := w.List(c.Request().Context())
+		return answerWorker(c, out, err)
+	})
+	e.GET(worker.PathUsage, func(c echo.Context) error {
+		out, err := w.Usage(c.Request().Context())
+		return answerWorker(c, out, err)
+	})
+	e.POST(worker.PathTasks, bound(func(c echo.Context, in worker.Spec) error {
+		return answerWorker(c, nil, w.Start(c.Request().Context(), in))
+	}))
+	e.POST(worker.PathRenew, bound(func(c echo.Context, in worker.RenewRequest) error {
+		return answerWorker(c, nil, w.Renew(c.Request().Context(), in.Refs, in.Lease))
+	}))
+	e.POST(worker.PathThrottle, bound(func(c echo.Context, in worker.ThrottleRequest) error {
+		return answerWorker(c, nil, w.Throttle(c.Request().Context(), in.Ref, in.Share))
+	}))
+	e.POST(worker.PathCheckpoint, bound(func(c echo.Context, in worker.Ref) error {
+		saved, err := w.Checkpoint(c.Request().Context(), in)
+		return answerWorker(c, worker.CheckpointResponse{Checkpoint: saved}, err)
+	}))
+	e.POST(worker.PathStop, bound(func(c echo.Context, in worker.Ref) error {
+		return answerWorker(c, nil, w.Stop(c.Request().Context(), in))
+	}))
+	e.POST(worker.PathForget, bound(func(c echo.Context, in worker.Ref) error {
+		return answerWorker(c, nil, w.Forget(c.Request().Context(), in))
+	}))
+	e.GET("/faults/worker", func(c echo.Context) error { return c.JSON(http.StatusOK, w.Faults()) })
+	e.PUT("/faults/worker", bound(func(c echo.Context, in WorkerFaults) error {
+		w.SetFaults(in)
+		return c.NoContent(http.StatusNoContent)
+	}))
+}
+
+func bound[T any](handle func(echo.Context, T) error) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		var in T
+		if err := c.Bind(&in); err != nil {
+			return err
+		}
+		return handle(c, in)
+	}
+}
+
+func answerWorker(c echo.Context, out any, err error) error {
+	switch {
+	case errors.Is(err, worker.ErrUnavailable):
+		return c.String(http.StatusServiceUnavailable, err.Error())
+	case errors.Is(err, worker.ErrNotFound):
+		return c.String(http.StatusNotFound, err.Error())
+	case errors.Is(err, worker.ErrRefused):
+		return c.String(http.StatusConflict, err.Error())
+	case err != nil:
+		return err
+	case out == nil:
+		return c.NoContent(http.StatusNoContent)
+	}
+	return c.JSON(http.StatusOK, out)
+}
--- /dev/null
+++ b/internal/settings/schema.go
@@ -0,0 +1,188 @@
+// Package settings holds the operators' tree of inherited settings: its schema,
+// inheritance, validation, differences, and the accepted log of edits in the store.
+package settings
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Class says how the work of a branch is served.
+type Class string
+
+// Classes of work.
+const (
+	ClassQuick  Class = "quick"  // latency-critical request and response
+	ClassStream Class = "stream" // long-lived response, counted against connections
+	ClassBatch  Class = "batch"  // durable jobs
+)
+
+// Effective is the result of inheritance for one branch.
+type Effective struct {
+	Branch            string
+	Class             Class
+	Backend           string        // name of the backend server pool
+	Kind              string        // kind of work, the unit of interference learning
+	Team              string        // owner of the quota
+	Idempotent        bool          // false: at most once, needs an Idempotency-Key
+	Weight            int           // fair share relative to siblings
+	Deadline          time.Duration // default time for a whole request
+	QueueTimeout      time.Duration // longest wait at a gate
+	MaxConcurrency    int           // requests in flight per entry, 0: unlimited
+	CallerRate        float64       // requests/s of one caller, 0: unlimited
+	RetryBudget       float64       // retries as a share of requests
+	BodyLimit         int64         // bytes of a request body
+	Priority          int           // 0 (may wait longest) to 100 (urgent)
+	QuotaCores        float64       // cores of running batch tasks of the team, 0: unlimited
+	QuotaMemoryMB     int64         // megabytes, 0: unlimited
+	QuotaAccelerators int           // 0: unlimited
+	Hold              time.Duration // how long an agent may run a task after an acknowledgement
+	LatencyTarget     time.Duration // p99 above which batch work on the host is slowed, 0: none
+	LogSample         float64       // share of routing decisions that are logged
+	Caller            bool          // the branch stands for a single caller
+}
+
+// Field is one setting of the schema.
+type Field struct {
+	Name    string
+	Doc     string
+	Unit    string
+	Default string
+	Accepts string
+	set     func(e *Effective, value string) error
+}
+
+// Fields is the schema in the order in which it is documented.
+var Fields = []Field{
+	{"class", "how the work is served", "", "quick", "quick, stream or batch", setClass},
+	{"backend", "backend server pool that serves the branch", "", "", "a name", func(e *Effective, v string) error { return setName(&e.Backend, v) }},
+	{"kind", "kind of work, for interference learning", "", "", "a name", func(e *Effective, v string) error { return setName(&e.Kind, v) }},
+	{"team", "owner of the quota", "", "", "a name", func(e *Effective, v string) error { return setName(&e.Team, v) }},
+	{"idempotent", "whether a request may run more than once", "", "true", "true or false", func(e *Effective, v string) error { return setBool(&e.Idempotent, v) }},
+	{"weight", "fair share relative to sibling branches", "", "10", "1 to 1000", func(e *Effective, v string) error { return setInt(&e.Weight, v, 1, 1000) }},
+	{"deadline", "default time for a whole request", "duration", "2s", "1ms to 24h", func(e *Effective, v string) error { return setDuration(&e.Deadline, v, time.Millisecond, 24*time.Hour) }},
+	{"queue_timeout", "longest wait at a gate", "duration", "500ms", "0s to 1h", func(e *Effective, v string) error { return setDuration(&e.QueueTimeout, v, 0, time.Hour) }},
+	{"max_concurrency", "requests in flight per entry, 0: unlimited", "requests", "0", "0 to 1000000", func(e *Effective, v string) error { return setInt(&e.MaxConcurrency, v, 0, 1_000_000) }},
+	{"caller_rate", "requests of one caller, 0: unlimited", "requests/s", "0", "0 to 1000000", func(e *Effective, v string) error { return setFloat(&e.CallerRate, v, 0, 1e6) }},
+	{"retry_budget", "retries as a share of requests", "ratio", "0.1", "0 to 1", func(e *Effective, v string) error { return setFloat(&e.RetryBudget, v, 0, 1) }},
+	{"body_limit", "largest request body", "bytes", "1048576", "0 to 1073741824", func(e *Effective, v string) error { return setInt64(&e.BodyLimit, v, 0, 1<<30) }},
+	{"priority", "urgency of batch work", "", "50", "0 to 100", func(e *Effective, v string) error { return setInt(&e.Priority, v, 0, 100) }},
+	{"quota_cores", "cores of running batch tasks of the team, 0: unlimited", "cores", "0", "0 to 10000000", func(e *Effective, v string) error { return setFloat(&e.QuotaCores, v, 0, 1e7) }},
+	{"quota_memory_mb", "memory of running batch tasks of the team, 0: unlimited", "MB", "0", "0 to 100000000000", func(e *Effective, v string) error { return setInt64(&e.QuotaMemoryMB, v, 0, 1e11) }},
+	{"quota_accelerators", "accelerators of running batch tasks of the team, 0: unlimited", "accelerators", "0", "0 to 1000000", func(e *Effective, v string) error { return setInt(&e.QuotaAccelerators, v, 0, 1_000_000) }},
+	{"hold", "how long an agent may run a task after an acknowledgement", "duration", "30s", "1s to 10m", func(e *Effective, v string) error { return setDuration(&e.Hold, v, time.Second, 10*time.Minute) }},
+	{"latency_target", "p99 above which batch work on the host is slowed, 0s: none", "duration", "0s", "0s to 1m", func(e *Effective, v string) error { return setDuration(&e.LatencyTarget, v, 0, time.Minute) }},
+	{"log_sample", "share of routing decisions that are logged", "ratio", "1", "0 to 1", func(e *Effective, v string) error { return setFloat(&e.LogSample, v, 0, 1) }},
+	{"caller", "the branch stands for a single caller", "", "false", "true or false", func(e *Effective, v string) error { return setBool(&e.Caller, v) }},
+}
+
+// FieldByName finds a field of the schema.
+func FieldByName(name string) (Field, bool) {
+	i := slices.IndexFunc(Fields, func(f Field) bool { return f.Name == name })
+	if i < 0 {
+		return Field{}, false
+	}
+	return Fields[i], true
+}
+
+// FieldNames lists the schema's field names.
+func FieldNames() []string {
+	names := make([]string, len(Fields))
+	for i, f := range Fields {
+		names[i] = f.Name
+	}
+	return names
+}
+
+// CheckValue validates one value against the schema.
+func CheckValue(name, value string) error {
+	f, ok := FieldByName(name)
+	if !ok {
+		return fmt.Errorf("unknown setting %q; known settings: %s", name, strings.Join(FieldNames(), ", "))
+	}
+	var scratch Effective
+	if err := f.set(&scratch, value); err != nil {
+		return fmt.Errorf("setting %q: %q is not accepted (%s); accepted: %s", name, value, err, f.Accepts)
+	}
+	return nil
+}
+
+func setClass(e *Effective, v string) error {
+	switch Class(v) {
+	case ClassQuick, ClassStream, ClassBatch:
+		e.Class = Class(v)
+		return nil
+	}
+	return fmt.Errorf("unknown class")
+}
+
+const maxNameLen = 63
+
+func setName(dst *string, v string) error {
+	if v != "" && !validName(v) {
+		return fmt.Errorf("a name has 1 to %d characters of a-z, 0-9, '-' and '_'", maxNameLen)
+	}
+	*dst = v
+	return nil
+}
+
+func validName(v string) bool {
+	if v == "" || len(v) > maxNameLen {
+		return false
+	}
+	return !strings.ContainsFunc(v, func(c rune) bool {
+		return !(c >= 'a' && c <= 'z' || c >= '0' && c <= '9' || c == '-' || c == '_')
+	})
+}
+
+func setBool(dst *bool, v string) error {
+	switch v {
+	case "true", "false":
+		*dst = v == "true"
+		return nil
+	}
+	return fmt.Errorf("not a boolean")
+}
+
+func setInt(dst *int, v string, low, high int) error {
+	n, err := strconv.Atoi(v)
+	if err != nil {
+		return fmt.Errorf("not a whole number")
+	}
+	return setInRange(dst, n, low, high)
+}
+
+func setInt64(dst *int64, v string, low, high int64) error {
+	n, err := strconv.ParseInt(v, 10, 64)
+	if err != nil {
+		return fmt.Errorf("not a whole number")
+	}
+	return setInRange(dst, n, low, high)
+}
+
+func setFloat(dst *float64, v string, low, high float64) error {
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || n != n {
+		return fmt.Errorf("not a number")
+	}
+	return setInRange(dst, n, low, high)
+}
+
+func setDuration(dst *time.Duration, v string, low, high time.Duration) error {
+	d, err := time.ParseDuration(v)
+	if err != nil {
+		return fmt.Errorf("not a duration such as 250ms or 2s")
+	}
+	return setInRange(dst, d, low, high)
+}
+
+func setInRange[T int | int64 | float64 | time.Duration](dst *T, n, low, high T) error {
+	if n < low || n > high {
+		return fmt.Errorf("out of range")
+	}
+	*dst = n
+	return nil
+}
--- /dev/null
+++ b/internal/settings/yaml.go
@@ -0,0 +1,150 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// FileError is a fault in a settings file with its position.
+type FileError struct {
+	File  string
+	Line  int
+	Field string
+	Msg   string
+}
+
+// Error implements error in the form file:line: field: message.
+func (e FileError) Error() string {
+	return fmt.Sprintf("%s:%d: %s: %s", e.File, e.Line, e.Field, e.Msg)
+}
+
+// ParseTree reads a tree in YAML. A branch is a mapping with the optional keys
+// "settings" (field: value) and "branches" (name: branch). All faults are returned.
+func ParseTree(file string, data []byte) (Tree, error) {
+	var doc yaml.Node
+	if err := yaml.Unmarshal(data, &doc); err != nil {
+		return Tree{}, fmt.Errorf("%s: %w", file, err)
+	}
+	t := NewTree()
+	if len(doc.Content) == 0 {
+		return t, nil
+	}
+	p := parser{file: file, tree: t, lines: map[string]int{}}
+	p.branch(Root, doc.Content[0])
+	if len(p.errs) > 0 {
+		return Tree{}, errors.Join(p.errs...)
+	}
+	for _, path := range t.Paths() {
+		if err := t.validateBranch(path); err != nil {
+			return Tree{}, FileError{File: file, Line: p.lines[path], Field: displayPath(path), Msg: err.Error()}
+		}
+	}
+	return t, nil
+}
+
+type parser struct {
+	file  string
+	tree  Tree
+	lines map[string]int
+	errs  []error
+}
+
+func displayPath(path string) string {
+	if path == Root {
+		return "(root)"
+	}
+	return path
+}
+
+func (p *parser) fail(n *yaml.Node, field, format string, args ...any) {
+	p.errs = append(p.errs, FileError{File: p.file, Line: n.Line, Field: field, Msg: fmt.Sprintf(format, args...)})
+}
+
+func (p *parser) branch(path string, n *yaml.Node) {
+	p.lines[path] = n.Line
+	p.tree.Branches[path] = map[string]string{}
+	if err := CheckPath(path); err != nil {
+		p.fail(n, displayPath(path), "%s", err)
+		return
+	}
+	if n.Kind == yaml.ScalarNode && n.Tag == "!!null" {
+		return
+	}
+	p.eachKey(n, displayPath(path), func(key string, value *yaml.Node) {
+		switch key {
+		case "settings":
+			p.values(path, value)
+		case "branches":
+			p.children(path, value)
+		default:
+			p.fail(value, displayPath(path)+"."+key, "unknown key; accepted: settings, branches")
+		}
+	})
+}
+
+func (p *parser) values(path string, n *yaml.Node) {
+	p.eachKey(n, displayPath(path)+".settings", func(name string, value *yaml.Node) {
+		field := displayPath(path) + ".settings." + name
+		if value.Kind != yaml.ScalarNode {
+			p.fail(value, field, "a single value is expected")
+			return
+		}
+		if err := CheckValue(name, value.Value); err != nil {
+			p.fail(value, field, "%s", err)
+			return
+		}
+		p.tree.Branches[path][name] = value.Value
+	})
+}
+
+func (p *parser) children(path string, n *yaml.Node) {
+	p.eachKey(n, displayPath(path)+".branches", func(name string, value *yaml.Node) {
+		child := name
+		if path != Root {
+			child = path + "/" + name
+		}
+		p.branch(child, value)
+	})
+}
+
+func (p *parser) eachKey(n *yaml.Node, field string, do func(key string, value *yaml.Node)) {
+	if n.Kind != yaml.MappingNode {
+		p.fail(n, field, "a mapping is expected")
+		return
+	}
+	seen := map[string]bool{}
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		key := n.Content[i].Value
+		if seen[key] {
+			p.fail(n.Content[i], field+"."+key, "key appears twice")
+			continue
+		}
+		seen[key] = true
+		do(key, n.Content[i+1])
+	}
+}
+
+// branchYAML is the written form of a branch.
+type branchYAML struct {
+	Settings map[string]string      `yaml:"settings,omitempty"`
+	Branches map[string]*branchYAML `yaml:"branches,omitempty"`
+}
+
+// FormatTree writes a tree in the form that ParseTree reads.
+func FormatTree(t Tree) ([]byte, error) {
+	nodes := map[string]*branchYAML{}
+	paths := t.Paths()
+	slices.Sort(paths)
+	for _, path := range paths {
+		node := &branchYAML{Settings: t.Branches[path], Branches: map[string]*branchYAML{}}
+		nodes[path] = node
+		if path != Root {
+			nodes[Parent(path)].Branches[path[strings.LastIndexByte(path, '/')+1:]] = node
+		}
+	}
+	return yaml.Marshal(nodes[Root])
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,155 @@
+// Package wire holds the messages between the project's own processes and the headers
+// of forwarded requests. Control messages travel over net/rpc (package peer).
+package wire
+
+import (
+	"time"
+
+	"bamboofork/internal/ledger"
+	"bamboofork/internal/worker"
+)
+
+// Headers of a forwarded request and its response.
+const (
+	HeaderRequestID  = "Bf-Request-Id"
+	HeaderBranch     = "Bf-Branch"
+	HeaderDeadlineMs = "Bf-Deadline-Ms" // remaining time in milliseconds
+	HeaderAttempt    = "Bf-Attempt"
+	HeaderOutcome    = "Bf-Outcome"
+	HeaderReason     = "Bf-Reason"
+	HeaderAgent      = "Bf-Agent"
+	HeaderBusy       = "Bf-Busy"   // slots in use at the agent when it answered
+	HeaderQueued     = "Bf-Queued" // requests waiting at the agent's gate when it answered
+	HeaderKey        = "Idempotency-Key"
+)
+
+// ForwardPath is the prefix of forwarded requests on an agent's data address.
+const ForwardPath = "/forward"
+
+// Outcome of a request.
+type Outcome string
+
+// Outcomes.
+const (
+	OutcomeDone    Outcome = "done"
+	OutcomeFailed  Outcome = "failed"
+	OutcomeNotRun  Outcome = "not_run" // proven not to have run
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Code is the verdict of a partition owner about a call.
+type Code string
+
+// Codes of partition calls.
+const (
+	CodeOK        Code = "ok"
+	CodeNotOwner  Code = "not_owner" // had no effect; ask the directory again
+	CodeNoStore   Code = "no_store"  // had no effect; the store does not answer
+	CodeUncertain Code = "uncertain" // may become durable
+	CodeUnknown   Code = "unknown_id"
+	CodeStale     Code = "stale"
+)
+
+// Partition calls.
+type (
+	SubmitArgs struct {
+		Partition int
+		Job       ledger.Job
+	}
+	SubmitReply struct {
+		Code  Code
+		JobID string // of the earlier job if the key was used before
+	}
+	ClaimArgs struct {
+		Partition int
+		Claim     ledger.Claim
+	}
+	ClaimReply struct {
+		Code     Code
+		Granted  bool
+		Existing ledger.Claim // the claim in the way if not granted
+	}
+	CompleteArgs struct {
+		Partition int
+		Claim     ledger.Claim
+		Release   bool // proven not run: the key may be claimed again
+	}
+	CompleteReply struct{ Code Code }
+	CancelArgs    struct {
+		Partition int
+		JobID     string
+	}
+	CancelReply struct{ Code Code }
+	GetArgs     struct {
+		Partition int
+		JobID     string
+	}
+	GetReply struct {
+		Code    Code
+		Job     ledger.Job
+		Explain []string // newest placement decision of each unplaced task
+	}
+	ListArgs struct {
+		Partition int
+		Limit     int
+	}
+	ListReply struct {
+		Code Code
+		Jobs []ledger.Job
+	}
+)
+
+// TaskReport is what an agent knows about one attempt.
+type TaskReport struct {
+	Ref        worker.Ref
+	State      worker.State
+	Checkpoint string
+	Reason     string
+	Progress   float64
+}
+
+// ReportArgs renews the holds of an agent's tasks and reports their states.
+type ReportArgs struct {
+	Partition   int
+	Agent       string
+	Incarnation int64
+	Tasks       []TaskReport
+}
+
+// ReportReply tells the agent which attempts it may go on running, which to stop, and which it may forget.
+type ReportReply struct {
+	Code   Code
+	Hold   []worker.Ref
+	For    time.Duration // length of the holds, counted from when the report was sent
+	Stop   []worker.Ref
+	Forget []worker.Ref
+}
+
+// Agent calls.
+type (
+	PlaceArgs struct {
+		Partition   int
+		Incarnation int64         // of the agent that the placement is meant for
+		HoldUntil   time.Duration // on the agent's own clock; a late arrival is refused
+		Spec        worker.Spec
+	}
+	PlaceReply struct {
+		Accepted bool
+		Reason   string
+	}
+	// StopArgs ends an attempt and fences it, so that a late placement is refused.
+	StopArgs struct {
+		Ref        worker.Ref
+		Checkpoint bool
+	}
+	StopReply struct {
+		Report TaskReport
+		Known  bool
+	}
+	// FenceArgs asks whether a forwarded request has started; if not, it never will.
+	FenceArgs  struct{ RequestID string }
+	FenceReply struct {
+		Started     bool
+		Incarnation int64 // a restarted agent does not remember what started before
+	}
+)
--- /dev/null
+++ b/internal/worker/http.go
@@ -0,0 +1,153 @@
+package worker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Paths of the worker's HTTP interface.
+const (
+	PathCapacity   = "/worker/capacity"
+	PathTasks      = "/worker/tasks"
+	PathRenew      = "/worker/renew"
+	PathUsage      = "/worker/usage"
+	PathCheckpoint = "/worker/checkpoint"
+	PathThrottle   = "/worker/throttle"
+	PathStop       = "/worker/stop"
+	PathForget     = "/worker/forget"
+)
+
+// Messages of the worker's HTTP interface.
+type (
+	RenewRequest struct {
+		Refs  []Ref         `json:"refs"`
+		Lease time.Duration `json:"lease"`
+	}
+	ThrottleRequest struct {
+		Ref   Ref     `json:"ref"`
+		Share float64 `json:"share"`
+	}
+	CheckpointResponse struct {
+		Checkpoint string `json:"checkpoint"`
+	}
+)
+
+// DefaultTimeout bounds one call to a worker.
+const DefaultTimeout = 2 * time.Second
+
+const maxResponseBytes = 16 << 20
+
+// HTTPClient is a Worker behind HTTP.
+type HTTPClient struct {
+	base   string
+	client *http.Client
+}
+
+// NewHTTPClient returns a client for the worker at the base URL.
+func NewHTTPClient(base string) *HTTPClient {
+	return &HTTPClient{base: base, client: &http.Client{Timeout: DefaultTimeout, Transport: &http.Transport{}}}
+}
+
+var _ Worker = (*HTTPClient)(nil)
+
+// Close drops idle connections.
+func (c *HTTPClient) Close() { c.client.CloseIdleConnections() }
+
+func (c *HTTPClient) call(ctx context.Context, method, path string, in, out any) error {
+	payload, err := json.Marshal(in)
+	if err != nil {
+		return eris.Wrap(err, "encode worker request")
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(payload))
+	if err != nil {
+		return eris.Wrap(err, "worker request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return ErrUnavailable
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	if err != nil {
+		return ErrUnavailable
+	}
+	return decodeResponse(resp.StatusCode, body, out)
+}
+
+func decodeResponse(status int, body []byte, out any) error {
+	switch {
+	case status == http.StatusNotFound:
+		return ErrNotFound
+	case status == http.StatusConflict:
+		return fmt.Errorf("%w: %s", ErrRefused, bytes.TrimSpace(body))
+	case status >= http.StatusMultipleChoices:
+		return ErrUnavailable
+	case out == nil:
+		return nil
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return ErrUnavailable
+	}
+	return nil
+}
+
+// Capacity implements Worker.
+func (c *HTTPClient) Capacity(ctx context.Context) (Resources, error) {
+	var out Resources
+	err := c.call(ctx, http.MethodGet, PathCapacity, nil, &out)
+	return out, err
+}
+
+// Start implements Worker.
+func (c *HTTPClient) Start(ctx context.Context, spec Spec) error {
+	return c.call(ctx, http.MethodPost, PathTasks, spec, nil)
+}
+
+// Renew implements Worker.
+func (c *HTTPClient) Renew(ctx context.Context, refs []Ref, lease time.Duration) error {
+	return c.call(ctx, http.MethodPost, PathRenew, RenewRequest{Refs: refs, Lease: lease}, nil)
+}
+
+// List implements Worker.
+func (c *HTTPClient) List(ctx context.Context) ([]Status, error) {
+	var out []Status
+	err := c.call(ctx, http.MethodGet, PathTasks, nil, &out)
+	return out, err
+}
+
+// Usage implements Worker.
+func (c *HTTPClient) Usage(ctx context.Context) (Usage, error) {
+	var out Usage
+	err := c.call(ctx, http.MethodGet, PathUsage, nil, &out)
+	return out, err
+}
+
+// Checkpoint implements Worker.
+func (c *HTTPClient) Checkpoint(ctx context.Context, ref Ref) (string, error) {
+	var out CheckpointResponse
+	err := c.call(ctx, http.MethodPost, PathCheckpoint, ref, &out)
+	return out.Checkpoint, err
+}
+
+// Throttle implements Worker.
+func (c *HTTPClient) Throttle(ctx context.Context, ref Ref, share float64) error {
+	return c.call(ctx, http.MethodPost, PathThrottle, ThrottleRequest{Ref: ref, Share: share}, nil)
+}
+
+// Stop implements Worker.
+func (c *HTTPClient) Stop(ctx context.Context, ref Ref) error {
+	return c.call(ctx, http.MethodPost, PathStop, ref, nil)
+}
+
+// Forget implements Worker.
+func (c *HTTPClient) Forget(ctx context.Context, ref Ref) error {
+	return c.call(ctx, http.MethodPost, PathForget, ref, nil)
+}
