--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -31,7 +31,6 @@
 	placed    time.Time
 	status    worker.Status
 	throttle  float64
-	evicting  bool
 }
 
 // taskRunner keeps the batch tasks of the host. mu guards the maps; it is never held during I/O.
