Add randomised runs of owners, agents and workers in virtual time

Change: a seeded run with real owners, agents and stand-in workers; the network, the store view and the worker view of each process are small fakes that drop, delay and hold back calls. Partition calls go through the interface Caller.

--- a/internal/partition/directory.go
+++ b/internal/partition/directory.go
@@ -16,11 +16,17 @@
 // directoryAge is how long a cached owner is used before the store is asked again after a failure.
 const directoryAge = 500 * time.Millisecond
 
+// Caller sends control calls to other processes; *peer.Pool implements it. Errors: peer.ErrNotSent, peer.ErrLost, or
+// the error of the remote method.
+type Caller interface {
+	Call(ctx context.Context, addr, method string, args, reply any) error
+}
+
 // Directory finds the owners of partitions. It caches them, so that it works while the store is down.
 // mu guards cache.
 type Directory struct {
 	st         store.Store
-	pool       *peer.Pool
+	pool       Caller
 	Partitions int
 
 	mu    sync.Mutex
@@ -33,7 +39,7 @@
 }
 
 // NewDirectory returns an empty directory.
-func NewDirectory(st store.Store, pool *peer.Pool, partitions int) *Directory {
+func NewDirectory(st store.Store, pool Caller, partitions int) *Directory {
 	return &Directory{st: st, pool: pool, Partitions: partitions, cache: map[int]cachedOwner{}}
 }
 
--- /dev/null
+++ b/internal/partition/fleet_test.go
@@ -0,0 +1,316 @@
+package partition_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"bamboofork/internal/agent"
+	"bamboofork/internal/gate"
+	"bamboofork/internal/lease"
+	"bamboofork/internal/membership"
+	"bamboofork/internal/partition"
+	"bamboofork/internal/peer"
+	"bamboofork/internal/platform"
+	"bamboofork/internal/settings"
+	"bamboofork/internal/store/memstore"
+	"bamboofork/internal/telemetry"
+	"bamboofork/internal/wire"
+	"bamboofork/internal/worker"
+)
+
+// Sizes of the randomised runs. The times are short so that several holds and takeovers fit into a run.
+const (
+	runPartitions = 3
+	runLease      = 3 * time.Second
+	runOutage     = 20 * time.Second
+	runHold       = 8 * time.Second
+	runDrain      = 3 * time.Second
+)
+
+var runCapacity = worker.Resources{Cores: 8, MemoryMB: 8000}
+
+// process is one agent process with its partitions. mu guards pause and dead.
+type process struct {
+	fleet   *fleet
+	id      string
+	addr    string
+	agent   *agent.Agent
+	manager *partition.Manager
+	table   *membership.Table
+	service *agent.Service
+	cancel  context.CancelFunc
+	done    chan struct{}
+	next    sync.Once // starts the next incarnation
+
+	mu    sync.Mutex
+	pause chan struct{} // closed when the process resumes; nil while it runs
+	dead  bool
+}
+
+// alive waits while the process is paused and reports whether it still exists.
+func (p *process) alive() bool {
+	for {
+		p.mu.Lock()
+		pause, dead := p.pause, p.dead
+		p.mu.Unlock()
+		if pause == nil || dead {
+			return !dead
+		}
+		<-pause
+	}
+}
+
+func (p *process) setPaused(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case on && p.pause == nil:
+		p.pause = make(chan struct{})
+	case !on && p.pause != nil:
+		close(p.pause)
+		p.pause = nil
+	}
+}
+
+// kill ends the process without any clean-up that others could see.
+func (p *process) kill() {
+	p.mu.Lock()
+	p.dead = true
+	p.mu.Unlock()
+	p.setPaused(false)
+	p.cancel()
+}
+
+func (p *process) dispatch(method string, args any) any {
+	switch method {
+	case "Partition.Report":
+		var r wire.ReportReply
+		_ = p.manager.Service().Report(args.(wire.ReportArgs), &r)
+		return r
+	case "Partition.Submit":
+		var r wire.SubmitReply
+		_ = p.manager.Service().Submit(args.(wire.SubmitArgs), &r)
+		return r
+	case "Partition.Cancel":
+		var r wire.CancelReply
+		_ = p.manager.Service().Cancel(args.(wire.CancelArgs), &r)
+		return r
+	case "Partition.Get":
+		var r wire.GetReply
+		_ = p.manager.Service().Get(args.(wire.GetArgs), &r)
+		return r
+	case "Agent.Place":
+		var r wire.PlaceReply
+		_ = p.service.Place(args.(wire.PlaceArgs), &r)
+		return r
+	case "Agent.Stop":
+		var r wire.StopReply
+		_ = p.service.Stop(args.(wire.StopArgs), &r)
+		return r
+	}
+	panic("fake network: unknown method " + method)
+}
+
+// fleet is a few hosts with real agents, owners and stand-in workers, connected by fakes. mu guards procs.
+type fleet struct {
+	engine  *memstore.Engine
+	store   *memstore.Faulty
+	net     *network
+	watch   *observer
+	log     zerolog.Logger
+	workers map[string]*platform.SimWorker
+
+	mu    sync.Mutex
+	procs map[string]*process
+	wg    sync.WaitGroup
+}
+
+func newFleet(hosts int, seed uint64, log zerolog.Logger) *fleet {
+	f := &fleet{
+		engine: memstore.New(), log: log, workers: map[string]*platform.SimWorker{}, procs: map[string]*process{},
+		net: &network{rnd: rand.New(rand.NewPCG(seed, 2)), hosts: map[string]*process{}},
+	}
+	f.store = memstore.NewFaulty(f.engine, seed)
+	f.watch = newObserver()
+	for i := range hosts {
+		id := fmt.Sprintf("agent-%d", i+1)
+		f.workers[id] = platform.NewSimWorker("worker-of-"+id, runCapacity, f.watch, seed+uint64(i))
+		f.start(id)
+	}
+	return f
+}
+
+// start starts a new incarnation of an agent.
+func (f *fleet) start(id string) {
+	p := &process{fleet: f, id: id, addr: id, done: make(chan struct{})}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	st := hostStore{f.store, p}
+	call := endpoint{f.net, p}
+	log := f.log.With().Str("node", id).Logger()
+	p.table = membership.NewTable(membership.Config{Self: membership.Member{ID: id, Role: membership.RoleAgent, Addr: p.addr}}, isolated(log), log)
+	dir := partition.NewDirectory(st, call, runPartitions)
+	keeper := lease.NewKeeper(st, runLease, log)
+	p.manager = partition.NewManager(partition.Config{
+		ID: fmt.Sprintf("%s-%d", id, p.table.Self().Incarnation), Addr: p.addr, Partitions: runPartitions, Max: 2, Outage: runOutage,
+	}, st, keeper, p.table, call, log)
+	p.agent = agent.New(agent.Config{ID: id, BackendName: "none", BackendAddr: "127.0.0.1:1", Drain: runDrain, Gate: gate.Config{Slots: 1, Conns: 1, Room: runCapacity}},
+		hostWorker{f.workers[id], p}, settings.NewLive(), dir, p.table, telemetry.New(), log)
+	p.service = p.agent.Service()
+	f.mu.Lock()
+	f.procs[id] = p
+	f.mu.Unlock()
+	f.net.mu.Lock()
+	f.net.hosts[p.addr] = p
+	f.net.mu.Unlock()
+	f.wg.Add(1)
+	go func() {
+		defer f.wg.Done()
+		defer close(p.done)
+		p.run(ctx, keeper)
+	}()
+}
+
+// run stops the parts in the order of a planned stop: agent, partitions, lease.
+func (p *process) run(ctx context.Context, keeper *lease.Keeper) {
+	partCtx, stopParts := context.WithCancel(context.Background())
+	leaseCtx, stopLease := context.WithCancel(context.Background())
+	var parts, leases, members sync.WaitGroup
+	parts.Add(1)
+	leases.Add(1)
+	members.Add(1)
+	go func() { defer members.Done(); _ = p.table.Run(leaseCtx) }()
+	go func() { defer parts.Done(); _ = p.manager.Run(partCtx) }()
+	go func() { defer leases.Done(); _ = keeper.Run(leaseCtx) }()
+	_ = p.agent.Run(ctx)
+	stopParts()
+	parts.Wait()
+	stopLease()
+	leases.Wait()
+	members.Wait()
+	p.table.Update(func(m *membership.Member) { m.Leaving, m.Gone = true, true })
+}
+
+// isolated returns a pool that reaches nobody: membership records spread by fleet.gossip instead.
+func isolated(log zerolog.Logger) *peer.Pool {
+	return peer.NewPool("isolated", log, func(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed })
+}
+
+func (f *fleet) proc(id string) *process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.procs[id]
+}
+
+func (f *fleet) all() []*process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := []*process{}
+	for _, p := range f.procs {
+		out = append(out, p)
+	}
+	return out
+}
+
+func (p *process) running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pause == nil && !p.dead
+}
+
+// background advances workers and leases and spreads membership records until ctx ends.
+func (f *fleet) background(ctx context.Context) {
+	for tick := 0; ctx.Err() == nil; tick++ {
+		time.Sleep(20 * time.Millisecond)
+		for _, w := range f.workers {
+			w.Load()
+		}
+		f.engine.Tick()
+		if tick%10 == 0 {
+			f.gossip()
+		}
+	}
+}
+
+func (f *fleet) gossip() {
+	records := []membership.Member{}
+	for _, p := range f.all() {
+		if p.running() {
+			records = append(records, p.table.Self())
+		}
+	}
+	for _, p := range f.all() {
+		if p.running() {
+			var reply membership.ExchangeReply
+			_ = p.table.Service().Exchange(membership.ExchangeArgs{Members: records}, &reply)
+		}
+	}
+}
+
+// observer checks at the stand-in workers what must hold there. mu guards all fields.
+type observer struct {
+	mu         sync.Mutex
+	running    map[string]string // task -> worker
+	checkpoint map[worker.Ref]string
+	resumes    map[string]int // checkpoint starts that were not preceded by a loss
+	fresh      map[string]int // starts without a checkpoint
+	starts     int
+	done       map[string]int
+	violations []string
+	once       map[string]bool // job ids of non-idempotent jobs
+}
+
+func newObserver() *observer {
+	return &observer{
+		running: map[string]string{}, checkpoint: map[worker.Ref]string{}, resumes: map[string]int{},
+		fresh: map[string]int{}, done: map[string]int{}, once: map[string]bool{},
+	}
+}
+
+func (o *observer) offered(spec worker.Spec) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.checkpoint[spec.Ref] = spec.Checkpoint
+}
+
+func (o *observer) broken(format string, args ...any) {
+	o.violations = append(o.violations, fmt.Sprintf(format, args...))
+}
+
+// TaskStarted implements platform.RunObserver.
+func (o *observer) TaskStarted(ref worker.Ref, workerID string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.starts++
+	if other := o.running[ref.Task]; other != "" {
+		o.broken("%v: task %s attempt %d starts on %s while it runs on %s", time.Now().UTC(), ref.Task, ref.Attempt, workerID, other)
+	}
+	o.running[ref.Task] = workerID
+	job, _, _ := strings.Cut(ref.Task, "/")
+	if !o.once[job] {
+		return
+	}
+	start := ref.Task + " from " + o.checkpoint[ref]
+	if o.fresh[start]++; o.fresh[start] > 1 {
+		o.broken("%v: non-idempotent task %q started %d times", time.Now().UTC(), start, o.fresh[start])
+	}
+}
+
+// TaskEnded implements platform.RunObserver.
+func (o *observer) TaskEnded(ref worker.Ref, workerID string, state worker.State) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.running[ref.Task] == workerID {
+		delete(o.running, ref.Task)
+	}
+	if state == worker.StateDone {
+		o.done[ref.Task]++
+	}
+}
--- a/internal/partition/manager.go
+++ b/internal/partition/manager.go
@@ -14,7 +14,6 @@
 	"bamboofork/internal/caslog"
 	"bamboofork/internal/events"
 	"bamboofork/internal/lease"
-	"bamboofork/internal/peer"
 	"bamboofork/internal/scheduler"
 	"bamboofork/internal/store"
 )
@@ -37,7 +36,7 @@
 	st     store.Store
 	keeper *lease.Keeper
 	nodes  Nodes
-	pool   *peer.Pool
+	pool   Caller
 	sched  *scheduler.Scheduler
 	log    zerolog.Logger
 
@@ -47,7 +46,7 @@
 }
 
 // NewManager returns a manager without partitions.
-func NewManager(cfg Config, st store.Store, keeper *lease.Keeper, nodes Nodes, pool *peer.Pool, log zerolog.Logger) *Manager {
+func NewManager(cfg Config, st store.Store, keeper *lease.Keeper, nodes Nodes, pool Caller, log zerolog.Logger) *Manager {
 	if cfg.Outage == 0 {
 		cfg.Outage = DefaultOutage
 	}
--- a/internal/partition/owner.go
+++ b/internal/partition/owner.go
@@ -121,6 +121,13 @@
 	return released, nil
 }
 
+// LoadState reads a partition's state from its log without taking ownership, for inspection and repair tools.
+func LoadState(ctx context.Context, log *caslog.Log) (*ledger.State, error) {
+	o := &Owner{log: log}
+	_, err := o.load(ctx)
+	return o.state, err
+}
+
 // snapshot is the stored form of a partition's state.
 type snapshot struct {
 	Epoch int64         `json:"epoch"`
--- a/internal/partition/placing.go
+++ b/internal/partition/placing.go
@@ -34,7 +34,7 @@
 type placer struct {
 	owner *Owner
 	nodes Nodes
-	pool  *peer.Pool
+	pool  Caller
 	sched *scheduler.Scheduler
 }
 
--- /dev/null
+++ b/internal/partition/random_test.go
@@ -0,0 +1,410 @@
+package partition_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"bamboofork/internal/caslog"
+	"bamboofork/internal/invariant"
+	"bamboofork/internal/ledger"
+	"bamboofork/internal/partition"
+	"bamboofork/internal/platform"
+	"bamboofork/internal/store/memstore"
+	"bamboofork/internal/wire"
+	"bamboofork/internal/worker"
+)
+
+var (
+	batchSeed    = flag.Uint64("batch.seed", 1, "first seed of the randomised runs")
+	batchRuns    = flag.Int("batch.runs", 6, "number of randomised runs")
+	batchLength  = flag.Duration("batch.length", time.Minute, "virtual time with faults in each run")
+	batchVerbose = flag.Bool("batch.verbose", false, "write the log of the runs to standard error")
+)
+
+// settleTime is the virtual time after the last fault within which every accepted job must end.
+const settleTime = 15 * time.Minute
+
+// run is one randomised run. mu guards accepted and broken.
+type run struct {
+	t     *testing.T
+	seed  uint64
+	rnd   *rand.Rand
+	fleet *fleet
+	wg    sync.WaitGroup
+
+	mu       sync.Mutex
+	accepted map[string]ledger.Job
+	broken   []string
+}
+
+// TestRandomRuns guards sections 2 and 3 of the design page: under every failure in combination no accepted job is
+// lost, no task runs twice at once, and all jobs end once the faults stop.
+func TestRandomRuns(t *testing.T) {
+	total := stats{}
+	failed := 0
+	for i := range *batchRuns {
+		seed := *batchSeed + uint64(i)
+		ok := t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { total.add(randomRun(t, seed, *batchLength)) })
+		})
+		if !ok {
+			failed++
+		}
+	}
+	t.Logf("%d runs, %d failed; %+v", *batchRuns, failed, total)
+}
+
+// stats sums what happened in runs.
+type stats struct{ Jobs, Tasks, Starts, Checks int }
+
+func (s *stats) add(o stats) {
+	s.Jobs += o.Jobs
+	s.Tasks += o.Tasks
+	s.Starts += o.Starts
+	s.Checks += o.Checks
+}
+
+func randomRun(t *testing.T, seed uint64, length time.Duration) stats {
+	log := zerolog.Nop()
+	if *batchVerbose {
+		log = zerolog.New(os.Stderr).With().Timestamp().Logger()
+	}
+	r := &run{t: t, seed: seed, rnd: rand.New(rand.NewPCG(seed, 7)), accepted: map[string]ledger.Job{}}
+	before := invariant.Checked()
+	restore := invariant.SetHandler(func(v invariant.Violation) { r.violate("invariant %s", v.Error()) })
+	defer invariant.SetHandler(restore)
+	ctx, cancel := context.WithCancel(context.Background())
+	r.fleet = newFleet(4, seed, log)
+	r.wg.Add(1)
+	go func() { defer r.wg.Done(); r.fleet.background(ctx) }()
+	time.Sleep(3 * time.Second)
+	r.faults(length)
+	r.heal()
+	r.settle()
+	s := r.verdict()
+	for _, p := range r.fleet.all() {
+		p.cancel()
+	}
+	r.fleet.wg.Wait()
+	cancel()
+	r.wg.Wait()
+	s.Checks = int(invariant.Checked() - before)
+	return s
+}
+
+func (r *run) violate(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.broken = append(r.broken, fmt.Sprintf("%v ", time.Now().UTC())+fmt.Sprintf(format, args...))
+}
+
+// faults injects random events until the time is over.
+func (r *run) faults(length time.Duration) {
+	end := time.Now().Add(length)
+	for i := 0; time.Now().Before(end); i++ {
+		time.Sleep(time.Duration(100+r.rnd.IntN(1500)) * time.Millisecond)
+		host := fmt.Sprintf("agent-%d", 1+r.rnd.IntN(4))
+		last := time.Duration(1+r.rnd.IntN(12)) * time.Second
+		if r.rnd.IntN(6) == 0 {
+			last *= 3
+		}
+		switch r.rnd.IntN(14) {
+		case 0:
+			r.restart(host, last, r.rnd.IntN(2) == 0)
+		case 1, 2:
+			r.pauseFor(host, last)
+		case 3:
+			r.storeFault(memstore.Faults{Down: true}, last)
+		case 4:
+			r.storeFault(memstore.Faults{LoseAnswer: 0.4, Delay: 20 * time.Millisecond}, last)
+		case 5:
+			r.netFault(netFaults{dropRequest: 0.3, dropReply: 0.3, maxDelay: 3 * time.Second}, last)
+		case 6:
+			r.workerFault(host, platform.WorkerFaults{LoseAnswer: 0.4, RunFactor: 2.5}, last)
+		case 7:
+			r.workerFault(host, platform.WorkerFaults{Paused: true}, last)
+		case 8:
+			r.workerFault(host, platform.WorkerFaults{FailAll: true}, last)
+		case 9:
+			r.plannedStop(host, last)
+		case 10:
+			r.cancelSome()
+		case 11:
+			r.evict(host)
+		default:
+			r.submit(i)
+		}
+	}
+}
+
+func (r *run) later(d time.Duration, do func()) {
+	r.wg.Add(1)
+	go func() {
+		defer r.wg.Done()
+		time.Sleep(d)
+		do()
+	}()
+}
+
+// restart kills a process and starts its next incarnation. With the host, its worker's tasks are gone as well.
+func (r *run) restart(host string, after time.Duration, withHost bool) {
+	p := r.fleet.proc(host)
+	if !p.alive0() {
+		return
+	}
+	p.kill()
+	if withHost {
+		r.fleet.workers[host].SetFaults(platform.WorkerFaults{Dead: true})
+	}
+	r.later(after, func() {
+		<-p.done
+		if withHost {
+			r.fleet.workers[host].SetFaults(platform.WorkerFaults{})
+		}
+		p.next.Do(func() { r.fleet.start(host) })
+	})
+}
+
+// alive0 reports whether the process exists, also while it is paused.
+func (p *process) alive0() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.dead
+}
+
+func (r *run) plannedStop(host string, after time.Duration) {
+	p := r.fleet.proc(host)
+	if !p.running() {
+		return
+	}
+	p.cancel()
+	r.later(after, func() {
+		<-p.done
+		p.kill()
+		p.next.Do(func() { r.fleet.start(host) })
+	})
+}
+
+func (r *run) pauseFor(host string, d time.Duration) {
+	p := r.fleet.proc(host)
+	p.setPaused(true)
+	r.later(d, func() { p.setPaused(false) })
+}
+
+func (r *run) storeFault(f memstore.Faults, d time.Duration) {
+	r.fleet.store.Set(f)
+	r.later(d, func() { r.fleet.store.Set(memstore.Faults{}) })
+}
+
+func (r *run) netFault(f netFaults, d time.Duration) {
+	set := func(f netFaults) {
+		r.fleet.net.mu.Lock()
+		defer r.fleet.net.mu.Unlock()
+		r.fleet.net.faults = f
+	}
+	set(f)
+	r.later(d, func() { set(netFaults{}) })
+}
+
+func (r *run) workerFault(host string, f platform.WorkerFaults, d time.Duration) {
+	w := r.fleet.workers[host]
+	if w.Faults().Dead {
+		return
+	}
+	w.SetFaults(f)
+	r.later(d, func() {
+		if !w.Faults().Dead {
+			w.SetFaults(platform.WorkerFaults{})
+		}
+	})
+}
+
+// submit offers a job to the owner through a random process, twice with the same key.
+func (r *run) submit(i int) {
+	job := r.newJob(i)
+	r.fleet.watch.mu.Lock()
+	r.fleet.watch.once[job.ID] = !job.Idempotent
+	r.fleet.watch.mu.Unlock()
+	for range 2 {
+		r.later(time.Duration(r.rnd.IntN(2000))*time.Millisecond, func() { r.offer(job) })
+	}
+}
+
+func (r *run) newJob(i int) ledger.Job {
+	tasks := make([]ledger.Task, 1+r.rnd.IntN(4))
+	for t := range tasks {
+		tasks[t].State = ledger.TaskPending
+	}
+	part := r.rnd.IntN(runPartitions)
+	id := fmt.Sprintf("%02x-job%d", part, i)
+	return ledger.Job{
+		ID: id, Key: id, Branch: "run", Kind: "plan", Idempotent: r.rnd.IntN(3) > 0,
+		Need: worker.Resources{Cores: float64(1 + r.rnd.IntN(3)), MemoryMB: 500}, Run: time.Duration(500+r.rnd.IntN(12000)) * time.Millisecond,
+		Hold: runHold, Submitted: time.Now(), Tasks: tasks,
+	}
+}
+
+func partOf(id string) int { return int(id[1] - '0') }
+
+func (r *run) offer(job ledger.Job) {
+	var reply wire.SubmitReply
+	args := wire.SubmitArgs{Partition: partOf(job.ID), Job: job}
+	if r.call(args.Partition, "Partition.Submit", args, &reply, func() wire.Code { return reply.Code }) && reply.Code == wire.CodeOK {
+		r.mu.Lock()
+		r.accepted[job.ID] = job
+		r.mu.Unlock()
+	}
+}
+
+func (r *run) call(part int, method string, args, reply any, code func() wire.Code) bool {
+	for _, p := range r.fleet.all() {
+		if !p.running() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+		defer cancel()
+		dir := partition.NewDirectory(r.fleet.store, endpoint{r.fleet.net, p}, runPartitions)
+		return dir.Call(ctx, part, method, args, reply, code) == nil
+	}
+	return false
+}
+
+// cancelSome cancels one job, or in a wave a third of all.
+func (r *run) cancelSome() {
+	share := []int{1, 3}[r.rnd.IntN(2)]
+	r.mu.Lock()
+	ids := []string{}
+	for i := range 400 {
+		for part := range runPartitions {
+			id := fmt.Sprintf("%02x-job%d", part, i)
+			if _, ok := r.accepted[id]; ok && r.rnd.IntN(10) < share {
+				ids = append(ids, id)
+			}
+		}
+	}
+	r.mu.Unlock()
+	for _, id := range ids {
+		r.later(0, func() {
+			var reply wire.CancelReply
+			r.call(partOf(id), "Partition.Cancel", wire.CancelArgs{Partition: partOf(id), JobID: id}, &reply, func() wire.Code { return reply.Code })
+		})
+	}
+}
+
+// evict checkpoints a running task of a host, as the colocation controller does.
+func (r *run) evict(host string) {
+	p := r.fleet.proc(host)
+	if !p.running() {
+		return
+	}
+	list, err := r.fleet.workers[host].List(expired())
+	if err != nil {
+		return
+	}
+	for _, st := range list {
+		if st.State == worker.StateRunning {
+			r.later(0, func() { _ = p.service.Stop(wire.StopArgs{Ref: st.Ref, Checkpoint: true}, &wire.StopReply{}) })
+			return
+		}
+	}
+}
+
+// expired returns a context that ends at once, so that a paused worker does not block the run.
+func expired() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+// heal ends all faults and restarts what is dead.
+func (r *run) heal() {
+	time.Sleep(40 * time.Second) // the longest fault ends by itself
+	r.fleet.store.Set(memstore.Faults{})
+	for _, p := range r.fleet.all() {
+		p.setPaused(false)
+	}
+}
+
+// settle waits until all accepted jobs have ended.
+func (r *run) settle() {
+	end := time.Now().Add(settleTime)
+	for time.Now().Before(end) {
+		time.Sleep(5 * time.Second)
+		if r.unfinished() == "" {
+			return
+		}
+	}
+	r.violate("not ended in time: %s", r.unfinished())
+}
+
+func (r *run) states() (map[string]*ledger.Job, error) {
+	jobs := map[string]*ledger.Job{}
+	for part := range runPartitions {
+		state, err := partition.LoadState(context.Background(), caslog.New(r.fleet.engine, partition.LogPrefix(part), "check"))
+		if err != nil {
+			return nil, err
+		}
+		for id, job := range state.Jobs {
+			jobs[id] = job
+		}
+	}
+	return jobs, nil
+}
+
+func (r *run) unfinished() string {
+	jobs, err := r.states()
+	if err != nil {
+		return err.Error()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id := range r.accepted {
+		if job := jobs[id]; job != nil && !job.Finished() {
+			return fmt.Sprintf("%s: %+v", id, job.Tasks)
+		}
+	}
+	return ""
+}
+
+func (r *run) verdict() stats {
+	jobs, err := r.states()
+	if err != nil {
+		r.violate("state: %v", err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	watch := r.fleet.watch
+	watch.mu.Lock()
+	defer watch.mu.Unlock()
+	s := stats{Starts: watch.starts, Jobs: len(r.accepted)}
+	for id := range r.accepted {
+		job := jobs[id]
+		if job == nil {
+			r.t.Errorf("seed %d: accepted job %s is lost", r.seed, id)
+			continue
+		}
+		for i, task := range job.Tasks {
+			s.Tasks++
+			name := ledger.TaskRef(id, i, 0).Task
+			if task.State == ledger.TaskDone && watch.done[name] == 0 {
+				r.t.Errorf("seed %d: task %s is recorded as done but no worker finished it", r.seed, name)
+			}
+			if task.Resumes > task.Evictions {
+				r.t.Errorf("seed %d: task %s resumed %d times after %d evictions", r.seed, name, task.Resumes, task.Evictions)
+			}
+		}
+	}
+	for _, v := range append(watch.violations, r.broken...) {
+		r.t.Errorf("seed %d: %s", r.seed, v)
+	}
+	return s
+}
