--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -145,6 +145,12 @@
 	return nil
 }
 
+// Query fences attempts that this host does not know and reports them.
+func (s *Service) Query(args wire.QueryArgs, reply *wire.QueryReply) error {
+	*reply = s.a.tasks.query(args)
+	return nil
+}
+
 // FenceRequest reports whether a forwarded request has started; if not, it never will.
 func (s *Service) FenceRequest(args wire.FenceArgs, reply *wire.FenceReply) error {
 	reply.Started = s.a.fences.fence(args.RequestID)
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"bamboofork/internal/events"
-	"bamboofork/internal/ledger"
 	"bamboofork/internal/partition"
 	"bamboofork/internal/wire"
 	"bamboofork/internal/worker"
@@ -29,11 +28,16 @@
 	partition int
 	hold      time.Time // the agent stops the attempt at this time of its monotonic clock
 	placed    time.Time
+	boot      time.Time // start of the worker's clock when the attempt was placed; zero if not known
+	listed    bool      // the worker's list or its answer showed that the attempt started
+	fencing   bool      // the worker was asked to fence the attempt, because its list did not show it
+	ending    time.Time // when the end was last asked for
 	status    worker.Status
 	throttle  float64
 }
 
 // taskRunner keeps the batch tasks of the host. mu guards the maps; it is never held during I/O.
+// Lock order: the membership table, then mu, then the gate.
 type taskRunner struct {
 	a   *Agent
 	w   worker.Worker
@@ -43,6 +47,8 @@
 	attempts map[worker.Ref]*attempt
 	fenced   map[worker.Ref]time.Time // attempts that must not start any more
 	ends     []bool                   // newest ends: true is a failure
+	adopted  bool                     // the worker's list was read since the start; before, nothing is known or placed
+	boot     time.Time                // on this process's clock, the earliest start of the worker's clock
 	control  *controller
 }
 
@@ -62,14 +68,19 @@
 	if left <= 0 {
 		return false, "placement arrived after its hold"
 	}
-	if ok, reason := r.reserve(args, left); !ok {
-		return false, reason
-	}
+	hold := time.Now().Add(left)
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
+	boot, err := r.workerBoot(ctx)
+	if err != nil {
+		return false, "the worker does not answer"
+	}
+	if known, reason := r.reserve(args, hold, boot); known || reason != "" {
+		return known, reason
+	}
 	spec := args.Spec
-	spec.Lease = min(spec.Lease, left)
-	err := r.w.Start(ctx, spec)
+	spec.Until = untilOf(hold, boot)
+	err = r.w.Start(ctx, spec)
 	if errors.Is(err, worker.ErrRefused) {
 		r.drop(ref)
 		return false, err.Error()
@@ -77,14 +88,45 @@
 	if err != nil {
 		return true, "" // the start may have happened; the worker's list will tell
 	}
+	r.markListed(ref)
 	events.TaskStarted.Log(&r.a.log).Str("task", ref.Task).Int("attempt", ref.Attempt).Str("checkpoint", spec.Checkpoint).Send()
 	return true, ""
 }
 
-func (r *taskRunner) reserve(args wire.PlaceArgs, left time.Duration) (bool, string) {
+// workerBoot returns when the worker's clock started, on this process's clock and never later than in truth; zero if
+// the worker has no clock. Counting from it, a time on the worker's clock is never later than the same time here.
+func (r *taskRunner) workerBoot(ctx context.Context) (time.Time, error) {
+	clocked, ok := r.w.(worker.Clocked)
+	if !ok {
+		return time.Time{}, nil
+	}
+	clock, err := clocked.Clock(ctx)
+	if err != nil {
+		return time.Time{}, err
+	}
+	boot := time.Now().Add(-clock)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.boot = boot
+	return boot, nil
+}
+
+// untilOf converts a time to the worker's clock; 0 means that the worker has no clock.
+func untilOf(t, boot time.Time) time.Duration {
+	if boot.IsZero() {
+		return 0
+	}
+	return max(t.Sub(boot), 1)
+}
+
+// reserve takes the room for an attempt. known is true if a repeated placement found the attempt here already.
+func (r *taskRunner) reserve(args wire.PlaceArgs, hold, boot time.Time) (known bool, reason string) {
 	ref := args.Spec.Ref
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.adopted {
+		return false, "the worker's tasks are not known yet"
+	}
 	if _, fenced := r.fenced[ref]; fenced {
 		return false, "attempt was fenced"
 	}
@@ -95,10 +137,18 @@
 		return false, err.Error()
 	}
 	r.attempts[ref] = &attempt{
-		spec: args.Spec, partition: args.Partition, hold: time.Now().Add(left), placed: time.Now(), throttle: 1,
+		spec: args.Spec, partition: args.Partition, hold: hold, placed: time.Now(), boot: boot, throttle: 1,
 		status: worker.Status{Ref: ref, Kind: args.Spec.Kind, Need: args.Spec.Need, State: worker.StateRunning},
 	}
-	return true, ""
+	return false, ""
+}
+
+func (r *taskRunner) markListed(ref worker.Ref) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.attempts[ref]; t != nil {
+		t.listed = true
+	}
 }
 
 func (r *taskRunner) drop(ref worker.Ref) {
@@ -106,6 +156,7 @@
 	defer r.mu.Unlock()
 	if r.attempts[ref] != nil {
 		delete(r.attempts, ref)
+		r.fenced[ref] = time.Now()
 		r.a.gate.ReleaseTask(ref.Task)
 	}
 }
@@ -128,6 +179,25 @@
 	return reportOf(t), true
 }
 
+// query fences the attempts that this host does not know and returns them.
+func (r *taskRunner) query(args wire.QueryArgs) wire.QueryReply {
+	incarnation := r.a.table.Self().Incarnation // the table's lock comes before mu
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reply := wire.QueryReply{Ready: r.adopted, Settled: r.a.clock() > partition.WorkerLease+callTimeout, Incarnation: incarnation}
+	if !r.adopted {
+		return reply
+	}
+	for _, ref := range args.Refs {
+		if r.attempts[ref] != nil {
+			continue
+		}
+		r.fenced[ref] = time.Now()
+		reply.Unknown = append(reply.Unknown, ref)
+	}
+	return reply
+}
+
 // end stops an attempt at the worker, with a checkpoint if asked. The worker's list confirms the result.
 func (r *taskRunner) end(ref worker.Ref, checkpoint bool, reason string) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
@@ -141,105 +211,6 @@
 	events.TaskStopped.Log(&r.a.log).Str("task", ref.Task).Int("attempt", ref.Attempt).Bool("checkpoint", checkpoint).Str("reason", reason).AnErr("error", err).Send()
 }
 
-// adopt takes over tasks that an earlier agent process left on the worker. Their owners decide whether they go on.
-func (r *taskRunner) adopt(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	list, err := r.w.List(callCtx)
-	if err != nil {
-		return nil // the task loop reads the list again
-	}
-	for _, st := range list {
-		r.adoptOne(st)
-	}
-	return nil
-}
-
-func (r *taskRunner) adoptOne(st worker.Status) {
-	jobID, _, err := ledger.SplitTask(st.Ref.Task)
-	if err != nil {
-		return
-	}
-	if st.State == worker.StateRunning {
-		if err := r.a.gate.RestoreTask(st.Ref.Task, st.Need); err != nil {
-			r.end(st.Ref, true, "no room for an adopted task")
-		}
-	}
-	events.TaskAdopted.Log(&r.a.log).Str("task", st.Ref.Task).Int("attempt", st.Ref.Attempt).Str("state", string(st.State)).Send()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.attempts[st.Ref] = &attempt{
-		spec: worker.Spec{Ref: st.Ref, Kind: st.Kind, Need: st.Need, Lease: partition.WorkerLease}, placed: time.Now(), throttle: 1,
-		partition: partition.Of(jobID, r.dir.Partitions), hold: time.Now().Add(adoptHold), status: st,
-	}
-}
-
-// run keeps leases and reports until ctx ends.
-func (r *taskRunner) run(ctx context.Context) {
-	ticker := time.NewTicker(taskInterval)
-	defer ticker.Stop()
-	lastReport := time.Time{}
-	for {
-		r.refresh(ctx)
-		r.enforceHolds()
-		r.renewLeases(ctx)
-		r.control.step(ctx)
-		if time.Since(lastReport) >= reportEvery {
-			lastReport = time.Now()
-			r.report(ctx)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-// refresh reads the worker's list. An attempt that the worker does not list did not start or is gone.
-func (r *taskRunner) refresh(ctx context.Context) {
-	asked := time.Now()
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	list, err := r.w.List(callCtx)
-	if err != nil {
-		return
-	}
-	seen := map[worker.Ref]worker.Status{}
-	for _, st := range list {
-		seen[st.Ref] = st
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for ref, t := range r.attempts {
-		st, ok := seen[ref]
-		if !ok {
-			r.missing(t, asked)
-			continue
-		}
-		r.update(t, st)
-	}
-}
-
-// startGrace covers a start that is still on its way to the worker when the list is read.
-const startGrace = 2 * callTimeout
-
-func (r *taskRunner) missing(t *attempt, asked time.Time) {
-	if t.status.State != worker.StateRunning || asked.Sub(t.placed) < startGrace {
-		return
-	}
-	t.status.State, t.status.Reason = worker.StateStopped, "worker does not know the task"
-	r.a.gate.ReleaseTask(t.spec.Ref.Task)
-}
-
-func (r *taskRunner) update(t *attempt, st worker.Status) {
-	if t.status.State == worker.StateRunning && st.State != worker.StateRunning {
-		r.a.gate.ReleaseTask(t.spec.Ref.Task)
-		r.noteEnd(st.State == worker.StateFailed)
-	}
-	t.status = st
-}
-
 // endsRemembered is the number of newest ends that decide whether the worker fails everything.
 const endsRemembered = 6
 
@@ -268,135 +239,3 @@
 	}
 	return refs
 }
-
-// enforceHolds stops attempts whose hold ran out.
-func (r *taskRunner) enforceHolds() {
-	now := time.Now()
-	r.mu.Lock()
-	expired := []worker.Ref{}
-	for ref, t := range r.attempts {
-		if t.status.State == worker.StateRunning && now.After(t.hold) {
-			expired = append(expired, ref)
-		}
-	}
-	for ref, at := range r.fenced {
-		if now.Sub(at) > fenceMemory {
-			delete(r.fenced, ref)
-		}
-	}
-	r.mu.Unlock()
-	for _, ref := range expired {
-		events.HoldExpired.Log(&r.a.log).Str("task", ref.Task).Int("attempt", ref.Attempt).Send()
-		r.end(ref, true, "hold ran out")
-	}
-}
-
-// renewLeases extends the worker's leases, never past the hold of an attempt.
-func (r *taskRunner) renewLeases(ctx context.Context) {
-	now := time.Now()
-	byLease := map[time.Duration][]worker.Ref{}
-	r.mu.Lock()
-	for ref, t := range r.attempts {
-		left := t.hold.Sub(now)
-		if t.status.State == worker.StateRunning && left > 0 {
-			lease := min(partition.WorkerLease, left)
-			byLease[lease] = append(byLease[lease], ref)
-		}
-	}
-	r.mu.Unlock()
-	for lease, refs := range byLease {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		if err := r.w.Renew(callCtx, refs, lease); err != nil {
-			r.a.metrics.Counter("agent_renew_failed").Inc(1)
-		}
-		cancel()
-	}
-}
-
-func reportOf(t *attempt) wire.TaskReport {
-	return wire.TaskReport{Ref: t.spec.Ref, State: t.status.State, Checkpoint: t.status.Checkpoint, Reason: t.status.Reason, Progress: t.status.Progress}
-}
-
-// report renews the holds at the owners of all partitions with tasks on this host.
-func (r *taskRunner) report(ctx context.Context) {
-	r.mu.Lock()
-	byPartition := map[int][]wire.TaskReport{}
-	for _, t := range r.attempts {
-		byPartition[t.partition] = append(byPartition[t.partition], reportOf(t))
-	}
-	r.mu.Unlock()
-	var wg sync.WaitGroup
-	for id, tasks := range byPartition {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			r.reportTo(ctx, id, tasks)
-		}()
-	}
-	wg.Wait()
-}
-
-func (r *taskRunner) reportTo(ctx context.Context, id int, tasks []wire.TaskReport) {
-	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	self := r.a.table.Self()
-	args := wire.ReportArgs{Partition: id, Agent: self.ID, Incarnation: self.Incarnation, Tasks: tasks}
-	var reply wire.ReportReply
-	sent := time.Now()
-	err := r.dir.Call(callCtx, id, "Partition.Report", args, &reply, func() wire.Code { return reply.Code })
-	if err != nil {
-		return
-	}
-	r.applyReply(reply, sent)
-}
-
-func (r *taskRunner) applyReply(reply wire.ReportReply, sent time.Time) {
-	r.mu.Lock()
-	for _, ref := range reply.Hold {
-		if t := r.attempts[ref]; t != nil {
-			if until := sent.Add(reply.For); until.After(t.hold) {
-				t.hold = until
-			}
-		}
-	}
-	r.mu.Unlock()
-	for _, ref := range reply.Stop {
-		r.end(ref, false, "owner does not want it any more")
-	}
-	for _, ref := range reply.Forget {
-		r.forget(ref)
-	}
-}
-
-func (r *taskRunner) forget(ref worker.Ref) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	if err := r.w.Forget(ctx, ref); err != nil {
-		r.a.metrics.Counter("agent_forget_failed").Inc(1)
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.fenced[ref] = time.Now()
-	delete(r.attempts, ref)
-}
-
-// handOver checkpoints all tasks and reports until their owners have recorded it or ctx ends.
-func (r *taskRunner) handOver(ctx context.Context) {
-	for _, ref := range r.running() {
-		r.end(ref, true, "agent leaves")
-	}
-	for ctx.Err() == nil {
-		r.refresh(ctx)
-		r.report(ctx)
-		r.mu.Lock()
-		left := len(r.attempts)
-		r.mu.Unlock()
-		if left == 0 {
-			return
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(taskInterval):
-		}
-	}
-}
--- a/internal/caslog/snapshot.go
+++ b/internal/caslog/snapshot.go
@@ -46,6 +46,20 @@
 	return m, eris.Wrap(err, "decode snapshot manifest")
 }
 
+// Confirm checks a record that was created after another writer may have compacted the log. It returns ErrConflict if
+// a snapshot covers the position: the record then lies below the newest snapshot and no reader will ever see it.
+// Errors: store.ErrUncertain while the store does not answer.
+func (l *Log) Confirm(ctx context.Context, rec Record) error {
+	m, err := l.manifest(ctx)
+	if err != nil {
+		return store.ErrUncertain
+	}
+	if m.Seq >= rec.Seq {
+		return ErrConflict
+	}
+	return nil
+}
+
 func (l *Log) readChunks(ctx context.Context, m manifest) ([]byte, error) {
 	if m.Seq == 0 {
 		return nil, nil
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -35,7 +35,7 @@
 		key = job.ID
 	}
 	id := partition.Of(key, e.dir.Partitions)
-	job.ID = jobID(id, job.ID)
+	job.ID = partition.JobID(id, job.ID)
 	var reply wire.SubmitReply
 	err := e.callOwner(ctx, id, "Partition.Submit", wire.SubmitArgs{Partition: id, Job: job}, &reply, func() wire.Code { return reply.Code })
 	if err != nil {
@@ -44,30 +44,6 @@
 	return JobResult{Code: reply.Code, JobID: reply.JobID}
 }
 
-// Job ids carry their partition, so that a job is found without a directory: "<partition in hex>-<random>".
-func jobID(partition int, random string) string {
-	const digits = "0123456789abcdef"
-	return string([]byte{digits[partition>>4&15], digits[partition&15]}) + "-" + random
-}
-
-// PartitionOfJob parses the partition from a job id; ok is false for other strings.
-func PartitionOfJob(id string) (partitionID int, ok bool) {
-	if len(id) < 4 || id[2] != '-' {
-		return 0, false
-	}
-	for _, c := range id[:2] {
-		switch {
-		case c >= '0' && c <= '9':
-			partitionID = partitionID<<4 | int(c-'0')
-		case c >= 'a' && c <= 'f':
-			partitionID = partitionID<<4 | int(c-'a'+10)
-		default:
-			return 0, false
-		}
-	}
-	return partitionID, true
-}
-
 func (e *Entry) callOwner(ctx context.Context, id int, method string, args, reply any, code func() wire.Code) error {
 	callCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
@@ -86,7 +62,7 @@
 
 // Job returns one job.
 func (e *Entry) Job(ctx context.Context, id string) JobResult {
-	p, ok := PartitionOfJob(id)
+	p, ok := partition.OfJob(id)
 	if !ok || p >= e.dir.Partitions {
 		return JobResult{Code: wire.CodeUnknown, Reason: "not a job id"}
 	}
@@ -100,7 +76,7 @@
 
 // Cancel cancels a job.
 func (e *Entry) Cancel(ctx context.Context, id string) JobResult {
-	p, ok := PartitionOfJob(id)
+	p, ok := partition.OfJob(id)
 	if !ok || p >= e.dir.Partitions {
 		return JobResult{Code: wire.CodeUnknown, Reason: "not a job id"}
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -47,7 +48,9 @@
 	Checkpoint string    `json:"checkpoint,omitempty"`
 	Failures   int       `json:"failures,omitempty"`
 	Evictions  int       `json:"evictions,omitempty"`
-	Resumes    int       `json:"resumes,omitempty"` // placements that started from the checkpoint of an eviction
+	Resumes    int       `json:"resumes,omitempty"`   // placements that started from the checkpoint of an eviction
+	Resuming   bool      `json:"resuming,omitempty"`  // the current attempt is the one resume of the newest eviction
+	FailedOn   []string  `json:"failed_on,omitempty"` // different agents on whose workers it failed, without repeats
 	Reason     string    `json:"reason,omitempty"`
 	NotBefore  time.Time `json:"not_before,omitzero"`
 }
@@ -246,7 +249,8 @@
 	if t.State != TaskPending || job.Cancelled || op.Ref.Attempt != t.Attempt+1 {
 		return ErrStale
 	}
-	if t.Evictions > t.Resumes && t.Checkpoint != "" {
+	t.Resuming = t.Evictions > t.Resumes && t.Checkpoint != ""
+	if t.Resuming {
 		t.Resumes++
 	}
 	invariant.Check(t.Resumes <= t.Evictions, "resume_once_per_eviction", "task %s: %d resumes of %d evictions", op.Ref.Task, t.Resumes, t.Evictions)
@@ -263,7 +267,7 @@
 	switch op.Kind {
 	case OpRefuse:
 		t.State = TaskPending
-		if t.Resumes > 0 && t.Checkpoint != "" {
+		if t.Resuming {
 			t.Resumes-- // the refused attempt did not resume
 		}
 	case OpEvict:
@@ -276,10 +280,11 @@
 		}
 	case OpEnd:
 		t.State = op.State
-		if op.State == TaskPending {
-			t.Failures++
+		if op.State == TaskPending || op.State == TaskFailed {
+			t.failed(op.Agent)
 		}
 	}
+	t.Resuming = false
 	if t.State == TaskPending && job.Cancelled {
 		t.State = TaskCancelled
 	}
@@ -287,6 +292,14 @@
 	return nil
 }
 
+// failed counts a failure on an agent's worker. The slice is copied because an Undo may hold the old one.
+func (t *Task) failed(agent string) {
+	t.Failures++
+	if agent != "" && !slices.Contains(t.FailedOn, agent) {
+		t.FailedOn = append(slices.Clone(t.FailedOn), agent)
+	}
+}
+
 func (s *State) cancel(id string) (Undo, error) {
 	job := s.Jobs[id]
 	if job == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -109,7 +109,7 @@
 	keeper := lease.NewKeeper(b.st, cfg.LeaseTTL, b.log)
 	unique := fmt.Sprintf("%s-%d", cfg.ID, b.table.Self().Incarnation)
 	manager := partition.NewManager(partition.Config{
-		ID: unique, Addr: cfg.Listen.Control, Partitions: cfg.Partitions, Max: cfg.MaxPartitions, Outage: cfg.OutageHold,
+		Self: cfg.ID, ID: unique, Addr: cfg.Listen.Control, Partitions: cfg.Partitions, Max: cfg.MaxPartitions, Outage: cfg.OutageHold,
 	}, b.st, keeper, b.table, b.pool, b.log)
 	b.api.Owned = manager.Owned
 	a := agent.New(agent.Config{
--- a/internal/partition/directory.go
+++ b/internal/partition/directory.go
@@ -65,6 +65,9 @@
 	if err := json.Unmarshal(kv.Value, &rec); err != nil {
 		return "", eris.Wrap(err, "decode owner record")
 	}
+	if rec.Released {
+		return "", ErrNotOwner
+	}
 	d.mu.Lock()
 	d.cache[partition] = cachedOwner{addr: rec.Addr, read: time.Now()}
 	d.mu.Unlock()
--- a/internal/partition/fleet_test.go
+++ b/internal/partition/fleet_test.go
@@ -110,6 +110,10 @@
 		var r wire.PlaceReply
 		_ = p.service.Place(args.(wire.PlaceArgs), &r)
 		return r
+	case "Agent.Query":
+		var r wire.QueryReply
+		_ = p.service.Query(args.(wire.QueryArgs), &r)
+		return r
 	case "Agent.Stop":
 		var r wire.StopReply
 		_ = p.service.Stop(args.(wire.StopArgs), &r)
@@ -159,7 +163,7 @@
 	dir := partition.NewDirectory(st, call, runPartitions)
 	keeper := lease.NewKeeper(st, runLease, log)
 	p.manager = partition.NewManager(partition.Config{
-		ID: fmt.Sprintf("%s-%d", id, p.table.Self().Incarnation), Addr: p.addr, Partitions: runPartitions, Max: 2, Outage: runOutage,
+		Self: id, ID: fmt.Sprintf("%s-%d", id, p.table.Self().Incarnation), Addr: p.addr, Partitions: runPartitions, Max: 2, Outage: runOutage,
 	}, st, keeper, p.table, call, log)
 	p.agent = agent.New(agent.Config{ID: id, BackendName: "none", BackendAddr: "127.0.0.1:1", Drain: runDrain, Gate: gate.Config{Slots: 1, Conns: 1, Room: runCapacity}},
 		hostWorker{f.workers[id], p}, settings.NewLive(), dir, p.table, telemetry.New(), log)
--- a/internal/partition/network_test.go
+++ b/internal/partition/network_test.go
@@ -96,6 +96,8 @@
 		*r = answer.(wire.PlaceReply)
 	case *wire.StopReply:
 		*r = answer.(wire.StopReply)
+	case *wire.QueryReply:
+		*r = answer.(wire.QueryReply)
 	case *wire.SubmitReply:
 		*r = answer.(wire.SubmitReply)
 	case *wire.CancelReply:
@@ -194,6 +196,22 @@
 	return w.Worker.Renew(ctx, refs, lease)
 }
 
+func (w hostWorker) RenewUntil(ctx context.Context, refs []worker.Ref, lease, until time.Duration) error {
+	if !w.p.alive() {
+		return worker.ErrUnavailable
+	}
+	return w.Worker.(worker.Clocked).RenewUntil(ctx, refs, lease, until)
+}
+
+func (w hostWorker) Clock(ctx context.Context) (time.Duration, error) {
+	if !w.p.alive() {
+		return 0, worker.ErrUnavailable
+	}
+	clock, err := w.Worker.(worker.Clocked).Clock(ctx)
+	w.p.alive()
+	return clock, err
+}
+
 func (w hostWorker) List(ctx context.Context) ([]worker.Status, error) {
 	if !w.p.alive() {
 		return nil, worker.ErrUnavailable
--- a/internal/partition/owner.go
+++ b/internal/partition/owner.go
@@ -35,55 +35,61 @@
 
 // recordData is the payload of a log record.
 type recordData struct {
-	Fence   bool        `json:"fence,omitempty"`   // first record of a new owner
-	Release bool        `json:"release,omitempty"` // last record of an owner that stopped cleanly
-	Ops     []ledger.Op `json:"ops,omitempty"`
+	Fence   bool `json:"fence,omitempty"`   // first record of a new owner
+	Release bool `json:"release,omitempty"` // last record of an owner that stopped cleanly
+	// Wait is how long after the release a hold given by this owner or inherited from an earlier one may last.
+	Wait time.Duration `json:"wait,omitempty"`
+	Ops  []ledger.Op   `json:"ops,omitempty"`
 }
 
 // Timing and sizes of an owner.
 const (
-	groupDelay     = 4 * time.Millisecond // waits for more operations to share a record
-	maxGroup       = 2000                 // operations per record; about 400 KB
-	commitRetry    = 50 * time.Millisecond
-	commitPatience = 2 * time.Second // a group that the store refuses for this long is rolled back
-	snapshotEvery  = 512             // records between snapshots
+	snapshotEvery  = 512 // records between snapshots
 	requestBacklog = 4096
 	DefaultOutage  = 15 * time.Minute // how long running tasks go on while the store is down
 )
 
-// request is a set of operations that commit together or not at all.
-type request struct {
-	ops  []ledger.Op
-	done chan error
-}
-
 // Owner runs one partition. Lock order: mu is never held during I/O.
 type Owner struct {
 	id     int
 	log    *caslog.Log
 	keeper *lease.Keeper
+	lease  store.LeaseID // the lease that holds the owner key; another lease of the same process does not count
 	zlog   zerolog.Logger
 	outage time.Duration
 
-	requests chan request
-
-	mu      sync.Mutex
-	state   *ledger.State
-	holds   map[worker.Ref]time.Time // until when an agent may run the attempt
-	explain map[string]string        // task -> newest decision
-	seq     int64
-	epoch   int64
-	lost    bool
-}
-
-// Recover loads the partition, fences earlier owners and returns an Owner that is ready to run.
-func Recover(ctx context.Context, id int, log *caslog.Log, keeper *lease.Keeper, outage time.Duration, zlog zerolog.Logger) (*Owner, error) {
+	requests chan *request
+	ended    chan struct{} // closed when no more requests are taken
+	drained  chan struct{} // closed when every request was answered
+
+	mu        sync.Mutex
+	state     *ledger.State
+	holds     map[worker.Ref]time.Time // until when an agent may run the attempt
+	seen      map[worker.Ref]sighting  // newest report of each attempt
+	explain   map[string]string        // task -> newest decision
+	aside     map[string]setAside      // jobs that no worker can run, by id
+	refusals  map[string]int           // task -> refusals in a row
+	waiters   map[string][]chan struct{}
+	inherited time.Duration // wait stated by the release of the last owner
+	seq       int64
+	epoch     int64
+	lost      bool
+}
+
+// Recover loads the partition under the lease that holds its owner key, fences earlier owners and returns an Owner that is ready to run.
+func Recover(ctx context.Context, id int, log *caslog.Log, keeper *lease.Keeper, leaseID store.LeaseID, outage time.Duration, zlog zerolog.Logger) (*Owner, error) {
 	o := &Owner{
-		id: id, log: log, keeper: keeper, outage: outage,
+		id: id, log: log, keeper: keeper, lease: leaseID, outage: outage,
 		zlog:     zlog.With().Int("partition", id).Logger(),
-		requests: make(chan request, requestBacklog),
+		requests: make(chan *request, requestBacklog),
+		ended:    make(chan struct{}),
+		drained:  make(chan struct{}),
 		holds:    map[worker.Ref]time.Time{},
+		seen:     map[worker.Ref]sighting{},
 		explain:  map[string]string{},
+		aside:    map[string]setAside{},
+		refusals: map[string]int{},
+		waiters:  map[string][]chan struct{}{},
 	}
 	released, err := o.load(ctx)
 	if err != nil {
@@ -145,6 +151,7 @@
 		_, err := o.state.Apply(op)
 		invariant.Check(err == nil, "ledger_replay", "record %d, operation %s: %v", rec.Seq, op.Kind, err)
 	}
+	o.inherited = data.Wait
 	return data.Release, nil
 }
 
@@ -158,9 +165,9 @@
 func (o *Owner) inheritHolds(released bool) {
 	now := time.Now()
 	for _, job := range o.state.Jobs {
-		wait := job.Hold
+		wait := max(job.Hold, o.inherited)
 		if !released {
-			wait += o.outage
+			wait = job.Hold + o.outage
 		}
 		for i := range job.Tasks {
 			if job.Tasks[i].State == ledger.TaskPlaced {
@@ -170,187 +177,6 @@
 	}
 }
 
-// append writes one record and resolves a lost answer while this process's lease is valid.
-func (o *Owner) append(ctx context.Context, data recordData) error {
-	payload, err := json.Marshal(data)
-	if err != nil {
-		return eris.Wrap(err, "encode partition record")
-	}
-	rec := caslog.Record{Seq: o.seq + 1, Epoch: o.epoch, Time: time.Now(), Data: payload}
-	started := time.Now()
-	uncertain := false
-	for {
-		if _, _, ok := o.keeper.Current(); !ok {
-			return pick(uncertain, ErrUncertain, ErrNotOwner)
-		}
-		rec, err = o.log.Append(ctx, rec)
-		switch {
-		case err == nil:
-			o.seq++
-			return nil
-		case errors.Is(err, caslog.ErrConflict):
-			return ErrNotOwner
-		case errors.Is(err, store.ErrUncertain):
-			uncertain = true
-		case !uncertain && time.Since(started) > commitPatience:
-			return ErrNoStore
-		}
-		select {
-		case <-ctx.Done():
-			return pick(uncertain, ErrUncertain, ErrNoStore)
-		case <-time.After(commitRetry):
-		}
-	}
-}
-
-func pick(cond bool, yes, no error) error {
-	if cond {
-		return yes
-	}
-	return no
-}
-
-// Commit makes the operations durable together. ledger errors mean that they did not fit the state.
-func (o *Owner) Commit(ctx context.Context, ops ...ledger.Op) error {
-	r := request{ops: ops, done: make(chan error, 1)}
-	select {
-	case o.requests <- r:
-	case <-ctx.Done():
-		return ErrNoStore
-	}
-	select {
-	case err := <-r.done:
-		return err
-	case <-ctx.Done():
-		return ErrUncertain
-	}
-}
-
-// run commits groups until ctx ends or ownership is lost, then refuses what waits.
-func (o *Owner) run(ctx context.Context) error {
-	defer o.refuseWaiting()
-	sinceSnapshot := 0
-	for {
-		select {
-		case <-ctx.Done():
-			return o.release()
-		case r := <-o.requests:
-			if err := o.commitGroup(ctx, o.gather(r)); err != nil {
-				return err
-			}
-		}
-		if sinceSnapshot++; sinceSnapshot >= snapshotEvery {
-			sinceSnapshot = 0
-			o.snapshot(ctx)
-		}
-	}
-}
-
-// gather waits a little for more requests to share the record.
-func (o *Owner) gather(first request) []request {
-	group := []request{first}
-	ops := len(first.ops)
-	timer := time.NewTimer(groupDelay)
-	defer timer.Stop()
-	for ops < maxGroup {
-		select {
-		case r := <-o.requests:
-			group = append(group, r)
-			ops += len(r.ops)
-		case <-timer.C:
-			return group
-		}
-	}
-	return group
-}
-
-// commitGroup applies the requests that fit the state and appends them as one record. It returns an error only
-// when ownership ended.
-func (o *Owner) commitGroup(ctx context.Context, group []request) error {
-	undo, accepted, ops := o.applyGroup(group)
-	if len(accepted) == 0 {
-		return nil
-	}
-	err := o.append(ctx, recordData{Ops: ops})
-	if err != nil {
-		events.CommitFailed.Log(&o.zlog).Err(err).Int("ops", len(ops)).Send()
-		o.rollback(undo)
-	}
-	for _, r := range accepted {
-		r.done <- err
-	}
-	if errors.Is(err, ErrNoStore) {
-		return nil
-	}
-	return err
-}
-
-func (o *Owner) applyGroup(group []request) (undo []ledger.Undo, accepted []request, ops []ledger.Op) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for _, r := range group {
-		steps, err := o.applyRequest(r)
-		if err != nil {
-			r.done <- err
-			continue
-		}
-		undo = append(undo, steps...)
-		accepted = append(accepted, r)
-		ops = append(ops, r.ops...)
-	}
-	return undo, accepted, ops
-}
-
-func (o *Owner) applyRequest(r request) ([]ledger.Undo, error) {
-	steps := []ledger.Undo{}
-	for _, op := range r.ops {
-		step, err := o.state.Apply(op)
-		if err != nil {
-			revert(steps)
-			return nil, err
-		}
-		steps = append(steps, step)
-	}
-	return steps, nil
-}
-
-func revert(steps []ledger.Undo) {
-	for i := len(steps) - 1; i >= 0; i-- {
-		steps[i]()
-	}
-}
-
-func (o *Owner) rollback(steps []ledger.Undo) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	revert(steps)
-}
-
-func (o *Owner) refuseWaiting() {
-	o.mu.Lock()
-	o.lost = true
-	o.mu.Unlock()
-	for {
-		select {
-		case r := <-o.requests:
-			r.done <- ErrNotOwner
-		default:
-			return
-		}
-	}
-}
-
-const releaseTimeout = 2 * time.Second
-
-// release tells the successor that it need not wait out an outage hold.
-func (o *Owner) release() error {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	err := o.append(ctx, recordData{Release: true})
-	events.PartitionReleased.Log(&o.zlog).AnErr("cause", err).Send()
-	return nil
-}
-
 // snapshot stores the state and compacts the log. A failure is retried after the next records.
 func (o *Owner) snapshot(ctx context.Context) {
 	o.mu.Lock()
@@ -363,12 +189,3 @@
 		events.CommitFailed.Log(&o.zlog).Err(err).Msg("snapshot not stored")
 	}
 }
-
-// valid reports whether this process may decide for the partition now.
-func (o *Owner) valid() bool {
-	o.mu.Lock()
-	lost := o.lost
-	o.mu.Unlock()
-	_, _, ok := o.keeper.Current()
-	return ok && !lost
-}
--- a/internal/partition/placing.go
+++ b/internal/partition/placing.go
@@ -20,7 +20,8 @@
 const (
 	placeInterval = 50 * time.Millisecond
 	placeTimeout  = 2 * time.Second
-	placeBatch    = 256 // tasks per cycle
+	placeBatch    = 256                    // tasks per cycle
+	refusedDelay  = 200 * time.Millisecond // doubles with each refusal in a row; lets the agent's next load report arrive before the task is offered again
 	WorkerLease   = 5 * time.Second
 )
 
@@ -36,6 +37,39 @@
 	nodes Nodes
 	pool  Caller
 	sched *scheduler.Scheduler
+	self  string               // id of this process, which its own membership view leaves out
+	asked map[string]time.Time // when each agent was last asked about silent attempts
+
+	mu    sync.Mutex
+	avoid map[string]time.Time // agents that could not be reached, until when they get no placement; guarded by mu
+}
+
+func newPlacer(m *Manager, o *Owner) *placer {
+	return &placer{
+		owner: o, nodes: m.nodes, pool: m.pool, sched: m.sched, self: m.cfg.Self,
+		asked: map[string]time.Time{}, avoid: map[string]time.Time{},
+	}
+}
+
+// unreachableFor is how long an agent that could not be reached gets no placement; the membership view takes as long
+// to suspect it.
+const unreachableFor = 2 * time.Second
+
+func (p *placer) avoidAgent(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.avoid[id] = time.Now().Add(unreachableFor)
+}
+
+func (p *placer) avoided(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	until, ok := p.avoid[id]
+	if ok && time.Now().After(until) {
+		delete(p.avoid, id)
+		return false
+	}
+	return ok
 }
 
 // run places tasks and finds lost ones until ctx ends.
@@ -49,6 +83,7 @@
 		case <-ticker.C:
 		}
 		if p.owner.valid() {
+			p.querySilent(ctx)
 			p.expireHolds(ctx)
 			p.placePending(ctx)
 		}
@@ -60,6 +95,9 @@
 	op   ledger.Op
 	node scheduler.NodeInfo
 	cp   string
+	// clock is the agent's clock as known before the placement became durable. A successor counts its wait from a
+	// later moment, so a placement that this owner sends late, after a pause, arrives after its hold and is refused.
+	clock time.Duration
 }
 
 func (p *placer) placePending(ctx context.Context) {
@@ -67,10 +105,14 @@
 	if len(tasks) == 0 {
 		return
 	}
-	nodes := p.snapshot()
+	nodes, clocks := p.snapshot()
 	ops := []ledger.Op{}
 	chosen := []placement{}
 	for i := range tasks {
+		if !p.owner.examine(&tasks[i].job, nodes, &tasks[i].info, time.Now()) {
+			continue
+		}
+		widen(&tasks[i].info, nodes)
 		d := p.sched.Place(nodes, &tasks[i].info)
 		p.owner.explainTask(tasks[i].info.Ref.Task, d.Explain())
 		if d.Node == nil {
@@ -81,14 +123,13 @@
 		op := ledger.Op{Kind: ledger.OpPlace, Ref: &ref, Agent: d.Node.ID, AgentInc: d.Node.Incarnation}
 		events.TaskPlaced.Log(&p.owner.zlog).Str("task", ref.Task).Int("attempt", ref.Attempt).Str("decision", d.Explain()).Send()
 		ops = append(ops, op)
-		chosen = append(chosen, placement{job: tasks[i].job, op: op, node: *d.Node, cp: tasks[i].checkpoint})
+		chosen = append(chosen, placement{job: tasks[i].job, op: op, node: *d.Node, cp: tasks[i].checkpoint, clock: clocks[d.Node.ID]})
 	}
 	if len(ops) == 0 || p.owner.Commit(ctx, ops...) != nil {
 		return
 	}
 	var wg sync.WaitGroup
 	for _, pl := range chosen {
-		p.owner.startHold(*pl.op.Ref, pl.job.Hold)
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -98,59 +139,66 @@
 	wg.Wait()
 }
 
-// send offers a durable placement to the agent. Without an answer the task stays placed; the hold decides.
+// send offers a durable placement to the agent. Without an answer the agent is asked about it.
 func (p *placer) send(ctx context.Context, pl placement) {
-	member, ok := p.nodes.Lookup(pl.node.ID)
-	if !ok {
-		return
-	}
 	args := wire.PlaceArgs{
-		Partition: p.owner.id, Incarnation: pl.node.Incarnation, HoldUntil: member.Load.Clock + pl.job.Hold,
-		Spec: worker.Spec{Ref: *pl.op.Ref, Kind: pl.job.Kind, Need: pl.job.Need, Run: pl.job.Run, Payload: pl.job.Payload, Checkpoint: pl.cp, Lease: WorkerLease},
+		Partition: p.owner.id, Incarnation: pl.node.Incarnation, HoldUntil: pl.clock + pl.job.Hold,
+		Spec: worker.Spec{
+			Ref: *pl.op.Ref, Kind: pl.job.Kind, Need: pl.job.Need, Run: pl.job.Run, Payload: pl.job.Payload,
+			Checkpoint: pl.cp, Lease: min(WorkerLease, pl.job.Hold/2),
+		},
 	}
 	callCtx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
 	var reply wire.PlaceReply
 	err := p.pool.Call(callCtx, pl.node.Addr, "Agent.Place", args, &reply)
-	if err == nil && reply.Accepted {
-		return
-	}
-	if err != nil && !errors.Is(err, peer.ErrNotSent) {
-		p.fence(ctx, pl)
-		return
+	switch {
+	case err == nil && reply.Accepted:
+	case err == nil:
+		p.refused(ctx, pl.op, reply.Reason)
+	case errors.Is(err, peer.ErrNotSent):
+		p.avoidAgent(pl.node.ID)
+		p.refused(ctx, pl.op, "agent not reachable")
+	default:
+		p.queryAgent(ctx, pl.node.ID, []worker.Ref{*pl.op.Ref})
 	}
-	p.refused(ctx, pl, reply.Reason)
 }
 
-// fence asks the agent to refuse a placement whose answer was lost; if it says that the attempt is not there, it
-// never will be.
-func (p *placer) fence(ctx context.Context, pl placement) {
-	callCtx, cancel := context.WithTimeout(ctx, placeTimeout)
-	defer cancel()
-	var reply wire.StopReply
-	err := p.pool.Call(callCtx, pl.node.Addr, "Agent.Stop", wire.StopArgs{Ref: *pl.op.Ref}, &reply)
-	if err == nil && !reply.Known {
-		p.refused(ctx, pl, "placement lost on the way")
-	}
+// refusalCeiling bounds the delay after refusals.
+const refusalCeiling = 10 * time.Second
+
+// refusalDelay returns how long a refused task waits. Each refusal costs two operations, so they back off.
+func (o *Owner) refusalDelay(task string) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n := o.refusals[task]
+	o.refusals[task] = n + 1
+	return min(refusedDelay<<min(n, 10), refusalCeiling)
 }
 
-func (p *placer) refused(ctx context.Context, pl placement, reason string) {
-	op := ledger.Op{Kind: ledger.OpRefuse, Ref: pl.op.Ref, Reason: reason}
-	events.TaskRefused.Log(&p.owner.zlog).Str("task", pl.op.Ref.Task).Int("attempt", pl.op.Ref.Attempt).Str("agent", pl.node.ID).Str("reason", reason).Send()
-	if err := p.owner.Commit(ctx, op); err != nil {
-		events.CommitFailed.Log(&p.owner.zlog).Err(err).Str("task", pl.op.Ref.Task).Send()
+func (p *placer) refused(ctx context.Context, op ledger.Op, reason string) {
+	refuse := ledger.Op{Kind: ledger.OpRefuse, Ref: op.Ref, Reason: reason, NotBefore: time.Now().Add(p.owner.refusalDelay(op.Ref.Task))}
+	events.TaskRefused.Log(&p.owner.zlog).Str("task", op.Ref.Task).Int("attempt", op.Ref.Attempt).Str("agent", op.Agent).Str("reason", reason).Send()
+	if err := p.owner.Commit(ctx, refuse); err != nil {
+		events.CommitFailed.Log(&p.owner.zlog).Err(err).Str("task", op.Ref.Task).Send()
 	}
 }
 
 // snapshot builds the scheduler's view from the members' load reports.
-func (p *placer) snapshot() []scheduler.NodeInfo {
+func (p *placer) snapshot() ([]scheduler.NodeInfo, map[string]time.Duration) {
 	nodes := []scheduler.NodeInfo{}
-	for _, m := range p.nodes.Members() {
-		if m.Role == membership.RoleAgent && !m.Suspect && !m.Leaving {
+	clocks := map[string]time.Duration{}
+	members := p.nodes.Members()
+	if self, ok := p.nodes.Lookup(p.self); ok {
+		members = append(members, self)
+	}
+	for _, m := range members {
+		if m.Role == membership.RoleAgent && !m.Suspect && !m.Leaving && !p.avoided(m.ID) {
 			nodes = append(nodes, NodeInfo(m.Member))
+			clocks[m.ID] = m.Load.Clock
 		}
 	}
-	return nodes
+	return nodes, clocks
 }
 
 // NodeInfo converts a member's load report for the scheduler.
@@ -176,13 +224,17 @@
 	defer o.mu.Unlock()
 	out := []pendingTask{}
 	for _, job := range o.state.Jobs {
+		if now.Before(o.aside[job.ID].until) {
+			continue
+		}
 		for i := range job.Tasks {
 			t := &job.Tasks[i]
 			if t.State != ledger.TaskPending || now.Before(t.NotBefore) {
 				continue
 			}
-			out = append(out, pendingTask{job: *job, checkpoint: t.Checkpoint, info: scheduler.TaskInfo{
+			out = append(out, pendingTask{job: copyJob(job), checkpoint: t.Checkpoint, info: scheduler.TaskInfo{
 				Ref: ledger.TaskRef(job.ID, i, t.Attempt+1), JobID: job.ID, Kind: job.Kind, Team: job.Team, Need: job.Need, Priority: job.Priority,
+				Avoid: avoided(t.FailedOn),
 			}})
 		}
 	}
@@ -198,40 +250,28 @@
 	return out[:min(len(out), placeBatch)]
 }
 
-func (o *Owner) explainTask(task, decision string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.explain[task] = decision
-}
-
-func (o *Owner) startHold(ref worker.Ref, hold time.Duration) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.holds[ref] = time.Now().Add(hold)
+// avoided is the set of workers on which a task failed, so that its next attempt tells whether the worker or the job is
+// at fault.
+func avoided(failedOn []string) map[string]bool {
+	set := make(map[string]bool, len(failedOn))
+	for _, id := range failedOn {
+		set[id] = true
+	}
+	return set
 }
 
-// expireHolds returns tasks to the queue whose agents can no longer be running them.
-func (p *placer) expireHolds(ctx context.Context) {
-	for _, op := range p.owner.expired(time.Now(), p.nodes) {
-		if err := p.owner.Commit(ctx, op); err == nil {
-			events.TaskLost.Log(&p.owner.zlog).Str("task", op.Ref.Task).Int("attempt", op.Ref.Attempt).Str("reason", op.Reason).Send()
+// widen drops the avoided workers of a task that failed on all known ones; it would never be placed otherwise.
+func widen(task *scheduler.TaskInfo, nodes []scheduler.NodeInfo) {
+	for i := range nodes {
+		if !task.Avoid[nodes[i].ID] {
+			return
 		}
 	}
+	task.Avoid = nil
 }
 
-func (o *Owner) expired(now time.Time, _ Nodes) []ledger.Op {
+func (o *Owner) explainTask(task, decision string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	ops := []ledger.Op{}
-	for ref, until := range o.holds {
-		_, task := o.state.Task(ref.Task)
-		if task == nil || task.State != ledger.TaskPlaced || task.Attempt != ref.Attempt {
-			delete(o.holds, ref)
-			continue
-		}
-		if now.After(until) {
-			ops = append(ops, ledger.Op{Kind: ledger.OpLost, Ref: &ref, Reason: "no report before the hold ran out"})
-		}
-	}
-	return ops
+	o.explain[task] = decision
 }
--- a/internal/partition/random_test.go
+++ b/internal/partition/random_test.go
@@ -1,11 +1,14 @@
 package partition_test
 
 import (
+	"bytes"
 	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"regexp"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -35,6 +38,7 @@
 
 // run is one randomised run. mu guards accepted and broken.
 type run struct {
+	trace *lockedBuffer
 	t     *testing.T
 	seed  uint64
 	rnd   *rand.Rand
@@ -74,14 +78,15 @@
 }
 
 func randomRun(t *testing.T, seed uint64, length time.Duration) stats {
-	log := zerolog.Nop()
+	trace := &lockedBuffer{}
+	log := zerolog.New(trace).Level(zerolog.InfoLevel).With().Timestamp().Logger()
 	if *batchVerbose {
 		log = zerolog.New(os.Stderr).With().Timestamp().Logger()
 	}
-	r := &run{t: t, seed: seed, rnd: rand.New(rand.NewPCG(seed, 7)), accepted: map[string]ledger.Job{}}
+	r := &run{t: t, seed: seed, trace: trace, rnd: rand.New(rand.NewPCG(seed, 7)), accepted: map[string]ledger.Job{}}
 	before := invariant.Checked()
 	restore := invariant.SetHandler(func(v invariant.Violation) { r.violate("invariant %s", v.Error()) })
-	defer invariant.SetHandler(restore)
+	defer func() { invariant.SetHandler(restore) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	r.fleet = newFleet(4, seed, log)
 	r.wg.Add(1)
@@ -404,7 +409,35 @@
 		}
 	}
 	for _, v := range append(watch.violations, r.broken...) {
-		r.t.Errorf("seed %d: %s", r.seed, v)
+		r.t.Errorf("seed %d: %s\n%s", r.seed, v, r.trace.about(taskName.FindString(v)))
 	}
 	return s
 }
+
+// taskName finds a task in the text of a violation.
+var taskName = regexp.MustCompile(`[0-9a-f]{2}-job\d+(/\d+)?`)
+
+// lockedBuffer keeps the log of a run.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// about returns the lines that name the task, and those of ownership changes.
+func (b *lockedBuffer) about(task string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := []string{}
+	for line := range strings.Lines(b.buf.String()) {
+		if task != "" && (strings.Contains(line, task+`"`) || strings.Contains(line, `"event":3001`) || strings.Contains(line, `"event":3002`)) {
+			out = append(out, line)
+		}
+	}
+	return strings.Join(out[max(0, len(out)-40):], "")
+}
--- a/internal/partition/service.go
+++ b/internal/partition/service.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -45,16 +47,24 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	err := o.Commit(ctx, op)
+	if isVerdict(err) && !o.valid() {
+		return wire.CodeNotOwner, ErrNotOwner // a successor may know better
+	}
 	return codeOf(err), err
 }
 
+// isVerdict reports whether an error was decided from the state, without a write that proves ownership.
+func isVerdict(err error) bool {
+	return errors.Is(err, ledger.ErrUnknown) || errors.Is(err, ledger.ErrStale) || errors.Is(err, ledger.ErrDuplicate)
+}
+
 // Submit makes a job durable. A repeated key returns the earlier job.
 func (s *Service) Submit(args wire.SubmitArgs, reply *wire.SubmitReply) error {
 	job := args.Job
 	code, err := s.commit(args.Partition, ledger.Op{Kind: ledger.OpSubmit, Job: &job})
 	reply.Code, reply.JobID = code, job.ID
 	if errors.Is(err, ledger.ErrDuplicate) {
-		reply.Code, reply.JobID = wire.CodeOK, s.m.owner(args.Partition).jobOfKey(job)
+		reply.Code, reply.JobID = s.earlierJob(args.Partition, job)
 	}
 	if err == nil {
 		events.JobAccepted.Log(&s.m.log).Str("job", job.ID).Str("branch", job.Branch).Int("tasks", len(job.Tasks)).Send()
@@ -62,6 +72,15 @@
 	return nil
 }
 
+// earlierJob finds the job that a repeated submission refers to. The owner may have ended meanwhile.
+func (s *Service) earlierJob(partition int, job ledger.Job) (wire.Code, string) {
+	o := s.m.owner(partition)
+	if o == nil {
+		return wire.CodeNotOwner, ""
+	}
+	return wire.CodeOK, o.jobOfKey(job)
+}
+
 func (o *Owner) jobOfKey(job ledger.Job) string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -77,8 +96,10 @@
 	code, err := s.commit(args.Partition, ledger.Op{Kind: ledger.OpClaim, Claim: &claim})
 	reply.Code, reply.Granted = code, err == nil
 	if errors.Is(err, ledger.ErrDuplicate) {
-		reply.Code = wire.CodeOK
-		reply.Existing = s.m.owner(args.Partition).claim(claim.Key)
+		reply.Code = wire.CodeNotOwner
+		if o := s.m.owner(args.Partition); o != nil {
+			reply.Code, reply.Existing = wire.CodeOK, o.claim(claim.Key)
+		}
 	}
 	return nil
 }
@@ -120,11 +141,12 @@
 		reply.Code = wire.CodeNotOwner
 		return nil
 	}
+	valid := o.valid()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	job := o.state.Jobs[args.JobID]
 	if job == nil {
-		reply.Code = wire.CodeUnknown
+		reply.Code = pick(valid, wire.CodeUnknown, wire.CodeNotOwner)
 		return nil
 	}
 	reply.Code, reply.Job = wire.CodeOK, copyJob(job)
@@ -183,14 +205,20 @@
 		}
 		ended = append(ended, t)
 	}
-	for _, t := range ended {
-		if o.recordEnd(t) {
-			reply.Forget = append(reply.Forget, t.Ref)
-		}
+	if len(ended) > 0 {
+		o.recordEnds(args.Agent, ended, reply)
+	}
+	// An owner that was replaced may know only earlier attempts or jobs; its verdicts count only if no successor can
+	// have existed when they were made.
+	if !o.valid() {
+		reply.Stop, reply.Forget = nil, nil
 	}
 }
 
 func (o *Owner) renewHold(args wire.ReportArgs, t wire.TaskReport, reply *wire.ReportReply) {
+	if !o.mayHold() {
+		return
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	job, task := o.state.Task(t.Ref.Task)
@@ -199,72 +227,96 @@
 		reply.Stop = append(reply.Stop, t.Ref)
 		return
 	}
-	if _, _, ok := o.keeper.Current(); !ok {
+	if o.lost {
 		return
 	}
-	task.AgentInc = args.Incarnation
-	reply.For = job.Hold
+	if reply.For == 0 || job.Hold < reply.For {
+		reply.For = job.Hold // the reply has one length for all, so the shortest counts
+	}
 	reply.Hold = append(reply.Hold, t.Ref)
+	delete(o.refusals, t.Ref.Task)
+	o.seen[t.Ref] = sighting{at: time.Now(), incarnation: args.Incarnation}
 	if until := time.Now().Add(job.Hold); until.After(o.holds[t.Ref]) {
 		o.holds[t.Ref] = until
 	}
 }
 
-// recordEnd commits the end of an attempt and reports whether the agent may forget it.
-func (o *Owner) recordEnd(t wire.TaskReport) bool {
-	o.mu.Lock()
-	job, task := o.state.Task(t.Ref.Task)
-	stale := task == nil || task.State != ledger.TaskPlaced || task.Attempt != t.Ref.Attempt
-	o.mu.Unlock()
-	if stale {
-		return true
-	}
-	op := o.endOp(job, task, t)
+// recordEnds commits the ends of attempts together. Whether an end is stale is decided by the commit as well: the
+// state may hold an end that is not durable yet, and the agent must not forget that one.
+func (o *Owner) recordEnds(agent string, ended []wire.TaskReport, reply *wire.ReportReply) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	err := o.Commit(ctx, op)
-	if err != nil {
-		return errors.Is(err, ledger.ErrStale)
+	ops := make([]ledger.Op, len(ended))
+	answers := make([]<-chan error, len(ended))
+	for i, t := range ended {
+		ops[i] = o.endOp(agent, t)
+		answers[i] = o.enqueue(ctx, nil, ops[i])
+	}
+	for i, t := range ended {
+		err := o.wait(ctx, answers[i])
+		if err == nil {
+			o.logEnd(ops[i], t)
+		}
+		if err == nil || errors.Is(err, ledger.ErrStale) || errors.Is(err, ledger.ErrUnknown) {
+			reply.Forget = append(reply.Forget, t.Ref)
+		}
 	}
-	o.logEnd(op, t)
-	o.mu.Lock()
-	delete(o.holds, t.Ref)
-	o.mu.Unlock()
-	return true
 }
 
 // Retries of failed tasks.
 const (
-	maxFailures  = 5
-	retryBase    = 500 * time.Millisecond
-	retryCeiling = 5 * time.Minute
+	maxFailures   = 5
+	faultyWorkers = 3 // a task that failed on this many different workers is at fault itself
+	retryBase     = 500 * time.Millisecond
+	retryCeiling  = 5 * time.Minute
 )
 
-func (o *Owner) endOp(job *ledger.Job, task *ledger.Task, t wire.TaskReport) ledger.Op {
+func (o *Owner) endOp(agent string, t wire.TaskReport) ledger.Op {
 	ref := t.Ref
-	op := ledger.Op{Kind: ledger.OpEnd, Ref: &ref, Reason: t.Reason}
+	op := ledger.Op{Kind: ledger.OpEnd, Ref: &ref, Agent: agent, Reason: t.Reason}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	job, task := o.state.Task(ref.Task)
 	switch t.State {
 	case worker.StateDone:
 		op.State = ledger.TaskDone
 	case worker.StateCheckpointed:
 		op.Kind, op.Checkpoint = ledger.OpEvict, t.Checkpoint
+	case worker.StateNotStarted:
+		op.Kind, op.NotBefore = ledger.OpRefuse, time.Now().Add(refusedDelay)
 	case worker.StateStopped:
 		op.Kind = ledger.OpLost
-		if job.Cancelled {
+		if job != nil && job.Cancelled {
 			op.Kind, op.State = ledger.OpEnd, ledger.TaskCancelled
 		}
 	default:
 		op.State = ledger.TaskFailed
-		if job.Idempotent && task.Failures+1 < maxFailures {
-			op.State = ledger.TaskPending
-			op.NotBefore = time.Now().Add(min(retryBase<<task.Failures, retryCeiling))
+		if task != nil {
+			failedOp(&op, job, task, agent, t.Reason)
 		}
 	}
 	return op
 }
 
+// failedOp decides whether a failed task is tried again, and states the reason if not.
+func failedOp(op *ledger.Op, job *ledger.Job, task *ledger.Task, agent, reason string) {
+	workers := len(task.FailedOn)
+	if !slices.Contains(task.FailedOn, agent) {
+		workers++
+	}
+	switch {
+	case !job.Idempotent:
+		op.Reason = "not idempotent, failed: " + reason
+	case workers >= faultyWorkers:
+		op.Reason = fmt.Sprintf("failed on %d workers, so the job is at fault: %s", workers, reason)
+	case task.Failures+1 >= maxFailures:
+		op.Reason = fmt.Sprintf("failed %d times: %s", task.Failures+1, reason)
+	default:
+		op.State = ledger.TaskPending
+		op.NotBefore = time.Now().Add(min(retryBase<<task.Failures, retryCeiling))
+	}
+}
+
 func (o *Owner) logEnd(op ledger.Op, t wire.TaskReport) {
 	ev := events.TaskEnded
 	switch {
@@ -272,6 +324,8 @@
 		ev = events.TaskEvicted
 	case op.Kind == ledger.OpLost:
 		ev = events.TaskLost
+	case op.Kind == ledger.OpRefuse:
+		ev = events.TaskRefused
 	case op.State == ledger.TaskPending:
 		ev = events.TaskRetry
 	}
--- a/internal/platform/worker.go
+++ b/internal/platform/worker.go
@@ -48,6 +48,7 @@
 
 	mu       sync.Mutex
 	faults   WorkerFaults
+	born     time.Time // start of the worker's clock; renewed when the worker loses its tasks
 	tasks    map[worker.Ref]*simTask
 	history  []worker.Usage
 	observer RunObserver
@@ -56,10 +57,13 @@
 
 // NewSimWorker returns an idle worker. The observer may be nil.
 func NewSimWorker(id string, capacity worker.Resources, observer RunObserver, seed uint64) *SimWorker {
-	return &SimWorker{id: id, cap: capacity, tasks: map[worker.Ref]*simTask{}, observer: observer, rnd: rand.New(rand.NewPCG(seed, 1))}
+	return &SimWorker{id: id, cap: capacity, born: time.Now(), tasks: map[worker.Ref]*simTask{}, observer: observer, rnd: rand.New(rand.NewPCG(seed, 1))}
 }
 
-var _ worker.Worker = (*SimWorker)(nil)
+var (
+	_ worker.Worker  = (*SimWorker)(nil)
+	_ worker.Clocked = (*SimWorker)(nil)
+)
 
 // SetFaults replaces the faults. Dead drops all tasks.
 func (w *SimWorker) SetFaults(f WorkerFaults) {
@@ -72,6 +76,7 @@
 			w.end(t, worker.StateStopped, "host died")
 		}
 		w.tasks = map[worker.Ref]*simTask{}
+		w.born = time.Now()
 	}
 }
 
@@ -184,6 +189,10 @@
 	if w.tasks[spec.Ref] != nil {
 		return w.leave(nil)
 	}
+	now := time.Now()
+	if spec.Until > 0 && now.Sub(w.born) >= spec.Until {
+		return w.leave(fmt.Errorf("%w: the start arrived after its hold", worker.ErrRefused))
+	}
 	used := worker.Resources{}
 	for _, t := range w.tasks {
 		if t.state == worker.StateRunning {
@@ -192,8 +201,7 @@
 	}
 	invariant.Check(spec.Need.Fits(w.cap.Sub(used)), "room_per_host",
 		"worker %s has %+v in use of %+v and got %s needing %+v", w.id, used, w.cap, spec.Ref.Task, spec.Need)
-	now := time.Now()
-	t := &simTask{spec: spec, state: worker.StateRunning, updated: now, throttle: 1, leaseEnd: now.Add(spec.Lease)}
+	t := &simTask{spec: spec, state: worker.StateRunning, updated: now, throttle: 1, leaseEnd: w.leaseEnd(spec.Lease, spec.Until)}
 	if spec.Checkpoint != "" {
 		if _, err := fmt.Sscanf(spec.Checkpoint, "progress-%d", &t.done); err != nil {
 			return w.leave(fmt.Errorf("%w: checkpoint %q", worker.ErrRefused, spec.Checkpoint))
@@ -209,14 +217,39 @@
 	return w.leave(nil)
 }
 
+// leaseEnd returns the end of a lease that starts now, not later than until on the worker's clock (0: no bound).
+func (w *SimWorker) leaseEnd(lease, until time.Duration) time.Time {
+	end := time.Now().Add(lease)
+	if bound := w.born.Add(until); until > 0 && bound.Before(end) {
+		return bound
+	}
+	return end
+}
+
+// Clock implements worker.Clocked.
+func (w *SimWorker) Clock(ctx context.Context) (time.Duration, error) {
+	if err := w.enter(ctx); err != nil {
+		return 0, err
+	}
+	return time.Since(w.born), w.leave(nil)
+}
+
 // Renew implements worker.Worker.
 func (w *SimWorker) Renew(ctx context.Context, refs []worker.Ref, lease time.Duration) error {
+	return w.RenewUntil(ctx, refs, lease, 0)
+}
+
+// RenewUntil implements worker.Clocked. A renewal that arrives late has no effect
+// past its bound.
+func (w *SimWorker) RenewUntil(ctx context.Context, refs []worker.Ref, lease, until time.Duration) error {
 	if err := w.enter(ctx); err != nil {
 		return err
 	}
 	for _, ref := range refs {
 		if t := w.tasks[ref]; t != nil && t.state == worker.StateRunning {
-			t.leaseEnd = time.Now().Add(lease)
+			if end := w.leaseEnd(lease, until); end.After(t.leaseEnd) {
+				t.leaseEnd = end
+			}
 		}
 	}
 	return w.leave(nil)
@@ -322,6 +355,8 @@
 	}
 	if t := w.tasks[ref]; t != nil {
 		w.end(t, worker.StateStopped, "stopped")
+	} else {
+		w.tasks[ref] = &simTask{spec: worker.Spec{Ref: ref}, state: worker.StateNotStarted, reason: "fenced before its start"}
 	}
 	return w.leave(nil)
 }
--- a/internal/platform/workerserver.go
+++ b/internal/platform/workerserver.go
@@ -19,6 +19,10 @@
 		out, err := w.List(c.Request().Context())
 		return answerWorker(c, out, err)
 	})
+	e.GET(worker.PathClock, func(c echo.Context) error {
+		out, err := w.Clock(c.Request().Context())
+		return answerWorker(c, worker.ClockResponse{Clock: out}, err)
+	})
 	e.GET(worker.PathUsage, func(c echo.Context) error {
 		out, err := w.Usage(c.Request().Context())
 		return answerWorker(c, out, err)
@@ -27,7 +31,7 @@
 		return answerWorker(c, nil, w.Start(c.Request().Context(), in))
 	}))
 	e.POST(worker.PathRenew, bound(func(c echo.Context, in worker.RenewRequest) error {
-		return answerWorker(c, nil, w.Renew(c.Request().Context(), in.Refs, in.Lease))
+		return answerWorker(c, nil, w.RenewUntil(c.Request().Context(), in.Refs, in.Lease, in.Until))
 	}))
 	e.POST(worker.PathThrottle, bound(func(c echo.Context, in worker.ThrottleRequest) error {
 		return answerWorker(c, nil, w.Throttle(c.Request().Context(), in.Ref, in.Share))
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -146,6 +146,16 @@
 		Report TaskReport
 		Known  bool
 	}
+	// QueryArgs asks about attempts; those that the agent does not know are fenced.
+	QueryArgs struct{ Refs []worker.Ref }
+	// QueryReply is evidence only if Ready: the agent has read its worker's list since its start. Settled means that
+	// the leases which an earlier incarnation of the agent could have renewed at the worker are over.
+	QueryReply struct {
+		Ready       bool
+		Settled     bool
+		Incarnation int64
+		Unknown     []worker.Ref
+	}
 	// FenceArgs asks whether a forwarded request has started; if not, it never will.
 	FenceArgs  struct{ RequestID string }
 	FenceReply struct {
--- a/internal/worker/http.go
+++ b/internal/worker/http.go
@@ -17,6 +17,7 @@
 	PathCapacity   = "/worker/capacity"
 	PathTasks      = "/worker/tasks"
 	PathRenew      = "/worker/renew"
+	PathClock      = "/worker/clock"
 	PathUsage      = "/worker/usage"
 	PathCheckpoint = "/worker/checkpoint"
 	PathThrottle   = "/worker/throttle"
@@ -29,6 +30,10 @@
 	RenewRequest struct {
 		Refs  []Ref         `json:"refs"`
 		Lease time.Duration `json:"lease"`
+		Until time.Duration `json:"until,omitempty"` // on the worker's clock; 0: no bound
+	}
+	ClockResponse struct {
+		Clock time.Duration `json:"clock"` // since the worker's start
 	}
 	ThrottleRequest struct {
 		Ref   Ref     `json:"ref"`
@@ -55,7 +60,10 @@
 	return &HTTPClient{base: base, client: &http.Client{Timeout: DefaultTimeout, Transport: &http.Transport{}}}
 }
 
-var _ Worker = (*HTTPClient)(nil)
+var (
+	_ Worker  = (*HTTPClient)(nil)
+	_ Clocked = (*HTTPClient)(nil)
+)
 
 // Close drops idle connections.
 func (c *HTTPClient) Close() { c.client.CloseIdleConnections() }
@@ -116,6 +124,18 @@
 	return c.call(ctx, http.MethodPost, PathRenew, RenewRequest{Refs: refs, Lease: lease}, nil)
 }
 
+// RenewUntil implements Clocked.
+func (c *HTTPClient) RenewUntil(ctx context.Context, refs []Ref, lease, until time.Duration) error {
+	return c.call(ctx, http.MethodPost, PathRenew, RenewRequest{Refs: refs, Lease: lease, Until: until}, nil)
+}
+
+// Clock implements Clocked.
+func (c *HTTPClient) Clock(ctx context.Context) (time.Duration, error) {
+	var out ClockResponse
+	err := c.call(ctx, http.MethodGet, PathClock, nil, &out)
+	return out.Clock, err
+}
+
 // List implements Worker.
 func (c *HTTPClient) List(ctx context.Context) ([]Status, error) {
 	var out []Status
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -59,6 +59,7 @@
 	Payload    []byte        `json:"payload,omitempty"`
 	Checkpoint string        `json:"checkpoint,omitempty"` // resume from here
 	Lease      time.Duration `json:"lease"`                // the worker stops the task if not renewed for this long
+	Until      time.Duration `json:"until,omitempty"`      // on the worker's clock: the task must not run after it; 0: no bound
 }
 
 // State of a task at the worker.
@@ -71,6 +72,7 @@
 	StateFailed       State = "failed"
 	StateCheckpointed State = "checkpointed" // stopped after a checkpoint
 	StateStopped      State = "stopped"      // stopped without a checkpoint, or its lease expired
+	StateNotStarted   State = "not_started"  // fenced before its start arrived; a later start has no effect
 )
 
 // Status is a task as the worker sees it.
@@ -114,8 +116,18 @@
 	Checkpoint(ctx context.Context, ref Ref) (string, error)
 	// Throttle limits a task to a share of its speed, 0 to 1.
 	Throttle(ctx context.Context, ref Ref, share float64) error
-	// Stop ends a task without a checkpoint. Stopping a task that ended has no effect.
+	// Stop ends a task without a checkpoint. Stopping a task that ended has no effect. Stopping one that the worker does
+	// not know fences it: the list shows it as StateNotStarted, and a start that arrives later has no effect.
 	Stop(ctx context.Context, ref Ref) error
 	// Forget drops the record of a task that ended.
 	Forget(ctx context.Context, ref Ref) error
 }
+
+// Clocked is a Worker that bounds tasks by its own clock. A start or a renewal that is delayed on the way, or by a
+// pause of its sender, then cannot make a task run past the hold that it was sent under.
+type Clocked interface {
+	// Clock returns the time since the worker's start. It goes back only when the worker loses its tasks.
+	Clock(ctx context.Context) (time.Duration, error)
+	// RenewUntil is Renew with a bound on the worker's clock.
+	RenewUntil(ctx context.Context, refs []Ref, lease, until time.Duration) error
+}
