--- a/internal/agent/taskloop.go
+++ b/internal/agent/taskloop.go
@@ -128,7 +128,7 @@
 	if st.State != worker.StateRunning {
 		r.a.gate.ReleaseTask(t.spec.Ref.Task)
 		if st.State != worker.StateNotStarted {
-			r.noteEnd(st.State == worker.StateFailed)
+			r.health.note(t.spec.Ref.Task, st.State == worker.StateFailed, time.Now())
 		}
 	}
 	t.status = st
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -46,9 +45,9 @@
 	mu       sync.Mutex
 	attempts map[worker.Ref]*attempt
 	fenced   map[worker.Ref]time.Time // attempts that must not start any more
-	ends     []bool                   // newest ends: true is a failure
-	adopted  bool                     // the worker's list was read since the start; before, nothing is known or placed
-	boot     time.Time                // on this process's clock, the earliest start of the worker's clock
+	health   workerHealth
+	adopted  bool      // the worker's list was read since the start; before, nothing is known or placed
+	boot     time.Time // on this process's clock, the earliest start of the worker's clock
 	control  *controller
 }
 
@@ -211,21 +210,11 @@
 	events.TaskStopped.Log(&r.a.log).Str("task", ref.Task).Int("attempt", ref.Attempt).Bool("checkpoint", checkpoint).Str("reason", reason).AnErr("error", err).Send()
 }
 
-// endsRemembered is the number of newest ends that decide whether the worker fails everything.
-const endsRemembered = 6
-
-func (r *taskRunner) noteEnd(failed bool) {
-	r.ends = append(r.ends, failed)
-	if len(r.ends) > endsRemembered {
-		r.ends = r.ends[1:]
-	}
-}
-
-// failing reports whether the worker failed all of its newest tasks.
+// failing reports whether the worker failed all of its newest tasks and gets no new ones for now.
 func (r *taskRunner) failing() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.ends) == endsRemembered && !slices.Contains(r.ends, false)
+	return r.health.failing(time.Now())
 }
 
 func (r *taskRunner) running() []worker.Ref {
--- a/internal/caslog/snapshot.go
+++ b/internal/caslog/snapshot.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
@@ -15,6 +16,12 @@
 // chunkBytes keeps a snapshot chunk below the store's value limit with room for encoding.
 const chunkBytes = 512 << 10
 
+// chunksPerRead bounds one answer of the store to a few megabytes.
+const chunksPerRead = 8
+
+// chunkRetry is the pause before a chunk whose answer was lost is written again.
+const chunkRetry = 100 * time.Millisecond
+
 // manifest names the newest complete snapshot. It is replaced by compare-and-swap after all chunks are written.
 type manifest struct {
 	Seq    int64  `json:"seq"`
@@ -65,13 +72,19 @@
 		return nil, nil
 	}
 	prefix := l.writerChunks(m.Seq, m.Writer)
-	kvs, _, err := l.st.List(ctx, prefix, store.PrefixEnd(prefix), 0)
-	if err != nil {
-		return nil, err
-	}
-	data := []byte{}
-	for _, kv := range kvs {
-		data = append(data, kv.Value...)
+	data, from := []byte{}, prefix
+	for {
+		kvs, _, err := l.st.List(ctx, from, store.PrefixEnd(prefix), chunksPerRead)
+		if err != nil {
+			return nil, err
+		}
+		for _, kv := range kvs {
+			data = append(data, kv.Value...)
+			from = kv.Key + "\x00"
+		}
+		if len(kvs) < chunksPerRead {
+			break
+		}
 	}
 	if xxhash.Sum64(data) != m.Hash {
 		return nil, store.ErrCompacted
@@ -115,6 +128,7 @@
 	for {
 		res, err := l.st.CompareAndSwap(ctx, key, 0, chunk, 0)
 		if errors.Is(err, store.ErrUncertain) && ctx.Err() == nil {
+			time.Sleep(chunkRetry)
 			continue // the key is ours alone, so writing it again is safe
 		}
 		if err != nil {
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -225,7 +225,11 @@
 }
 
 func (e *Entry) handleJob(c echo.Context) error {
-	res := e.Job(c.Request().Context(), c.Param("id"))
+	waitMs, err := strconv.ParseInt(c.QueryParam("wait_ms"), 10, 64)
+	if c.QueryParam("wait_ms") != "" && (err != nil || waitMs < 0) {
+		return problem(c, http.StatusBadRequest, wire.OutcomeNotRun, "", "wait_ms must be a number of milliseconds")
+	}
+	res := e.WaitJob(c.Request().Context(), c.Param("id"), time.Duration(waitMs)*time.Millisecond)
 	if res.Code != wire.CodeOK {
 		return jobProblem(c, res)
 	}
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -36,12 +36,26 @@
 	}
 	id := partition.Of(key, e.dir.Partitions)
 	job.ID = partition.JobID(id, job.ID)
+	var res JobResult
+	for range submitAttempts {
+		if res = e.submitOnce(ctx, id, job); res.Code != wire.CodeUncertain || ctx.Err() != nil {
+			break
+		}
+	}
+	return res
+}
+
+// submitAttempts bounds the calls of one submission. A repeat after a lost answer is safe: the owner knows the job by
+// its id and key.
+const submitAttempts = 3
+
+func (e *Entry) submitOnce(ctx context.Context, id int, job ledger.Job) JobResult {
 	var reply wire.SubmitReply
 	err := e.callOwner(ctx, id, "Partition.Submit", wire.SubmitArgs{Partition: id, Job: job}, &reply, func() wire.Code { return reply.Code })
 	if err != nil {
 		return JobResult{Code: failureCode(err), Reason: err.Error()}
 	}
-	return JobResult{Code: reply.Code, JobID: reply.JobID}
+	return JobResult{Code: reply.Code, JobID: reply.JobID, Reason: string(reply.Code)}
 }
 
 func (e *Entry) callOwner(ctx context.Context, id int, method string, args, reply any, code func() wire.Code) error {
@@ -61,13 +75,20 @@
 }
 
 // Job returns one job.
-func (e *Entry) Job(ctx context.Context, id string) JobResult {
+func (e *Entry) Job(ctx context.Context, id string) JobResult { return e.WaitJob(ctx, id, 0) }
+
+// WaitJob returns one job when it has finished, at the latest after wait (at most partition.MaxWait; 0: at once).
+func (e *Entry) WaitJob(ctx context.Context, id string, wait time.Duration) JobResult {
 	p, ok := partition.OfJob(id)
 	if !ok || p >= e.dir.Partitions {
 		return JobResult{Code: wire.CodeUnknown, Reason: "not a job id"}
 	}
 	var reply wire.GetReply
-	err := e.callOwner(ctx, p, "Partition.Get", wire.GetArgs{Partition: p, JobID: id}, &reply, func() wire.Code { return reply.Code })
+	wait = min(max(wait, 0), partition.MaxWait)
+	callCtx, cancel := context.WithTimeout(ctx, ownerTimeout+wait)
+	defer cancel()
+	args := wire.GetArgs{Partition: p, JobID: id, Wait: wait}
+	err := e.dir.Call(callCtx, p, "Partition.Get", args, &reply, func() wire.Code { return reply.Code })
 	if err != nil {
 		return JobResult{Code: failureCode(err), Reason: err.Error()}
 	}
--- a/internal/partition/claim.go
+++ b/internal/partition/claim.go
@@ -111,7 +111,8 @@
 func (m *Manager) recover(ctx context.Context, id int, leaseID store.LeaseID) {
 	started := time.Now()
 	log := caslog.New(m.st, LogPrefix(id), m.cfg.ID)
-	o, err := Recover(ctx, id, log, m.keeper, leaseID, m.cfg.Outage, m.log)
+	cfg := OwnerConfig{Partition: id, Outage: m.cfg.Outage, Retention: m.cfg.Retention, Appends: storeAppends / float64(m.cfg.Partitions)}
+	o, err := Recover(ctx, cfg, log, m.keeper, leaseID, m.log)
 	if err != nil {
 		events.RecoveryFailed.Log(&m.log).Int("partition", id).Err(err).Send()
 		m.setNext(id, time.Now().Add(jitter(missingCheck)))
--- a/internal/partition/commit.go
+++ b/internal/partition/commit.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"bamboofork/internal/caslog"
 	"bamboofork/internal/events"
 	"bamboofork/internal/invariant"
@@ -21,6 +18,7 @@
 	groupDelay      = 4 * time.Millisecond // waits for more operations to share a record
 	maxGroup        = 2000                 // operations per record
 	maxGroupBytes   = 400 << 10            // estimated bytes per record; the store holds values of up to 1 MB
+	appendBurst     = 20                   // appends that need not wait for the pace
 	commitRetry     = 50 * time.Millisecond
 	commitRetryMax  = 2 * time.Second // bounds the calls of all owners while the store is down
 	commitPatience  = 2 * time.Second // a group that the store refuses for this long is rolled back
@@ -119,11 +117,12 @@
 	}
 }
 
-// gather waits a little for more requests to share the record.
+// gather waits for more requests to share the record: a little while appends are rare, and as long as the pace of
+// this partition's share of the store's writes asks for when they are frequent.
 func (o *Owner) gather(first *request) []*request {
 	group := []*request{first}
 	ops, size := len(first.ops), first.size()
-	timer := time.NewTimer(groupDelay)
+	timer := time.NewTimer(max(groupDelay, o.pace.Reserve().Delay()))
 	defer timer.Stop()
 	for ops < maxGroup && size < maxGroupBytes {
 		select {
@@ -210,9 +209,9 @@
 // open waits: nothing else may be decided on top of it. Errors: ErrNotOwner and ErrNoStore (no effect),
 // ErrUncertain (the owner ends and a successor decides).
 func (o *Owner) append(ctx context.Context, data recordData) error {
-	payload, err := json.Marshal(data)
+	payload, err := encodeRecord(data)
 	if err != nil {
-		return eris.Wrap(err, "encode partition record")
+		return err
 	}
 	rec := caslog.Record{Seq: o.seq + 1, Epoch: o.epoch, Time: time.Now(), Data: payload}
 	started, pause, open := time.Now(), commitRetry, false
--- a/internal/partition/directory.go
+++ b/internal/partition/directory.go
@@ -3,18 +3,27 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
 
 	"bamboofork/internal/peer"
 	"bamboofork/internal/store"
 	"bamboofork/internal/wire"
 )
 
-// directoryAge is how long a cached owner is used before the store is asked again after a failure.
-const directoryAge = 500 * time.Millisecond
+// Reads of owners. During a takeover every agent with tasks of the partition looks for its new owner, so one process
+// may read only so often; what it cannot read now it reads with its next report.
+const (
+	directoryAge   = 500 * time.Millisecond // a cached owner is not read again before, also after a failure
+	directoryRate  = 20                     // reads per second of one process in the long run
+	directoryBurst = 64
+	refreshSpread  = 4 * time.Second // agents of a partition spread their first read after a failure over this time
+	refreshMax     = 8 * time.Second // longest spread while no owner is found; shorter than a hold of 30 s
+)
 
 // Caller sends control calls to other processes; *peer.Pool implements it. Errors: peer.ErrNotSent, peer.ErrLost, or
 // the error of the remote method.
@@ -29,8 +38,17 @@
 	pool       Caller
 	Partitions int
 
+	budget *rate.Limiter
+
 	mu    sync.Mutex
 	cache map[int]cachedOwner
+	later map[int]laterRead // next reads for patient calls
+}
+
+// laterRead is when a patient call may read an owner again.
+type laterRead struct {
+	at     time.Time
+	spread time.Duration
 }
 
 type cachedOwner struct {
@@ -40,7 +58,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory(st store.Store, pool Caller, partitions int) *Directory {
-	return &Directory{st: st, pool: pool, Partitions: partitions, cache: map[int]cachedOwner{}}
+	return &Directory{st: st, pool: pool, Partitions: partitions, cache: map[int]cachedOwner{}, later: map[int]laterRead{}, budget: rate.NewLimiter(directoryRate, directoryBurst)}
 }
 
 // Addr returns the owner's control address. With refresh, a cached one older than directoryAge is read again.
@@ -51,7 +69,7 @@
 	if ok && (!refresh || time.Since(c.read) < directoryAge) {
 		return c.addr, nil
 	}
-	kv, err := d.st.Get(ctx, OwnerKey(partition))
+	kv, err := d.read(ctx, partition)
 	if err != nil {
 		if ok {
 			return c.addr, nil
@@ -74,6 +92,14 @@
 	return rec.Addr, nil
 }
 
+// read asks the store within the budget.
+func (d *Directory) read(ctx context.Context, partition int) (store.KV, error) {
+	if !d.budget.Allow() {
+		return store.KV{}, store.ErrRateLimited
+	}
+	return d.st.Get(ctx, OwnerKey(partition))
+}
+
 // Attempts of Call to find the owner during a takeover.
 const (
 	findAttempts = 8
@@ -89,7 +115,7 @@
 			select {
 			case <-ctx.Done():
 				return err
-			case <-time.After(findDelay):
+			case <-time.After(jitter(findDelay)):
 			}
 		}
 		var addr string
@@ -109,3 +135,63 @@
 	}
 	return err
 }
+
+// CallPatiently runs a method once at the owner that is known, for calls that are repeated anyway. After a failure the
+// owner is read again only after a random delay, because thousands of agents fail at the same moment in a takeover.
+func (d *Directory) CallPatiently(ctx context.Context, partition int, method string, args, reply any, code func() wire.Code) error {
+	refresh := d.mayRefresh(partition)
+	if !refresh && d.blocked(partition) {
+		return ErrNotOwner
+	}
+	addr, err := d.Addr(ctx, partition, refresh)
+	if err != nil {
+		d.delayRefresh(partition)
+		return err
+	}
+	err = d.pool.Call(ctx, addr, method, args, reply)
+	if err == nil && code() == wire.CodeNotOwner {
+		err = ErrNotOwner
+	}
+	d.mu.Lock()
+	_, waiting := d.later[partition]
+	if err == nil {
+		delete(d.later, partition)
+	}
+	d.mu.Unlock()
+	if err != nil && !waiting {
+		d.delayRefresh(partition)
+	}
+	return err
+}
+
+// blocked reports whether no owner is known and the next read is not due.
+func (d *Directory) blocked(partition int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, known := d.cache[partition]
+	return !known && time.Now().Before(d.later[partition].at)
+}
+
+// mayRefresh reports whether the delay after a failure is over; it then starts a longer one.
+func (d *Directory) mayRefresh(partition int) bool {
+	d.mu.Lock()
+	next, failed := d.later[partition]
+	d.mu.Unlock()
+	if !failed || time.Now().Before(next.at) {
+		return false
+	}
+	d.delayRefresh(partition)
+	return true
+}
+
+func (d *Directory) delayRefresh(partition int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	next := d.later[partition]
+	if time.Now().Before(next.at) {
+		return
+	}
+	next.spread = min(max(refreshSpread, 2*next.spread), refreshMax)
+	next.at = time.Now().Add(rand.N(next.spread))
+	d.later[partition] = next
+}
--- a/internal/partition/evidence.go
+++ b/internal/partition/evidence.go
@@ -113,18 +113,15 @@
 	return ledger.ErrStale
 }
 
-// expired returns the placed attempts whose holds are over and drops the holds of attempts that ended.
+// expired returns the placed attempts whose holds are over. Holds are dropped only by afterOp: the state may show an
+// end here that is not durable and will be rolled back.
 func (o *Owner) expired(now time.Time) []worker.Ref {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	refs := []worker.Ref{}
 	for ref, until := range o.holds {
 		_, task := o.state.Task(ref.Task)
-		switch {
-		case task == nil || task.State.Final() || task.Attempt > ref.Attempt:
-			delete(o.holds, ref)
-			delete(o.seen, ref)
-		case task.State == ledger.TaskPlaced && task.Attempt == ref.Attempt && now.After(until):
+		if task != nil && task.State == ledger.TaskPlaced && task.Attempt == ref.Attempt && now.After(until) {
 			refs = append(refs, ref)
 		}
 	}
--- a/internal/partition/manager.go
+++ b/internal/partition/manager.go
@@ -22,8 +22,14 @@
 	Partitions int    // number of partitions of the fleet
 	Max        int    // partitions that this process takes at most
 	Outage     time.Duration
+	Retention  time.Duration // how long finished jobs and recorded claims are kept at least; 0: DefaultRetention
 }
 
+// storeAppends is the number of appends per second of all partitions together in the long run. The platform's store
+// takes several hundred writes per second; with 256 partitions an owner appends every 2.6 s at the peak, so that an
+// append carries about 190 task starts, and a start still happens within 4 s.
+const storeAppends = 100
+
 // Manager claims partitions and runs their owners. mu guards owners and views.
 type Manager struct {
 	cfg    Config
@@ -43,6 +49,9 @@
 
 // NewManager returns a manager without partitions.
 func NewManager(cfg Config, st store.Store, keeper *lease.Keeper, nodes Nodes, pool Caller, log zerolog.Logger) *Manager {
+	if cfg.Retention == 0 {
+		cfg.Retention = DefaultRetention
+	}
 	if cfg.Outage == 0 {
 		cfg.Outage = DefaultOutage
 	}
--- a/internal/partition/owner.go
+++ b/internal/partition/owner.go
@@ -6,13 +6,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"bamboofork/internal/caslog"
 	"bamboofork/internal/events"
@@ -58,9 +58,11 @@
 	zlog   zerolog.Logger
 	outage time.Duration
 
-	requests chan *request
-	ended    chan struct{} // closed when no more requests are taken
-	drained  chan struct{} // closed when every request was answered
+	retention time.Duration
+	pace      *rate.Limiter // appends to the log
+	requests  chan *request
+	ended     chan struct{} // closed when no more requests are taken
+	drained   chan struct{} // closed when every request was answered
 
 	mu        sync.Mutex
 	state     *ledger.State
@@ -70,17 +72,28 @@
 	aside     map[string]setAside      // jobs that no worker can run, by id
 	refusals  map[string]int           // task -> refusals in a row
 	waiters   map[string][]chan struct{}
-	inherited time.Duration // wait stated by the release of the last owner
+	waiting   int                  // number of waiters
+	finished  map[string]time.Time // when this owner first saw that a job had finished
+	inherited time.Duration        // wait stated by the release of the last owner
 	seq       int64
 	epoch     int64
 	lost      bool
 }
 
+// OwnerConfig configures an Owner.
+type OwnerConfig struct {
+	Partition int
+	Outage    time.Duration // how long running tasks go on while the store is down
+	Retention time.Duration // how long finished jobs and recorded claims are kept at least
+	Appends   float64       // appends per second to the log in the long run
+}
+
 // Recover loads the partition under the lease that holds its owner key, fences earlier owners and returns an Owner that is ready to run.
-func Recover(ctx context.Context, id int, log *caslog.Log, keeper *lease.Keeper, leaseID store.LeaseID, outage time.Duration, zlog zerolog.Logger) (*Owner, error) {
+func Recover(ctx context.Context, cfg OwnerConfig, log *caslog.Log, keeper *lease.Keeper, leaseID store.LeaseID, zlog zerolog.Logger) (*Owner, error) {
 	o := &Owner{
-		id: id, log: log, keeper: keeper, lease: leaseID, outage: outage,
-		zlog:     zlog.With().Int("partition", id).Logger(),
+		id: cfg.Partition, log: log, keeper: keeper, lease: leaseID, outage: cfg.Outage, retention: cfg.Retention,
+		pace:     rate.NewLimiter(rate.Limit(cfg.Appends), appendBurst),
+		zlog:     zlog.With().Int("partition", cfg.Partition).Logger(),
 		requests: make(chan *request, requestBacklog),
 		ended:    make(chan struct{}),
 		drained:  make(chan struct{}),
@@ -89,6 +102,7 @@
 		explain:  map[string]string{},
 		aside:    map[string]setAside{},
 		refusals: map[string]int{},
+		finished: map[string]time.Time{},
 		waiters:  map[string][]chan struct{}{},
 	}
 	released, err := o.load(ctx)
@@ -111,9 +125,9 @@
 	}
 	o.state = ledger.NewState()
 	if stored.Snapshot != nil {
-		var snap snapshot
-		if err := json.Unmarshal(stored.Snapshot, &snap); err != nil {
-			return false, eris.Wrap(err, "decode partition snapshot")
+		snap, err := decodeSnapshot(stored.Snapshot)
+		if err != nil {
+			return false, err
 		}
 		o.state, o.epoch = snap.State, snap.Epoch
 	}
@@ -141,8 +155,8 @@
 }
 
 func (o *Owner) replay(rec caslog.Record) (released bool, err error) {
-	var data recordData
-	if err := json.Unmarshal(rec.Data, &data); err != nil {
+	data, err := decodeRecord(rec.Data)
+	if err != nil {
 		return false, eris.Wrapf(err, "decode partition record %d", rec.Seq)
 	}
 	invariant.Check(rec.Epoch >= o.epoch, "ledger_epoch_monotonic", "record %d has epoch %d after %d", rec.Seq, rec.Epoch, o.epoch)
@@ -180,7 +194,7 @@
 // snapshot stores the state and compacts the log. A failure is retried after the next records.
 func (o *Owner) snapshot(ctx context.Context) {
 	o.mu.Lock()
-	data, err := json.Marshal(snapshot{Epoch: o.epoch, State: o.state})
+	data, err := encodeSnapshot(snapshot{Epoch: o.epoch, State: o.state})
 	o.mu.Unlock()
 	if err == nil {
 		err = o.log.Snapshot(ctx, o.seq, o.epoch, data, o.seq+1)
--- /dev/null
+++ b/internal/partition/owner_test.go
@@ -0,0 +1,347 @@
+package partition
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"bamboofork/internal/caslog"
+	"bamboofork/internal/lease"
+	"bamboofork/internal/ledger"
+	"bamboofork/internal/membership"
+	"bamboofork/internal/store/memstore"
+	"bamboofork/internal/wire"
+	"bamboofork/internal/worker"
+)
+
+const testHold = 10 * time.Second
+
+// rig is one owner over a store with faults.
+type rig struct {
+	engine *memstore.Engine
+	store  *memstore.Faulty
+	keeper *lease.Keeper
+	owner  *Owner
+	stop   func()
+}
+
+// newRig recovers partition 0 as the writer and runs its owner without a placer.
+func newRig(c *qt.C, engine *memstore.Engine, writer string) *rig {
+	r := &rig{engine: engine, store: memstore.NewFaulty(engine, 1)}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.keeper = lease.NewKeeper(r.store, 3*time.Second, zerolog.Nop())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = r.keeper.Run(ctx) }()
+	time.Sleep(10 * time.Millisecond)
+	id, _, ok := r.keeper.Current()
+	c.Assert(ok, qt.IsTrue)
+	cfg := OwnerConfig{Outage: 30 * time.Second, Retention: time.Hour, Appends: 100}
+	o, err := Recover(ctx, cfg, caslog.New(r.store, LogPrefix(0), writer), r.keeper, id, zerolog.Nop())
+	c.Assert(err, qt.IsNil)
+	r.owner = o
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = o.run(ctx) }()
+	r.stop = func() { cancel(); <-ended; <-done }
+	return r
+}
+
+func placedJob(c *qt.C, o *Owner, id string) worker.Ref {
+	job := ledger.Job{ID: id, Idempotent: true, Hold: testHold, Tasks: []ledger.Task{{State: ledger.TaskPending}}}
+	c.Assert(o.Commit(context.Background(), ledger.Op{Kind: ledger.OpSubmit, Job: &job}), qt.IsNil)
+	ref := ledger.TaskRef(id, 0, 1)
+	c.Assert(o.Commit(context.Background(), ledger.Op{Kind: ledger.OpPlace, Ref: &ref, Agent: "a", AgentInc: 1}), qt.IsNil)
+	return ref
+}
+
+func report(o *Owner, ref worker.Ref, state worker.State) wire.ReportReply {
+	var reply wire.ReportReply
+	o.report(wire.ReportArgs{Agent: "a", Incarnation: 1, Tasks: []wire.TaskReport{{Ref: ref, State: state}}}, &reply)
+	return reply
+}
+
+// TestEndIsNotForgottenBeforeItIsDurable guards against losing a finished task: a repeated report must not be answered
+// from an end that is applied but not yet in the store.
+func TestEndIsNotForgottenBeforeItIsDurable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c, memstore.New(), "w1")
+		defer r.stop()
+		ref := placedJob(c, r.owner, "00-j")
+		r.store.Set(memstore.Faults{Down: true})
+		for range 5 {
+			c.Assert(report(r.owner, ref, worker.StateDone).Forget, qt.HasLen, 0)
+			time.Sleep(300 * time.Millisecond)
+		}
+		r.store.Set(memstore.Faults{})
+		time.Sleep(4 * time.Second)
+		for range 3 {
+			if len(report(r.owner, ref, worker.StateDone).Forget) == 1 {
+				break
+			}
+		}
+		state, err := LoadState(context.Background(), caslog.New(r.engine, LogPrefix(0), "check"))
+		c.Assert(err, qt.IsNil)
+		if r.owner.valid() {
+			c.Assert(state.Jobs["00-j"].Tasks[0].State, qt.Equals, ledger.TaskDone)
+		}
+	})
+}
+
+// TestGraceHolds guards running tasks during a store outage: holds go on until the outage hold is over, nothing else
+// is decided.
+func TestGraceHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c, memstore.New(), "w1")
+		defer r.stop()
+		ref := placedJob(c, r.owner, "00-j")
+		r.store.Set(memstore.Faults{Down: true})
+		time.Sleep(20 * time.Second)
+		reply := report(r.owner, ref, worker.StateRunning)
+		c.Assert(reply.Hold, qt.DeepEquals, []worker.Ref{ref})
+		c.Assert(reply.For, qt.Equals, testHold)
+		c.Assert(r.owner.Commit(context.Background(), ledger.Op{Kind: ledger.OpCancel, JobID: "00-j"}), qt.ErrorIs, ErrNoStore)
+		time.Sleep(20 * time.Second) // lease of 3 s and outage hold of 30 s are over
+		reply = report(r.owner, ref, worker.StateRunning)
+		c.Assert(reply.Hold, qt.HasLen, 0)
+		c.Assert(reply.Stop, qt.HasLen, 0)
+	})
+}
+
+// TestReplacedOwnerGivesNoVerdict guards against a replaced owner that knows only earlier attempts: it must neither
+// stop nor forget an attempt of its successor.
+func TestReplacedOwnerGivesNoVerdict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		engine := memstore.New()
+		old := newRig(c, engine, "w1")
+		defer old.stop()
+		ref := placedJob(c, old.owner, "00-j")
+		old.store.Set(memstore.Faults{Down: true}) // the old owner is cut off, the store works for others
+		time.Sleep(5 * time.Second)
+		next := newRig(c, engine, "w2")
+		defer next.stop()
+		synctest.Wait()
+		c.Assert(next.owner.epoch > old.owner.epoch, qt.IsTrue)
+		c.Assert(next.owner.Commit(context.Background(), ledger.Op{Kind: ledger.OpLost, Ref: &ref}), qt.IsNil)
+		second := ledger.TaskRef("00-j", 0, 2)
+		c.Assert(next.owner.Commit(context.Background(), ledger.Op{Kind: ledger.OpPlace, Ref: &second, Agent: "a", AgentInc: 1}), qt.IsNil)
+		for _, state := range []worker.State{worker.StateRunning, worker.StateDone} {
+			reply := report(old.owner, second, state)
+			c.Assert(reply.Stop, qt.HasLen, 0)
+			c.Assert(reply.Forget, qt.HasLen, 0)
+		}
+	})
+}
+
+// TestNewLeaseDoesNotRestoreOwnership guards against an owner that trusts a lease granted after its owner key was gone.
+func TestNewLeaseDoesNotRestoreOwnership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c, memstore.New(), "w1")
+		defer r.stop()
+		c.Assert(r.engine.RevokeLease(context.Background(), r.owner.lease), qt.IsNil)
+		time.Sleep(3 * time.Second)
+		_, _, ok := r.keeper.Current()
+		c.Assert(ok, qt.IsTrue) // the process has a lease again
+		c.Assert(r.owner.ownership(), qt.Equals, ownershipLost)
+		c.Assert(r.owner.Commit(context.Background(), ledger.Op{Kind: ledger.OpCancel, JobID: "x"}), qt.ErrorIs, ErrNotOwner)
+	})
+}
+
+// TestLossYieldsToRenewedHold guards against placing a task again that got a new hold while its loss was on the way.
+func TestLossYieldsToRenewedHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c, memstore.New(), "w1")
+		defer r.stop()
+		ref := placedJob(c, r.owner, "00-j")
+		time.Sleep(testHold + time.Second)
+		c.Assert(r.owner.expired(time.Now()), qt.DeepEquals, []worker.Ref{ref})
+		c.Assert(report(r.owner, ref, worker.StateRunning).Hold, qt.HasLen, 1)
+		op := ledger.Op{Kind: ledger.OpLost, Ref: &ref}
+		err := r.owner.commitIf(context.Background(), func() error { return r.owner.stillExpired(ref) }, op)
+		c.Assert(err, qt.ErrorIs, ledger.ErrStale)
+	})
+}
+
+// TestRollbackKeepsHold guards against a task that stays placed for ever: an end that is rolled back must leave the
+// hold that later finds the task lost.
+func TestRollbackKeepsHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c, memstore.New(), "w1")
+		defer r.stop()
+		ref := placedJob(c, r.owner, "00-j")
+		r.store.Set(memstore.Faults{Down: true})
+		done := make(chan wire.ReportReply, 1)
+		go func() { done <- report(r.owner, ref, worker.StateDone) }()
+		for range 100 {
+			time.Sleep(20 * time.Millisecond)
+			r.owner.expired(time.Now())
+		}
+		<-done
+		time.Sleep(testHold)
+		c.Assert(r.owner.expired(time.Now()), qt.DeepEquals, []worker.Ref{ref})
+	})
+}
+
+// TestReleaseStatesInheritedHolds guards against a clean release that hides the longer holds of an owner before it.
+func TestReleaseStatesInheritedHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		engine := memstore.New()
+		first := newRig(c, engine, "w1")
+		ref := placedJob(c, first.owner, "00-j")
+		first.store.Set(memstore.Faults{Down: true})
+		first.stop() // the release cannot be written
+		time.Sleep(5 * time.Second)
+		second := newRig(c, engine, "w2")
+		second.stop()
+		third := newRig(c, engine, "w3")
+		defer third.stop()
+		synctest.Wait()
+		left := time.Until(third.owner.holds[ref])
+		c.Assert(left > 30*time.Second, qt.IsTrue, qt.Commentf("hold left: %v", left))
+	})
+}
+
+// TestLateAppendAfterCompaction guards against an append that creates a key which a successor compacted away.
+func TestLateAppendAfterCompaction(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	engine := memstore.New()
+	old, next := caslog.New(engine, "p", "w1"), caslog.New(engine, "p", "w2")
+	for seq := int64(1); seq <= 3; seq++ {
+		_, err := next.Append(ctx, caslog.Record{Seq: seq, Epoch: 2})
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(next.Snapshot(ctx, 3, 2, []byte("state"), 4), qt.IsNil)
+	rec, err := old.Append(ctx, caslog.Record{Seq: 2, Epoch: 1})
+	c.Assert(err, qt.IsNil) // the key was absent
+	c.Assert(old.Confirm(ctx, rec), qt.ErrorIs, caslog.ErrConflict)
+	state, err := next.Load(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(state.Records, qt.HasLen, 0)
+}
+
+// TestCodec guards the stored form: packed and plain records and snapshots read back the same, damage is an error.
+func TestCodec(t *testing.T) {
+	c := qt.New(t)
+	for _, n := range []int{1, 200} {
+		data := recordData{}
+		for i := range n {
+			ref := ledger.TaskRef("00-j", i, 1)
+			data.Ops = append(data.Ops, ledger.Op{Kind: ledger.OpPlace, Ref: &ref, Agent: "agent-1"})
+		}
+		value, err := encodeRecord(data)
+		c.Assert(err, qt.IsNil)
+		back, err := decodeRecord(value)
+		c.Assert(err, qt.IsNil)
+		c.Assert(back, qt.DeepEquals, data)
+	}
+	state := ledger.NewState()
+	value, err := encodeSnapshot(snapshot{Epoch: 3, State: state})
+	c.Assert(err, qt.IsNil)
+	back, err := decodeSnapshot(value)
+	c.Assert(err, qt.IsNil)
+	c.Assert(back.Epoch, qt.Equals, int64(3))
+	_, err = decodeSnapshot(value[:len(value)/2])
+	c.Assert(err, qt.IsNotNil)
+}
+
+// TestClaimAnswerLost guards against a partition without an owner after the answer to the claim was lost.
+func TestClaimAnswerLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		faulty := memstore.NewFaulty(memstore.New(), 1)
+		ctx, cancel := context.WithCancel(context.Background())
+		keeper := lease.NewKeeper(faulty, 3*time.Second, zerolog.Nop())
+		m := NewManager(Config{Self: "a", ID: "a-1", Addr: "a", Partitions: 1, Max: 1}, faulty, keeper, noNodes{}, nil, zerolog.Nop())
+		done := make(chan struct{}, 2)
+		go func() { _ = keeper.Run(ctx); done <- struct{}{} }()
+		time.Sleep(10 * time.Millisecond)
+		faulty.Set(memstore.Faults{LoseAnswer: 1})
+		go func() { _ = m.Run(ctx); done <- struct{}{} }()
+		time.Sleep(4 * time.Second)
+		owned := m.Owned()
+		faulty.Set(memstore.Faults{})
+		cancel()
+		<-done
+		<-done
+		c.Assert(owned, qt.DeepEquals, []int{0})
+	})
+}
+
+// TestPruneAfterRetention guards against state that grows without end, and against pruning too early.
+func TestPruneAfterRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c, memstore.New(), "w1")
+		defer r.stop()
+		ctx := context.Background()
+		ref := placedJob(c, r.owner, "00-j")
+		c.Assert(report(r.owner, ref, worker.StateDone).Forget, qt.HasLen, 1)
+		for _, done := range []bool{true, false} {
+			claim := ledger.Claim{Key: map[bool]string{true: "done", false: "open"}[done], At: time.Now(), Done: done}
+			c.Assert(r.owner.Commit(ctx, ledger.Op{Kind: ledger.OpClaim, Claim: &claim}), qt.IsNil)
+		}
+		r.owner.prune(ctx, time.Now())
+		time.Sleep(59 * time.Minute)
+		r.owner.prune(ctx, time.Now())
+		synctest.Wait()
+		c.Assert(r.owner.state.Jobs, qt.HasLen, 1)
+		time.Sleep(2 * time.Minute)
+		r.owner.prune(ctx, time.Now())
+		synctest.Wait()
+		c.Assert(r.owner.state.Jobs, qt.HasLen, 0)
+		c.Assert(r.owner.state.Claims, qt.HasLen, 1) // the open one: its request may have run
+		c.Assert(r.owner.finished, qt.HasLen, 0)
+	})
+}
+
+// TestWait guards long polls: a waiter wakes when the job ends, and at the latest after its time.
+func TestWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c, memstore.New(), "w1")
+		defer r.stop()
+		ref := placedJob(c, r.owner, "00-j")
+		started := time.Now()
+		r.owner.awaitJob("00-j", time.Second)
+		c.Assert(time.Since(started), qt.Equals, time.Second)
+		go func() {
+			time.Sleep(3 * time.Second)
+			report(r.owner, ref, worker.StateDone)
+		}()
+		r.owner.awaitJob("00-j", MaxWait)
+		c.Assert(time.Since(started) < 6*time.Second, qt.IsTrue)
+		synctest.Wait()
+		c.Assert(r.owner.waiting, qt.Equals, 0)
+		c.Assert(r.owner.waiters, qt.HasLen, 0)
+	})
+}
+
+// TestFaultOfTheJob guards against retrying for ever a task that fails wherever it runs.
+func TestFaultOfTheJob(t *testing.T) {
+	c := qt.New(t)
+	job := &ledger.Job{ID: "j", Idempotent: true}
+	task := &ledger.Task{Failures: 2, FailedOn: []string{"a", "b"}}
+	op := ledger.Op{State: ledger.TaskFailed}
+	failedOp(&op, job, task, "b", "exit 1")
+	c.Assert(op.State, qt.Equals, ledger.TaskPending)
+	op = ledger.Op{State: ledger.TaskFailed}
+	failedOp(&op, job, task, "c", "exit 1")
+	c.Assert(op.State, qt.Equals, ledger.TaskFailed)
+	c.Assert(op.Reason, qt.Equals, "failed on 3 workers, so the job is at fault: exit 1")
+}
+
+// noNodes is a membership view without any other process.
+type noNodes struct{}
+
+func (noNodes) Members() []membership.Status               { return nil }
+func (noNodes) Lookup(id string) (membership.Status, bool) { return membership.Status{}, false }
--- a/internal/partition/ownership.go
+++ b/internal/partition/ownership.go
@@ -78,6 +78,9 @@
 }
 
 func (o *Owner) afterOp(op *ledger.Op) {
+	if op.Kind == ledger.OpPrune {
+		delete(o.finished, op.JobID)
+	}
 	if op.Ref == nil {
 		o.wake(op.JobID)
 		return
@@ -105,18 +108,3 @@
 	delete(o.aside, job.ID)
 	o.wake(job.ID)
 }
-
-// wake ends the waits for a job; mu is held.
-func (o *Owner) wake(jobID string) {
-	for _, ch := range o.waiters[jobID] {
-		close(ch)
-	}
-	delete(o.waiters, jobID)
-}
-
-// wakeAll ends all waits; mu is held.
-func (o *Owner) wakeAll() {
-	for id := range o.waiters {
-		o.wake(id)
-	}
-}
--- a/internal/partition/placing.go
+++ b/internal/partition/placing.go
@@ -76,6 +76,7 @@
 func (p *placer) run(ctx context.Context) {
 	ticker := time.NewTicker(placeInterval)
 	defer ticker.Stop()
+	pruned := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -86,6 +87,10 @@
 			p.querySilent(ctx)
 			p.expireHolds(ctx)
 			p.placePending(ctx)
+			if time.Since(pruned) >= pruneEvery {
+				pruned = time.Now()
+				p.owner.prune(ctx, pruned)
+			}
 		}
 	}
 }
@@ -198,9 +203,27 @@
 			clocks[m.ID] = m.Load.Clock
 		}
 	}
+	capQuarantine(nodes)
 	return nodes, clocks
 }
 
+// quarantineShare is the largest share of the workers that may be kept from work because they fail what they start. If
+// more do, the cause is more likely a common one, and work must go on.
+const quarantineShare = 0.25
+
+// capQuarantine lifts the quarantine of the workers beyond the share, but always leaves one possible.
+func capQuarantine(nodes []scheduler.NodeInfo) {
+	left := max(1, int(quarantineShare*float64(len(nodes))))
+	for i := range nodes {
+		if !nodes[i].Quarantined {
+			continue
+		}
+		if left--; left < 0 {
+			nodes[i].Quarantined = false
+		}
+	}
+}
+
 // NodeInfo converts a member's load report for the scheduler.
 func NodeInfo(m membership.Member) scheduler.NodeInfo {
 	n := scheduler.NodeInfo{
--- a/internal/partition/random_test.go
+++ b/internal/partition/random_test.go
@@ -68,13 +68,21 @@
 }
 
 // stats sums what happened in runs.
-type stats struct{ Jobs, Tasks, Starts, Checks int }
+type stats struct {
+	Jobs, Tasks, Starts, Checks int
+	DoneTwice                   int // tasks that workers finished more than once, because the first result could not be recorded in time
+	Evictions, Resumes, Unknown int
+}
 
 func (s *stats) add(o stats) {
 	s.Jobs += o.Jobs
 	s.Tasks += o.Tasks
 	s.Starts += o.Starts
 	s.Checks += o.Checks
+	s.DoneTwice += o.DoneTwice
+	s.Evictions += o.Evictions
+	s.Resumes += o.Resumes
+	s.Unknown += o.Unknown
 }
 
 func randomRun(t *testing.T, seed uint64, length time.Duration) stats {
@@ -95,6 +103,7 @@
 	r.faults(length)
 	r.heal()
 	r.settle()
+	r.leftovers()
 	s := r.verdict()
 	for _, p := range r.fleet.all() {
 		p.cancel()
@@ -122,7 +131,7 @@
 		if r.rnd.IntN(6) == 0 {
 			last *= 3
 		}
-		switch r.rnd.IntN(14) {
+		switch r.rnd.IntN(20) {
 		case 0:
 			r.restart(host, last, r.rnd.IntN(2) == 0)
 		case 1, 2:
@@ -351,6 +360,22 @@
 	r.violate("not ended in time: %s", r.unfinished())
 }
 
+// leftovers checks that ended and cancelled tasks leave nothing on workers and in the gates of the agents.
+func (r *run) leftovers() {
+	time.Sleep(30 * time.Second)
+	for id, w := range r.fleet.workers {
+		list, err := w.List(context.Background())
+		if err != nil || len(list) > 0 {
+			r.violate("worker of %s keeps %v (error %v)", id, list, err)
+		}
+	}
+	for _, p := range r.fleet.all() {
+		if load := p.table.Self().Load; load.Free != load.Capacity {
+			r.violate("agent %s has %+v free of %+v although nothing runs", p.id, load.Free, load.Capacity)
+		}
+	}
+}
+
 func (r *run) states() (map[string]*ledger.Job, error) {
 	jobs := map[string]*ledger.Job{}
 	for part := range runPartitions {
@@ -400,6 +425,14 @@
 		for i, task := range job.Tasks {
 			s.Tasks++
 			name := ledger.TaskRef(id, i, 0).Task
+			s.Evictions += task.Evictions
+			s.Resumes += task.Resumes
+			if task.State == ledger.TaskUnknown {
+				s.Unknown++
+			}
+			if watch.done[name] > 1 {
+				s.DoneTwice++
+			}
 			if task.State == ledger.TaskDone && watch.done[name] == 0 {
 				r.t.Errorf("seed %d: task %s is recorded as done but no worker finished it", r.seed, name)
 			}
@@ -435,7 +468,7 @@
 	defer b.mu.Unlock()
 	out := []string{}
 	for line := range strings.Lines(b.buf.String()) {
-		if task != "" && (strings.Contains(line, task+`"`) || strings.Contains(line, `"event":3001`) || strings.Contains(line, `"event":3002`)) {
+		if task != "" && ((strings.Contains(line, task+`"`) || strings.Contains(line, `"`+task+`/`)) || strings.Contains(line, `"event":3001`) || strings.Contains(line, `"event":3002`)) {
 			out = append(out, line)
 		}
 	}
--- /dev/null
+++ b/internal/partition/retention.go
@@ -0,0 +1,67 @@
+package partition
+
+import (
+	"context"
+	"time"
+
+	"bamboofork/internal/events"
+	"bamboofork/internal/ledger"
+)
+
+// DefaultRetention is how long finished jobs and recorded claims are kept at least. A key that is used again later
+// starts new work.
+const DefaultRetention = 24 * time.Hour
+
+// Removal of what has ended.
+const (
+	pruneEvery  = time.Minute
+	pruneBatch  = 500 // operations per pass
+	openClaimBy = 7   // claims without an outcome are kept this many times longer: their request may have run
+)
+
+// prune removes finished jobs and claims whose retention is over. A successor counts a job's retention anew.
+func (o *Owner) prune(ctx context.Context, now time.Time) {
+	ops := o.prunable(now)
+	if len(ops) == 0 {
+		return
+	}
+	if err := o.Commit(ctx, ops...); err != nil {
+		events.CommitFailed.Log(&o.zlog).Err(err).Int("ops", len(ops)).Msg("pruning is tried again")
+		return
+	}
+	events.JobsPruned.Log(&o.zlog).Int("removed", len(ops)).Send()
+}
+
+func (o *Owner) prunable(now time.Time) []ledger.Op {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	ops := []ledger.Op{}
+	for id, job := range o.state.Jobs {
+		if len(ops) < pruneBatch && o.jobOver(job, now) {
+			ops = append(ops, ledger.Op{Kind: ledger.OpPrune, JobID: id})
+		}
+	}
+	for _, claim := range o.state.Claims {
+		keep := o.retention
+		if !claim.Done {
+			keep *= openClaimBy
+		}
+		if len(ops) < pruneBatch && now.Sub(claim.At) > keep {
+			ops = append(ops, ledger.Op{Kind: ledger.OpPrune, Claim: &ledger.Claim{Key: claim.Key}})
+		}
+	}
+	return ops
+}
+
+// jobOver reports whether a job's retention is over; mu is held.
+func (o *Owner) jobOver(job *ledger.Job, now time.Time) bool {
+	if !job.Finished() {
+		return false
+	}
+	since, ok := o.finished[job.ID]
+	if !ok {
+		o.finished[job.ID] = now
+		return false
+	}
+	return now.Sub(since) > o.retention
+}
--- a/internal/partition/service.go
+++ b/internal/partition/service.go
@@ -128,12 +128,27 @@
 func (s *Service) Cancel(args wire.CancelArgs, reply *wire.CancelReply) error {
 	var err error
 	reply.Code, err = s.commit(args.Partition, ledger.Op{Kind: ledger.OpCancel, JobID: args.JobID})
+	if errors.Is(err, ledger.ErrStale) && s.cancelled(args.Partition, args.JobID) {
+		reply.Code = wire.CodeOK // a repeat after a lost answer
+	}
 	if err == nil {
 		events.JobCancelled.Log(&s.m.log).Str("job", args.JobID).Send()
 	}
 	return nil
 }
 
+// cancelled reports whether a job was cancelled by an earlier call.
+func (s *Service) cancelled(partition int, id string) bool {
+	o := s.m.owner(partition)
+	if o == nil {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	job := o.state.Jobs[id]
+	return job != nil && job.Cancelled
+}
+
 // Get returns one job with the newest placement decisions of its waiting tasks.
 func (s *Service) Get(args wire.GetArgs, reply *wire.GetReply) error {
 	o := s.m.owner(args.Partition)
@@ -141,6 +156,9 @@
 		reply.Code = wire.CodeNotOwner
 		return nil
 	}
+	if args.Wait > 0 {
+		o.awaitJob(args.JobID, args.Wait)
+	}
 	valid := o.valid()
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -172,7 +190,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, job := range o.state.Jobs {
-		reply.Jobs = append(reply.Jobs, copyJob(job))
+		listed := copyJob(job)
+		listed.Payload = nil // lists of many jobs stay small; Get has it
+		reply.Jobs = append(reply.Jobs, listed)
 	}
 	sort.Slice(reply.Jobs, func(i, j int) bool { return reply.Jobs[i].Submitted.After(reply.Jobs[j].Submitted) })
 	if args.Limit > 0 && len(reply.Jobs) > args.Limit {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -83,6 +83,7 @@
 	GetArgs     struct {
 		Partition int
 		JobID     string
+		Wait      time.Duration // answer when the job has finished, at the latest after this time; 0: at once
 	}
 	GetReply struct {
 		Code    Code
