Measure takeovers and test the replacement of every host

Cause: the time without an owner after a kill and in a planned stop was not known. Change: a test that replaces all hosts one after another, and a measurement of 60 takeovers.

--- /dev/null
+++ b/internal/partition/takeover_test.go
@@ -0,0 +1,109 @@
+package partition_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+)
+
+// ownerOf returns the running process that owns a partition, or nil.
+func (f *fleet) ownerOf(part int, not *process) *process {
+	for _, p := range f.all() {
+		if p != not && p.running() && slices.Contains(p.manager.Owned(), part) {
+			return p
+		}
+	}
+	return nil
+}
+
+// awaitOwner waits for an owner other than the given process and returns it with the virtual time it took.
+func (f *fleet) awaitOwner(part int, not *process) (*process, time.Duration) {
+	started := time.Now()
+	for time.Since(started) < 2*time.Minute {
+		if p := f.ownerOf(part, not); p != nil {
+			return p, time.Since(started)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return nil, 2 * time.Minute
+}
+
+func withFleet(t *testing.T, seed uint64, do func(c *qt.C, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		f := newFleet(4, seed, zerolog.Nop())
+		done := make(chan struct{})
+		go func() { defer close(done); f.background(ctx) }()
+		time.Sleep(8 * time.Second)
+		do(qt.New(t), f)
+		for _, p := range f.all() {
+			p.cancel()
+		}
+		f.wg.Wait()
+		cancel()
+		<-done
+	})
+}
+
+// takeovers removes the owner of a random partition again and again and returns the times until another one decides.
+func takeovers(c *qt.C, f *fleet, rounds int, remove func(*process)) []time.Duration {
+	times := []time.Duration{}
+	for i := range rounds {
+		part := i % runPartitions
+		old, _ := f.awaitOwner(part, nil)
+		c.Assert(old, qt.IsNotNil)
+		remove(old)
+		_, took := f.awaitOwner(part, old)
+		times = append(times, took)
+		<-old.done
+		old.kill()
+		old.next.Do(func() { f.start(old.id) })
+		time.Sleep(10 * time.Second)
+	}
+	slices.Sort(times)
+	return times
+}
+
+// TestHandOverAll guards the replacement of every host, one after another: each partition has an owner again in less
+// time than a lease lasts.
+func TestHandOverAll(t *testing.T) {
+	withFleet(t, 5, func(c *qt.C, f *fleet) {
+		for i := range 4 {
+			old := f.proc(fmt.Sprintf("agent-%d", i+1))
+			old.cancel()
+			<-old.done
+			old.kill()
+			for part := range runPartitions {
+				_, took := f.awaitOwner(part, old)
+				c.Assert(took < 2*runLease, qt.IsTrue, qt.Commentf("partition %d was without an owner for %v", part, took))
+			}
+			old.next.Do(func() { f.start(old.id) })
+			time.Sleep(8 * time.Second)
+		}
+	})
+}
+
+// TestMeasureTakeover prints the times of docs/measurements/batch.md.
+func TestMeasureTakeover(t *testing.T) {
+	if flag.Lookup("batch.measure").Value.String() != "true" {
+		t.Skip("measurement; run with -batch.measure")
+	}
+	const rounds = 60
+	withFleet(t, 1, func(c *qt.C, f *fleet) {
+		times := takeovers(c, f, rounds, (*process).kill)
+		c.Logf("owner killed: median %v, max %v; in leases of %v: %.2f and %.2f", times[rounds/2], times[rounds-1], runLease,
+			times[rounds/2].Seconds()/runLease.Seconds(), times[rounds-1].Seconds()/runLease.Seconds())
+	})
+	withFleet(t, 1, func(c *qt.C, f *fleet) {
+		times := takeovers(c, f, rounds, func(p *process) { p.cancel(); <-p.done })
+		c.Logf("planned stop, from the end of the old owner: median %v, max %v; in leases: %.2f and %.2f", times[rounds/2], times[rounds-1],
+			times[rounds/2].Seconds()/runLease.Seconds(), times[rounds-1].Seconds()/runLease.Seconds())
+	})
+}
