--- a/internal/caslog/caslog.go
+++ b/internal/caslog/caslog.go
@@ -152,6 +152,19 @@
 	}
 }
 
+// ReadKept returns all records that compaction has kept, in order.
+func (l *Log) ReadKept(ctx context.Context) ([]Record, error) {
+	kvs, _, err := l.st.List(ctx, l.recordKey(0), store.PrefixEnd(l.RecordPrefix()), 1)
+	if err != nil || len(kvs) == 0 {
+		return nil, err
+	}
+	first, err := Decode(kvs[0].Value)
+	if err != nil {
+		return nil, err
+	}
+	return l.Read(ctx, first.Seq)
+}
+
 // Decode parses a record value.
 func Decode(value []byte) (Record, error) {
 	var rec Record
--- /dev/null
+++ b/internal/settings/impact.go
@@ -0,0 +1,91 @@
+package settings
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// String renders a change for people, such as "workshop: weight=20 -deadline".
+func (c Change) String() string {
+	if c.Remove {
+		return displayPath(c.Branch) + ": remove"
+	}
+	parts := []string{}
+	for _, name := range slices.Sorted(maps.Keys(c.Set)) {
+		if c.Set[name] == nil {
+			parts = append(parts, "-"+name)
+			continue
+		}
+		parts = append(parts, name+"="+*c.Set[name])
+	}
+	return displayPath(c.Branch) + ": " + strings.Join(parts, " ")
+}
+
+// ValueChange is an effective value of a branch before and after an edit.
+type ValueChange struct {
+	Branch string `json:"branch"`
+	Field  string `json:"field"`
+	Before string `json:"before"` // empty if the branch is new
+	After  string `json:"after"`  // empty if the branch is removed
+}
+
+// Impact lists the effective values that an edit changes, inherited ones included.
+func Impact(before, after Tree) []ValueChange {
+	paths := map[string]bool{}
+	for _, t := range []Tree{before, after} {
+		for path := range t.Branches {
+			paths[path] = true
+		}
+	}
+	changes := []ValueChange{}
+	for _, path := range slices.Sorted(maps.Keys(paths)) {
+		changes = append(changes, branchImpact(path, before, after)...)
+	}
+	return changes
+}
+
+func branchImpact(path string, before, after Tree) []ValueChange {
+	old, new := effectiveValues(before, path), effectiveValues(after, path)
+	changes := []ValueChange{}
+	for _, f := range Fields {
+		if old[f.Name] != new[f.Name] {
+			changes = append(changes, ValueChange{Branch: path, Field: f.Name, Before: old[f.Name], After: new[f.Name]})
+		}
+	}
+	return changes
+}
+
+// effectiveValues returns a branch's values as text; nil if the branch does not exist.
+func effectiveValues(t Tree, path string) map[string]string {
+	sources, err := t.Explain(path)
+	if err != nil {
+		return nil
+	}
+	values := make(map[string]string, len(sources))
+	for _, s := range sources {
+		values[s.Field] = s.Value
+	}
+	return values
+}
+
+// Branches returns the distinct branches of the changes in order.
+func Branches(changes []ValueChange) []string {
+	out := []string{}
+	for _, c := range changes {
+		if !slices.Contains(out, c.Branch) {
+			out = append(out, c.Branch)
+		}
+	}
+	return out
+}
+
+// ParseAssignment parses "name=value" for an edit and validates it.
+func ParseAssignment(text string) (name, value string, err error) {
+	name, value, ok := strings.Cut(text, "=")
+	if !ok {
+		return "", "", fmt.Errorf("%q: accepted form: setting=value", text)
+	}
+	return name, value, CheckValue(name, value)
+}
--- a/internal/settings/log.go
+++ b/internal/settings/log.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"slices"
+	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -16,21 +18,20 @@
 // Prefix is the log's place in the store.
 const Prefix = "settings"
 
-// ConflictError reports two edits of the same setting by different operators.
-type ConflictError struct {
-	Branch string
-	Mine   Edit
-	Theirs Edit
-	Rev    int64 // revision of the other edit
-}
-
-// Error implements error with both sides of the conflict.
-func (e ConflictError) Error() string {
-	return fmt.Sprintf("branch %q was also edited by %s in revision %d (%s)", displayPath(e.Branch), e.Theirs.Author, e.Rev, e.Theirs.Comment)
+// Revision is one accepted edit.
+type Revision struct {
+	Number int64     `json:"revision"`
+	Time   time.Time `json:"time"` // wall clock of the operator's machine
+	Edit
+	// Undo reverts the edit on the tree of this revision.
+	Undo []Change `json:"undo,omitempty"`
 }
 
 // Repository reads and writes the accepted tree in the store.
-type Repository struct{ log *caslog.Log }
+type Repository struct {
+	log        *caslog.Log
+	compactErr atomic.Pointer[error]
+}
 
 // NewRepository returns a repository that writes as the given writer.
 func NewRepository(st store.Store, writer string) *Repository {
@@ -53,21 +54,39 @@
 		}
 	}
 	for _, rec := range state.Records {
-		if tree, err = ApplyRecord(tree, rec); err != nil {
+		if err := applyInPlace(tree, rec); err != nil {
 			return Tree{}, 0, err
 		}
 	}
 	return tree, state.LastSeq(), nil
 }
 
-// ApplyRecord applies one accepted revision to the tree of the revision before it.
+// ApplyRecord applies one accepted revision to the tree of the revision before it and returns the new tree.
 func ApplyRecord(tree Tree, rec caslog.Record) (Tree, error) {
-	var edit Edit
-	if err := json.Unmarshal(rec.Data, &edit); err != nil {
-		return Tree{}, eris.Wrapf(err, "decode settings revision %d", rec.Seq)
+	next := tree.Clone()
+	err := applyInPlace(next, rec)
+	return next, err
+}
+
+// applyInPlace does not validate again: the edit was accepted, perhaps by a newer release with more settings.
+func applyInPlace(tree Tree, rec caslog.Record) error {
+	rev, err := decodeRevision(rec)
+	if err != nil {
+		return err
+	}
+	for _, c := range rev.Changes {
+		if err := tree.applyChange(c); err != nil {
+			return eris.Wrapf(err, "settings revision %d", rec.Seq)
+		}
 	}
-	next, err := tree.Apply(edit)
-	return next, eris.Wrapf(err, "settings revision %d", rec.Seq)
+	return nil
+}
+
+func decodeRevision(rec caslog.Record) (Revision, error) {
+	var rev Revision
+	err := json.Unmarshal(rec.Data, &rev)
+	rev.Number, rev.Time = rec.Seq, rec.Time
+	return rev, eris.Wrapf(err, "decode settings revision %d", rec.Seq)
 }
 
 // Revisions returns the accepted records from the revision on.
@@ -75,86 +94,90 @@
 	return r.log.Read(ctx, from)
 }
 
-// Commit appends the edit on top of base, the revision that the operator saw. It rebases over edits of other
-// branches and returns a ConflictError for the same branch. store.ErrUncertain means that the outcome could not
-// be resolved within ctx.
-func (r *Repository) Commit(ctx context.Context, base int64, edit Edit) (int64, error) {
-	tree, rev, err := r.Load(ctx)
+// History returns up to limit of the newest revisions that are still kept, newest first.
+func (r *Repository) History(ctx context.Context, limit int) ([]Revision, error) {
+	_, head, err := r.Load(ctx)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
-	if err := r.checkConflicts(ctx, base, edit); err != nil {
-		return 0, err
+	records, err := r.log.Read(ctx, max(1, head-int64(limit)+1))
+	if err != nil && !errors.Is(err, store.ErrCompacted) {
+		return nil, err
 	}
-	for {
-		if _, err := tree.Apply(edit); err != nil {
-			return 0, err
+	if errors.Is(err, store.ErrCompacted) {
+		if records, err = r.log.ReadKept(ctx); err != nil {
+			return nil, err
 		}
-		data, err := json.Marshal(edit)
+	}
+	out := make([]Revision, 0, len(records))
+	for _, rec := range records {
+		rev, err := decodeRevision(rec)
 		if err != nil {
-			return 0, eris.Wrap(err, "encode edit")
-		}
-		err = r.append(ctx, caslog.Record{Seq: rev + 1, Data: data})
-		if err == nil {
-			return rev + 1, nil
-		}
-		if !errors.Is(err, caslog.ErrConflict) {
-			return 0, err
-		}
-		seen := rev
-		if tree, rev, err = r.Load(ctx); err != nil {
-			return 0, err
-		}
-		if err := r.checkConflicts(ctx, seen, edit); err != nil {
-			return 0, err
+			return nil, err
 		}
+		out = append(out, rev)
 	}
+	slices.Reverse(out)
+	return out[:min(limit, len(out))], nil
 }
 
-// append retries an uncertain append with the same record until it is resolved or ctx ends.
-func (r *Repository) append(ctx context.Context, rec caslog.Record) error {
-	for {
-		var err error
-		rec, err = r.log.Append(ctx, rec)
-		if !errors.Is(err, store.ErrUncertain) || ctx.Err() != nil {
-			return err
-		}
+// TreeAt returns the tree of an earlier revision by undoing the later ones. It fails with store.ErrCompacted when
+// they are no longer kept.
+func (r *Repository) TreeAt(ctx context.Context, number int64) (Tree, error) {
+	tree, head, err := r.Load(ctx)
+	if err != nil || number == head {
+		return tree, err
 	}
-}
-
-func (r *Repository) checkConflicts(ctx context.Context, base int64, edit Edit) error {
-	records, err := r.log.Read(ctx, base+1)
-	if errors.Is(err, store.ErrCompacted) {
-		return fmt.Errorf("the edit is based on revision %d, which is too old to merge; read the tree again", base)
+	if number < 0 || number > head {
+		return Tree{}, eris.Errorf("revision %d does not exist; the newest is %d", number, head)
 	}
+	records, err := r.log.Read(ctx, number+1)
 	if err != nil {
-		return err
+		return Tree{}, eris.Wrapf(err, "revisions after %d are no longer kept", number)
 	}
-	for _, rec := range records {
-		var theirs Edit
-		if err := json.Unmarshal(rec.Data, &theirs); err != nil {
-			return eris.Wrapf(err, "decode settings revision %d", rec.Seq)
+	for _, rec := range slices.Backward(records) {
+		if rec.Seq > head {
+			continue
+		}
+		rev, err := decodeRevision(rec)
+		if err != nil {
+			return Tree{}, err
 		}
-		if branch, clash := overlap(edit, theirs); clash {
-			return ConflictError{Branch: branch, Mine: edit, Theirs: theirs, Rev: rec.Seq}
+		for _, c := range rev.Undo {
+			if err := tree.applyChange(c); err != nil {
+				return Tree{}, err
+			}
 		}
 	}
-	return nil
+	return tree, nil
 }
 
-// overlap finds a branch that both edits touch. Removing a branch touches all below it.
-func overlap(a, b Edit) (string, bool) {
-	for _, ca := range a.Changes {
-		i := slices.IndexFunc(b.Changes, func(cb Change) bool { return changesOverlap(ca, cb) })
-		if i >= 0 {
-			return ca.Branch, true
-		}
+// NewEditID returns a random identifier of an edit.
+func NewEditID() string { return rand.Text()[:16] }
+
+// Compaction of the settings log.
+const (
+	snapshotEvery = 256  // revisions between snapshots
+	keptRevisions = 1024 // revisions kept for history, merge and roll back
+)
+
+// compact stores a snapshot now and then. Its failure says nothing about the accepted edit: the log stays longer
+// and a later commit compacts it.
+func (r *Repository) compact(ctx context.Context, tree Tree, rev int64) {
+	if rev%snapshotEvery != 0 {
+		return
+	}
+	data, err := json.Marshal(tree)
+	if err == nil {
+		err = r.log.Snapshot(ctx, rev, 0, data, rev-keptRevisions)
 	}
-	return "", false
+	r.compactErr.Store(&err)
 }
 
-func changesOverlap(a, b Change) bool {
-	return a.Branch == b.Branch ||
-		a.Remove && slices.Contains(Ancestors(b.Branch), a.Branch) ||
-		b.Remove && slices.Contains(Ancestors(a.Branch), b.Branch)
+// CompactError returns the outcome of the newest compaction by this repository; nil if none failed.
+func (r *Repository) CompactError() error {
+	if err := r.compactErr.Load(); err != nil {
+		return *err
+	}
+	return nil
 }
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -155,6 +155,7 @@
 
 // Edit is one operator's atomic set of changes.
 type Edit struct {
+	ID      string   `json:"id"` // random; finds the edit again after a lost answer
 	Author  string   `json:"author"`
 	Comment string   `json:"comment,omitempty"`
 	Changes []Change `json:"changes"`
