Add the operators' and callers' command line and the store budget

Cause: operators could not read or edit the tree, callers could not follow jobs, and nothing kept a process within its share of the store's call rate. Change: bf settings, jobs, status and config with tables, JSON, exit codes and waits; store/budget limits and counts calls per kind, holds calls back in an outage and spreads the return.

--- a/internal/command/cli.go
+++ b/internal/command/cli.go
@@ -1,49 +1,161 @@
 package command
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"os/user"
 
 	"github.com/integrii/flaggy"
 
 	"bamboofork/internal/app"
+	"bamboofork/internal/config"
 	"bamboofork/internal/settings"
+	"bamboofork/internal/store"
+	"bamboofork/internal/store/etcdgw"
 )
 
+// Exit codes of bf beyond those of package app.
+const (
+	exitConflict  = 5 // another operator edited the same branch
+	exitUncertain = 6 // the outcome is not known; the message says how to find out
+	exitNotReady  = 7 // a wait ended before the condition held
+)
+
+// Environment variables that replace the global flags.
+const (
+	envStore = "BF_STORE"
+	envEntry = "BF_ENTRY"
+)
+
+// Defaults of the global flags.
+const (
+	defaultStore = "http://127.0.0.1:8080"
+	defaultEntry = "http://127.0.0.1:8081"
+)
+
+// cli holds the global flags and outputs of one invocation.
+type cli struct {
+	out    io.Writer
+	err    io.Writer
+	store  string
+	entry  string
+	format string // table or json
+}
+
+// action runs a subcommand.
+type action func(ctx context.Context) error
+
+// usageError is an error in the arguments.
+type usageError struct{ error }
+
+// notReadyError is a wait that ended too early.
+type notReadyError struct{ error }
+
 // RunCLI runs the bf command and returns its exit code.
 func RunCLI(out, errOut io.Writer) int {
-	file, branch := "", ""
-	flaggy.SetName("bf")
-	flaggy.SetDescription("Operate bamboofork: settings, jobs and status.")
-	flaggy.SetVersion(app.Version)
-	check := flaggy.NewSubcommand("check")
-	check.Description = "Validate a settings tree file and explain a branch's effective settings."
-	check.AddPositionalValue(&file, "file", 1, true, "Settings tree (YAML).")
-	check.String(&branch, "b", "branch", "Branch to explain.")
-	flaggy.AttachSubcommand(check, 1)
-	flaggy.Parse()
-	if !check.Used {
-		flaggy.ShowHelp("")
+	c := &cli{out: out, err: errOut, store: envOr(envStore, defaultStore), entry: envOr(envEntry, defaultEntry), format: "table"}
+	p := flaggy.NewParser("bf")
+	p.Description = "Operate bamboofork: settings, jobs and status."
+	p.Version = app.Version
+	p.AdditionalHelpAppend = "\nExit codes: 0 ok, 1 failed, 2 usage, 3 invalid settings, 5 conflict, 6 outcome unknown, 7 wait ended early."
+	p.String(&c.store, "", "store", "Base URL of the key-value store ("+envStore+").")
+	p.String(&c.entry, "", "entry", "Base URL of an entry ("+envEntry+").")
+	p.String(&c.format, "o", "output", "Output format: table or json.")
+	actions := map[*flaggy.Subcommand]action{}
+	c.addSettings(p, actions)
+	c.addJobs(p, actions)
+	c.addStatus(p, actions)
+	c.addConfig(p, actions)
+	if err := p.Parse(); err != nil {
+		fmt.Fprintln(errOut, err)
 		return app.ExitUsage
 	}
-	data, err := os.ReadFile(file)
-	if err != nil {
-		fmt.Fprintln(errOut, err)
-		return app.ExitFailure
+	for sub, run := range actions {
+		if sub.Used && !hasUsedChild(sub) {
+			return c.run(run)
+		}
 	}
-	tree, err := settings.ParseTree(file, data)
-	if err != nil {
-		fmt.Fprintln(errOut, err)
-		return app.ExitSettings
+	p.ShowHelp()
+	return app.ExitUsage
+}
+
+func hasUsedChild(s *flaggy.Subcommand) bool {
+	for _, child := range s.Subcommands {
+		if child.Used {
+			return true
+		}
 	}
-	sources, err := tree.Explain(branch)
+	return false
+}
+
+func envOr(name, fallback string) string {
+	if v := os.Getenv(name); v != "" {
+		return v
+	}
+	return fallback
+}
+
+func (c *cli) run(do action) int {
+	if c.format != "table" && c.format != "json" {
+		fmt.Fprintf(c.err, "output %q: accepted: table, json\n", c.format)
+		return app.ExitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	err := do(ctx)
 	if err != nil {
-		fmt.Fprintln(errOut, err)
-		return app.ExitFailure
+		fmt.Fprintln(c.err, "bf:", err)
 	}
-	for _, s := range sources {
-		fmt.Fprintf(out, "%s\t%s\t%s\n", s.Field, s.Value, s.Branch)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var usage usageError
+	var notReady notReadyError
+	var conflict settings.ConflictError
+	var file settings.FileError
+	var processFile config.FieldError
+	switch {
+	case err == nil:
+		return app.ExitOK
+	case errors.As(err, &usage):
+		return app.ExitUsage
+	case errors.As(err, &notReady):
+		return exitNotReady
+	case errors.As(err, &conflict):
+		return exitConflict
+	case errors.As(err, &file), errors.As(err, &processFile):
+		return app.ExitSettings
+	case errors.Is(err, store.ErrUncertain):
+		return exitUncertain
+	}
+	return app.ExitFailure
+}
+
+// subcommand adds a subcommand with its action.
+func subcommand(parent interface {
+	AttachSubcommand(*flaggy.Subcommand, int)
+}, actions map[*flaggy.Subcommand]action, name, description string, run action) *flaggy.Subcommand {
+	s := flaggy.NewSubcommand(name)
+	s.Description = description
+	parent.AttachSubcommand(s, 1)
+	actions[s] = run
+	return s
+}
+
+func (c *cli) repository() (*settings.Repository, *etcdgw.Client) {
+	st := etcdgw.NewClient(c.store, 0)
+	return settings.NewRepository(st, "bf-"+settings.NewEditID()), st
+}
+
+// author names the operator in the history.
+func author() string {
+	if u, err := user.Current(); err == nil && u.Username != "" {
+		return u.Username
 	}
-	return app.ExitOK
+	return "unknown"
 }
--- /dev/null
+++ b/internal/command/commit.go
@@ -0,0 +1,221 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"bamboofork/internal/entry"
+	"bamboofork/internal/ledger"
+	"bamboofork/internal/operatorapi"
+	"bamboofork/internal/settings"
+)
+
+// commit accepts the changes, or shows their effect with --dry-run.
+func (c *cli) commit(ctx context.Context, f *settingsFlags, changes []settings.Change) error {
+	commitCtx, cancel := context.WithTimeout(ctx, editTimeout)
+	defer cancel()
+	repo, st := c.repository()
+	defer st.Close()
+	tree, head, err := repo.Load(commitCtx)
+	if err != nil {
+		return fmt.Errorf("not accepted: %w", err)
+	}
+	edit := settings.Edit{ID: settings.NewEditID(), Author: author(), Comment: f.comment, Changes: changes}
+	if f.dryRun {
+		return c.dryRun(ctx, tree, edit)
+	}
+	rev, err := repo.Commit(commitCtx, orDefault(f.base, head), edit)
+	if err != nil {
+		return err
+	}
+	if err := repo.CompactError(); err != nil {
+		fmt.Fprintln(c.err, "warning: the settings log was not compacted:", err)
+	}
+	t := table{header: []any{"REVISION", "EDIT"}, rows: [][]any{{rev, edit.ID}}}
+	if err := c.print(map[string]any{"revision": rev, "edit": edit.ID}, t); err != nil {
+		return err
+	}
+	if f.wait > 0 {
+		return c.waitInForce(ctx, rev, f.wait)
+	}
+	return nil
+}
+
+// dryRun shows the effective values that an edit changes and the running work on the touched branches.
+func (c *cli) dryRun(ctx context.Context, tree settings.Tree, edit settings.Edit) error {
+	after, err := tree.Apply(edit)
+	if err != nil {
+		return err
+	}
+	changes := settings.Impact(tree, after)
+	branches := settings.Branches(changes)
+	running, err := c.runningTasks(ctx, branches)
+	if c.format == "json" {
+		return c.print(map[string]any{"changes": changes, "branches": branches, "running_tasks": running}, table{})
+	}
+	if printErr := c.printImpact(changes); printErr != nil {
+		return printErr
+	}
+	if err != nil {
+		fmt.Fprintln(c.out, "running tasks: not known:", err)
+		return nil
+	}
+	fmt.Fprintf(c.out, "%d branches, %d waiting or running tasks touched; nothing was accepted\n", len(branches), running)
+	return nil
+}
+
+func (c *cli) runningTasks(ctx context.Context, branches []string) (int, error) {
+	var list struct{ Jobs []ledger.Job }
+	if _, err := c.call(ctx, http.MethodGet, entry.PathJobs, "", nil, &list); err != nil {
+		return 0, err
+	}
+	n := 0
+	for _, job := range list.Jobs {
+		if !slices.Contains(branches, job.Branch) {
+			continue
+		}
+		for _, task := range job.Tasks {
+			if !task.State.Final() {
+				n++
+			}
+		}
+	}
+	return n, nil
+}
+
+// editPoll is how often the edited file is looked at.
+const editPoll = 300 * time.Millisecond
+
+// settingsEdit lets the operator edit the tree in a file. The command starts no editor, because a process of the
+// system starts no other process; it waits until the file is saved.
+func (c *cli) settingsEdit(ctx context.Context, f *settingsFlags) error {
+	repo, st := c.repository()
+	defer st.Close()
+	tree, head, err := repo.Load(ctx)
+	if err != nil {
+		return err
+	}
+	text, err := settings.FormatTree(tree)
+	if err != nil {
+		return err
+	}
+	file := f.file
+	if file == "" {
+		dir, err := os.MkdirTemp("", "bf-settings")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+		file = filepath.Join(dir, "settings.yaml")
+	}
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		return err
+	}
+	f.base = head
+	fmt.Fprintf(c.err, "edit and save %s; interrupt to give up\n", file)
+	return c.awaitEdit(ctx, f, file, string(text))
+}
+
+// awaitEdit applies the file when it was saved with valid content.
+func (c *cli) awaitEdit(ctx context.Context, f *settingsFlags, file, original string) error {
+	last := original
+	for {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("given up, nothing was accepted")
+		case <-time.After(editPoll):
+		}
+		data, err := os.ReadFile(file)
+		if err != nil || string(data) == last {
+			continue
+		}
+		last = string(data)
+		wanted, err := settings.ParseTree(file, data)
+		if err != nil {
+			fmt.Fprintln(c.err, err)
+			continue
+		}
+		return c.commitTree(ctx, f, wanted)
+	}
+}
+
+// settingsStatus shows the revision in force in each known process.
+func (c *cli) settingsStatus(ctx context.Context, f *settingsFlags) error {
+	repo, st := c.repository()
+	defer st.Close()
+	_, head, err := repo.Load(ctx)
+	if err != nil {
+		return err
+	}
+	if f.wait > 0 {
+		if err := c.waitInForce(ctx, head, f.wait); err != nil {
+			return err
+		}
+	}
+	status, err := c.status(ctx)
+	if err != nil {
+		return err
+	}
+	t := table{header: []any{"PROCESS", "ROLE", "DOMAIN", "REVISION", "BEHIND"}}
+	t.add(status.Self.ID, status.Self.Role, status.Self.Domain, status.Revision, head-status.Revision)
+	for _, m := range status.Members {
+		t.add(m.ID, m.Role, m.Domain, m.SettingsRev, max(0, head-m.SettingsRev))
+	}
+	return c.print(map[string]any{"newest": head, "status": status}, t)
+}
+
+const waitPoll = 100 * time.Millisecond
+
+// waitInForce waits until every known process has the revision and shows the progress.
+func (c *cli) waitInForce(ctx context.Context, rev int64, limit time.Duration) error {
+	deadline := time.Now().Add(limit)
+	shown := ""
+	for {
+		behind, total := c.behind(ctx, rev)
+		if total > 0 && len(behind) == 0 {
+			fmt.Fprintf(c.err, "revision %d is in force in all %d known processes\n", rev, total)
+			return nil
+		}
+		if line := fmt.Sprintf("revision %d is in force in %d of %d known processes", rev, total-len(behind), total); line != shown {
+			shown = line
+			fmt.Fprintln(c.err, line)
+		}
+		if time.Now().After(deadline) {
+			return notReadyError{fmt.Errorf("revision %d is accepted but not yet in force in: %s", rev, strings.Join(behind, ", "))}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(waitPoll):
+		}
+	}
+}
+
+// behind lists the known processes without the revision, and the number of known processes.
+func (c *cli) behind(ctx context.Context, rev int64) (list []string, total int) {
+	status, err := c.status(ctx)
+	if err != nil {
+		return []string{"no entry answers: " + err.Error()}, 0
+	}
+	if status.Revision < rev {
+		list = append(list, status.Self.ID)
+	}
+	for _, m := range status.Members {
+		if m.SettingsRev < rev {
+			list = append(list, m.ID)
+		}
+	}
+	return list, len(status.Members) + 1
+}
+
+func (c *cli) status(ctx context.Context) (operatorapi.Status, error) {
+	var status operatorapi.Status
+	_, err := c.call(ctx, http.MethodGet, "/v1/status", "", nil, &status)
+	return status, err
+}
--- /dev/null
+++ b/internal/command/jobs.go
@@ -0,0 +1,192 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"bamboofork/internal/entry"
+	"bamboofork/internal/ledger"
+)
+
+// jobFlags are the arguments of the job subcommands.
+type jobFlags struct {
+	id       string
+	key      string
+	payload  string
+	request  entry.JobRequest
+	run      time.Duration
+	deadline time.Duration
+	wait     time.Duration
+}
+
+func (c *cli) addJobs(p *flaggy.Parser, actions map[*flaggy.Subcommand]action) {
+	f := &jobFlags{request: entry.JobRequest{Tasks: 1}, run: time.Minute, wait: time.Hour}
+	f.request.Need.Cores = 1
+	jobs := flaggy.NewSubcommand("jobs")
+	jobs.Description = "Submit and follow batch jobs."
+	p.AttachSubcommand(jobs, 1)
+	submit := subcommand(jobs, actions, "submit", "Submit a job; accepted means durable.", func(ctx context.Context) error { return c.jobSubmit(ctx, f) })
+	submit.AddPositionalValue(&f.request.Branch, "branch", 1, true, "Batch branch.")
+	submit.String(&f.key, "k", "key", "Idempotency key; a repeat with the same key is the same job.")
+	submit.Int(&f.request.Tasks, "t", "tasks", "Number of tasks.")
+	submit.Float64(&f.request.Need.Cores, "", "cores", "Cores of each task.")
+	submit.Int64(&f.request.Need.MemoryMB, "", "memory-mb", "Memory of each task in megabytes.")
+	submit.Int(&f.request.Need.Accelerators, "", "accelerators", "Accelerators of each task.")
+	submit.Duration(&f.run, "r", "run", "Declared run time of each task.")
+	submit.Duration(&f.deadline, "d", "deadline", "Time within which the job should finish.")
+	submit.Bool(&f.request.Gang, "g", "gang", "Start all tasks together or none.")
+	submit.String(&f.payload, "", "payload", "File that the tasks get.")
+	subcommand(jobs, actions, "list", "List the newest jobs.", c.jobList)
+	for _, def := range []struct {
+		name, text string
+		run        func(context.Context, *jobFlags) error
+	}{
+		{"status", "Show a job and its tasks.", c.jobStatus},
+		{"explain", "Say why each task is where it is.", c.jobExplain},
+		{"cancel", "Cancel a job.", c.jobCancel},
+		{"wait", "Wait until a job has finished.", c.jobWait},
+	} {
+		sub := subcommand(jobs, actions, def.name, def.text, func(ctx context.Context) error { return def.run(ctx, f) })
+		sub.AddPositionalValue(&f.id, "job", 1, true, "Job id.")
+		if def.name == "wait" {
+			sub.Duration(&f.wait, "w", "timeout", "Longest wait.")
+		}
+	}
+}
+
+func (c *cli) jobSubmit(ctx context.Context, f *jobFlags) error {
+	f.request.RunMs = f.run.Milliseconds()
+	f.request.DeadlineMs = f.deadline.Milliseconds()
+	if f.payload != "" {
+		data, err := os.ReadFile(f.payload)
+		if err != nil {
+			return err
+		}
+		f.request.Payload = data
+	}
+	if f.key == "" {
+		f.key = entry.NewID() // a lost answer can be resolved by a repeat with this key
+	}
+	var out struct {
+		ID string `json:"id"`
+	}
+	if _, err := c.call(ctx, http.MethodPost, entry.PathJobs, f.key, f.request, &out); err != nil {
+		return fmt.Errorf("%w; key %s", err, f.key)
+	}
+	return c.print(map[string]string{"id": out.ID, "key": f.key}, table{header: []any{"JOB", "KEY"}, rows: [][]any{{out.ID, f.key}}})
+}
+
+func (c *cli) jobList(ctx context.Context) error {
+	var list struct {
+		Jobs              []ledger.Job `json:"jobs"`
+		PartitionsMissing int          `json:"partitions_missing"`
+	}
+	if _, err := c.call(ctx, http.MethodGet, entry.PathJobs, "", nil, &list); err != nil {
+		return err
+	}
+	t := table{header: []any{"JOB", "BRANCH", "SUBMITTED", "TASKS", "PENDING", "PLACED", "DONE", "FAILED", "OTHER"}}
+	for _, j := range list.Jobs {
+		n := countStates(j)
+		other := len(j.Tasks) - n[ledger.TaskPending] - n[ledger.TaskPlaced] - n[ledger.TaskDone] - n[ledger.TaskFailed]
+		t.add(j.ID, j.Branch, j.Submitted.Format(time.RFC3339), len(j.Tasks), n[ledger.TaskPending], n[ledger.TaskPlaced], n[ledger.TaskDone], n[ledger.TaskFailed], other)
+	}
+	if list.PartitionsMissing > 0 {
+		fmt.Fprintf(c.err, "warning: %d partitions did not answer; their jobs are not listed\n", list.PartitionsMissing)
+	}
+	return c.print(list, t)
+}
+
+func countStates(j ledger.Job) map[ledger.TaskState]int {
+	n := map[ledger.TaskState]int{}
+	for _, t := range j.Tasks {
+		n[t.State]++
+	}
+	return n
+}
+
+func (c *cli) job(ctx context.Context, id string) (entry.JobView, error) {
+	var view entry.JobView
+	_, err := c.call(ctx, http.MethodGet, entry.PathJobs+"/"+id, "", nil, &view)
+	return view, err
+}
+
+func (c *cli) jobStatus(ctx context.Context, f *jobFlags) error {
+	view, err := c.job(ctx, f.id)
+	if err != nil {
+		return err
+	}
+	t := table{header: []any{"TASK", "STATE", "ATTEMPT", "AGENT", "EVICTIONS", "RESUMES", "FAILURES", "REASON"}}
+	for i, task := range view.Tasks {
+		t.add(i, task.State, task.Attempt, orDash(task.Agent), task.Evictions, task.Resumes, task.Failures, orDash(task.Reason))
+	}
+	return c.print(view, t)
+}
+
+func (c *cli) jobExplain(ctx context.Context, f *jobFlags) error {
+	view, err := c.job(ctx, f.id)
+	if err != nil {
+		return err
+	}
+	t := table{header: []any{"TASK", "STATE", "NEWEST DECISION"}}
+	for i, task := range view.Tasks {
+		decision := ""
+		if i < len(view.Explain) {
+			decision = view.Explain[i]
+		}
+		t.add(i, task.State, orDash(decision))
+	}
+	return c.print(view.Explain, t)
+}
+
+func (c *cli) jobCancel(ctx context.Context, f *jobFlags) error {
+	if _, err := c.call(ctx, http.MethodDelete, entry.PathJobs+"/"+f.id, "", nil, nil); err != nil {
+		return err
+	}
+	return c.print(map[string]string{"cancelled": f.id}, table{header: []any{"CANCELLED"}, rows: [][]any{{f.id}}})
+}
+
+func (c *cli) jobWait(ctx context.Context, f *jobFlags) error {
+	deadline := time.Now().Add(f.wait)
+	shown := ""
+	for {
+		view, err := c.job(ctx, f.id)
+		if err == nil && view.Finished() {
+			return c.waitResult(ctx, f, view)
+		}
+		if line := progressLine(view, err); line != shown {
+			shown = line
+			fmt.Fprintln(c.err, line)
+		}
+		if time.Now().After(deadline) {
+			return notReadyError{fmt.Errorf("job %s has not finished after %s", f.id, f.wait)}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(waitPoll):
+		}
+	}
+}
+
+func progressLine(view entry.JobView, err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	n := countStates(view.Job)
+	return fmt.Sprintf("%d of %d tasks done, %d placed, %d pending", n[ledger.TaskDone], len(view.Tasks), n[ledger.TaskPlaced], n[ledger.TaskPending])
+}
+
+func (c *cli) waitResult(ctx context.Context, f *jobFlags, view entry.JobView) error {
+	if err := c.jobStatus(ctx, f); err != nil {
+		return err
+	}
+	if done := countStates(view.Job)[ledger.TaskDone]; done < len(view.Tasks) {
+		return fmt.Errorf("%d of %d tasks done", done, len(view.Tasks))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/command/status.go
@@ -0,0 +1,89 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"bamboofork/internal/config"
+)
+
+func (c *cli) addStatus(p *flaggy.Parser, actions map[*flaggy.Subcommand]action) {
+	subcommand(p, actions, "status", "Show the processes that an entry knows.", c.fleetStatus)
+}
+
+func (c *cli) fleetStatus(ctx context.Context) error {
+	status, err := c.status(ctx)
+	if err != nil {
+		return err
+	}
+	t := table{header: []any{"PROCESS", "ROLE", "DOMAIN", "RACK", "STATE", "SLOTS", "QUEUED", "CONNS", "FREE CORES", "FREE MB", "REVISION"}}
+	t.add(status.Self.ID, status.Self.Role, status.Self.Domain, orDash(status.Self.Rack), "alive", "-", "-", "-", "-", "-", status.Revision)
+	for _, m := range status.Members {
+		state := "alive"
+		switch {
+		case m.Leaving:
+			state = "leaving"
+		case m.Suspect:
+			state = "suspect"
+		}
+		l := m.Load
+		t.add(m.ID, m.Role, m.Domain, orDash(m.Rack), state, fmt.Sprintf("%d/%d", l.SlotsBusy, l.Slots), l.Queued,
+			fmt.Sprintf("%d/%d", l.Conns, l.ConnsMax), l.Free.Cores, l.Free.MemoryMB, m.SettingsRev)
+	}
+	return c.print(status, t)
+}
+
+// configFlags are the arguments of the config subcommands.
+type configFlags struct {
+	file      string
+	effective string
+	agent     bool
+}
+
+func (c *cli) addConfig(p *flaggy.Parser, actions map[*flaggy.Subcommand]action) {
+	f := &configFlags{effective: root}
+	cfg := flaggy.NewSubcommand("config")
+	cfg.Description = "Check settings files without a store."
+	p.AttachSubcommand(cfg, 1)
+	check := subcommand(cfg, actions, "check", "Validate a settings tree file.", func(context.Context) error { return c.configCheck(f) })
+	check.AddPositionalValue(&f.file, "file", 1, true, "Settings tree (YAML).")
+	show := subcommand(cfg, actions, "show", "Show a branch of a tree file and where each value comes from.", func(context.Context) error { return c.configShow(f) })
+	show.AddPositionalValue(&f.file, "file", 1, true, "Settings tree (YAML).")
+	show.String(&f.effective, "e", "effective", "Branch to show; / is the root.")
+	process := subcommand(cfg, actions, "process", "Validate a process's settings file.", func(context.Context) error { return c.configProcess(f) })
+	process.AddPositionalValue(&f.file, "file", 1, true, "Process settings (YAML).")
+	process.Bool(&f.agent, "a", "agent", "The file is an agent's.")
+}
+
+func (c *cli) configCheck(f *configFlags) error {
+	tree, err := readTree(f.file)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.out, "ok, %d branches\n", len(tree.Branches))
+	return nil
+}
+
+func (c *cli) configShow(f *configFlags) error {
+	tree, err := readTree(f.file)
+	if err != nil {
+		return err
+	}
+	sf := settingsFlags{branch: f.effective}
+	return c.explain(tree, 0, sf.path())
+}
+
+func (c *cli) configProcess(f *configFlags) error {
+	data, err := os.ReadFile(f.file)
+	if err != nil {
+		return err
+	}
+	if _, err := config.Parse(f.file, data, f.agent); err != nil {
+		return err
+	}
+	fmt.Fprintln(c.out, "ok")
+	return nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"bamboofork/internal/peer"
 	"bamboofork/internal/settings"
 	"bamboofork/internal/store"
+	"bamboofork/internal/store/budget"
 	"bamboofork/internal/store/etcdgw"
 	"bamboofork/internal/telemetry"
 	"bamboofork/internal/worker"
@@ -59,7 +60,12 @@
 
 func newBase(cfg config.Process, role membership.Role, log zerolog.Logger) (*base, error) {
 	log = log.With().Str("node", cfg.ID).Logger()
-	st := etcdgw.NewClient(cfg.Store, 0)
+	reg := telemetry.New()
+	limits := budget.AgentLimits
+	if role == membership.RoleEntry {
+		limits = budget.EntryLimits
+	}
+	st := budget.New(etcdgw.NewClient(cfg.Store, 0), limits, reg, log)
 	pool := peer.NewPool(cfg.ID, log, nil)
 	self := membership.Member{
 		ID: cfg.ID, Role: role, Region: cfg.Region, Domain: cfg.Domain, Rack: cfg.Rack,
@@ -68,7 +74,7 @@
 	b := &base{
 		cfg: cfg, log: log, st: st, pool: pool, server: peer.NewServer(cfg.ID, log),
 		table: membership.NewTable(membership.Config{Self: self, Seeds: cfg.Seeds}, pool, log),
-		live:  settings.NewLive(), dir: partition.NewDirectory(st, pool, cfg.Partitions), reg: telemetry.New(),
+		live:  settings.NewLive(), dir: partition.NewDirectory(st, pool, cfg.Partitions), reg: reg,
 	}
 	b.api = &operatorapi.API{Table: b.table, Live: b.live, Metrics: b.reg}
 	err := b.server.Register("Member", b.table.Service())
