Test separate processes under kills, pauses, outages and planned stops

Cause: the whole path was only run inside one process. Change: internal/e2e builds the programs, starts platform, 4 runners, 4 agents and 2 entries, and ends, pauses and cuts them off: owner paused past its lease, store outage, agent killed, planned stop under load, all agents replaced, entry killed during keyed requests.

--- /dev/null
+++ b/internal/e2e/e2e_test.go
@@ -0,0 +1,137 @@
+// Package e2e_test runs the programs as separate processes and ends, pauses and cuts them off.
+package e2e_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bamboofork/internal/entry"
+)
+
+// TestSeparateProcesses guards the promises of the whole system against the loss of each kind of process. The steps
+// share one fleet, because building and starting it takes most of the time.
+func TestSeparateProcesses(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts separate processes")
+	}
+	f := startFleet(t)
+	t.Run("OwnerPausedPastItsLease", f.ownerPaused)
+	t.Run("StoreOutage", f.storeOutage)
+	t.Run("AgentKilled", f.agentKilled)
+	t.Run("PlannedStopCutsOffNothing", f.plannedStop)
+	t.Run("EveryAgentReplaced", f.everyAgentReplaced)
+	t.Run("KeyedRequestsRunOnce", f.keyedOnce)
+	for _, p := range append(append([]*process{f.platform}, f.agents...), f.entries...) {
+		qt.Check(t, strings.Contains(p.logged(), `"event":9100`), qt.IsFalse, qt.Commentf("broken invariant in %s:\n%s", p.name, p.logged()))
+	}
+}
+
+// ownerPaused guards against a paused partition owner that decides after its lease ended: every agent is paused in
+// turn for longer than the lease while a job runs, and each task must be done.
+func (f *fleet) ownerPaused(t *testing.T) {
+	id := f.submit("paused", 6, 3*time.Second)
+	for _, a := range f.agents[:2] {
+		a.signal(t, syscall.SIGSTOP)
+		time.Sleep(4 * time.Second)
+		a.signal(t, syscall.SIGCONT)
+	}
+	f.finished(id, 60*time.Second)
+}
+
+// storeOutage guards against work that needs no store stopping in an outage, and against work that needs it being
+// accepted: quick requests go on, jobs are refused as not run, the running job finishes.
+func (f *fleet) storeOutage(t *testing.T) {
+	id := f.submit("before-outage", 4, 2*time.Second)
+	f.setStoreDown(true)
+	time.Sleep(4 * time.Second)
+	for i := range 20 {
+		_, err := f.quick(i%entryCount, fmt.Sprintf("outage-%d", i))
+		qt.Check(t, err, qt.IsNil)
+	}
+	status, answer, err := f.do(http.MethodPost, "http://"+f.callers[1]+entry.PathJobs, "in-outage", `{"branch":"workshop/moulding-plans","tasks":1,"need":{"cores":1},"run_ms":10}`)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s", answer))
+	qt.Check(t, answer, qt.Contains, `"outcome":"not_run"`)
+	f.setStoreDown(false)
+	f.finished(id, 60*time.Second)
+	f.finished(f.submit("after-outage", 2, 100*time.Millisecond), 60*time.Second)
+}
+
+// agentKilled guards against quick requests that fail although other runners are up, and against a lost task.
+func (f *fleet) agentKilled(t *testing.T) {
+	id := f.submit("killed", 6, 3*time.Second)
+	stop := f.load(6)
+	time.Sleep(time.Second)
+	f.agents[3].stop(t, syscall.SIGKILL)
+	time.Sleep(2 * time.Second)
+	answered, errs := stop()
+	qt.Check(t, answered > 100, qt.IsTrue, qt.Commentf("%d answered", answered))
+	qt.Check(t, errs, qt.HasLen, 0)
+	f.agents[3].start(t)
+	f.finished(id, 60*time.Second)
+}
+
+// plannedStop guards against a graceful stop that cuts off a request, or a leaving server that still gets work.
+func (f *fleet) plannedStop(t *testing.T) {
+	stop := f.load(6)
+	time.Sleep(500 * time.Millisecond)
+	f.agents[2].stop(t, syscall.SIGTERM)
+	time.Sleep(time.Second)
+	f.agents[2].start(t)
+	time.Sleep(500 * time.Millisecond)
+	answered, errs := stop()
+	qt.Check(t, answered > 100, qt.IsTrue, qt.Commentf("%d answered", answered))
+	qt.Check(t, errs, qt.HasLen, 0)
+}
+
+// everyAgentReplaced guards against state that only lives on hosts: all agents are replaced one after another while
+// a job runs.
+func (f *fleet) everyAgentReplaced(t *testing.T) {
+	id := f.submit("replaced", 4, 4*time.Second)
+	for _, a := range f.agents {
+		a.stop(t, syscall.SIGTERM)
+		a.start(t)
+		time.Sleep(300 * time.Millisecond)
+	}
+	job := f.finished(id, 90*time.Second)
+	for i, task := range job.Tasks {
+		qt.Check(t, task.Resumes, qt.Equals, task.Evictions, qt.Commentf("task %d", i))
+	}
+}
+
+// keyedOnce guards against a non-idempotent request that runs twice when an entry is killed and the caller repeats it
+// at the other one.
+func (f *fleet) keyedOnce(t *testing.T) {
+	const orders = 30
+	send := func(e, i int) (int, string, error) {
+		url := "http://" + f.callers[e] + "/v1/run/workshop/moulding-orders/-/order"
+		return f.do(http.MethodPost, url, fmt.Sprintf("order-%d", i), fmt.Sprintf("shell-%d", i))
+	}
+	go func() {
+		time.Sleep(150 * time.Millisecond)
+		_ = f.entries[0].cmd.Process.Kill()
+	}()
+	for i := range orders {
+		if status, _, err := send(0, i); err != nil || status != http.StatusOK {
+			_, _, _ = send(1, i)
+		}
+	}
+	for i := range orders {
+		runs := 0
+		for _, r := range f.runners {
+			_, answer, err := f.do(http.MethodGet, "http://"+r+"/_runs?key="+fmt.Sprintf("order-%d", i), "", "")
+			qt.Assert(t, err, qt.IsNil)
+			var n int
+			_, err = fmt.Sscan(answer, &n)
+			qt.Assert(t, err, qt.IsNil)
+			runs += n
+		}
+		qt.Check(t, runs <= 1, qt.IsTrue, qt.Commentf("order %d ran %d times", i, runs))
+	}
+}
--- /dev/null
+++ b/internal/e2e/fleet_test.go
@@ -0,0 +1,346 @@
+package e2e_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bamboofork/examples"
+	"bamboofork/internal/dev"
+	"bamboofork/internal/entry"
+	"bamboofork/internal/ledger"
+	"bamboofork/internal/worker"
+)
+
+// process is a program started by a test. mu guards the fields below it.
+type process struct {
+	name string
+	path string
+	args []string
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	log  bytes.Buffer
+	done chan struct{}
+}
+
+func (p *process) start(t *testing.T) {
+	t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd = exec.Command(p.path, p.args...)
+	p.cmd.Stderr = &lockedWriter{p: p}
+	qt.Assert(t, p.cmd.Start(), qt.IsNil)
+	done := make(chan struct{})
+	p.done = done
+	cmd := p.cmd
+	go func() {
+		_ = cmd.Wait()
+		close(done)
+	}()
+}
+
+// lockedWriter collects a program's log.
+type lockedWriter struct{ p *process }
+
+func (w *lockedWriter) Write(b []byte) (int, error) {
+	w.p.mu.Lock()
+	defer w.p.mu.Unlock()
+	return w.p.log.Write(b)
+}
+
+func (p *process) logged() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+func (p *process) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	qt.Assert(t, p.cmd.Process.Signal(s), qt.IsNil)
+}
+
+// stop sends the signal and waits for the end.
+func (p *process) stop(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	p.signal(t, s)
+	select {
+	case <-p.done:
+	case <-time.After(20 * time.Second):
+		t.Errorf("%s did not end after signal %v", p.name, s)
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	}
+}
+
+// fleet is a set of separate processes on loopback.
+type fleet struct {
+	t        *testing.T
+	bin      string
+	dir      string
+	storeURL string
+	platform *process
+	agents   []*process
+	entries  []*process
+	callers  []string // addresses of the entries' caller APIs
+	runners  []string // addresses of the backend servers
+	workers  []string // addresses of the workers
+	client   *http.Client
+}
+
+const (
+	agentCount = 4
+	entryCount = 2
+)
+
+// startFleet builds the programs and starts the platform stand-in, runners, agents and entries.
+func startFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, bin: t.TempDir(), dir: t.TempDir(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}}
+	build := exec.Command("go", "build", "-o", f.bin, "bamboofork/cmd/...")
+	out, err := build.CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	store := f.addr()
+	f.storeURL = "http://" + store
+	args := []string{"--store", store, "--log-level", "error"}
+	for range agentCount {
+		f.workers = append(f.workers, f.addr())
+		args = append(args, "--worker", f.workers[len(f.workers)-1]+"/16/64000/0")
+	}
+	f.platform = f.program("bf-platform", args...)
+	seeds := []string{}
+	for range entryCount {
+		seeds = append(seeds, f.addr())
+	}
+	for i := range agentCount {
+		f.startAgent(i, seeds)
+	}
+	for i := range entryCount {
+		f.startEntry(i, seeds)
+	}
+	f.applySettings()
+	return f
+}
+
+func (f *fleet) addr() string {
+	addr, err := dev.FreeAddr()
+	qt.Assert(f.t, err, qt.IsNil)
+	return addr
+}
+
+func (f *fleet) program(name string, args ...string) *process {
+	p := &process{name: name, path: filepath.Join(f.bin, name), args: args}
+	p.start(f.t)
+	f.t.Cleanup(func() {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+		<-p.done
+		if f.t.Failed() && os.Getenv("E2E_LOGS") != "" {
+			f.t.Logf("log of %s %v:\n%s", p.name, p.args, p.logged())
+		}
+	})
+	return p
+}
+
+func (f *fleet) writeConfig(name string, lines ...string) string {
+	file := filepath.Join(f.dir, name+".yaml")
+	qt.Assert(f.t, os.WriteFile(file, []byte(strings.Join(lines, "\n")+"\n"), 0o600), qt.IsNil)
+	return file
+}
+
+func (f *fleet) common(id string, i int, control string, seeds []string) []string {
+	return []string{
+		"id: " + id, fmt.Sprintf("domain: domain-%d", i%3+1), fmt.Sprintf("rack: rack-%d", i/2+1),
+		"store: " + f.storeURL, "seeds: [" + strings.Join(seeds, ", ") + "]",
+		"lease_ttl: 3s", "outage_hold: 5s", "drain: 4s", "log_level: info", "partitions: 4", "max_partitions: 4",
+		"listen:", "  control: " + control,
+	}
+}
+
+func (f *fleet) startAgent(i int, seeds []string) {
+	runner := f.addr()
+	f.runners = append(f.runners, runner)
+	f.program("bf-runner", "--addr", runner, "--backend-name", fmt.Sprintf("runner-%d", i+1), "--log-level", "error")
+	lines := append(f.common(fmt.Sprintf("agent-%d", i+1), i, f.addr(), seeds), "  data: "+f.addr(),
+		"backend:", "  name: fitting-desk", "  addr: "+runner, "  slots: 8", "  conns: 64",
+		"worker:", "  url: http://"+f.workers[i], "  reserve: {cores: 2, memory_mb: 4000}")
+	f.agents = append(f.agents, f.program("bf-agent", "--config", f.writeConfig(fmt.Sprintf("agent-%d", i+1), lines...)))
+}
+
+func (f *fleet) startEntry(i int, seeds []string) {
+	callers := f.addr()
+	f.callers = append(f.callers, callers)
+	lines := append(f.common(fmt.Sprintf("entry-%d", i+1), i, seeds[i], seeds), "  callers: "+callers)
+	f.entries = append(f.entries, f.program("bf-entry", "--config", f.writeConfig(fmt.Sprintf("entry-%d", i+1), lines...)))
+}
+
+// applySettings accepts the workshop's tree with short holds through the command line.
+func (f *fleet) applySettings() {
+	text := bytes.Replace(examples.Workshop, []byte("  deadline: 2s\n"), []byte("  deadline: 3s\n  hold: 2s\n"), 1)
+	file := filepath.Join(f.dir, "tree.yaml")
+	qt.Assert(f.t, os.WriteFile(file, text, 0o600), qt.IsNil)
+	f.eventually("settings are accepted", 20*time.Second, func() error {
+		cmd := exec.Command(filepath.Join(f.bin, "bf"), "--store", f.storeURL, "settings", "apply", file)
+		out, err := cmd.CombinedOutput()
+		if err != nil {
+			return fmt.Errorf("%w: %s", err, out)
+		}
+		return nil
+	})
+	f.eventually("quick requests are answered by every runner", 30*time.Second, f.allRunnersAnswer)
+}
+
+func (f *fleet) allRunnersAnswer() error {
+	seen := map[string]bool{}
+	for i := range 60 {
+		answer, err := f.quick(i%len(f.callers), "warm-up")
+		if err != nil {
+			return err
+		}
+		seen[strings.Fields(answer)[0]] = true
+	}
+	if len(seen) < agentCount {
+		return fmt.Errorf("only %v answered", seen)
+	}
+	return nil
+}
+
+// eventually repeats the check until it holds.
+func (f *fleet) eventually(what string, limit time.Duration, check func() error) {
+	f.t.Helper()
+	deadline := time.Now().Add(limit)
+	for {
+		err := check()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			f.t.Fatalf("%s: not within %s: %v", what, limit, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// quick sends one checked foot-scan request to an entry.
+func (f *fleet) quick(entryIndex int, body string) (string, error) {
+	url := "http://" + f.callers[entryIndex] + "/v1/run/workshop/foot-scan/fitting-desk/-/scan"
+	status, answer, err := f.do(http.MethodPost, url, "", body)
+	if err != nil {
+		return "", err
+	}
+	if status != http.StatusOK || !strings.HasSuffix(answer, " /scan "+body+"\n") {
+		return "", fmt.Errorf("status %d, answer %q to %q", status, answer, body)
+	}
+	return answer, nil
+}
+
+func (f *fleet) do(method, url, key, body string) (int, string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(answer), err
+}
+
+// submit submits a job until it is accepted; the key makes the repeats safe.
+func (f *fleet) submit(key string, tasks int, run time.Duration) string {
+	f.t.Helper()
+	body, err := json.Marshal(entry.JobRequest{
+		Branch: "workshop/moulding-plans", Tasks: tasks, Need: worker.Resources{Cores: 2, MemoryMB: 1000}, RunMs: run.Milliseconds(),
+	})
+	qt.Assert(f.t, err, qt.IsNil)
+	var out struct{ ID string }
+	f.eventually("job is accepted", 30*time.Second, func() error {
+		status, answer, err := f.do(http.MethodPost, "http://"+f.callers[0]+entry.PathJobs, key, string(body))
+		if err != nil || status != http.StatusAccepted {
+			return fmt.Errorf("status %d %s %w", status, answer, err)
+		}
+		return json.Unmarshal([]byte(answer), &out)
+	})
+	return out.ID
+}
+
+// finished waits until all tasks of the job are done.
+func (f *fleet) finished(id string, limit time.Duration) ledger.Job {
+	f.t.Helper()
+	var job ledger.Job
+	f.eventually("job "+id+" finishes", limit, func() error {
+		status, answer, err := f.do(http.MethodGet, "http://"+f.callers[0]+entry.PathJobs+"/"+id, "", "")
+		if err != nil || status != http.StatusOK {
+			return fmt.Errorf("status %d %s %w", status, answer, err)
+		}
+		if err := json.Unmarshal([]byte(answer), &job); err != nil {
+			return err
+		}
+		for i, task := range job.Tasks {
+			if task.State != ledger.TaskDone {
+				return fmt.Errorf("task %d is %s (attempt %d, %s)", i, task.State, task.Attempt, task.Reason)
+			}
+		}
+		return nil
+	})
+	return job
+}
+
+// setStoreDown switches the stand-in's outage.
+func (f *fleet) setStoreDown(down bool) {
+	f.t.Helper()
+	status, answer, err := f.do(http.MethodPut, f.storeURL+"/faults/store", "", fmt.Sprintf(`{"down": %v}`, down))
+	qt.Assert(f.t, err, qt.IsNil)
+	qt.Assert(f.t, status, qt.Equals, http.StatusNoContent, qt.Commentf("%s", answer))
+}
+
+// load sends quick requests through all entries until stop is called, which returns how many were answered and the
+// first errors.
+func (f *fleet) load(callers int) (stop func() (int, []error)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	answered, errs := 0, []error{}
+	for c := range callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := 0; ctx.Err() == nil; i++ {
+				_, err := f.quick((c+i)%len(f.callers), fmt.Sprintf("scan-%d-%d", c, i))
+				mu.Lock()
+				if err == nil {
+					answered++
+				} else {
+					errs = append(errs, err)
+				}
+				mu.Unlock()
+				time.Sleep(5 * time.Millisecond)
+			}
+		}()
+	}
+	return func() (int, []error) {
+		cancel()
+		wg.Wait()
+		return answered, errs
+	}
+}
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -63,13 +63,17 @@
 	return out
 }
 
-// ServeHTTP answers /stream with an endless stream and everything else as a quick request. The answer repeats the
+// ServeHTTP answers /stream with an endless stream, /_runs?key= with the number of runs of a key, and everything else as a quick request. The answer repeats the
 // request's body, so that callers can check it. The query parameter ms overrides the service time.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/stream" {
 		s.stream(w, r)
 		return
 	}
+	if r.URL.Path == "/_runs" {
+		fmt.Fprintln(w, s.Runs()[r.URL.Query().Get("key")])
+		return
+	}
 	if s.inflight.Add(1) > int64(s.cfg.Slots) {
 		s.over.Add(1)
 	}
