--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,58 @@
+package config_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"bamboofork/internal/config"
+)
+
+const minimal = "id: a\ndomain: d\nstore: http://127.0.0.1:1\nlisten:\n  control: 127.0.0.1:2\n  callers: 127.0.0.1:3\n"
+
+// Guards against a bad process file that is accepted, or refused without its position.
+func TestParseFaults(t *testing.T) {
+	tests := []struct{ name, yaml, want string }{
+		{"unknown field", minimal + "colour: red\n", `f.yaml:7: colour: unknown field`},
+		{"missing", "domain: d\n", `(?s)f.yaml:1: id: a name is required.*store.*`},
+		{"level", minimal + "log_level: loud\n", `f.yaml:7: log_level: accepted: debug, info, warn, error`},
+		{"type", minimal + "partitions: many\n", `(?s)f.yaml: .*line 7.*`},
+		{"cut in half", minimal[:len(minimal)/2], `(?s).*`},
+		{"range", minimal + "partitions: 1000\n", `f.yaml:7: partitions: accepted: 1 to 256`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := config.Parse("f.yaml", []byte(tt.yaml), false)
+			qt.Assert(t, err, qt.ErrorMatches, tt.want)
+		})
+	}
+}
+
+// Guards against example files that differ from the users' deployments: 11 runners with 8 slots and 64 connections,
+// three to a rack, in three and four failure domains.
+func TestExamples(t *testing.T) {
+	for dir, domains := range map[string]int{"workshop": 3, "association": 4} {
+		seen, racks := map[string]bool{}, map[string]int{}
+		for i := range 11 {
+			p := load(t, dir, fmt.Sprintf("agent-%d.yaml", i+1), true)
+			qt.Assert(t, []int{p.Backend.Slots, p.Backend.Conns}, qt.DeepEquals, []int{8, 64})
+			seen[p.Domain] = true
+			racks[p.Rack]++
+		}
+		qt.Assert(t, len(seen), qt.Equals, domains)
+		qt.Assert(t, racks["rack-1"], qt.Equals, 3)
+		load(t, dir, "entry-1.yaml", false)
+	}
+}
+
+func load(t *testing.T, dir, name string, agent bool) config.Process {
+	file := filepath.Join("..", "..", "examples", dir, name)
+	data, err := os.ReadFile(file)
+	qt.Assert(t, err, qt.IsNil)
+	p, err := config.Parse(file, data, agent)
+	qt.Assert(t, err, qt.IsNil)
+	return p
+}
