Authenticate to the store and let only operators edit the tree

Cause: anyone who reached the store could edit the settings; the adapter's faults were not tested through the protocol.

--- a/cmd/bf-platform/main.go
+++ b/cmd/bf-platform/main.go
@@ -25,19 +25,20 @@
 
 func main() {
 	storeAddr, level, seed := "127.0.0.1:2379", "info", uint64(1)
-	workers := []string{}
+	workers, users := []string{}, []string{}
 	flaggy.SetName("bf-platform")
 	flaggy.SetDescription("Stand-in for the platform's key-value store and workers.")
 	flaggy.SetVersion(app.Version)
 	flaggy.String(&storeAddr, "s", "store", "Address of the store; empty for none.")
 	flaggy.StringSlice(&workers, "w", "worker", "A worker as ip:port/cores/memory_mb/accelerators; repeatable.")
+	flaggy.StringSlice(&users, "u", "user", "A user of the store as name:password or name:password:operator; repeatable, default no authentication.")
 	flaggy.UInt64(&seed, "", "seed", "Seed of the injected faults.")
 	flaggy.String(&level, "l", "log-level", "Log level: debug, info, warn or error.")
 	flaggy.Parse()
-	os.Exit(run(storeAddr, workers, seed, level))
+	os.Exit(run(storeAddr, workers, users, seed, level))
 }
 
-func run(storeAddr string, workers []string, seed uint64, level string) int {
+func run(storeAddr string, workers, users []string, seed uint64, level string) int {
 	log, err := app.NewLogger("bf-platform", level)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -45,7 +46,7 @@
 	}
 	parts := []app.Part{}
 	if storeAddr != "" {
-		part, err := storePart(storeAddr, seed)
+		part, err := storePart(storeAddr, users, seed)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return app.ExitFailure
@@ -84,8 +85,25 @@
 // leaseTick is how often expired leases are ended without other traffic.
 const leaseTick = 100 * time.Millisecond
 
-func storePart(addr string, seed uint64) (app.Part, error) {
+func parseUsers(specs []string) (map[string]platform.User, error) {
+	users := map[string]platform.User{}
+	for _, spec := range specs {
+		fields := strings.Split(spec, ":")
+		if len(fields) < 2 || len(fields) > 3 || fields[0] == "" || len(fields) == 3 && fields[2] != "operator" {
+			return nil, fmt.Errorf("user %q: accepted form: name:password or name:password:operator", spec)
+		}
+		users[fields[0]] = platform.User{Password: fields[1], Operator: len(fields) == 3}
+	}
+	return users, nil
+}
+
+func storePart(addr string, userSpecs []string, seed uint64) (app.Part, error) {
+	users, err := parseUsers(userSpecs)
+	if err != nil {
+		return app.Part{}, err
+	}
 	s := platform.NewStoreServer(seed)
+	s.Auth = platform.NewAuth(users)
 	e := quietEcho()
 	s.Register(e)
 	part, err := serve("store", addr, e)
--- a/internal/command/cli.go
+++ b/internal/command/cli.go
@@ -29,6 +29,7 @@
 const (
 	envStore = "BF_STORE"
 	envEntry = "BF_ENTRY"
+	envCreds = "BF_STORE_CREDENTIALS"
 )
 
 // Defaults of the global flags.
@@ -39,11 +40,13 @@
 
 // cli holds the global flags and outputs of one invocation.
 type cli struct {
-	out    io.Writer
-	err    io.Writer
-	store  string
-	entry  string
-	format string // table or json
+	out      io.Writer
+	err      io.Writer
+	store    string
+	entry    string
+	operator etcdgw.Credentials
+	creds    string // file with the operator's store credentials
+	format   string // table or json
 }
 
 // action runs a subcommand.
@@ -57,13 +60,14 @@
 
 // RunCLI runs the bf command and returns its exit code.
 func RunCLI(out, errOut io.Writer) int {
-	c := &cli{out: out, err: errOut, store: envOr(envStore, defaultStore), entry: envOr(envEntry, defaultEntry), format: "table"}
+	c := &cli{out: out, err: errOut, store: envOr(envStore, defaultStore), entry: envOr(envEntry, defaultEntry), creds: envOr(envCreds, ""), format: "table"}
 	p := flaggy.NewParser("bf")
 	p.Description = "Operate bamboofork: settings, jobs and status."
 	p.Version = app.Version
 	p.AdditionalHelpAppend = "\nExit codes: 0 ok, 1 failed, 2 usage, 3 invalid settings, 5 conflict, 6 outcome unknown, 7 wait ended early."
 	p.String(&c.store, "", "store", "Base URL of the key-value store ("+envStore+").")
 	p.String(&c.entry, "", "entry", "Base URL of an entry ("+envEntry+").")
+	p.String(&c.creds, "", "store-credentials", "File with user:password for the store ("+envCreds+").")
 	p.String(&c.format, "o", "output", "Output format: table or json.")
 	actions := map[*flaggy.Subcommand]action{}
 	c.addSettings(p, actions)
@@ -104,10 +108,15 @@
 		fmt.Fprintf(c.err, "output %q: accepted: table, json\n", c.format)
 		return app.ExitUsage
 	}
+	creds, err := etcdgw.LoadCredentials(c.creds)
+	if err != nil {
+		fmt.Fprintln(c.err, "bf:", err)
+		return app.ExitUsage
+	}
+	c.operator = creds
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	err := do(ctx)
-	if err != nil {
+	if err = do(ctx); err != nil {
 		fmt.Fprintln(c.err, "bf:", err)
 	}
 	return exitCode(err)
@@ -148,7 +157,7 @@
 }
 
 func (c *cli) repository() (*settings.Repository, *etcdgw.Client) {
-	st := etcdgw.NewClient(c.store, 0)
+	st := etcdgw.NewClient(c.store, 0).WithCredentials(c.operator)
 	return settings.NewRepository(st, "bf-"+settings.NewEditID()), st
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -44,21 +44,22 @@
 
 // Process is the settings file of one process.
 type Process struct {
-	ID            string        `yaml:"id"`
-	Region        string        `yaml:"region"`
-	Domain        string        `yaml:"domain"`
-	Rack          string        `yaml:"rack"`
-	Listen        Listen        `yaml:"listen"`
-	Store         string        `yaml:"store"`          // base URL
-	Seeds         []string      `yaml:"seeds"`          // control addresses of some processes
-	Partitions    int           `yaml:"partitions"`     // of the fleet, default 4
-	MaxPartitions int           `yaml:"max_partitions"` // owned by this agent at most, default 2
-	LeaseTTL      time.Duration `yaml:"lease_ttl"`      // store lease, default 10s
-	OutageHold    time.Duration `yaml:"outage_hold"`    // default 15m
-	Drain         time.Duration `yaml:"drain"`          // bound on a planned stop, default 30s
-	LogLevel      string        `yaml:"log_level"`      // debug, info, warn or error; default info
-	Backend       Backend       `yaml:"backend"`
-	Worker        Worker        `yaml:"worker"`
+	ID               string        `yaml:"id"`
+	Region           string        `yaml:"region"`
+	Domain           string        `yaml:"domain"`
+	Rack             string        `yaml:"rack"`
+	Listen           Listen        `yaml:"listen"`
+	Store            string        `yaml:"store"`             // base URL
+	StoreCredentials string        `yaml:"store_credentials"` // file with user:password for the store, default none
+	Seeds            []string      `yaml:"seeds"`             // control addresses of some processes
+	Partitions       int           `yaml:"partitions"`        // of the fleet, default 4
+	MaxPartitions    int           `yaml:"max_partitions"`    // owned by this agent at most, default 2
+	LeaseTTL         time.Duration `yaml:"lease_ttl"`         // store lease, default 10s
+	OutageHold       time.Duration `yaml:"outage_hold"`       // default 15m
+	Drain            time.Duration `yaml:"drain"`             // bound on a planned stop, default 30s
+	LogLevel         string        `yaml:"log_level"`         // debug, info, warn or error; default info
+	Backend          Backend       `yaml:"backend"`
+	Worker           Worker        `yaml:"worker"`
 }
 
 // Defaults of Process.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,7 +65,11 @@
 	if role == membership.RoleEntry {
 		limits = budget.EntryLimits
 	}
-	st := budget.New(etcdgw.NewClient(cfg.Store, 0), limits, reg, log)
+	creds, err := etcdgw.LoadCredentials(cfg.StoreCredentials)
+	if err != nil {
+		return nil, err
+	}
+	st := budget.New(etcdgw.NewClient(cfg.Store, 0).WithCredentials(creds), limits, reg, log)
 	pool := peer.NewPool(cfg.ID, log, nil)
 	self := membership.Member{
 		ID: cfg.ID, Role: role, Region: cfg.Region, Domain: cfg.Domain, Rack: cfg.Rack,
@@ -77,7 +81,7 @@
 		live:  settings.NewLive(), dir: partition.NewDirectory(st, pool, cfg.Partitions), reg: reg,
 	}
 	b.api = &operatorapi.API{Table: b.table, Live: b.live, Metrics: b.reg}
-	err := b.server.Register("Member", b.table.Service())
+	err = b.server.Register("Member", b.table.Service())
 	return b, eris.Wrap(err, "register membership service")
 }
 
--- /dev/null
+++ b/internal/platform/storeauth.go
@@ -0,0 +1,84 @@
+package platform
+
+import (
+	"crypto/rand"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/labstack/echo/v4"
+
+	"bamboofork/internal/settings"
+	"bamboofork/internal/store/etcdgw"
+)
+
+// User of the store stand-in.
+type User struct {
+	Password string
+	Operator bool // may write the settings tree
+}
+
+// Auth checks tokens and which keys a user may write. mu guards tokens.
+type Auth struct {
+	users map[string]User
+
+	mu     sync.Mutex
+	tokens map[string]string // token -> user
+}
+
+// NewAuth returns a check of the users; without users every call is allowed.
+func NewAuth(users map[string]User) *Auth { return &Auth{users: users, tokens: map[string]string{}} }
+
+// DropTokens ends all tokens, as a restart of the store does.
+func (a *Auth) DropTokens() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.tokens = map[string]string{}
+}
+
+func (a *Auth) authenticate(c echo.Context) error {
+	var in etcdgw.AuthRequest
+	if err := c.Bind(&in); err != nil {
+		return err
+	}
+	user, ok := a.users[in.Name]
+	if !ok || subtle.ConstantTimeCompare([]byte(user.Password), []byte(in.Password)) != 1 {
+		return denied(c, http.StatusUnauthorized, etcdgw.CodeUnauthenticated, "authentication failed")
+	}
+	token := rand.Text()
+	a.mu.Lock()
+	a.tokens[token] = in.Name
+	a.mu.Unlock()
+	return c.JSON(http.StatusOK, etcdgw.AuthResponse{Token: token})
+}
+
+func denied(c echo.Context, status, code int, msg string) error {
+	return c.JSON(status, etcdgw.ErrorBody{Error: msg, Message: msg, Code: code})
+}
+
+// middleware refuses calls without a valid token.
+func (a *Auth) middleware(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if len(a.users) == 0 || c.Path() == etcdgw.PathAuth {
+			return next(c)
+		}
+		a.mu.Lock()
+		name, ok := a.tokens[c.Request().Header.Get("Authorization")]
+		a.mu.Unlock()
+		if !ok {
+			return denied(c, http.StatusUnauthorized, etcdgw.CodeUnauthenticated, "invalid auth token")
+		}
+		c.Set("user", name)
+		return next(c)
+	}
+}
+
+// mayWrite reports whether the caller may write the key. Only operators write the settings tree.
+func (a *Auth) mayWrite(c echo.Context, key string) bool {
+	if len(a.users) == 0 || !strings.HasPrefix(key, settings.Prefix+"/") {
+		return true
+	}
+	name, ok := c.Get("user").(string)
+	return ok && a.users[name].Operator
+}
--- a/internal/platform/storeserver.go
+++ b/internal/platform/storeserver.go
@@ -18,23 +18,26 @@
 type StoreServer struct {
 	Engine *memstore.Engine
 	Faulty *memstore.Faulty
+	Auth   *Auth
 }
 
 // NewStoreServer returns a server over a new engine. The seed fixes which answers are lost.
 func NewStoreServer(seed uint64) *StoreServer {
 	engine := memstore.New()
-	return &StoreServer{Engine: engine, Faulty: memstore.NewFaulty(engine, seed)}
+	return &StoreServer{Engine: engine, Faulty: memstore.NewFaulty(engine, seed), Auth: NewAuth(nil)}
 }
 
 // Register adds the gateway and the fault settings to e.
 func (s *StoreServer) Register(e *echo.Echo) {
-	e.POST(etcdgw.PathRange, s.handleRange)
-	e.POST(etcdgw.PathTxn, s.handleTxn)
-	e.POST(etcdgw.PathDeleteRange, s.handleDeleteRange)
-	e.POST(etcdgw.PathLeaseGrant, s.handleGrant)
-	e.POST(etcdgw.PathLeaseRevoke, s.handleRevoke)
-	e.POST(etcdgw.PathKeepAlive, s.handleKeepAlive)
-	e.POST(etcdgw.PathWatch, s.handleWatch)
+	g := e.Group("", s.Auth.middleware)
+	g.POST(etcdgw.PathAuth, s.Auth.authenticate)
+	g.POST(etcdgw.PathRange, s.handleRange)
+	g.POST(etcdgw.PathTxn, s.handleTxn)
+	g.POST(etcdgw.PathDeleteRange, s.handleDeleteRange)
+	g.POST(etcdgw.PathLeaseGrant, s.handleGrant)
+	g.POST(etcdgw.PathLeaseRevoke, s.handleRevoke)
+	g.POST(etcdgw.PathKeepAlive, s.handleKeepAlive)
+	g.POST(etcdgw.PathWatch, s.handleWatch)
 	e.GET("/faults/store", func(c echo.Context) error { return c.JSON(http.StatusOK, s.Faulty.Faults()) })
 	e.PUT("/faults/store", s.handleFaults)
 	e.POST("/faults/store/cut-watches", func(c echo.Context) error {
@@ -112,6 +115,9 @@
 		return echo.NewHTTPError(http.StatusBadRequest, "unsupported transaction")
 	}
 	put := in.Success[0].Put
+	if !s.Auth.mayWrite(c, string(put.Key)) {
+		return denied(c, http.StatusForbidden, etcdgw.CodePermissionDenied, "permission denied")
+	}
 	res, err := s.Faulty.CompareAndSwap(c.Request().Context(), string(put.Key), in.Compare[0].ModRevision, put.Value, store.LeaseID(put.Lease))
 	if err != nil {
 		return storeError(c, err)
@@ -131,6 +137,9 @@
 	if err := c.Bind(&in); err != nil {
 		return err
 	}
+	if !s.Auth.mayWrite(c, string(in.Key)) {
+		return denied(c, http.StatusForbidden, etcdgw.CodePermissionDenied, "permission denied")
+	}
 	n, err := s.Faulty.DeleteRange(c.Request().Context(), string(in.Key), string(in.RangeEnd))
 	if err != nil {
 		return storeError(c, err)
--- /dev/null
+++ b/internal/platform/storeserver_test.go
@@ -0,0 +1,122 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/labstack/echo/v4"
+
+	"bamboofork/internal/platform"
+	"bamboofork/internal/settings"
+	"bamboofork/internal/store"
+	"bamboofork/internal/store/etcdgw"
+	"bamboofork/internal/store/memstore"
+)
+
+func startStore(t *testing.T, users map[string]platform.User) (*platform.StoreServer, string) {
+	s := platform.NewStoreServer(1)
+	s.Auth = platform.NewAuth(users)
+	e := echo.New()
+	s.Register(e)
+	srv := httptest.NewServer(e)
+	t.Cleanup(srv.Close)
+	return s, srv.URL
+}
+
+func client(t *testing.T, url string, creds etcdgw.Credentials) *etcdgw.Client {
+	c := etcdgw.NewClient(url, time.Second).WithCredentials(creds)
+	t.Cleanup(c.Close)
+	return c
+}
+
+// Guards against an adapter that reports a fault as the wrong outcome: each fault of the store through the protocol.
+func TestFaultsThroughTheProtocol(t *testing.T) {
+	ctx := context.Background()
+	s, url := startStore(t, nil)
+	c := client(t, url, etcdgw.Credentials{})
+	res, err := c.CompareAndSwap(ctx, "k", 0, []byte("one"), 0)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, res.Swapped, qt.IsTrue)
+	again, err := c.CompareAndSwap(ctx, "k", 0, []byte("two"), 0)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, again.Swapped, qt.IsFalse)
+	qt.Assert(t, string(again.Current.Value), qt.Equals, "one")
+
+	s.Faulty.Set(memstore.Faults{LoseAnswer: 1})
+	_, err = c.CompareAndSwap(ctx, "lost", 0, []byte("x"), 0)
+	qt.Assert(t, errors.Is(err, store.ErrUncertain), qt.IsTrue, qt.Commentf("%v", err))
+	s.Faulty.Set(memstore.Faults{})
+	kv, err := c.Get(ctx, "lost")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(kv.Value), qt.Equals, "x")
+
+	s.Faulty.Set(memstore.Faults{Down: true})
+	_, err = c.CompareAndSwap(ctx, "down", 0, nil, 0)
+	qt.Assert(t, errors.Is(err, store.ErrUnavailable), qt.IsTrue, qt.Commentf("%v", err))
+	s.Faulty.Set(memstore.Faults{Delay: 3 * time.Second})
+	_, err = c.CompareAndSwap(ctx, "slow", 0, nil, 0)
+	qt.Assert(t, errors.Is(err, store.ErrUncertain), qt.IsTrue, qt.Commentf("%v", err))
+	s.Faulty.Set(memstore.Faults{WritesPerSec: 1})
+	for err = nil; err == nil; {
+		_, err = c.CompareAndSwap(ctx, "k", -1, nil, 0)
+	}
+	qt.Assert(t, errors.Is(err, store.ErrRateLimited), qt.IsTrue, qt.Commentf("%v", err))
+	_, err = c.KeepAlive(ctx, 12345)
+	qt.Assert(t, err, qt.IsNotNil)
+	s.Faulty.Set(memstore.Faults{})
+	_, err = c.KeepAlive(ctx, 12345)
+	qt.Assert(t, errors.Is(err, store.ErrLeaseNotFound), qt.IsTrue, qt.Commentf("%v", err))
+	_, err = c.CompareAndSwap(ctx, "big", 0, make([]byte, store.MaxValueBytes+1), 0)
+	qt.Assert(t, errors.Is(err, store.ErrTooLarge), qt.IsTrue)
+}
+
+// Guards against a watch that misses or repeats changes after it was cut.
+func TestWatchContinuesAfterACut(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	s, url := startStore(t, nil)
+	c := client(t, url, etcdgw.Credentials{})
+	seen, next := []string{}, int64(1)
+	for i := range 6 {
+		_, err := c.CompareAndSwap(ctx, "w/"+string(rune('a'+i)), 0, []byte("v"), 0)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	for len(seen) < 6 {
+		watchCtx, stop := context.WithCancel(ctx)
+		batches, err := c.Watch(watchCtx, "w/", next)
+		qt.Assert(t, err, qt.IsNil)
+		for batch := range batches {
+			for _, ev := range batch.Events {
+				seen = append(seen, ev.KV.Key)
+				next = ev.KV.ModRevision + 1
+			}
+			s.Faulty.CutWatches()
+		}
+		stop()
+		qt.Assert(t, ctx.Err(), qt.IsNil)
+	}
+	qt.Assert(t, seen, qt.DeepEquals, []string{"w/a", "w/b", "w/c", "w/d", "w/e", "w/f"})
+}
+
+// Guards against settings edits by others than operators, and against a client that stays locked out after the store
+// forgot its tokens.
+func TestOperatorCredentials(t *testing.T) {
+	ctx := context.Background()
+	s, url := startStore(t, map[string]platform.User{"node": {Password: "n"}, "op": {Password: "o", Operator: true}})
+	weight := "5"
+	edit := settings.Edit{Author: "x", Changes: []settings.Change{{Branch: "shop", Set: map[string]*string{"weight": &weight}}}}
+	for _, creds := range []etcdgw.Credentials{{}, {User: "op", Password: "wrong"}, {User: "node", Password: "n"}} {
+		_, err := settings.NewRepository(client(t, url, creds), "w").Commit(ctx, 0, edit)
+		qt.Assert(t, errors.Is(err, store.ErrDenied), qt.IsTrue, qt.Commentf("%+v: %v", creds, err))
+	}
+	op := client(t, url, etcdgw.Credentials{User: "op", Password: "o"})
+	_, err := settings.NewRepository(op, "op").Commit(ctx, 0, edit)
+	qt.Assert(t, err, qt.IsNil)
+	s.Auth.DropTokens()
+	_, _, err = settings.NewRepository(op, "op").Load(ctx)
+	qt.Assert(t, err, qt.IsNil)
+}
--- /dev/null
+++ b/internal/store/etcdgw/auth.go
@@ -0,0 +1,61 @@
+package etcdgw
+
+import (
+	"context"
+	"errors"
+	"os"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"bamboofork/internal/store"
+)
+
+// errTokenExpired: the store does not know the token; the call had no effect.
+var errTokenExpired = errors.New("store token expired")
+
+// Credentials are a user of the store. The zero value means that the store asks for none.
+type Credentials struct {
+	User     string
+	Password string
+}
+
+// LoadCredentials reads a file with "user:password" in its first line. An empty name returns no credentials.
+func LoadCredentials(file string) (Credentials, error) {
+	if file == "" {
+		return Credentials{}, nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Credentials{}, eris.Wrap(err, "store credentials")
+	}
+	line, _, _ := strings.Cut(string(data), "\n")
+	user, password, ok := strings.Cut(strings.TrimSpace(line), ":")
+	if !ok || user == "" {
+		return Credentials{}, eris.Errorf("store credentials: %s: accepted form: user:password", file)
+	}
+	return Credentials{User: user, Password: password}, nil
+}
+
+// WithCredentials makes the client authenticate. It must be called before the first call to the store.
+func (c *Client) WithCredentials(creds Credentials) *Client {
+	c.creds = creds
+	return c
+}
+
+// authenticate obtains a token if credentials are set and there is none. Concurrent calls may obtain several.
+func (c *Client) authenticate(ctx context.Context) error {
+	if c.creds.User == "" || c.token.Load() != nil {
+		return nil
+	}
+	var out AuthResponse
+	err := c.callOnce(ctx, PathAuth, AuthRequest{Name: c.creds.User, Password: c.creds.Password}, &out, false)
+	if errors.Is(err, errTokenExpired) {
+		return store.ErrDenied
+	}
+	if err != nil {
+		return err
+	}
+	c.token.Store(&out.Token)
+	return nil
+}
--- a/internal/store/etcdgw/client.go
+++ b/internal/store/etcdgw/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -19,6 +20,7 @@
 const (
 	DefaultCallTimeout = 2 * time.Second
 	maxAnswerBytes     = 64 << 20 // a full range of a partition's log
+	maxErrorBytes      = 64 << 10
 	maxIdleConns       = 8
 )
 
@@ -27,6 +29,8 @@
 	base    string
 	timeout time.Duration
 	http    *http.Client
+	creds   Credentials
+	token   atomic.Pointer[string]
 }
 
 // NewClient returns a client for the gateway at the base URL ("http://127.0.0.1:2379").
@@ -52,6 +56,23 @@
 func (c *Client) call(ctx context.Context, path string, in, out any, write bool) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
+	if err := c.authenticate(ctx); err != nil {
+		return err
+	}
+	err := c.callOnce(ctx, path, in, out, write)
+	if errors.Is(err, errTokenExpired) { // refused without effect, so a repeat is safe
+		c.token.Store(nil)
+		if err = c.authenticate(ctx); err == nil {
+			err = c.callOnce(ctx, path, in, out, write)
+		}
+	}
+	if errors.Is(err, errTokenExpired) {
+		return store.ErrDenied
+	}
+	return err
+}
+
+func (c *Client) callOnce(ctx context.Context, path string, in, out any, write bool) error {
 	resp, err := c.post(ctx, path, in)
 	if err != nil {
 		return transportError(err, write)
@@ -80,6 +101,9 @@
 		return nil, eris.Wrap(err, "store request")
 	}
 	req.Header.Set("Content-Type", "application/json")
+	if token := c.token.Load(); token != nil {
+		req.Header.Set("Authorization", *token)
+	}
 	return c.http.Do(req)
 }
 
@@ -109,6 +133,10 @@
 		return store.ErrLeaseNotFound
 	case CodeOutOfRange:
 		return store.ErrCompacted
+	case CodeUnauthenticated:
+		return errTokenExpired
+	case CodePermissionDenied:
+		return store.ErrDenied
 	}
 	if write {
 		return store.ErrUncertain
@@ -204,6 +232,9 @@
 // Watch implements store.Store.
 func (c *Client) Watch(ctx context.Context, prefix string, from int64) (<-chan store.WatchBatch, error) {
 	in := WatchRequest{Create: WatchCreate{Key: []byte(prefix), RangeEnd: []byte(store.PrefixEnd(prefix)), StartRevision: from}}
+	if err := c.authenticate(ctx); err != nil {
+		return nil, err
+	}
 	watchCtx, cancel := context.WithCancel(ctx)
 	resp, err := c.post(watchCtx, PathWatch, in)
 	if err != nil {
@@ -213,7 +244,11 @@
 	if resp.StatusCode != http.StatusOK {
 		defer cancel()
 		defer resp.Body.Close()
-		body, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<16))
+		body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+		if err != nil {
+			return nil, transportError(err, false)
+		}
+		c.token.Store(nil) // the next attempt authenticates again
 		return nil, statusError(body, false)
 	}
 	out := make(chan store.WatchBatch)
--- a/internal/store/etcdgw/messages.go
+++ b/internal/store/etcdgw/messages.go
@@ -13,14 +13,17 @@
 	PathLeaseRevoke = "/v3/lease/revoke"
 	PathKeepAlive   = "/v3/lease/keepalive"
 	PathWatch       = "/v3/watch"
+	PathAuth        = "/v3/auth/authenticate"
 )
 
 // Error codes of the gateway (gRPC status codes).
 const (
 	CodeNotFound          = 5
+	CodePermissionDenied  = 7
 	CodeResourceExhausted = 8
 	CodeOutOfRange        = 11
 	CodeUnavailable       = 14
+	CodeUnauthenticated   = 16
 	CodeUnknown           = 2
 )
 
@@ -149,6 +152,18 @@
 	} `json:"result"`
 }
 
+// AuthRequest asks for a token.
+type AuthRequest struct {
+	Name     string `json:"name"`
+	Password string `json:"password"`
+}
+
+// AuthResponse carries the token for the Authorization header of later calls.
+type AuthResponse struct {
+	Header Header `json:"header"`
+	Token  string `json:"token"`
+}
+
 // ErrorBody is the body of an answer that is not 200.
 type ErrorBody struct {
 	Error   string `json:"error"`
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -21,6 +21,8 @@
 	ErrLeaseNotFound = errors.New("lease not found")
 	// ErrCompacted: the watch's start revision is no longer available.
 	ErrCompacted = errors.New("revision compacted")
+	// ErrDenied: the store refused the credentials or the user may not do this; the call had no effect.
+	ErrDenied = errors.New("store access denied")
 	// ErrTooLarge: the value exceeds MaxValueBytes.
 	ErrTooLarge = errors.New("value too large")
 )
