Share slots hierarchically, route by cost, shed early

Cause: The gate's queue knew only branches, so one caller or many addresses could starve their branch and a flood in a full queue refused everyone alike; picking a server copied and locked the member list for each request and ignored the load in answers; an entry had no limits and one retry budget for all branches. Ruled out: a queue for each caller without a bound (state grows with addresses) and limits shared among entries (needs agreement). Change: The gate queues by branch path, address prefix and caller with a bounded tree and charges the time on the slot; route reads an immutable view with atomic estimates and has policies cost, random and round-robin with ejection, cap, warm-up and spill-over; package limit has caller rates in a fixed table and a concurrency limit for each branch from the wait at the gates; retry has budgets by branch and the rule of what may be tried again; entries pass the caller's address, found behind trusted proxies.

--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -33,7 +33,9 @@
 	}
 	ctx, cancel := requestContext(r, branch)
 	defer cancel()
-	release, err := a.admit(ctx, branch)
+	arrived := time.Now()
+	release, err := a.admit(ctx, r, branch)
+	setWait(w, time.Since(arrived))
 	if err != nil {
 		a.refuse(w, r, refusalStatus(err), err.Error())
 		return
@@ -64,11 +66,13 @@
 	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
 }
 
-func (a *Agent) admit(ctx context.Context, branch *settings.Effective) (func(), error) {
+func (a *Agent) admit(ctx context.Context, r *http.Request, branch *settings.Effective) (func(), error) {
 	if branch.Class == settings.ClassStream {
 		return a.gate.AcquireStream()
 	}
-	return a.gate.AcquireSlot(ctx, branch.Branch, branch.Weight, branch.QueueTimeout)
+	flow, own := flowOf(a.live.Current(), branch, r.Header.Get(wire.HeaderCaller))
+	deadline, _ := ctx.Deadline()
+	return a.gate.AcquireSlot(ctx, gate.Request{Flow: flow, Branch: own, Timeout: branch.QueueTimeout, Deadline: deadline})
 }
 
 func refusalStatus(err error) int {
@@ -94,6 +98,11 @@
 	w.Header().Set(wire.HeaderQueued, strconv.Itoa(u.Queued))
 }
 
+// setWait reports the time at the gate, so that the entry can tell queueing from service.
+func setWait(w http.ResponseWriter, waited time.Duration) {
+	w.Header().Set(wire.HeaderWaitUs, strconv.FormatInt(waited.Microseconds(), 10))
+}
+
 // hopHeaders are not passed on.
 var hopHeaders = []string{"Connection", "Keep-Alive", "Transfer-Encoding", "Upgrade", "Te", "Trailer", "Proxy-Connection", "Proxy-Authorization"}
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,13 +9,17 @@
 	"io"
 	"os"
 	"regexp"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"go.yaml.in/yaml/v3"
 
+	"bamboofork/internal/callers"
+	"bamboofork/internal/route"
 	"bamboofork/internal/worker"
 )
 
@@ -44,21 +48,23 @@
 
 // Process is the settings file of one process.
 type Process struct {
-	ID            string        `yaml:"id"`
-	Region        string        `yaml:"region"`
-	Domain        string        `yaml:"domain"`
-	Rack          string        `yaml:"rack"`
-	Listen        Listen        `yaml:"listen"`
-	Store         string        `yaml:"store"`          // base URL
-	Seeds         []string      `yaml:"seeds"`          // control addresses of some processes
-	Partitions    int           `yaml:"partitions"`     // of the fleet, default 4
-	MaxPartitions int           `yaml:"max_partitions"` // owned by this agent at most, default 2
-	LeaseTTL      time.Duration `yaml:"lease_ttl"`      // store lease, default 10s
-	OutageHold    time.Duration `yaml:"outage_hold"`    // default 15m
-	Drain         time.Duration `yaml:"drain"`          // bound on a planned stop, default 30s
-	LogLevel      string        `yaml:"log_level"`      // debug, info, warn or error; default info
-	Backend       Backend       `yaml:"backend"`
-	Worker        Worker        `yaml:"worker"`
+	ID             string        `yaml:"id"`
+	Region         string        `yaml:"region"`
+	Domain         string        `yaml:"domain"`
+	Rack           string        `yaml:"rack"`
+	Listen         Listen        `yaml:"listen"`
+	Store          string        `yaml:"store"`           // base URL
+	Seeds          []string      `yaml:"seeds"`           // control addresses of some processes
+	Partitions     int           `yaml:"partitions"`      // of the fleet, default 4
+	MaxPartitions  int           `yaml:"max_partitions"`  // owned by this agent at most, default 2
+	LeaseTTL       time.Duration `yaml:"lease_ttl"`       // store lease, default 10s
+	OutageHold     time.Duration `yaml:"outage_hold"`     // default 15m
+	Drain          time.Duration `yaml:"drain"`           // bound on a planned stop, default 30s
+	LogLevel       string        `yaml:"log_level"`       // debug, info, warn or error; default info
+	Routing        string        `yaml:"routing"`         // entries: cost, random or round-robin; default cost
+	TrustedProxies []string      `yaml:"trusted_proxies"` // entries: prefixes of load balancers whose X-Forwarded-For is believed
+	Backend        Backend       `yaml:"backend"`
+	Worker         Worker        `yaml:"worker"`
 }
 
 // Defaults of Process.
@@ -134,6 +140,7 @@
 	setDefault(&p.OutageHold, DefaultOutageHold)
 	setDefault(&p.Drain, DefaultDrain)
 	setDefault(&p.LogLevel, "info")
+	setDefault(&p.Routing, route.DefaultPolicy)
 	setDefault(&p.Backend.MaxQueue, DefaultMaxQueue)
 }
 
@@ -160,6 +167,8 @@
 	check(p.Store != "", "store", "a base URL such as http://127.0.0.1:2379 is required")
 	check(p.Partitions > 0 && p.Partitions <= maxPartitions, "partitions", "accepted: 1 to 256")
 	check(p.LeaseTTL >= time.Second, "lease_ttl", "accepted: 1s or more")
+	_, proxyErr := callers.ParseTrusted(p.TrustedProxies)
+	check(proxyErr == nil, "trusted_proxies", "accepted: address prefixes such as 10.0.0.0/8")
 	_, levelErr := zerolog.ParseLevel(p.LogLevel)
 	check(levelErr == nil, "log_level", "accepted: debug, info, warn, error")
 	if agent {
@@ -170,6 +179,7 @@
 		check(p.Backend.Conns >= p.Backend.Slots, "backend.conns", "accepted: at least backend.slots")
 		check(p.Worker.URL != "", "worker.url", "a base URL is required")
 	} else {
+		check(slices.Contains(route.Policies(), p.Routing), "routing", "accepted: "+strings.Join(route.Policies(), ", "))
 		check(p.Listen.Callers != "", "listen.callers", "an address ip:port is required")
 	}
 	return errors.Join(errs...)
--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -4,6 +4,7 @@
 package dev
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -43,7 +44,9 @@
 	LeaseTTL     time.Duration
 	OutageHold   time.Duration
 	Drain        time.Duration
-	FirstPort    int // 0: any free ports
+	FirstPort    int    // 0: any free ports
+	Routing      string // routing policy of the entries, "": the default
+	MaxQueue     int    // waiting requests of one branch at a gate, 0: the default
 }
 
 // Fleet is a running fleet. mu guards the maps.
@@ -183,6 +186,7 @@
 }
 
 func (f *Fleet) startEntry(i int) error {
+	p := f.Profile
 	id := fmt.Sprintf("entry-%d", i+1)
 	cfg, err := f.process(id, i)
 	if err != nil {
@@ -191,6 +195,8 @@
 	if cfg.Listen.Callers, err = f.callerAddr(i); err != nil {
 		return err
 	}
+	cfg.Routing = p.Routing
+	cfg.TrustedProxies = []string{"127.0.0.0/8"} // load runs stand for many callers by X-Forwarded-For
 	n, err := node.NewEntry(cfg, f.log)
 	if err != nil {
 		return err
@@ -232,7 +238,7 @@
 	if cfg.Listen.Data, err = FreeAddr(); err != nil {
 		return err
 	}
-	cfg.Backend = config.Backend{Name: p.Backend, Addr: backendURL[len("http://"):], Slots: p.Slots, Conns: p.Conns, MaxQueue: config.DefaultMaxQueue}
+	cfg.Backend = config.Backend{Name: p.Backend, Addr: backendURL[len("http://"):], Slots: p.Slots, Conns: p.Conns, MaxQueue: cmp.Or(p.MaxQueue, config.DefaultMaxQueue)}
 	cfg.Worker = config.Worker{URL: workerURL, Reserve: p.Reserve}
 	return f.addAgent(&Host{Config: cfg, Worker: w, Backend: b})
 }
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -43,11 +43,17 @@
 	r.DELETE(PathJobs+"/:id", e.handleCancel)
 }
 
+// defaultRetryAfter is the Retry-After of refusals without a better estimate, in seconds.
+const defaultRetryAfter = "1"
+
 func problem(c echo.Context, status int, outcome wire.Outcome, id, detail string) error {
 	h := c.Response().Header()
 	h.Set(echo.HeaderContentType, "application/problem+json")
 	h.Set(wire.HeaderOutcome, string(outcome))
 	h.Set(wire.HeaderRequestID, id)
+	if (status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable) && h.Get(echo.HeaderRetryAfter) == "" {
+		h.Set(echo.HeaderRetryAfter, defaultRetryAfter)
+	}
 	return c.JSON(status, Problem{Title: http.StatusText(status), Status: status, Detail: detail, Outcome: outcome, RequestID: id})
 }
 
@@ -63,6 +69,10 @@
 	if !branch.Idempotent && key == "" {
 		return problem(c, http.StatusBadRequest, wire.OutcomeNotRun, id, "the branch is not idempotent; send an Idempotency-Key")
 	}
+	caller := e.trusted.Address(r)
+	if refusal := e.limiter.Rate(branch, caller, time.Now()); refusal != nil {
+		return e.shed(c, &Request{ID: id, Branch: branch, Caller: caller}, refusal)
+	}
 	body, tooLarge, err := readBody(r.Body, branch.BodyLimit)
 	if err != nil {
 		return problem(c, http.StatusBadRequest, wire.OutcomeNotRun, id, "request body: "+err.Error())
@@ -73,6 +83,7 @@
 	req := &Request{
 		ID: id, Branch: branch, Method: r.Method, Path: "/" + rest, Query: r.URL.RawQuery,
 		Header: callerHeader(r.Header), Body: body, Deadline: time.Now().Add(branch.Deadline),
+		Caller: caller,
 	}
 	return e.answer(c, req, key)
 }
@@ -97,7 +108,12 @@
 		defer cancel()
 	}
 	started := time.Now()
-	var out *Answer
+	permit, refusal := e.limiter.Admit(req.Branch, req.Caller, started)
+	if refusal != nil {
+		return e.shed(c, req, refusal)
+	}
+	out := &Answer{Waited: -1}
+	defer func() { permit.Done(out.Waited, out.Overload, time.Now()) }()
 	if req.Branch.Idempotent {
 		out = e.Send(ctx, req)
 	} else {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,7 +9,9 @@
 
 	"github.com/rs/zerolog"
 
+	"bamboofork/internal/callers"
 	"bamboofork/internal/events"
+	"bamboofork/internal/limit"
 	"bamboofork/internal/membership"
 	"bamboofork/internal/partition"
 	"bamboofork/internal/peer"
@@ -39,13 +41,23 @@
 	budget   *retry.Budget
 	metrics  *telemetry.Registry
 	client   *http.Transport
+	trusted  callers.Trusted
+	limiter  *limit.Limiter
 }
 
-// New returns an entry in the failure domain.
-func New(id, domain string, live *settings.Live, table *membership.Table, dir *partition.Directory, pool *peer.Pool, metrics *telemetry.Registry, log zerolog.Logger) *Entry {
+// Options are the parts of an entry's process configuration that concern routing.
+type Options struct {
+	Domain  string          // failure domain of the entry
+	Policy  string          // routing policy, see route.Policies; "" takes the default
+	Trusted callers.Trusted // proxies whose X-Forwarded-For is believed
+}
+
+// New returns an entry.
+func New(id string, opts Options, live *settings.Live, table *membership.Table, dir *partition.Directory, pool *peer.Pool, metrics *telemetry.Registry, log zerolog.Logger) *Entry {
 	return &Entry{
 		ID: id, log: log, live: live, table: table, dir: dir, pool: pool, metrics: metrics,
-		balancer: route.New(domain, table), budget: retry.NewBudget(), client: newTransport(),
+		balancer: route.New(route.Config{Domain: opts.Domain, Policy: opts.Policy, Log: log}, table), budget: retry.NewBudget(), client: newTransport(),
+		trusted: opts.Trusted, limiter: limit.New(),
 	}
 }
 
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -48,19 +48,19 @@
 	case err == nil && reply.Code == wire.CodeOK:
 		return reply, nil
 	case err == nil && reply.Code == wire.CodeNoStore, errors.Is(err, partition.ErrNotOwner), errors.Is(err, peer.ErrNotSent), errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrRateLimited):
-		return reply, &Answer{Outcome: wire.OutcomeNotRun, Status: http.StatusServiceUnavailable, Reason: "the key could not be claimed"}
+		return reply, &Answer{Outcome: wire.OutcomeNotRun, Status: http.StatusServiceUnavailable, Reason: "the key could not be claimed", Waited: -1}
 	}
 	// The claim may be durable, but this entry dispatches nothing, so the request does not run.
-	return reply, &Answer{Outcome: wire.OutcomeNotRun, Status: http.StatusServiceUnavailable, Reason: "the claim of the key was not confirmed; the request was not dispatched"}
+	return reply, &Answer{Outcome: wire.OutcomeNotRun, Status: http.StatusServiceUnavailable, Reason: "the claim of the key was not confirmed; the request was not dispatched", Waited: -1}
 }
 
 // earlierOutcome answers a repeated key.
 func earlierOutcome(c ledger.Claim) *Answer {
 	if !c.Done {
-		return &Answer{Outcome: wire.OutcomeUnknown, Status: http.StatusConflict, Reason: "a request with this key is open"}
+		return &Answer{Outcome: wire.OutcomeUnknown, Status: http.StatusConflict, Reason: "a request with this key is open", Waited: -1}
 	}
 	if wire.Outcome(c.Outcome) != wire.OutcomeDone {
-		return &Answer{Outcome: wire.Outcome(c.Outcome), Status: http.StatusBadGateway, Reason: "recorded outcome of the earlier request"}
+		return &Answer{Outcome: wire.Outcome(c.Outcome), Status: http.StatusBadGateway, Reason: "recorded outcome of the earlier request", Waited: -1}
 	}
 	header := http.Header{}
 	for name, value := range c.Header {
@@ -71,7 +71,7 @@
 		header.Set("Bf-Body", "not kept")
 	}
 	resp := &http.Response{StatusCode: c.Status, Header: header, Body: io.NopCloser(bytes.NewReader(c.Body))}
-	return &Answer{Outcome: wire.OutcomeDone, Response: resp}
+	return &Answer{Outcome: wire.OutcomeDone, Response: resp, Waited: -1}
 }
 
 // recordOutcome stores the outcome with the claim. A request that was proven not to run gives its key back.
@@ -82,7 +82,7 @@
 		body, err := io.ReadAll(out.Response.Body)
 		out.Close(err != nil)
 		if err != nil {
-			out = &Answer{Outcome: wire.OutcomeUnknown, Status: http.StatusBadGateway, Reason: "answer was cut off: " + err.Error()}
+			out = &Answer{Outcome: wire.OutcomeUnknown, Status: http.StatusBadGateway, Reason: "answer was cut off: " + err.Error(), Waited: -1}
 			claim.Outcome = string(wire.OutcomeUnknown)
 		} else {
 			out.Response.Body = io.NopCloser(bytes.NewReader(body))
--- /dev/null
+++ b/internal/entry/shed.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"bamboofork/internal/events"
+	"bamboofork/internal/limit"
+	"bamboofork/internal/wire"
+)
+
+// shed answers a request that a limit refused before anything was done for it.
+func (e *Entry) shed(c echo.Context, req *Request, r *limit.Refusal) error {
+	status, counter := http.StatusTooManyRequests, "entry_shed_rate"
+	if r.Overload {
+		status, counter = http.StatusServiceUnavailable, "entry_shed_overload"
+	}
+	e.metrics.Counter(counter).Inc(1)
+	events.RequestShed.Log(&e.log).Str("request", req.ID).Str("branch", req.Branch.Branch).Str("caller", req.Caller.String()).
+		Str("reason", r.Reason).Send()
+	c.Response().Header().Set(echo.HeaderRetryAfter, retryAfterSeconds(r.RetryAfter))
+	return problem(c, status, wire.OutcomeNotRun, req.ID, r.Reason)
+}
+
+// retryAfterSeconds rounds up, because the header has whole seconds.
+func retryAfterSeconds(d time.Duration) string {
+	return strconv.Itoa(max(1, int(math.Ceil(d.Seconds()))))
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -1,11 +1,11 @@
 // Package gate is the atomic admission control of one host. It is the only authority
 // over the backend server's slots and connections and over the worker's resources; a
 // refusal proves that the work was not run. Waiting requests share the slots by the
-// weights of their branches (start-time fair queuing), over all entries.
+// weights of their branches, then by address prefix, then by caller (hierarchical
+// start-time fair queuing), over all entries.
 package gate
 
 import (
-	"container/heap"
 	"context"
 	"errors"
 	"sync"
@@ -33,20 +33,6 @@
 	Room     worker.Resources // for batch tasks
 }
 
-// waiter is a request in the queue. index is its place in the heap, -1 outside.
-type waiter struct {
-	branch string
-	start  float64 // virtual start time
-	order  int64
-	index  int
-	ready  chan struct{}
-}
-
-type flow struct {
-	finish float64 // virtual finish time of the branch's newest request
-	queued int
-}
-
 // Gate admits work to one host. mu guards all fields below it.
 type Gate struct {
 	cfg Config
@@ -54,10 +40,8 @@
 	mu      sync.Mutex
 	busy    int
 	streams int
-	queue   waitQueue
-	flows   map[string]*flow
-	virtual float64
-	order   int64
+	queue   *fairQueue
+	mean    float64 // EWMA of the time a request holds a slot, in seconds; 0 before the first release
 	leaving bool
 	room    worker.Resources            // free for batch tasks
 	tasks   map[string]worker.Resources // admitted batch tasks by name
@@ -66,7 +50,7 @@
 
 // New returns an idle gate.
 func New(cfg Config) *Gate {
-	return &Gate{cfg: cfg, flows: map[string]*flow{}, room: cfg.Room, tasks: map[string]worker.Resources{}}
+	return &Gate{cfg: cfg, queue: newFairQueue(cfg.MaxQueue), room: cfg.Room, tasks: map[string]worker.Resources{}}
 }
 
 // Usage is a gate's state at one moment.
@@ -80,73 +64,82 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return Usage{
-		Slots: g.cfg.Slots, Busy: g.busy, Queued: len(g.queue),
+		Slots: g.cfg.Slots, Busy: g.busy, Queued: g.queue.len(),
 		Conns: g.busy + g.streams, ConnsMax: g.cfg.Conns,
 		Room: g.cfg.Room, Free: g.room,
 	}
 }
 
-// AcquireSlot waits for a slot until ctx or timeout ends. The caller must release it exactly once.
-func (g *Gate) AcquireSlot(ctx context.Context, branch string, weight int, timeout time.Duration) (release func(), err error) {
-	w, err := g.enqueue(branch, weight)
+// Request describes a request for a slot.
+type Request struct {
+	Flow     []Share       // from the outermost branch to the caller; must not be empty
+	Branch   int           // index in Flow of the branch whose waiting requests MaxQueue bounds
+	Timeout  time.Duration // longest wait for the slot
+	Deadline time.Time     // end of the whole request; zero: none
+}
+
+// AcquireSlot waits for a slot until ctx, the timeout or the deadline ends. The caller must release it exactly once.
+// An error proves that no slot was granted.
+func (g *Gate) AcquireSlot(ctx context.Context, r Request) (release func(), err error) {
+	w, err := g.enqueue(r, time.Now())
 	if err != nil {
 		return nil, err
 	}
-	timer := time.NewTimer(timeout)
+	timer := time.NewTimer(time.Until(w.expires))
 	defer timer.Stop()
 	select {
 	case <-w.ready:
-		return sync.OnceFunc(g.releaseSlot), nil
 	case <-timer.C:
+		g.abandon(w)
 	case <-ctx.Done():
+		g.abandon(w)
 	}
-	if g.abandon(w) {
-		return nil, ErrExpired
+	<-w.ready // granted or refused; abandon refuses a waiter that was not granted in the same moment
+	if w.err != nil {
+		return nil, w.err
 	}
-	return sync.OnceFunc(g.releaseSlot), nil // the slot was granted in the same moment
+	return sync.OnceFunc(func() { g.releaseSlot(w) }), nil
 }
 
-func (g *Gate) enqueue(branch string, weight int) (*waiter, error) {
+func (g *Gate) enqueue(r Request, now time.Time) (*waiter, error) {
+	w := newWaiter(r, now)
+	if !w.expires.After(now) && r.Timeout > 0 {
+		return nil, ErrExpired
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.leaving {
 		return nil, ErrLeaving
 	}
-	f := g.flows[branch]
-	if f == nil {
-		f = &flow{}
-		g.flows[branch] = f
+	if r.Timeout <= 0 && !g.free() {
+		return nil, ErrExpired
 	}
-	if f.queued >= g.cfg.MaxQueue {
+	if !g.queue.push(w, r) {
 		return nil, ErrQueue
 	}
-	g.order++
-	w := &waiter{branch: branch, start: max(g.virtual, f.finish), order: g.order, ready: make(chan struct{})}
-	f.finish = w.start + 1/float64(max(1, weight))
-	f.queued++
-	heap.Push(&g.queue, w)
-	g.dispatch()
+	g.dispatch(now)
 	return w, nil
 }
 
-// dispatch grants free slots in the order of virtual start times.
-func (g *Gate) dispatch() {
-	for len(g.queue) > 0 && g.busy < g.cfg.Slots && g.busy+g.streams < g.cfg.Conns {
-		w := heap.Pop(&g.queue).(*waiter)
-		g.virtual = max(g.virtual, w.start)
-		g.busy++
-		g.leaveFlow(w.branch)
-		close(w.ready)
-	}
-	g.checkRoom()
+// free reports whether a slot and a connection are free.
+func (g *Gate) free() bool {
+	return g.busy < g.cfg.Slots && g.busy+g.streams < g.cfg.Conns
 }
 
-func (g *Gate) leaveFlow(branch string) {
-	f := g.flows[branch]
-	f.queued--
-	if f.queued == 0 && f.finish <= g.virtual {
-		delete(g.flows, branch)
+// dispatch grants free slots in fair order. A waiter whose time is over is refused before it takes a slot.
+func (g *Gate) dispatch(now time.Time) {
+	for g.queue.len() > 0 && g.free() {
+		w := g.queue.pop()
+		if w.timeout > 0 && !w.expires.After(now) {
+			w.finish(ErrExpired)
+			continue
+		}
+		w.granted = now
+		g.busy++
+		w.finish(nil)
 	}
+	g.checkRoom()
+	g.checkQueue()
 }
 
 func (g *Gate) checkRoom() {
@@ -155,23 +148,37 @@
 		"%d slots and %d streams on %d connections", g.busy, g.streams, g.cfg.Conns)
 }
 
-// abandon removes a waiter; false means that it was granted already.
-func (g *Gate) abandon(w *waiter) bool {
+// checkQueue asserts that no slot stays free while a request waits.
+func (g *Gate) checkQueue() {
+	invariant.Check(g.queue.len() == 0 || !g.free(), "gate_work_conserving",
+		"%d waiting with %d of %d slots in use", g.queue.len(), g.busy, g.cfg.Slots)
+}
+
+// abandon refuses a waiter that still waits; it has no effect on one that was granted or refused already.
+func (g *Gate) abandon(w *waiter) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if w.index < 0 {
-		return false
+	if g.queue.remove(w) {
+		w.finish(ErrExpired)
+		g.signalIdle()
 	}
-	heap.Remove(&g.queue, w.index)
-	g.leaveFlow(w.branch)
-	return true
 }
 
-func (g *Gate) releaseSlot() {
+// meanShare is the weight of the newest sample in the mean time on a slot.
+const meanShare = 0.05
+
+func (g *Gate) releaseSlot(w *waiter) {
+	now := time.Now()
+	held := now.Sub(w.granted).Seconds()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.busy--
-	g.dispatch()
+	if g.mean == 0 {
+		g.mean = held
+	}
+	g.queue.correct(w, held, g.mean)
+	g.mean += meanShare * (held - g.mean)
+	g.dispatch(now)
 	g.signalIdle()
 }
 
@@ -191,7 +198,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.streams--
-		g.dispatch()
+		g.dispatch(time.Now())
 		g.signalIdle()
 	}), nil
 }
@@ -262,41 +269,8 @@
 }
 
 func (g *Gate) signalIdle() {
-	if g.idle != nil && g.busy == 0 && g.streams == 0 && len(g.queue) == 0 {
+	if g.idle != nil && g.busy == 0 && g.streams == 0 && g.queue.len() == 0 {
 		close(g.idle)
 		g.idle = nil
 	}
 }
-
-// waitQueue is a heap by virtual start time, then arrival.
-type waitQueue []*waiter
-
-func (q waitQueue) Len() int { return len(q) }
-
-func (q waitQueue) Less(i, j int) bool {
-	if q[i].start != q[j].start {
-		return q[i].start < q[j].start
-	}
-	return q[i].order < q[j].order
-}
-
-func (q waitQueue) Swap(i, j int) {
-	q[i], q[j] = q[j], q[i]
-	q[i].index, q[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (q *waitQueue) Push(x any) {
-	w := x.(*waiter)
-	w.index = len(*q)
-	*q = append(*q, w)
-}
-
-// Pop implements heap.Interface.
-func (q *waitQueue) Pop() any {
-	old := *q
-	w := old[len(old)-1]
-	w.index = -1
-	*q = old[:len(old)-1]
-	return w
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 
 	"bamboofork/internal/agent"
 	"bamboofork/internal/app"
+	"bamboofork/internal/callers"
 	"bamboofork/internal/config"
 	"bamboofork/internal/dissemination"
 	"bamboofork/internal/entry"
@@ -81,7 +82,12 @@
 	if err != nil {
 		return nil, err
 	}
-	e := entry.New(cfg.ID, cfg.Domain, b.live, b.table, b.dir, b.pool, b.reg, b.log)
+	trusted, err := callers.ParseTrusted(cfg.TrustedProxies)
+	if err != nil {
+		return nil, eris.Wrap(err, "trusted_proxies")
+	}
+	opts := entry.Options{Domain: cfg.Domain, Policy: cfg.Routing, Trusted: trusted}
+	e := entry.New(cfg.ID, opts, b.live, b.table, b.dir, b.pool, b.reg, b.log)
 	n := b.node()
 	n.Entry = e
 	callers := newEcho()
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,45 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bamboofork/internal/retry"
+	"bamboofork/internal/wire"
+)
+
+// Guards against retries that multiply load, and against one branch that uses up the retries of another.
+func TestBudget(t *testing.T) {
+	b := retry.NewBudget()
+	retries := 0
+	for range 10_000 {
+		b.Deposit("a", 0.1)
+		for b.Withdraw("a") {
+			retries++
+		}
+	}
+	qt.Check(t, retries >= 999 && retries <= 1003, qt.IsTrue, qt.Commentf("%d retries", retries))
+	b.Deposit("b", 0.1)
+	qt.Check(t, b.Withdraw("b"), qt.IsTrue)
+}
+
+// Guards against a second run of a request that must not run twice.
+func TestRefuse(t *testing.T) {
+	now := time.Now()
+	later := now.Add(time.Second)
+	for _, c := range []struct {
+		attempt retry.Attempt
+		want    string
+	}{
+		{retry.Attempt{Number: 1, Outcome: wire.OutcomeNotRun, Once: true, Deadline: later}, ""},
+		{retry.Attempt{Number: 1, Outcome: wire.OutcomeUnknown, Once: true, Deadline: later}, retry.ReasonUnsafe},
+		{retry.Attempt{Number: 1, Outcome: wire.OutcomeUnknown, Deadline: later}, ""},
+		{retry.Attempt{Number: 3, Outcome: wire.OutcomeNotRun, Deadline: later}, retry.ReasonAttempts},
+		{retry.Attempt{Number: 1, Outcome: wire.OutcomeNotRun, Deadline: now}, retry.ReasonDeadline},
+		{retry.Attempt{Number: 1, Outcome: wire.OutcomeFailed, Deadline: later}, retry.ReasonDone},
+	} {
+		qt.Check(t, c.attempt.Refuse(now), qt.Equals, c.want)
+	}
+}
--- /dev/null
+++ b/internal/route/policy_random.go
@@ -0,0 +1,15 @@
+package route
+
+// randomPolicy takes any eligible server; it is a baseline for measurements.
+type randomPolicy struct{}
+
+// Name implements Policy.
+func (randomPolicy) Name() string { return PolicyRandom }
+
+// Choose implements Policy.
+func (randomPolicy) Choose(q *query) *Server {
+	if found := q.sample(q.pool.all, 1, true, q.scratch[:0]); len(found) > 0 {
+		return found[0]
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/route/policy_roundrobin.go
@@ -0,0 +1,18 @@
+package route
+
+import "sync/atomic"
+
+// roundRobinPolicy takes the eligible servers in turn; it is a baseline for measurements.
+type roundRobinPolicy struct{ next atomic.Uint64 }
+
+// Name implements Policy.
+func (*roundRobinPolicy) Name() string { return PolicyRoundRobin }
+
+// Choose implements Policy.
+func (p *roundRobinPolicy) Choose(q *query) *Server {
+	if len(q.pool.all) == 0 {
+		return nil
+	}
+	turn := p.next.Add(1) % uint64(len(q.pool.all))
+	return q.firstEligible(q.pool.all, int(turn))
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -1,15 +1,19 @@
 // Package route chooses a backend server for a request at an entry. The entry sees
 // each server's load late: from the headers of answers, from membership reports, and
-// from what it has in flight itself.
+// from what it has in flight itself. A request reads an immutable view of the pool and
+// atomic estimates; it neither copies nor locks the member list.
 package route
 
 import (
-	"fmt"
 	"math/rand/v2"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"bamboofork/internal/events"
+	"bamboofork/internal/invariant"
 	"bamboofork/internal/membership"
 )
 
@@ -18,135 +22,141 @@
 	Members() []membership.Status
 }
 
-// domainPenalty is the load, in slots' shares, that a server in another failure domain must be less loaded by. It
-// stands for the delay and the cost of the link between the domains.
-const domainPenalty = 0.25
-
-// choices is the number of random candidates that are compared.
-const choices = 2
-
-// Candidate is a backend server with this entry's knowledge of it.
-type Candidate struct {
-	membership.Status
-	Score float64
-}
-
-// Decision is a choice with what is needed to explain it.
-type Decision struct {
-	Chosen   *Candidate
-	Rejected []string // "id: reason"
-}
+// refreshInterval is the age at which the view is rebuilt from the member list. Membership reports arrive every
+// 200 to 300 ms, so a shorter interval would find nothing new.
+const refreshInterval = 100 * time.Millisecond
 
-// Explain renders the decision as one line.
-func (d Decision) Explain() string {
-	chosen := "none"
-	if d.Chosen != nil {
-		chosen = fmt.Sprintf("%s with score %.2f", d.Chosen.ID, d.Chosen.Score)
-	}
-	return chosen + "; rejected " + strings.Join(d.Rejected, ", ")
-}
-
-type serverState struct {
-	inflight int
-	failures int
-	until    time.Time // ejected until
-}
-
-// Balancer chooses servers for one entry. mu guards servers.
+// Balancer chooses servers for one entry. build guards known and is held while a view is built; requests only load
+// view.
 type Balancer struct {
 	domain  string
 	members Members
+	policy  Policy
+	log     zerolog.Logger
+	started time.Time
+	random  func(n int) int
+
+	build sync.Mutex
+	known map[string]*server
+	view  atomic.Pointer[view]
+}
 
-	mu      sync.Mutex
-	servers map[string]*serverState
+// Config configures a Balancer.
+type Config struct {
+	Domain string // failure domain of the entry
+	Policy string // name of a policy; "" takes DefaultPolicy
+	Random func(n int) int
+	Log    zerolog.Logger
 }
 
-// New returns a balancer for an entry in the failure domain.
-func New(domain string, members Members) *Balancer {
-	return &Balancer{domain: domain, members: members, servers: map[string]*serverState{}}
+// New returns a balancer. Random is the source of choices in [0, n); nil takes the process's random source. An unknown
+// policy falls back to the default; package config refuses it earlier.
+func New(cfg Config, members Members) *Balancer {
+	b := &Balancer{
+		domain: cfg.Domain, members: members, policy: newPolicy(cfg.Policy), log: cfg.Log,
+		started: time.Now(), random: cfg.Random, known: map[string]*server{},
+	}
+	if b.random == nil {
+		b.random = rand.IntN
+	}
+	return b
 }
 
-// Pick chooses a server of the pool that is not in avoid. Done must be called with the outcome.
-func (b *Balancer) Pick(pool string, avoid map[string]bool) Decision {
-	d := Decision{}
-	eligible := []Candidate{}
+// Pick chooses a server of the pool that is not in avoid. Picked.Done must be called exactly once if a server is
+// chosen.
+func (b *Balancer) Pick(pool string, avoid Avoid) Decision {
 	now := time.Now()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, m := range b.members.Members() {
-		if m.Role != membership.RoleAgent || m.Load.Backend != pool {
-			continue
-		}
-		if reason := b.reject(m, avoid, now); reason != "" {
-			d.Rejected = append(d.Rejected, m.ID+": "+reason)
-			continue
-		}
-		eligible = append(eligible, Candidate{Status: m, Score: b.score(m)})
-	}
-	rand.Shuffle(len(eligible), func(i, j int) { eligible[i], eligible[j] = eligible[j], eligible[i] })
-	for i := range eligible[:min(choices, len(eligible))] {
-		if d.Chosen == nil || eligible[i].Score < d.Chosen.Score {
-			d.Chosen = &eligible[i]
-		}
+	v := b.current(now)
+	p := v.pools[pool]
+	if p == nil {
+		return Decision{Policy: b.policy.Name(), None: "no server of pool " + pool + " is known"}
 	}
-	if d.Chosen != nil {
-		b.state(d.Chosen.ID).inflight++
+	q := &query{balancer: b, pool: p, avoid: avoid, now: now}
+	q.decision.Policy = b.policy.Name()
+	if s := b.policy.Choose(q); s != nil {
+		q.decision.choose(s, now)
+	} else {
+		q.decision.None = "no server of pool " + pool + " is eligible"
 	}
-	return d
+	return q.decision
 }
 
-func (b *Balancer) reject(m membership.Status, avoid map[string]bool, now time.Time) string {
-	switch {
-	case m.Leaving:
-		return "leaving"
-	case m.Suspect:
-		return "suspected"
-	case avoid[m.ID]:
-		return "already tried"
-	case now.Before(b.state(m.ID).until):
-		return "ejected"
+// current returns the view. The first request after refreshInterval rebuilds it; the others go on with the old one.
+func (b *Balancer) current(now time.Time) *view {
+	v := b.view.Load()
+	if v != nil && now.Sub(v.built) < refreshInterval {
+		return v
 	}
-	return ""
+	if v != nil && !b.build.TryLock() {
+		return v
+	}
+	if v == nil {
+		b.build.Lock()
+	}
+	defer b.build.Unlock()
+	if newer := b.view.Load(); newer != v {
+		return newer
+	}
+	v = b.rebuild(now)
+	b.view.Store(v)
+	return v
 }
 
-// score estimates the load: reported use or this entry's own requests in flight, whichever is larger.
-func (b *Balancer) score(m membership.Status) float64 {
-	slots := float64(max(1, m.Load.Slots))
-	load := float64(max(m.Load.SlotsBusy+m.Load.Queued, b.state(m.ID).inflight)) / slots
-	if m.Domain != b.domain {
-		load += domainPenalty
+// Result is what an entry learned from one request.
+type Result struct {
+	Failed   bool          // no answer, or an answer that shows a fault of the server
+	Refused  bool          // not run
+	Took     time.Duration // from the dispatch to the answer's header; ignored if Failed or Refused
+	Waited   time.Duration // at the agent's gate, part of Took
+	Busy     int           // slots in use, from the answer; -1 if not known
+	Queued   int           // waiting at the gate, from the answer
+	Overload bool          // refused because of overload
+}
+
+// load is the load that the answer reports, without the request itself, which still held its slot.
+func (r Result) load() int {
+	if r.Failed || r.Refused {
+		return r.Busy + r.Queued
 	}
-	return load
+	return max(0, r.Busy+r.Queued-1)
 }
 
-func (b *Balancer) state(id string) *serverState {
-	s := b.servers[id]
-	if s == nil {
-		s = &serverState{}
-		b.servers[id] = s
+// Done reports the outcome of a picked request.
+func (b *Balancer) Done(s *Server, r Result) {
+	now := time.Now()
+	left := s.state.inflight.Add(-1)
+	invariant.Check(left >= 0, "route_inflight", "%d requests in flight at %s", left, s.ID)
+	if r.Busy >= 0 {
+		s.state.report(r.load(), now)
 	}
-	return s
+	if !r.Failed && !r.Refused {
+		s.state.observe(max(0, r.Took-r.Waited), now)
+	}
+	b.judge(s, r.Failed, now)
 }
 
-// Ejection of servers whose requests fail.
-const (
-	ejectAfter = 3 // consecutive failures
-	ejectFor   = 3 * time.Second
-)
+// Cancel gives back a pick that was not used.
+func (b *Balancer) Cancel(s *Server) {
+	left := s.state.inflight.Add(-1)
+	invariant.Check(left >= 0, "route_inflight", "%d requests in flight at %s", left, s.ID)
+}
 
-// Done reports the outcome of a picked request.
-func (b *Balancer) Done(id string, failed bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.state(id)
-	s.inflight--
-	if !failed {
-		s.failures = 0
+// judge counts a failure and ejects the server where that is called for.
+func (b *Balancer) judge(s *Server, failed bool, now time.Time) {
+	if !s.state.outcome(failed, now) {
 		return
 	}
-	s.failures++
-	if s.failures >= ejectAfter {
-		s.failures = 0
-		s.until = time.Now().Add(ejectFor)
+	b.build.Lock()
+	defer b.build.Unlock()
+	p := b.view.Load().pools[s.Load.Backend]
+	if p == nil {
+		return
+	}
+	if !p.mayEject(now) {
+		s.state.forgive()
+		events.EjectionCapped.Log(&b.log).Str("server", s.ID).Int("servers", len(p.all)).Send()
+		return
 	}
+	took := s.state.eject(now)
+	events.ServerEjected.Log(&b.log).Str("server", s.ID).Dur("for", took).Send()
 }
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,175 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bamboofork/internal/membership"
+	"bamboofork/internal/route"
+)
+
+// fakeMembers is a member list that counts how often it is read.
+type fakeMembers struct {
+	list  []membership.Status
+	reads int
+}
+
+func (f *fakeMembers) Members() []membership.Status {
+	f.reads++
+	return f.list
+}
+
+func members(n, domains int) *fakeMembers {
+	f := &fakeMembers{}
+	for i := range n {
+		m := membership.Member{
+			ID: fmt.Sprintf("agent-%02d", i), Role: membership.RoleAgent, Domain: fmt.Sprintf("d%d", i%domains),
+			Load: membership.Load{Backend: "pool", Slots: 8},
+		}
+		f.list = append(f.list, membership.Status{Member: m, Heard: time.Now()})
+	}
+	return f
+}
+
+func balancer(f *fakeMembers, policy string) *route.Balancer {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	return route.New(route.Config{Domain: "d0", Policy: policy, Random: rnd.IntN}, f)
+}
+
+func finish(b *route.Balancer, s *route.Server, failed bool) {
+	b.Done(s, route.Result{Failed: failed, Took: 20 * time.Millisecond, Busy: -1})
+}
+
+// Guards against a copy or a lock of the member list on each request.
+func TestPickDoesNotReadTheMemberList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := members(1000, 4)
+		b := balancer(f, route.PolicyCost)
+		for range 1000 {
+			d := b.Pick("pool", nil)
+			finish(b, d.Chosen, false)
+		}
+		qt.Check(t, f.reads, qt.Equals, 1)
+		allocs := testing.AllocsPerRun(100, func() {
+			d := b.Pick("pool", nil)
+			b.Cancel(d.Chosen)
+		})
+		qt.Check(t, allocs <= 1, qt.IsTrue, qt.Commentf("%v allocations for each pick", allocs))
+	})
+}
+
+// Guards against requests that leave the failure domain while it has free slots, and against a domain that queues
+// while others have free slots.
+func TestDomainPreferenceSpillsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := balancer(members(9, 3), route.PolicyCost)
+		local, remote := 0, 0
+		for range 72 { // three local servers have 24 slots
+			if d := b.Pick("pool", nil); d.Spilled {
+				remote++
+			} else {
+				local++
+			}
+			if local+remote == 16 {
+				qt.Check(t, remote, qt.Equals, 0)
+			}
+		}
+		qt.Check(t, remote >= 30, qt.IsTrue, qt.Commentf("%d local, %d remote", local, remote))
+		qt.Check(t, local >= 24, qt.IsTrue, qt.Commentf("%d local, %d remote", local, remote))
+	})
+}
+
+// Guards against requests to a server that fails, and against an entry that ejects most of a pool.
+func TestEjectionIsCapped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := balancer(members(8, 1), route.PolicyCost)
+		hits := map[string]int{}
+		for i := range 2000 {
+			d := b.Pick("pool", nil)
+			hits[d.Chosen.ID]++
+			finish(b, d.Chosen, d.Chosen.ID < "agent-06") // six of eight fail
+			if i == 999 {
+				clear(hits)
+			}
+		}
+		out := 0
+		for i := range 6 {
+			if hits[fmt.Sprintf("agent-%02d", i)] == 0 {
+				out++
+			}
+		}
+		qt.Check(t, out, qt.Equals, 4, qt.Commentf("%v", hits))
+		time.Sleep(3 * time.Second)
+		served := 0
+		for range 200 {
+			d := b.Pick("pool", nil)
+			finish(b, d.Chosen, false)
+			if d.Chosen.ID < "agent-06" {
+				served++
+			}
+		}
+		qt.Check(t, served > 20, qt.IsTrue, qt.Commentf("recovered servers got %d of 200", served))
+	})
+}
+
+// Guards against a new server that gets a full share at once, and one that never does.
+func TestWarmUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := members(4, 1)
+		b := balancer(f, route.PolicyCost)
+		b.Pick("pool", nil)
+		time.Sleep(10 * time.Second)
+		f.list = members(5, 1).list
+		share := func() int {
+			n := 0
+			for range 1000 {
+				d := b.Pick("pool", nil)
+				if d.Chosen.ID == "agent-04" {
+					n++
+				}
+				b.Cancel(d.Chosen)
+			}
+			return n
+		}
+		time.Sleep(time.Second)
+		early := share()
+		time.Sleep(6 * time.Second)
+		late := share()
+		qt.Check(t, early > 0 && early < 60, qt.IsTrue, qt.Commentf("%d of 1000 at the start", early))
+		qt.Check(t, late > 120, qt.IsTrue, qt.Commentf("%d of 1000 after the warm-up", late))
+	})
+}
+
+// Guards against new requests at a server that leaves or is suspected, with every policy.
+func TestLeavingGetsNothing(t *testing.T) {
+	for _, policy := range route.Policies() {
+		synctest.Test(t, func(t *testing.T) {
+			f := members(3, 1)
+			f.list[0].Leaving = true
+			f.list[1].Suspect = true
+			b := balancer(f, policy)
+			for range 100 {
+				d := b.Pick("pool", nil)
+				qt.Assert(t, d.Chosen.ID, qt.Equals, "agent-02", qt.Commentf("%s", d.Explain()))
+				finish(b, d.Chosen, false)
+			}
+			d := b.Pick("pool", route.Avoid{"agent-02"})
+			qt.Check(t, d.Chosen, qt.IsNil)
+			qt.Check(t, d.Explain(), qt.Contains, "already tried")
+		})
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	f := members(1000, 4)
+	bal := balancer(f, route.PolicyCost)
+	for b.Loop() {
+		d := bal.Pick("pool", nil)
+		bal.Cancel(d.Chosen)
+	}
+}
