Avoid an allocation in each pick's invariant

Ruled out: the samples of the policy, which live in the query. Change: The server is passed by pointer and renders itself only on a violation.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -125,7 +125,7 @@
 func (b *Balancer) Done(s *Server, r Result) {
 	now := time.Now()
 	left := s.state.inflight.Add(-1)
-	invariant.Check(left >= 0, "route_inflight", "%d requests in flight at %s", left, s.ID)
+	invariant.Check(left >= 0, "route_inflight", "%d requests in flight at %s", left, s)
 	if r.Busy >= 0 {
 		s.state.report(r.load(), now)
 	}
@@ -138,7 +138,7 @@
 // Cancel gives back a pick that was not used.
 func (b *Balancer) Cancel(s *Server) {
 	left := s.state.inflight.Add(-1)
-	invariant.Check(left >= 0, "route_inflight", "%d requests in flight at %s", left, s.ID)
+	invariant.Check(left >= 0, "route_inflight", "%d requests in flight at %s", left, s)
 }
 
 // judge counts a failure and ejects the server where that is called for.
--- a/internal/route/server.go
+++ b/internal/route/server.go
@@ -114,3 +114,6 @@
 	}
 	return max(minWarmShare, float64(age)/float64(warmUp))
 }
+
+// String returns the member's id.
+func (s *Server) String() string { return s.ID }
