Add bf-load: open-loop load, checks, studies, comparison and plots

Cause: Nothing measured tails, overload or fairness. Ruled out: closed-loop callers, which slow down with the system and hide its stalls. Change: Package load draws Poisson arrivals in advance and counts latency from the time a request was due; it checks each answer, knows the mixes of both deployments and three floods, and runs studies on in-process fleets whose figures are ratios within the study. CPU samples of a fleet carry the label role. Agents mark refusals for an unreachable backend server, so that entries count them as failures.

--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -152,6 +152,7 @@
 	err = fmt.Errorf("backend server: %w", err)
 	switch {
 	case notRun:
+		w.Header().Set(wire.HeaderUnhealthy, "1")
 		a.refuse(w, r, http.StatusServiceUnavailable, err.Error())
 	case errors.Is(err, context.DeadlineExceeded):
 		a.answerUnknown(w, http.StatusGatewayTimeout, err)
--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime/pprof"
 	"sync"
 	"time"
 
@@ -64,12 +65,14 @@
 
 // Host is one host of the fleet.
 type Host struct {
-	Config  config.Process
-	Node    *node.Node
-	Worker  *platform.SimWorker
-	Backend *sample.Server
-	cancel  context.CancelFunc
-	done    chan error
+	Config      config.Process
+	Node        *node.Node
+	Worker      *platform.SimWorker
+	Backend     *sample.Server
+	BackendURL  string
+	stopBackend func()
+	cancel      context.CancelFunc
+	done        chan error
 }
 
 // Start starts everything and returns when the processes serve.
@@ -124,6 +127,9 @@
 	return "http://" + l.Addr().String(), nil
 }
 
+// StopBackend cuts off the host's backend server at once, as a crash would; the agent goes on.
+func (h *Host) StopBackend() { h.stopBackend() }
+
 func (f *Fleet) every(d time.Duration, do func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stops = append(f.stops, cancel)
@@ -227,10 +233,14 @@
 	if err != nil {
 		return err
 	}
-	backendURL, err := f.serve(b, "127.0.0.1:0")
+	var backendURL string
+	pprof.Do(context.Background(), pprof.Labels("role", "backend"), func(context.Context) {
+		backendURL, err = f.serve(b, "127.0.0.1:0")
+	})
 	if err != nil {
 		return err
 	}
+	stopBackend := f.stops[len(f.stops)-1]
 	cfg, err := f.process(id, i)
 	if err != nil {
 		return err
@@ -240,7 +250,7 @@
 	}
 	cfg.Backend = config.Backend{Name: p.Backend, Addr: backendURL[len("http://"):], Slots: p.Slots, Conns: p.Conns, MaxQueue: cmp.Or(p.MaxQueue, config.DefaultMaxQueue)}
 	cfg.Worker = config.Worker{URL: workerURL, Reserve: p.Reserve}
-	return f.addAgent(&Host{Config: cfg, Worker: w, Backend: b})
+	return f.addAgent(&Host{Config: cfg, Worker: w, Backend: b, BackendURL: backendURL, stopBackend: stopBackend})
 }
 
 func (f *Fleet) addAgent(h *Host) error {
@@ -259,7 +269,14 @@
 func (h *Host) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel, h.done = cancel, make(chan error, 1)
-	go func() { h.done <- h.Node.Run(ctx) }()
+	role := "agent"
+	if h.Worker == nil {
+		role = "entry"
+	}
+	// Goroutines inherit the label, so a CPU profile of the fleet can be split by role.
+	pprof.Do(ctx, pprof.Labels("role", role), func(ctx context.Context) {
+		go func() { h.done <- h.Node.Run(ctx) }()
+	})
 }
 
 // Stop stops one host in order and waits for it.
--- a/internal/dev/profiles.go
+++ b/internal/dev/profiles.go
@@ -30,6 +30,17 @@
 	return withTree(p, "association/settings.yaml", examples.Association)
 }
 
+// ByName returns a deployment by its name.
+func ByName(name string) (Profile, error) {
+	switch name {
+	case "workshop":
+		return Workshop()
+	case "association":
+		return Association()
+	}
+	return Profile{}, eris.Errorf("unknown profile %q; accepted: workshop, association", name)
+}
+
 func base() Profile {
 	return Profile{
 		Entries: 3, Agents: 11, RackSize: 3, Slots: 8, Conns: 64,
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -143,7 +143,7 @@
 		a.Response, a.done = resp, done
 		return a
 	case wire.OutcomeNotRun:
-		done(false)
+		done(resp.Header.Get(wire.HeaderUnhealthy) != "")
 		a.Status = resp.StatusCode
 	default:
 		done(true)
--- /dev/null
+++ b/internal/load/fleet.go
@@ -0,0 +1,76 @@
+package load
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"bamboofork/internal/dev"
+)
+
+// Fleet sizes an in-process fleet. Zero fields take the profile's values.
+type Fleet struct {
+	Profile string // workshop or association
+	Agents  int
+	Slots   int
+	Service time.Duration // mean service time of a quick request
+	Routing string
+	Log     zerolog.Logger
+}
+
+// readyTimeout bounds the start of a fleet on a busy machine.
+const readyTimeout = 60 * time.Second
+
+// Start starts the fleet and waits until it serves.
+func (f Fleet) Start(ctx context.Context) (*dev.Fleet, error) {
+	p, err := dev.ByName(f.Profile)
+	if err != nil {
+		return nil, err
+	}
+	if f.Agents > 0 {
+		p.Agents = f.Agents
+	}
+	if f.Slots > 0 {
+		p.Slots = f.Slots
+	}
+	if f.Service > 0 {
+		p.Service = f.Service
+	}
+	p.Routing = f.Routing
+	fleet, err := dev.Start(p, f.Log)
+	if err != nil {
+		return nil, err
+	}
+	ready, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := fleet.WaitReady(ready); err != nil {
+		fleet.Stop() //nolint:errcheck // the first error counts
+		return nil, err
+	}
+	return fleet, nil
+}
+
+// URLs returns the entries of a fleet.
+func URLs(f *dev.Fleet) []string {
+	var out []string
+	for i := range f.Profile.Entries {
+		out = append(out, f.EntryURL(i))
+	}
+	return out
+}
+
+// SizeOf returns the capacity of a fleet's backend servers.
+func SizeOf(f *dev.Fleet) Size {
+	p := f.Profile
+	return Size{Capacity: float64(p.Agents*p.Slots) / p.Service.Seconds(), Mean: p.Service}
+}
+
+// Counter sums a counter over the entries of a fleet.
+func Counter(f *dev.Fleet, name string) int64 {
+	sum := int64(0)
+	for _, h := range f.Entries {
+		sum += h.Node.Metrics.Values()[name]
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,140 @@
+package load_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/xml"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bamboofork/internal/dev"
+	"bamboofork/internal/load"
+)
+
+// echoServer answers like a sample backend server behind an entry. change may spoil the n-th answer.
+func echoServer(t *testing.T, change func(n int64, w http.ResponseWriter, body string) bool) string {
+	var n atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil || change != nil && change(n.Add(1), w, string(body)) {
+			return
+		}
+		_, path, _ := strings.Cut(r.URL.Path, "/-")
+		fmt.Fprintf(w, "server %s %s\n", path, body)
+	}))
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+func config(url string, rate float64, d time.Duration) load.Config {
+	return load.Config{Name: "test", URLs: []string{url}, Duration: d, Seed: 1, Classes: []load.Class{
+		{Name: "c", Kind: load.KindQuick, Branch: "b", Rate: rate, Callers: 4, Body: 64},
+	}}
+}
+
+// Guards against answers of other requests that pass as done, and refusals that do not say that nothing ran.
+func TestAnswersAreChecked(t *testing.T) {
+	url := echoServer(t, func(n int64, w http.ResponseWriter, body string) bool {
+		switch n % 4 {
+		case 0:
+			fmt.Fprintf(w, "server /x %s\n", body)
+			return true
+		case 1:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return true
+		case 2:
+			w.Header().Set("Bf-Outcome", "not_run")
+			w.Header().Set("Retry-After", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			fmt.Fprint(w, `{"detail":"full"}`)
+			return true
+		}
+		return false
+	})
+	r, err := load.Run(context.Background(), config(url, 400, time.Second))
+	qt.Assert(t, err, qt.IsNil)
+	c := r.Classes[0]
+	qt.Check(t, c.Arrived >= 300, qt.IsTrue)
+	for verdict, share := range map[string]int64{"done": 4, "refused": 4, "wrong": 2} {
+		got, want := c.Count[verdict], c.Arrived/share
+		qt.Check(t, got >= want-2 && got <= want+2, qt.IsTrue, qt.Commentf("%d of %d %s", got, c.Arrived, verdict))
+	}
+}
+
+// Guards against coordinated omission: a server that stops for a time must show in the tail by all the requests that
+// were due meanwhile, although each of them takes no time once it answers.
+func TestStallShowsInTheTail(t *testing.T) {
+	const stall = 500 * time.Millisecond
+	var until atomic.Int64
+	url := echoServer(t, func(n int64, _ http.ResponseWriter, _ string) bool {
+		if n == 100 {
+			until.Store(time.Now().Add(stall).UnixNano())
+		}
+		time.Sleep(time.Duration(until.Load() - time.Now().UnixNano()))
+		return false
+	})
+	cfg := config(url, 400, time.Second)
+	cfg.MaxOpen = 1000
+	r, err := load.Run(context.Background(), cfg)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, r.All.At(75) > stall/4, qt.IsTrue, qt.Commentf("p75 %s", r.All.At(75)))
+	qt.Check(t, r.All.At(100) > stall*8/10, qt.IsTrue, qt.Commentf("max %s", r.All.At(100)))
+}
+
+// Guards against results that change when they are stored, and plots that are not well-formed.
+func TestResultFiles(t *testing.T) {
+	r, err := load.Run(context.Background(), config(echoServer(t, nil), 200, 200*time.Millisecond))
+	qt.Assert(t, err, qt.IsNil)
+	file := filepath.Join(t.TempDir(), "r.json")
+	qt.Assert(t, r.Write(file), qt.IsNil)
+	again, err := load.Read(file)
+	qt.Assert(t, err, qt.IsNil)
+	var b bytes.Buffer
+	qt.Assert(t, load.Compare(&b, r, again), qt.IsNil)
+	qt.Check(t, b.String(), qt.Contains, "1.000")
+	b.Reset()
+	qt.Assert(t, load.Plot(&b, "a < b", r, again), qt.IsNil)
+	d := xml.NewDecoder(&b)
+	for err == nil {
+		_, err = d.Token()
+	}
+	qt.Check(t, errors.Is(err, io.EOF), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+// Guards against mixes and floods that name branches which the example trees do not have.
+func TestMixesFitTheTrees(t *testing.T) {
+	for _, name := range load.Mixes() {
+		p, err := dev.ByName(strings.TrimSuffix(name, "-quick"))
+		qt.Assert(t, err, qt.IsNil)
+		classes, err := load.Mix(name, load.Size{Capacity: 100}, 1)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, load.Branches(p.Tree, classes), qt.IsNil)
+	}
+}
+
+// Guards against a whole path that loses, mixes up or wrongly refuses requests under a mix of all kinds.
+func TestFleetUnderMix(t *testing.T) {
+	spec := load.Fleet{Profile: "workshop", Agents: 4, Slots: 4, Service: 20 * time.Millisecond}
+	f, err := spec.Start(context.Background())
+	qt.Assert(t, err, qt.IsNil)
+	classes, err := load.Mix("workshop", load.SizeOf(f), 0.2)
+	qt.Assert(t, err, qt.IsNil)
+	r, err := load.Run(context.Background(), load.Config{Name: "mix", URLs: load.URLs(f), Classes: classes, Duration: 2 * time.Second, Seed: 1})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, r.Wrong(), qt.Equals, int64(0))
+	qt.Check(t, r.All.Share() > 0.9, qt.IsTrue, qt.Commentf("%v", r.All.Why))
+	for _, h := range f.Agents {
+		qt.Check(t, h.Backend.Overruns(), qt.Equals, int64(0))
+	}
+	qt.Check(t, f.Stop(), qt.IsNil)
+}
--- /dev/null
+++ b/internal/load/loadcli/cli.go
@@ -0,0 +1,205 @@
+// Package loadcli is the command line of bf-load.
+package loadcli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/signal"
+	"runtime/pprof"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"bamboofork/internal/app"
+	"bamboofork/internal/load"
+)
+
+// options are the flags of all subcommands.
+type options struct {
+	profile, mix, flood, target, urls, out, plot, cpu, log string
+	name, study, first, second, files                      string
+	factor, floodFactor, capacity                          float64
+	agents, slots                                          int
+	service, duration, warmup                              time.Duration
+	seed                                                   uint64
+	routing                                                string
+	quiet                                                  bool
+}
+
+func defaults() *options {
+	return &options{
+		profile: "workshop", mix: "workshop", target: "workshop/foot-scan/clients-abroad", log: "disabled", name: "run",
+		factor: 0.5, floodFactor: 5, service: 20 * time.Millisecond, duration: 10 * time.Second, warmup: 3 * time.Second, seed: 1,
+	}
+}
+
+// Run parses the command line and returns the exit code.
+func Run(out, errOut io.Writer) int {
+	o := defaults()
+	run, study, compare, plot := commands(o)
+	flaggy.SetName("bf-load")
+	flaggy.SetDescription("Offer open-loop load to a fleet, check every answer, and compare runs.")
+	flaggy.SetVersion(app.Version)
+	flaggy.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	var err error
+	switch {
+	case run.Used:
+		err = profiled(o, func() error { return o.runLoad(ctx, out, errOut) })
+	case study.Used:
+		err = profiled(o, func() error { return o.runStudy(ctx, out, errOut) })
+	case compare.Used:
+		err = o.runCompare(out)
+	case plot.Used:
+		err = o.runPlot()
+	default:
+		flaggy.ShowHelp("")
+		return app.ExitUsage
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return app.ExitFailure
+	}
+	return app.ExitOK
+}
+
+func commands(o *options) (run, study, compare, plot *flaggy.Subcommand) {
+	run = flaggy.NewSubcommand("run")
+	run.Description = "One run against given entries or an in-process fleet."
+	fleetFlags(run, o)
+	run.String(&o.urls, "u", "urls", "Base URLs of entries, separated by commas; none starts an in-process fleet.")
+	run.Float64(&o.capacity, "", "capacity", "Capacity of the fleet behind --urls in requests/s.")
+	run.Float64(&o.factor, "f", "factor", "Offered load as a multiple of the capacity.")
+	run.String(&o.flood, "", "flood", "Flood beside the mix: "+strings.Join(load.Floods(), ", ")+".")
+	run.String(&o.target, "", "flood-branch", "Branch that the flood goes to.")
+	run.Float64(&o.floodFactor, "", "flood-factor", "Rate of the flood as a multiple of the capacity.")
+	run.String(&o.name, "n", "name", "Name of the run in results.")
+	run.String(&o.plot, "", "plot", "File for an SVG plot.")
+	study = flaggy.NewSubcommand("study")
+	study.Description = "A set of runs on in-process fleets: " + strings.Join(slices.Sorted(maps.Keys(load.Studies)), ", ") + "."
+	study.AddPositionalValue(&o.study, "study", 1, true, "Name of the study.")
+	fleetFlags(study, o)
+	compare = flaggy.NewSubcommand("compare")
+	compare.Description = "Ratios of a second run to a first one."
+	compare.AddPositionalValue(&o.first, "first", 1, true, "Result file of the baseline.")
+	compare.AddPositionalValue(&o.second, "second", 2, true, "Result file of the other run.")
+	plot = flaggy.NewSubcommand("plot")
+	plot.Description = "SVG plot of one or more results."
+	plot.AddPositionalValue(&o.files, "files", 1, true, "Result files, separated by commas.")
+	plot.AddPositionalValue(&o.plot, "svg", 2, true, "File to write.")
+	for _, c := range []*flaggy.Subcommand{run, study, compare, plot} {
+		flaggy.AttachSubcommand(c, 1)
+	}
+	return run, study, compare, plot
+}
+
+func fleetFlags(c *flaggy.Subcommand, o *options) {
+	c.String(&o.profile, "p", "profile", "Deployment of the in-process fleet: workshop or association.")
+	c.String(&o.mix, "m", "mix", "Mix of requests: "+strings.Join(load.Mixes(), ", ")+".")
+	c.Int(&o.agents, "", "agents", "Backend servers of the in-process fleet, 0: the deployment's.")
+	c.Int(&o.slots, "", "slots", "Slots of each backend server, 0: the deployment's.")
+	c.Duration(&o.service, "", "service", "Mean service time of quick requests.")
+	c.String(&o.routing, "", "routing", "Routing policy of the entries: cost, random or round-robin.")
+	c.Duration(&o.duration, "d", "duration", "Length of a run after its warm-up.")
+	c.Duration(&o.warmup, "", "warmup", "Time before it that does not count.")
+	c.UInt64(&o.seed, "s", "seed", "Seed of arrivals, callers and service times.")
+	c.String(&o.out, "o", "out", "File, or prefix of files, for JSON results.")
+	c.String(&o.cpu, "", "cpu-profile", "File for a CPU profile; samples carry the label role.")
+	c.String(&o.log, "l", "log-level", "Log level of the in-process fleet.")
+	c.Bool(&o.quiet, "q", "quiet", "No progress lines.")
+}
+
+func (o *options) progress(errOut io.Writer) io.Writer {
+	if o.quiet {
+		return nil
+	}
+	return errOut
+}
+
+func (o *options) fleet() (load.Fleet, error) {
+	log, err := app.NewLogger("bf-load", o.log)
+	return load.Fleet{Profile: o.profile, Agents: o.agents, Slots: o.slots, Service: o.service, Routing: o.routing, Log: log}, err
+}
+
+func (o *options) runStudy(ctx context.Context, out, errOut io.Writer) error {
+	f, err := o.fleet()
+	if err != nil {
+		return err
+	}
+	mix := o.mix
+	if !strings.HasSuffix(mix, "-quick") {
+		mix += "-quick" // studies measure requests that compete for slots
+	}
+	s := &load.Study{Fleet: f, Mix: mix, Duration: o.duration, Warmup: o.warmup, Seed: o.seed, Out: out, Progress: o.progress(errOut)}
+	if err := s.Run(ctx, o.study); err != nil {
+		return err
+	}
+	if o.out == "" {
+		return nil
+	}
+	for i, r := range s.Results {
+		if err := r.Write(fmt.Sprintf("%s-%d.json", o.out, i+1)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (o *options) runCompare(out io.Writer) error {
+	base, err := load.Read(o.first)
+	if err != nil {
+		return err
+	}
+	other, err := load.Read(o.second)
+	if err != nil {
+		return err
+	}
+	return load.Compare(out, base, other)
+}
+
+func (o *options) runPlot() error {
+	var results []*load.Result
+	for _, file := range strings.Split(o.files, ",") {
+		r, err := load.Read(file)
+		if err != nil {
+			return err
+		}
+		results = append(results, r)
+	}
+	return writePlot(o.plot, results...)
+}
+
+func writePlot(file string, results ...*load.Result) error {
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	if err := load.Plot(f, "Latency by percentile", results...); err != nil {
+		f.Close()
+		return err
+	}
+	return f.Close()
+}
+
+// profiled runs do under a CPU profile if one is asked for.
+func profiled(o *options, do func() error) error {
+	if o.cpu == "" {
+		return do()
+	}
+	f, err := os.Create(o.cpu)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := pprof.StartCPUProfile(f); err != nil {
+		return err
+	}
+	defer pprof.StopCPUProfile()
+	return do()
+}
--- /dev/null
+++ b/internal/load/plot.go
@@ -0,0 +1,127 @@
+package load
+
+import (
+	"encoding/xml"
+	"fmt"
+	"io"
+	"math"
+	"strings"
+	"time"
+)
+
+// Geometry of a plot, in pixels.
+const (
+	plotWidth  = 860
+	plotHeight = 460
+	plotLeft   = 70
+	plotRight  = 220 // room for the legend
+	plotTop    = 30
+	plotBottom = 50
+)
+
+var plotColours = []string{"#1b6ca8", "#c0392b", "#1e8449", "#7d3c98", "#b9770e", "#2e4053", "#148f77", "#a93226"}
+
+// ticks are the labelled percentiles of the horizontal axis.
+var ticks = []float64{50, 90, 99, 99.9, 99.99}
+
+// curve is one line of a plot.
+type curve struct {
+	name   string
+	points []Point
+}
+
+// Plot writes latency by percentile as SVG: a line for each class of each run. The horizontal axis is the logarithm
+// of one minus the percentile, the vertical one the logarithm of the latency.
+func Plot(w io.Writer, title string, results ...*Result) error {
+	curves := curvesOf(results)
+	if len(curves) == 0 {
+		return fmt.Errorf("nothing was done, so there is nothing to plot")
+	}
+	low, high := bounds(curves)
+	var b strings.Builder
+	fmt.Fprintf(&b, `<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="12">`+"\n", plotWidth, plotHeight)
+	fmt.Fprintf(&b, `<rect width="100%%" height="100%%" fill="white"/><text x="%d" y="20" font-size="14">%s</text>`+"\n", plotLeft, escape(title))
+	axes(&b, low, high)
+	for i, c := range curves {
+		drawCurve(&b, i, c, low, high)
+	}
+	b.WriteString("</svg>\n")
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func curvesOf(results []*Result) []curve {
+	var out []curve
+	for _, r := range results {
+		for _, c := range r.Classes {
+			if c.Count[verdictNames[Done]] > 0 && c.Class.Kind != KindStream {
+				out = append(out, curve{name: r.Name + ": " + c.Class.Name, points: c.Curve})
+			}
+		}
+	}
+	return out
+}
+
+// bounds returns the powers of ten, in microseconds, around all points.
+func bounds(curves []curve) (low, high float64) {
+	low, high = math.Inf(1), 0
+	for _, c := range curves {
+		for _, p := range c.points {
+			low, high = min(low, float64(max(1, p.Us))), max(high, float64(max(1, p.Us)))
+		}
+	}
+	low, high = math.Pow(10, math.Floor(math.Log10(low))), math.Pow(10, math.Ceil(math.Log10(high)))
+	if low == high {
+		high *= 10
+	}
+	return low, high
+}
+
+// lastNines is the percentile at the right edge, as nines.
+const lastNines = 4.0
+
+func xOf(percentile float64) float64 {
+	nines := lastNines
+	if percentile < 100 {
+		nines = min(lastNines, -math.Log10(1-percentile/100))
+	}
+	return plotLeft + nines/lastNines*(plotWidth-plotLeft-plotRight)
+}
+
+func yOf(us, low, high float64) float64 {
+	share := math.Log10(max(low, us)/low) / math.Log10(high/low)
+	return plotHeight - plotBottom - share*(plotHeight-plotTop-plotBottom)
+}
+
+func axes(b *strings.Builder, low, high float64) {
+	bottom, right := plotHeight-plotBottom, plotWidth-plotRight
+	for _, p := range ticks {
+		x := xOf(p)
+		fmt.Fprintf(b, `<line x1="%.1f" y1="%d" x2="%.1f" y2="%d" stroke="#ddd"/>`, x, plotTop, x, bottom)
+		fmt.Fprintf(b, `<text x="%.1f" y="%d" text-anchor="middle">p%g</text>`+"\n", x, bottom+18, p)
+	}
+	for us := low; us <= high*1.01; us *= 10 {
+		y := yOf(us, low, high)
+		fmt.Fprintf(b, `<line x1="%d" y1="%.1f" x2="%d" y2="%.1f" stroke="#ddd"/>`, plotLeft, y, right, y)
+		fmt.Fprintf(b, `<text x="%d" y="%.1f" text-anchor="end">%s</text>`+"\n", plotLeft-6, y+4, time.Duration(us)*time.Microsecond)
+	}
+	fmt.Fprintf(b, `<rect x="%d" y="%d" width="%d" height="%d" fill="none" stroke="#333"/>`+"\n", plotLeft, plotTop, right-plotLeft, bottom-plotTop)
+}
+
+func drawCurve(b *strings.Builder, i int, c curve, low, high float64) {
+	colour := plotColours[i%len(plotColours)]
+	var path strings.Builder
+	for _, p := range c.points {
+		fmt.Fprintf(&path, "%.1f,%.1f ", xOf(p.Percentile), yOf(float64(p.Us), low, high))
+	}
+	fmt.Fprintf(b, `<polyline points="%s" fill="none" stroke="%s" stroke-width="1.5"/>`+"\n", strings.TrimSpace(path.String()), colour)
+	y := plotTop + 14 + 18*i
+	fmt.Fprintf(b, `<rect x="%d" y="%d" width="10" height="10" fill="%s"/>`, plotWidth-plotRight+10, y-9, colour)
+	fmt.Fprintf(b, `<text x="%d" y="%d">%s</text>`+"\n", plotWidth-plotRight+26, y, escape(c.name))
+}
+
+func escape(s string) string {
+	var b strings.Builder
+	xml.EscapeText(&b, []byte(s)) //nolint:errcheck // a strings.Builder does not fail
+	return b.String()
+}
--- /dev/null
+++ b/internal/load/study.go
@@ -0,0 +1,131 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"bamboofork/internal/dev"
+)
+
+// Study is a set of runs whose figures are ratios to a baseline in the same set.
+type Study struct {
+	Fleet    Fleet
+	Mix      string
+	Duration time.Duration // of each run
+	Warmup   time.Duration
+	Seed     uint64
+	Out      io.Writer
+	Progress io.Writer
+	Results  []*Result
+	figures  []figure
+}
+
+// figure is one ratio.
+type figure struct {
+	name  string
+	value float64
+	goal  string // "" if there is none
+	met   bool
+}
+
+// Studies maps the names of the studies to their functions.
+var Studies = map[string]func(s *Study, ctx context.Context) error{
+	"policies": (*Study).policies,
+	"overload": (*Study).overload,
+	"flood":    (*Study).flood,
+	"outage":   (*Study).outage,
+	"overhead": (*Study).overhead,
+}
+
+// Run executes a study by name and writes its figures.
+func (s *Study) Run(ctx context.Context, name string) error {
+	study, ok := Studies[name]
+	if !ok {
+		return fmt.Errorf("unknown study %q", name)
+	}
+	if err := study(s, ctx); err != nil {
+		return err
+	}
+	return s.report(name)
+}
+
+func (s *Study) report(name string) error {
+	t := tabwriter.NewWriter(s.Out, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(t, "STUDY %s, seed %d\tVALUE\tGOAL\tMET\n", name, s.Seed)
+	for _, f := range s.figures {
+		met := "-"
+		if f.goal != "" {
+			met = fmt.Sprint(f.met)
+		}
+		fmt.Fprintf(t, "%s\t%.3f\t%s\t%s\n", f.name, f.value, f.goal, met)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, r := range s.Results {
+		if n := r.Wrong(); n > 0 {
+			return fmt.Errorf("run %s: %d answers did not fit their requests", r.Name, n)
+		}
+	}
+	return nil
+}
+
+func (s *Study) atLeast(name string, value, goal float64) {
+	s.figures = append(s.figures, figure{name: name, value: value, goal: fmt.Sprintf(">= %g", goal), met: value >= goal})
+}
+
+func (s *Study) atMost(name string, value, goal float64) {
+	s.figures = append(s.figures, figure{name: name, value: value, goal: fmt.Sprintf("<= %g", goal), met: value <= goal})
+}
+
+func (s *Study) plain(name string, value float64) {
+	s.figures = append(s.figures, figure{name: name, value: value})
+}
+
+// measure runs classes against a fleet and keeps the result.
+func (s *Study) measure(ctx context.Context, name string, f *dev.Fleet, classes []Class) (*Result, error) {
+	r, err := Run(ctx, Config{
+		Name: name, URLs: URLs(f), Classes: classes, Duration: s.Duration, Warmup: s.Warmup, Seed: s.Seed, Progress: s.Progress,
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.Results = append(s.Results, r)
+	fmt.Fprintf(s.Out, "run %s\n", name)
+	return r, r.Table(s.Out)
+}
+
+// withFleet runs do against a new fleet, so that no run inherits another one's estimates.
+func (s *Study) withFleet(ctx context.Context, routing string, do func(f *dev.Fleet) error) error {
+	size := s.Fleet
+	size.Routing = routing
+	f, err := size.Start(ctx)
+	if err != nil {
+		return err
+	}
+	defer f.Stop() //nolint:errcheck // the result of the run counts
+	return do(f)
+}
+
+// mixRun measures the mix at a multiple of the capacity on a new fleet, with more classes beside it.
+func (s *Study) mixRun(ctx context.Context, name, routing string, factor float64, extra func(Size) ([]Class, error)) (out *Result, err error) {
+	err = s.withFleet(ctx, routing, func(f *dev.Fleet) error {
+		classes, err := Mix(s.Mix, SizeOf(f), factor)
+		if err != nil {
+			return err
+		}
+		if extra != nil {
+			more, err := extra(SizeOf(f))
+			if err != nil {
+				return err
+			}
+			classes = append(classes, more...)
+		}
+		out, err = s.measure(ctx, name, f, classes)
+		return err
+	})
+	return out, err
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -18,10 +18,11 @@
 	HeaderOutcome    = "Bf-Outcome"
 	HeaderReason     = "Bf-Reason"
 	HeaderAgent      = "Bf-Agent"
-	HeaderBusy       = "Bf-Busy"    // slots in use at the agent when it answered
-	HeaderQueued     = "Bf-Queued"  // requests waiting at the agent's gate when it answered
-	HeaderWaitUs     = "Bf-Wait-Us" // time the request waited at the agent's gate, in microseconds
-	HeaderCaller     = "Bf-Caller"  // caller's IP address, set by the entry
+	HeaderBusy       = "Bf-Busy"      // slots in use at the agent when it answered
+	HeaderQueued     = "Bf-Queued"    // requests waiting at the agent's gate when it answered
+	HeaderWaitUs     = "Bf-Wait-Us"   // time the request waited at the agent's gate, in microseconds
+	HeaderCaller     = "Bf-Caller"    // caller's IP address, set by the entry
+	HeaderUnhealthy  = "Bf-Unhealthy" // "1": the agent could not reach its backend server
 	HeaderKey        = "Idempotency-Key"
 )
 
