Explain how a request was routed after the fact

Cause: routing decisions were only in the log, and only for the sampled share of requests. Change: each entry keeps its newest 8192 decisions, rendered on demand at /v1/decisions/ID and by bf explain; answers name the entry in Bf-Entry. Conclusion: why a request went where it did can be asked after the fact.

--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -3,15 +3,38 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
+	"strconv"
+	"time"
 
 	"github.com/integrii/flaggy"
 
 	"bamboofork/internal/config"
+	"bamboofork/internal/entry"
 )
 
 func (c *cli) addStatus(p *flaggy.Parser, actions map[*flaggy.Subcommand]action) {
 	subcommand(p, actions, "status", "Show the processes that an entry knows.", c.fleetStatus)
+	id := ""
+	explain := subcommand(p, actions, "explain", "Say how a request was routed and how it ended.", func(ctx context.Context) error { return c.explainRequest(ctx, id) })
+	explain.AddPositionalValue(&id, "request", 1, true, "Request id (the Bf-Request-Id header of the answer); ask the entry in its Bf-Entry header.")
+}
+
+func (c *cli) explainRequest(ctx context.Context, id string) error {
+	var steps []entry.Explanation
+	if _, err := c.call(ctx, http.MethodGet, entry.PathDecisions+id, "", nil, &steps); err != nil {
+		return err
+	}
+	t := table{header: []any{"TIME", "BRANCH", "ATTEMPT", "OUTCOME", "WHY"}}
+	for _, s := range steps {
+		attempt, why := "-", s.Reason
+		if s.Outcome == "" {
+			attempt, why = strconv.Itoa(s.Attempt), s.Decision
+		}
+		t.add(s.At.Format(time.RFC3339Nano), s.Branch, attempt, orDash(string(s.Outcome)), orDash(why))
+	}
+	return c.print(steps, t)
 }
 
 func (c *cli) fleetStatus(ctx context.Context) error {
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -41,6 +41,7 @@
 	r.GET(PathJobs, e.handleJobs)
 	r.GET(PathJobs+"/:id", e.handleJob)
 	r.DELETE(PathJobs+"/:id", e.handleCancel)
+	r.GET(PathDecisions+":id", e.handleDecisions)
 }
 
 // defaultRetryAfter is the Retry-After of refusals without a better estimate, in seconds.
@@ -120,6 +121,8 @@
 		out = e.SendKeyed(ctx, req, key)
 	}
 	e.metrics.Counter("entry_outcome_" + string(out.Outcome)).Inc(1)
+	e.decisions.add(decisionRecord{id: req.ID, branch: req.Branch.Branch, outcome: out.Outcome, reason: out.Reason})
+	c.Response().Header().Set(wire.HeaderEntry, e.ID)
 	if out.Response == nil {
 		return problem(c, out.Status, out.Outcome, req.ID, out.Reason)
 	}
--- /dev/null
+++ b/internal/entry/decisions.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"bamboofork/internal/route"
+	"bamboofork/internal/wire"
+)
+
+// PathDecisions is the prefix of the explanations of requests at the entry that routed them.
+const PathDecisions = "/v1/decisions/"
+
+// decisionsKept bounds the remembered decisions; at about 600 bytes each they take 5 MB.
+const decisionsKept = 8 << 10
+
+// decisionRecord is one routing decision or the end of a request.
+type decisionRecord struct {
+	id       string
+	branch   string
+	attempt  int
+	at       time.Time
+	decision route.Decision // rendered only when somebody asks
+	outcome  wire.Outcome   // set on the record that ends the request
+	reason   string
+}
+
+// decisionLog remembers the newest decisions of an entry. mu guards ring and next.
+type decisionLog struct {
+	mu   sync.Mutex
+	ring []decisionRecord
+	next int
+}
+
+func (l *decisionLog) add(r decisionRecord) {
+	r.at = time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.ring) < decisionsKept {
+		l.ring = append(l.ring, r)
+		return
+	}
+	l.ring[l.next] = r
+	l.next = (l.next + 1) % decisionsKept
+}
+
+// Explanation is one step in the life of a request.
+type Explanation struct {
+	At       time.Time    `json:"at"`
+	Branch   string       `json:"branch"`
+	Attempt  int          `json:"attempt,omitempty"`
+	Decision string       `json:"decision,omitempty"`
+	Outcome  wire.Outcome `json:"outcome,omitempty"`
+	Reason   string       `json:"reason,omitempty"`
+}
+
+// find returns the steps of a request, oldest first. It scans the ring, because lookups are rare.
+func (l *decisionLog) find(id string) []Explanation {
+	l.mu.Lock()
+	found := []decisionRecord{}
+	for i := range l.ring {
+		if r := l.ring[(l.next+i)%len(l.ring)]; r.id == id {
+			found = append(found, r)
+		}
+	}
+	l.mu.Unlock()
+	steps := make([]Explanation, len(found))
+	for i, r := range found {
+		steps[i] = Explanation{At: r.at, Branch: r.branch, Attempt: r.attempt, Outcome: r.outcome, Reason: r.reason}
+		if r.outcome == "" {
+			steps[i].Decision = r.decision.Explain()
+		}
+	}
+	return steps
+}
+
+func (e *Entry) handleDecisions(c echo.Context) error {
+	steps := e.decisions.find(c.Param("id"))
+	if len(steps) == 0 {
+		return problem(c, http.StatusNotFound, "", "", "this entry does not remember the request; ask the one named by the answer's Bf-Entry header")
+	}
+	return c.JSON(http.StatusOK, steps)
+}
--- /dev/null
+++ b/internal/entry/decisions_test.go
@@ -0,0 +1,23 @@
+package entry
+
+import (
+	"strconv"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"bamboofork/internal/wire"
+)
+
+// Guards against a decision log that grows without bound or forgets the newest requests first.
+func TestDecisionLogKeepsTheNewest(t *testing.T) {
+	var l decisionLog
+	const added = decisionsKept + 100
+	for i := range added {
+		l.add(decisionRecord{id: strconv.Itoa(i), outcome: wire.OutcomeDone})
+	}
+	qt.Assert(t, len(l.ring), qt.Equals, decisionsKept)
+	qt.Assert(t, l.find("0"), qt.HasLen, 0)
+	qt.Assert(t, l.find(strconv.Itoa(added-1)), qt.HasLen, 1)
+	qt.Assert(t, l.find(strconv.Itoa(added-decisionsKept)), qt.HasLen, 1)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,6 +43,8 @@
 	client   *http.Transport
 	trusted  callers.Trusted
 	limiter  *limit.Limiter
+
+	decisions decisionLog
 }
 
 // Options are the parts of an entry's process configuration that concern routing.
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -66,6 +66,7 @@
 		if pick.Chosen == nil {
 			return e.unrouted(req, &pick)
 		}
+		e.decisions.add(decisionRecord{id: req.ID, branch: req.Branch.Branch, attempt: attempt, decision: pick})
 		e.logRouted(req, attempt, &pick)
 		avoid = append(avoid, pick.Chosen.ID)
 		answer := e.try(ctx, req, attempt, pick.Chosen)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -23,6 +23,7 @@
 	HeaderWaitUs     = "Bf-Wait-Us"   // time the request waited at the agent's gate, in microseconds
 	HeaderCaller     = "Bf-Caller"    // caller's IP address, set by the entry
 	HeaderUnhealthy  = "Bf-Unhealthy" // "1": the agent could not reach its backend server
+	HeaderEntry      = "Bf-Entry"     // the entry that routed the request; it explains its decisions
 	HeaderKey        = "Idempotency-Key"
 )
 
