Add the learned interference and the colocation controller

Cause: The controller inside the agent throttled the largest task whatever it did to latency-critical work, could react twice to one disturbance, and evicted tasks without a minimum run time or a bound. Nothing learned which kinds of work disturb each other. Change: Package colocation. A Bayesian linear regression with forgetting per latency-critical kind over the cores of each batch kind and their products with the load; summaries of at most 8 pairs that are merged by precision; windows of service times joined with lagged usage by time; a pure controller with hysteresis, a settling time (invariant one_reaction_per_sample), throttling and eviction by effect per lost work, a minimum run time and a budget of evictions.

--- /dev/null
+++ b/internal/colocation/colocation_test.go
@@ -0,0 +1,181 @@
+package colocation
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bamboofork/internal/worker"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// feed lets a model learn from a host with the given slowdown per core at zero load and its growth with the load.
+func feed(m *Model, windows int, rnd *rand.Rand, at time.Time, truth map[string][2]float64) time.Time {
+	for range windows {
+		load := 0.1 + 0.8*rnd.Float64()
+		cores, factor := map[string]float64{}, 1.0
+		for _, kind := range []string{"plan", "index", "render"} {
+			if p, ok := truth[kind]; ok && rnd.IntN(2) == 0 {
+				cores[kind] = float64(rnd.IntN(24))
+				factor += cores[kind] * (p[0] + p[1]*load)
+			}
+		}
+		at = at.Add(time.Second)
+		latency := 0.02 * (1 + 0.5*load) * factor * math.Exp(0.1*rnd.NormFloat64())
+		m.Observe(Observation{At: at, Quick: "scan", Latency: latency, Samples: 30, Load: load, Cores: cores})
+	}
+	return at
+}
+
+// Guards against a model that mixes up the kinds, misses the change with the load, is sure without evidence, or does
+// not follow a change.
+func TestModelLearnsPairs(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(7, 7))
+	m := NewModel()
+	truth := map[string][2]float64{"plan": {0.02, 0.03}, "index": {0.001, 0}}
+	at := feed(m, 600, rnd, epoch, truth)
+	check := func(kind string, load, want, tolerance float64) {
+		e := m.Effect("scan", kind, load)
+		qt.Check(t, math.Abs(e.Mean-want) < tolerance, qt.IsTrue, qt.Commentf("%s at %.1f: %.4f±%.4f, want %.4f", kind, load, e.Mean, e.Deviation, want))
+	}
+	check("plan", 0.2, 0.026, 0.01)
+	check("plan", 0.8, 0.044, 0.01)
+	check("index", 0.8, 0.001, 0.006)
+	known, unknown := m.Effect("scan", "plan", 0.5), m.Effect("scan", "other", 0.5)
+	qt.Check(t, known.Deviation < unknown.Deviation/4, qt.IsTrue, qt.Commentf("%v %v", known, unknown))
+	truth["plan"] = [2]float64{0.001, 0.001}
+	feed(m, 3000, rnd, at, truth)
+	check("plan", 0.8, 0.002, 0.01)
+}
+
+// Guards against slots of old kinds that are never given to new ones, and against messages without a bound.
+func TestModelBounds(t *testing.T) {
+	m := NewModel()
+	for i := range 40 {
+		kind := string(rune('a' + i))
+		m.Observe(Observation{At: epoch.Add(time.Duration(i) * time.Second), Quick: "scan", Latency: 0.02, Samples: 1, Cores: map[string]float64{kind: 1}})
+	}
+	qt.Check(t, m.Pairs(), qt.HasLen, MaxPairs)
+	qt.Check(t, m.Effect("scan", "a", 0.5), qt.Equals, Prior)
+}
+
+// Guards against a merge in which an uncertain host outweighs a certain one.
+func TestMergeWeighsPrecision(t *testing.T) {
+	sure := Pair{Quick: "q", Batch: "b", Low: Estimate{0.01, 0.001}, High: Estimate{0.03, 0.001}}
+	unsure := Pair{Quick: "q", Batch: "b", Low: Estimate{0.5, 0.2}, High: Estimate{0.5, 0.2}}
+	m := Merge([]Pair{sure}, []Pair{unsure}, []Pair{sure})
+	e := m.Effect("q", "b", 0.5)
+	qt.Check(t, math.Abs(e.Mean-0.02) < 0.001, qt.IsTrue, qt.Commentf("%v", e))
+	qt.Check(t, m.Effect("q", "x", 0.5), qt.Equals, Prior)
+}
+
+// Guards against learning from a latency and a usage of different times.
+func TestAlignerMatchesLaggedUsage(t *testing.T) {
+	a := &Aligner{}
+	for i := range 5 {
+		from := epoch.Add(time.Duration(i) * time.Second)
+		a.AddWindow(Window{Quick: "q", From: from, To: from.Add(time.Second), Mean: time.Duration(i+1) * time.Millisecond, Count: 1})
+	}
+	got := a.Measured(epoch.Add(2500*time.Millisecond), map[string]float64{"b": 1})
+	qt.Assert(t, got, qt.HasLen, 1)
+	qt.Check(t, got[0].Latency, qt.Equals, 0.003)
+	qt.Check(t, a.Measured(epoch.Add(2500*time.Millisecond), nil), qt.HasLen, 0)
+}
+
+func sample(at time.Time, p99 time.Duration) Sample {
+	return Sample{Window: Window{Quick: "scan", From: at.Add(-500 * time.Millisecond), To: at, P99: p99, Mean: p99 / 2, Count: 50, Load: 0.5}, Target: 30 * time.Millisecond}
+}
+
+func tasksOf(share float64, ran time.Duration) []Task {
+	return []Task{
+		{Ref: worker.Ref{Task: "calm/0", Attempt: 1}, Kind: "index", Cores: 16, Share: share, Ran: ran},
+		{Ref: worker.Ref{Task: "loud/0", Attempt: 1}, Kind: "plan", Cores: 8, Share: share, Ran: ran},
+		{Ref: worker.Ref{Task: "loud/1", Attempt: 1}, Kind: "plan", Cores: 8, Share: share, Ran: 10 * ran},
+	}
+}
+
+func taught() *Model {
+	m := NewModel()
+	feed(m, 400, rand.New(rand.NewPCG(1, 1)), epoch, map[string][2]float64{"plan": {0.04, 0.02}, "index": {0.0005, 0}})
+	return m
+}
+
+// Guards against a reaction to one bad window, a second reaction to a sample from before the first took effect, and
+// throttling of the wrong task.
+func TestControllerThrottle(t *testing.T) {
+	c := NewController(Config{}, taught())
+	at := epoch
+	qt.Check(t, c.Step(at, sample(at, 45*time.Millisecond), tasksOf(1, time.Minute)), qt.HasLen, 0)
+	at = at.Add(500 * time.Millisecond)
+	got := c.Step(at, sample(at, 45*time.Millisecond), tasksOf(1, time.Minute))
+	qt.Assert(t, len(got) > 0, qt.IsTrue)
+	for _, a := range got {
+		qt.Check(t, a.Kind, qt.Equals, ActionThrottle)
+		qt.Check(t, a.Ref.Task, qt.Not(qt.Equals), "calm/0")
+	}
+	for range 3 { // windows that began before the throttle shows
+		at = at.Add(490 * time.Millisecond)
+		qt.Check(t, c.Step(at, sample(at, 60*time.Millisecond), tasksOf(1, time.Minute)), qt.HasLen, 0)
+		if at.After(epoch.Add(1900 * time.Millisecond)) {
+			break
+		}
+	}
+}
+
+// violate brings windows above the target until the controller acts or the time is over.
+func violate(c *Controller, at *time.Time, span time.Duration, tasks []Task) []Action {
+	out := []Action{}
+	for end := at.Add(span); at.Before(end); {
+		*at = at.Add(500 * time.Millisecond)
+		out = append(out, c.Step(*at, sample(*at, 60*time.Millisecond), tasks)...)
+	}
+	return out
+}
+
+// Guards against eviction of the task with the most lost work, of a task that has just started, and of more tasks than
+// the budget allows.
+func TestControllerEvict(t *testing.T) {
+	c, at := NewController(Config{}, taught()), epoch
+	qt.Check(t, violate(c, &at, time.Minute, tasksOf(0.25, 2*time.Second)), qt.HasLen, 0)
+	got := violate(c, &at, 30*time.Second, tasksOf(0.25, time.Minute))
+	qt.Assert(t, got, qt.HasLen, 2)
+	qt.Check(t, got[0].Kind, qt.Equals, ActionEvict)
+	qt.Check(t, got[0].Ref.Task, qt.Equals, "loud/0")
+	qt.Check(t, len(violate(c, &at, 10*time.Minute, tasksOf(0.25, time.Minute))) <= 11, qt.IsTrue)
+}
+
+// Guards against speed that is never given back, or back and forth within the hysteresis.
+func TestControllerRestore(t *testing.T) {
+	c, at := NewController(Config{}, taught()), epoch
+	run := func(p99 time.Duration, windows int) (out []Action) {
+		for range windows {
+			at = at.Add(500 * time.Millisecond)
+			out = append(out, c.Step(at, sample(at, p99), tasksOf(0.5, time.Minute))...)
+		}
+		return out
+	}
+	qt.Check(t, run(25*time.Millisecond, 40), qt.HasLen, 0)
+	got := run(10*time.Millisecond, 7)
+	qt.Assert(t, got, qt.HasLen, 1)
+	qt.Check(t, got[0].Kind, qt.Equals, ActionRestore)
+	qt.Check(t, got[0].Ref.Task, qt.Equals, "calm/0")
+}
+
+// Guards against a host whose tasks use more memory than it has for them.
+func TestRelieve(t *testing.T) {
+	c := NewController(Config{}, NewModel())
+	tasks := tasksOf(1, time.Minute)
+	for i := range tasks {
+		tasks[i].MemoryMB, tasks[i].SizeMB = 5000, 5000
+	}
+	qt.Check(t, c.Relieve(epoch, epoch, 16_000, tasks), qt.HasLen, 0)
+	tasks[1].MemoryMB = 9000
+	got := c.Relieve(epoch, epoch, 16_000, tasks)
+	qt.Assert(t, got, qt.HasLen, 1)
+	qt.Check(t, got[0].Ref.Task, qt.Equals, "loud/0")
+	qt.Check(t, c.Relieve(epoch.Add(time.Second), epoch, 16_000, tasks), qt.HasLen, 0)
+}
--- /dev/null
+++ b/internal/colocation/controller.go
@@ -0,0 +1,172 @@
+package colocation
+
+import (
+	"time"
+
+	"bamboofork/internal/invariant"
+	"bamboofork/internal/worker"
+)
+
+// Config sets a Controller's behaviour. Zero fields take the defaults.
+type Config struct {
+	Violations   int           // consecutive windows above the target before it acts, default 2
+	Recoveries   int           // consecutive windows below RecoverShare of the target before it gives speed back, default 6
+	RecoverShare float64       // default 0.75; the gap to 1 is the hysteresis
+	Aim          float64       // share of the target that a reaction aims at, default 0.9
+	Settle       time.Duration // time until a throttle or eviction shows in the latency, default 1 s
+	MinShare     float64       // lowest speed by throttling, default 0.25
+	MinRun       time.Duration // run time before a task may be evicted, default 30 s, at most half its expected run time
+	EvictBurst   int           // evictions in a row, default 2
+	EvictEvery   time.Duration // mean time between evictions, default 1 min
+	MaxActions   int           // throttles in one reaction, default 4
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Violations, 2)
+	setDefault(&c.Recoveries, 6)
+	setDefault(&c.RecoverShare, 0.75)
+	setDefault(&c.Aim, 0.9)
+	setDefault(&c.Settle, time.Second)
+	setDefault(&c.MinShare, 0.25)
+	setDefault(&c.MinRun, 30*time.Second)
+	setDefault(&c.EvictBurst, 2)
+	setDefault(&c.EvictEvery, time.Minute)
+	setDefault(&c.MaxActions, 4)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Task is a running batch task of the host.
+type Task struct {
+	Ref      worker.Ref
+	Kind     string
+	Priority int
+	Cores    float64       // measured use at full speed; the declared cores if it was not measured
+	MemoryMB int64         // measured use
+	SizeMB   int64         // memory admitted for it
+	Share    float64       // speed now, 0 to 1
+	Ran      time.Duration // since its start on this host; lost work if the checkpoint fails
+	Run      time.Duration // expected run time, 0: not known
+}
+
+// ActionKind is what a Controller asks for.
+type ActionKind string
+
+// Kinds of actions.
+const (
+	ActionThrottle ActionKind = "throttle"
+	ActionRestore  ActionKind = "restore" // a higher share
+	ActionEvict    ActionKind = "evict"   // checkpoint, then stop
+)
+
+// Action is one change of a task, with the reason and the candidates that were not chosen.
+type Action struct {
+	Kind     ActionKind
+	Ref      worker.Ref
+	Share    float64 // new speed of a throttle or restore
+	Reason   string
+	Rejected []string
+}
+
+// Sample is what the controller looks at: the window of the latency-critical kind that is closest to its target.
+type Sample struct {
+	Window
+	Target time.Duration // 0: none
+}
+
+// Controller decides when batch tasks of a host are slowed, evicted and given back their speed. It is not synchronised.
+type Controller struct {
+	cfg   Config
+	model *Model
+
+	over, under int
+	reactedAt   time.Time // the newest action; windows that began before its effect are ignored
+	effectAt    time.Time
+	lastRestore time.Time
+	patience    int // factor on Recoveries; doubles when a restore had to be taken back
+	tokens      float64
+	tokensAt    time.Time
+}
+
+// NewController returns a controller that uses the model to predict effects.
+func NewController(cfg Config, model *Model) *Controller {
+	cfg = cfg.withDefaults()
+	return &Controller{cfg: cfg, model: model, patience: 1, tokens: float64(cfg.EvictBurst)}
+}
+
+// Step looks at the newest window and returns what to do. A window that began before the last action took effect is
+// ignored, so that no sample causes a second reaction.
+func (c *Controller) Step(now time.Time, s Sample, tasks []Task) []Action {
+	if s.From.Before(c.effectAt) {
+		return nil
+	}
+	c.observe(s)
+	var actions []Action
+	switch {
+	case c.over >= c.cfg.Violations:
+		actions = c.slowDown(now, s, tasks)
+	case c.under >= c.cfg.Recoveries*c.patience:
+		actions = c.speedUp(now, s, tasks)
+	}
+	if len(actions) > 0 {
+		c.acted(now, s)
+	}
+	return actions
+}
+
+// Idle is called instead of Step when no latency-critical request was served; it counts as a window far below the target.
+func (c *Controller) Idle(now time.Time, tasks []Task) []Action {
+	return c.Step(now, Sample{Window: Window{From: now, To: now}}, tasks)
+}
+
+func (c *Controller) observe(s Sample) {
+	switch {
+	case s.Target == 0 || s.Count == 0:
+		c.over, c.under = 0, c.under+1
+	case s.P99 > s.Target:
+		c.over, c.under = c.over+1, 0
+	case float64(s.P99) < c.cfg.RecoverShare*float64(s.Target):
+		c.over, c.under = 0, c.under+1
+	default:
+		c.over, c.under = 0, 0 // inside the hysteresis
+	}
+}
+
+func (c *Controller) acted(now time.Time, s Sample) {
+	invariant.Check(!s.From.Before(c.effectAt), "one_reaction_per_sample", "window from %s, last action took effect at %s", s.From, c.effectAt)
+	c.over, c.under = 0, 0
+	c.reactedAt, c.effectAt = now, now.Add(c.cfg.Settle)
+}
+
+// flapTime is how soon after a restore a violation counts as caused by it.
+const flapTime = 30 * time.Second
+
+// maxPatience bounds the growth of the wait before a restore.
+const maxPatience = 16
+
+func (c *Controller) notePatience(now time.Time) {
+	if !c.lastRestore.IsZero() && now.Sub(c.lastRestore) < flapTime {
+		c.patience = min(2*c.patience, maxPatience)
+		return
+	}
+	c.patience = max(1, c.patience/2)
+}
+
+// allowEviction takes from the budget of evictions.
+func (c *Controller) allowEviction(now time.Time) bool {
+	if !c.tokensAt.IsZero() {
+		c.tokens = min(float64(c.cfg.EvictBurst), c.tokens+float64(now.Sub(c.tokensAt))/float64(c.cfg.EvictEvery))
+	}
+	c.tokensAt = now
+	if c.tokens < 1 {
+		return false
+	}
+	c.tokens--
+	return true
+}
