Replace full member lists by scopes, deltas and summaries

Cause: each exchange carried the whole list, so traffic and state per node grew with the fleet; a member counted as alive only while newer records arrived, so a pause or a lossy link removed it, and regions that lost each other forgot one another after a minute. Ruled out: a larger interval alone, because the list itself exceeds 7 KB/s. Change: a process holds the full list of its scope only (fleet, failure domain or rack, narrowed at 64 members), exchanges acknowledged deltas with log2(n) ring neighbours, repairs by digest, and reaches other cells through summaries of representatives chosen by rendezvous hash. Choosers hold a bounded candidate set from other cells and hear of urgent changes by push. Exchanges are probes; indirect probes, suspicion and refutation come before a removal; dead members and stale cells are retried so that regions merge. Incarnations are asserted never to fall. internal/scale holds the in-memory network that the tests use. The tests of bounded views, pauses and the merge after an hour cannot pass with the earlier code.

--- /dev/null
+++ b/internal/membership/change.go
@@ -0,0 +1,14 @@
+package membership
+
+import "sort"
+
+// change is a record or a summary to send, with the local sequence of its last change.
+type change struct {
+	seq     int64
+	item    *Item
+	summary *Summary
+}
+
+func sortChanges(list []change) {
+	sort.Slice(list, func(i, j int) bool { return list[i].seq < list[j].seq })
+}
--- /dev/null
+++ b/internal/membership/find.go
@@ -0,0 +1,132 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// ErrUnknown: no process that answered knows the member.
+var ErrUnknown = errors.New("member unknown to its group")
+
+// Place says where a member runs, as far as it is known. With both fields empty all failure domains are asked.
+type Place struct{ Domain, Rack string }
+
+// Messages of a lookup.
+type (
+	FindArgs struct {
+		ID    string
+		Place Place
+		Wide  bool // ask the other racks of the receiver's failure domain
+	}
+	FindReply struct {
+		Found bool
+		Item  Item
+	}
+)
+
+// findTimeout bounds a lookup in one failure domain.
+const findTimeout = 2 * time.Second
+
+// Find looks a member up: here, then through the representatives of its place, then failure domain by failure domain.
+// Errors: ErrUnknown.
+func (t *Table) Find(ctx context.Context, id string, at Place) (Status, error) {
+	if s, ok := t.Lookup(id); ok {
+		return s, nil
+	}
+	for _, list := range t.findTargets(at) {
+		reply, ok := t.askFirst(ctx, list, FindArgs{ID: id, Place: at, Wide: true})
+		if ok && reply.Found {
+			return Status{Member: reply.Item.Member, Suspect: reply.Item.State == StateSuspect, Heard: time.Now()}, nil
+		}
+	}
+	return Status{}, ErrUnknown
+}
+
+// findTargets returns the representatives of each cell to ask, the most likely first.
+func (t *Table) findTargets(at Place) [][]Contact {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := [][]Contact{}
+	if s := t.summaries[rackCell(at.Domain, at.Rack)]; s != nil {
+		out = append(out, s.Reps)
+	}
+	if s := t.summaries[domainCell(at.Domain)]; s != nil {
+		return append(out, s.Reps)
+	}
+	for cell, s := range t.summaries {
+		if at.Domain == "" && !isRackCell(cell) {
+			out = append(out, s.Reps)
+		}
+	}
+	return out
+}
+
+// askFirst asks the contacts one after the other until one answers.
+func (t *Table) askFirst(ctx context.Context, list []Contact, args FindArgs) (FindReply, bool) {
+	for _, c := range list {
+		if c.ID == t.cfg.Self.ID {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, findTimeout)
+		var reply FindReply
+		err := t.pool.Call(callCtx, c.Addr, "Member.Find", args, &reply)
+		cancel()
+		if err == nil {
+			return reply, true
+		}
+	}
+	return FindReply{}, false
+}
+
+// Find answers a lookup from this process's scope and, if asked to, from the other racks of its failure domain.
+func (s *Service) Find(args FindArgs, reply *FindReply) error {
+	t := s.table
+	if st, ok := t.Lookup(args.ID); ok {
+		reply.Found = true
+		reply.Item = Item{Member: st.Member}
+		if st.Suspect {
+			reply.Item.State = StateSuspect
+		}
+		return nil
+	}
+	if !args.Wide {
+		return nil
+	}
+	args.Wide = false
+	*reply = t.askRacks(args)
+	return nil
+}
+
+// askRacks asks all racks of the failure domain at once. It costs one call per rack, so callers should name the place.
+func (t *Table) askRacks(args FindArgs) FindReply {
+	ctx, cancel := context.WithTimeout(context.Background(), findTimeout)
+	defer cancel()
+	lists := t.rackReps(args.Place)
+	replies := make(chan FindReply, len(lists))
+	for _, list := range lists {
+		go func() {
+			r, _ := t.askFirst(ctx, list, args)
+			replies <- r
+		}()
+	}
+	for range lists {
+		if r := <-replies; r.Found {
+			return r
+		}
+	}
+	return FindReply{}
+}
+
+func (t *Table) rackReps(at Place) [][]Contact {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := [][]Contact{}
+	for cell, s := range t.summaries {
+		own := cell == t.ownCell() || cellDomain(cell) != t.self.Domain
+		if isRackCell(cell) && !own && (at.Rack == "" || cell == rackCell(t.self.Domain, at.Rack)) {
+			out = append(out, s.Reps)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/membership/table_test.go
@@ -0,0 +1,189 @@
+package membership_test
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"bamboofork/internal/membership"
+	"bamboofork/internal/scale"
+)
+
+// TestMain runs the bubbles on one processor: with several, the race detector's own runtime aborts ("CHECK failed:
+// tsan_rtl.cpp") once a bubble has started some tens of thousands of goroutines.
+func TestMain(m *testing.M) {
+	runtime.GOMAXPROCS(1)
+	os.Exit(m.Run())
+}
+
+// fleet is a set of started nodes in one bubble.
+type fleet struct {
+	net   *scale.Net
+	nodes []*scale.Node
+}
+
+func start(specs []scale.Spec) *fleet {
+	f := &fleet{net: scale.NewNet(1)}
+	for _, s := range specs {
+		n := scale.NewNode(f.net, s, zerolog.Nop(), nil)
+		f.nodes = append(f.nodes, n)
+		n.Start()
+	}
+	return f
+}
+
+func (f *fleet) stop() {
+	for _, n := range f.nodes {
+		n.Crash()
+	}
+}
+
+// views returns how many members the node sees, with the suspected ones counted apart.
+func views(n *scale.Node) (live, suspect int) {
+	for _, m := range n.Table.Members() {
+		live++
+		if m.Suspect {
+			suspect++
+		}
+	}
+	return live, suspect
+}
+
+func (f *fleet) checkAll(t *testing.T, want int, skip *scale.Node) {
+	t.Helper()
+	for _, n := range f.nodes {
+		if n == skip {
+			continue
+		}
+		if live, suspect := views(n); live != want || suspect != 0 {
+			t.Errorf("%s sees %d members (%d suspected), want %d", n.Spec.ID, live, suspect, want)
+		}
+	}
+}
+
+// Guards against a small fleet without full knowledge: entries and owners of today's deployments need every agent.
+func TestSmallFleetKnowsAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(scale.Grid(14, 3, 3, 3))
+		defer f.stop()
+		time.Sleep(5 * time.Second)
+		f.checkAll(t, 13, nil)
+	})
+}
+
+// Guards against lists that grow with the fleet: each node holds its scope and a bounded set of candidates.
+func TestLargeFleetStaysBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		specs := scale.Grid(36, 3, 4, 3)
+		for i := range specs {
+			specs[i].FullLimit = 8
+		}
+		f := start(specs)
+		defer f.stop()
+		time.Sleep(90 * time.Second)
+		for _, n := range f.nodes {
+			live, _ := views(n)
+			low, high := 3, 3
+			if n.Spec.Entry {
+				low, high = 3+8, 3+16 // four agents of each of the two other racks and two other domains
+			}
+			if live < low || live > high {
+				t.Errorf("%s (entry %v) at level %d sees %d members, want %d to %d", n.Spec.ID, n.Spec.Entry, n.Table.Scope().Level, live, low, high)
+			}
+		}
+		s, err := f.nodes[0].Table.Find(t.Context(), f.nodes[35].Spec.ID, membership.Place{Domain: f.nodes[35].Spec.Domain})
+		if err != nil || s.ID != f.nodes[35].Spec.ID {
+			t.Errorf("find %s: %v", f.nodes[35].Spec.ID, err)
+		}
+	})
+}
+
+// Guards against a leaving or dead member that keeps getting work.
+func TestLeavingAndDeadAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(scale.Grid(14, 3, 3, 3))
+		time.Sleep(5 * time.Second)
+		f.nodes[13].Leave()
+		f.nodes = f.nodes[:13]
+		time.Sleep(time.Second)
+		f.checkAll(t, 12, nil)
+		f.nodes[12].Crash()
+		f.nodes = f.nodes[:12]
+		time.Sleep(12 * time.Second)
+		f.checkAll(t, 11, nil)
+		f.stop()
+	})
+}
+
+// Guards against flapping: links that lose one message in twenty and a pause of four seconds remove nobody.
+func TestLossAndPauseDoNotRemove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(scale.Grid(30, 3, 5, 3))
+		defer f.stop()
+		f.net.SetLink(func(_, _ *scale.Endpoint) scale.Link { return scale.Link{Delay: 4 * time.Millisecond, Loss: 0.05} })
+		time.Sleep(10 * time.Second)
+		resume := f.nodes[20].End.Pause()
+		for i := range 120 {
+			if i == 16 {
+				resume()
+			}
+			time.Sleep(250 * time.Millisecond)
+			for _, n := range f.nodes {
+				if live, _ := views(n); live != 29 && n != f.nodes[20] {
+					t.Fatalf("after %d ms %s sees %d members, want 29", i*250, n.Spec.ID, live)
+				}
+			}
+		}
+	})
+}
+
+// Guards against members lost for good when regions meet again after an hour.
+func TestRegionsMergeAfterAnHour(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		specs := scale.Grid(12, 4, 3, 2)
+		for i := range specs {
+			specs[i].Interval = 15 * time.Second
+		}
+		f := start(specs)
+		defer f.stop()
+		time.Sleep(2 * time.Minute)
+		f.checkAll(t, 11, nil)
+		f.net.SetLink(func(a, b *scale.Endpoint) scale.Link { return scale.Link{Cut: a.Region != b.Region} })
+		time.Sleep(time.Hour)
+		f.checkAll(t, 5, nil)
+		f.net.SetLink(func(_, _ *scale.Endpoint) scale.Link { return scale.Link{} })
+		time.Sleep(2 * time.Minute)
+		f.checkAll(t, 11, nil)
+	})
+}
+
+// Guards against an old record that outlives a restart, and against a restart whose clock went back.
+func TestRestartReplacesRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(scale.Grid(8, 2, 4, 1))
+		defer func() { f.stop() }()
+		time.Sleep(5 * time.Second)
+		old := f.nodes[5].Table.Self().Incarnation
+		for i, incarnation := range []int64{old + 1000, old - 1000} {
+			f.nodes[5].Crash()
+			s := f.nodes[5].Spec
+			s.Incarnation = incarnation
+			f.nodes[5] = scale.NewNode(f.net, s, zerolog.Nop(), nil)
+			f.nodes[5].Start()
+			time.Sleep(5 * time.Second)
+			self := f.nodes[5].Table.Self().Incarnation
+			for _, n := range f.nodes {
+				m, ok := n.Table.Lookup(s.ID)
+				if !ok || m.Incarnation != self || m.Incarnation <= old+int64(i)*999 {
+					t.Errorf("restart %d: %s holds %s, found %v", i, n.Spec.ID, fmt.Sprint(m.Incarnation), ok)
+				}
+			}
+		}
+		f.checkAll(t, 7, nil)
+	})
+}
--- /dev/null
+++ b/internal/scale/net.go
@@ -0,0 +1,270 @@
+// Package scale runs many small nodes in one process over an in-memory network with injected loss and delay, and
+// measures what membership and settings dissemination cost per node. The nodes run the product's membership and
+// dissemination code; only the transport and the rest of the process are stand-ins.
+package scale
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Bytes added to each message: the net/rpc header with its method name, and TCP/IP headers with timestamps. One
+// acknowledgement is counted per call, because a reply acknowledges the request.
+const (
+	rpcHeaderBytes = 24
+	tcpipBytes     = 52
+	ackBytes       = 52
+)
+
+// ProbeBytesPerSecond is what package peer's probe of one open connection costs each end in a second, sent and
+// received, with headers: a request and a reply of about 12 bytes each.
+const ProbeBytesPerSecond = 2*(rpcHeaderBytes+tcpipBytes+12) + ackBytes
+
+// Errors of calls.
+var (
+	errRefused = errors.New("connection refused")
+	errLost    = errors.New("no answer in time")
+)
+
+// Link is the quality of the way between two endpoints.
+type Link struct {
+	Delay time.Duration // one way
+	Loss  float64       // probability that a message is lost; the call then ends with its deadline
+	Cut   bool          // all messages are lost
+}
+
+// Net connects endpoints. mu guards all fields.
+type Net struct {
+	mu    sync.Mutex
+	nodes map[string]*Endpoint
+	link  func(from, to *Endpoint) Link
+	rnd   *rand.Rand
+}
+
+// NewNet returns a network without faults; the seed fixes which messages are lost, given the order of calls.
+func NewNet(seed uint64) *Net {
+	return &Net{
+		nodes: map[string]*Endpoint{}, rnd: rand.New(rand.NewPCG(seed, seed)),
+		link: func(_, _ *Endpoint) Link { return Link{} },
+	}
+}
+
+// SetLink replaces the function that gives the quality of each way.
+func (n *Net) SetLink(link func(from, to *Endpoint) Link) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.link = link
+}
+
+// Endpoint is one process's place in the network and its transport for outgoing calls.
+type Endpoint struct {
+	Addr, Domain, Region string
+	net                  *Net
+
+	mu      sync.Mutex
+	methods map[string]method
+	streams map[string]*stream // outgoing, by address and direction
+	stopped chan struct{}      // closed while the host is gone: messages to it are lost
+	paused  chan struct{}      // non-nil while paused: messages wait
+
+	Sent, Received, Calls atomic.Int64
+	byMethod              map[string]int64
+}
+
+type method struct {
+	args  reflect.Type
+	reply reflect.Type
+	call  func(args, reply any) error
+}
+
+// NewEndpoint adds an endpoint.
+func (n *Net) NewEndpoint(addr, domain, region string) *Endpoint {
+	e := &Endpoint{
+		Addr: addr, Domain: domain, Region: region, net: n, methods: map[string]method{}, streams: map[string]*stream{},
+		stopped: make(chan struct{}), byMethod: map[string]int64{},
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[addr] = e
+	return e
+}
+
+// Handle registers a method with the signature that net/rpc uses.
+func Handle[A, R any](e *Endpoint, name string, f func(A, *R) error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.methods[name] = method{
+		args: reflect.TypeFor[A](), reply: reflect.TypeFor[R](),
+		call: func(args, reply any) error { return f(*args.(*A), reply.(*R)) },
+	}
+}
+
+// Stop makes the endpoint vanish: calls to and from it are lost.
+func (e *Endpoint) Stop() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.stopped)
+}
+
+// Pause delays all messages to and from the endpoint until resume is called.
+func (e *Endpoint) Pause() (resume func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ch := make(chan struct{})
+	e.paused = ch
+	return func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.paused = nil
+		close(ch)
+	}
+}
+
+// Connections returns the number of addresses that this endpoint has called.
+func (e *Endpoint) Connections() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.streams) / 2
+}
+
+// ByMethod returns the calls made per method.
+func (e *Endpoint) ByMethod() map[string]int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := map[string]int64{}
+	for k, v := range e.byMethod {
+		out[k] = v
+	}
+	return out
+}
+
+// stream carries messages one way as a connection would: type descriptions are sent once.
+type stream struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+	enc *gob.Encoder
+	dec *gob.Decoder
+}
+
+func (e *Endpoint) stream(key string) *stream {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.streams[key]
+	if s == nil {
+		s = &stream{}
+		s.enc, s.dec = gob.NewEncoder(&s.buf), gob.NewDecoder(&s.buf)
+		e.streams[key] = s
+	}
+	return s
+}
+
+// pass encodes from, decodes into to and returns the size.
+func (s *stream) pass(from any, to any) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enc.Encode(from); err != nil {
+		return 0, fmt.Errorf("encode: %w", err)
+	}
+	size := s.buf.Len()
+	return size, s.dec.Decode(to)
+}
+
+func (n *Net) way(from, to *Endpoint) (delay time.Duration, lost bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := n.link(from, to)
+	return l.Delay, l.Cut || l.Loss > 0 && n.rnd.Float64() < l.Loss
+}
+
+// Call implements the callers' transport.
+func (e *Endpoint) Call(ctx context.Context, addr, name string, args, reply any) error {
+	e.net.mu.Lock()
+	to := e.net.nodes[addr]
+	e.net.mu.Unlock()
+	if to == nil {
+		return errRefused
+	}
+	to.mu.Lock()
+	m, ok := to.methods[name]
+	to.mu.Unlock()
+	if !ok {
+		return fmt.Errorf("no method %s at %s", name, addr)
+	}
+	e.count(name)
+	in := reflect.New(m.args).Interface()
+	if err := e.carry(ctx, e, to, addr+">", args, in); err != nil {
+		return err
+	}
+	out := reflect.New(m.reply).Interface()
+	if err := m.call(in, out); err != nil {
+		return err
+	}
+	e.Received.Add(ackBytes / 2)
+	to.Received.Add(ackBytes / 2)
+	return e.carry(ctx, to, e, addr+"<", out, reply)
+}
+
+func (e *Endpoint) count(name string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.byMethod[name]++
+	e.Calls.Add(1)
+}
+
+// carry brings one message from one endpoint to the other over the stream kept by the caller.
+func (e *Endpoint) carry(ctx context.Context, from, to *Endpoint, key string, msg, into any) error {
+	if err := from.wait(ctx); err != nil {
+		return err
+	}
+	size, err := e.stream(key).pass(msg, into)
+	if err != nil {
+		return err
+	}
+	size += rpcHeaderBytes + tcpipBytes
+	from.Sent.Add(int64(size))
+	delay, lost := e.net.way(from, to)
+	if lost {
+		<-ctx.Done()
+		return errLost
+	}
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return errLost
+	}
+	if err := to.wait(ctx); err != nil {
+		return err
+	}
+	to.Received.Add(int64(size))
+	return nil
+}
+
+// wait holds a message while the endpoint is paused or gone.
+func (e *Endpoint) wait(ctx context.Context) error {
+	e.mu.Lock()
+	stopped, paused := e.stopped, e.paused
+	e.mu.Unlock()
+	select {
+	case <-stopped:
+		<-ctx.Done()
+		return errLost
+	default:
+	}
+	if paused == nil {
+		return nil
+	}
+	select {
+	case <-paused:
+		return nil
+	case <-ctx.Done():
+		return errLost
+	}
+}
