Pass settings between processes and let only hubs watch the store

Cause: every process watched and polled the settings log, so store calls grew with the nodes, a process that started during a store outage had no settings, and one that read older data after its start put them into force. Change: two hubs per failure domain, chosen by rendezvous hash, register under hub/<domain>/<i> with leases and are the only watchers. Every exchange names the revision in force and the checksum of its tree; who is behind pulls records, or the tree in paced 2 KB chunks, and verifies position and checksum. A first revision is held back while others are known to have a higher one, and for 2 s while nothing is known. Processes that find no seed list the hubs.

--- /dev/null
+++ b/internal/dissemination/syncer_test.go
@@ -0,0 +1,196 @@
+package dissemination_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"bamboofork/internal/caslog"
+	"bamboofork/internal/dissemination"
+	"bamboofork/internal/scale"
+	"bamboofork/internal/settings"
+	"bamboofork/internal/store"
+	"bamboofork/internal/store/memstore"
+)
+
+// TestMain runs the bubbles on one processor; see the same function of package membership's tests.
+func TestMain(m *testing.M) {
+	runtime.GOMAXPROCS(1)
+	os.Exit(m.Run())
+}
+
+func commit(t *testing.T, st store.Store, branch string) int64 {
+	t.Helper()
+	value := "team-" + branch
+	edit := settings.Edit{Author: "test", Changes: []settings.Change{{Branch: branch, Set: map[string]*string{"team": &value}}}}
+	repo := settings.NewRepository(st, "operator-"+branch)
+	_, base, err := repo.Load(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	rev, err := repo.Commit(t.Context(), base, edit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rev
+}
+
+func start(net *scale.Net, specs []scale.Spec, st store.Store) []*scale.Node {
+	nodes := make([]*scale.Node, len(specs))
+	for i, s := range specs {
+		nodes[i] = scale.NewNode(net, s, &scale.Backing{Store: st, LeaseTTL: 10 * time.Second}, zerolog.Nop())
+		nodes[i].Start()
+	}
+	return nodes
+}
+
+func stop(nodes []*scale.Node) {
+	for _, n := range nodes {
+		n.Crash()
+	}
+}
+
+func wantRevision(t *testing.T, nodes []*scale.Node, rev int64) {
+	t.Helper()
+	for _, n := range nodes {
+		if got := n.Live.Current().Revision; got != rev {
+			t.Errorf("%s has revision %d in force, want %d", n.Spec.ID, got, rev)
+		}
+	}
+}
+
+// Guards against an older revision in force after a start: a hub that starts reads a store that answers older data, after
+// others told it what they have in force and before it could fetch that from them.
+func TestOlderStoreAfterStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, st, stale := scale.NewNet(1), memstore.New(), memstore.New()
+		for i := range 4 {
+			commit(t, st, fmt.Sprintf("b%d", i))
+			if i < 2 {
+				commit(t, stale, fmt.Sprintf("b%d", i))
+			}
+		}
+		specs := scale.Grid(2, 2, 1, 1)
+		ahead := scale.NewNode(net, specs[0], nil, zerolog.Nop())
+		tree, rev, err := settings.NewRepository(st, "reader").Load(t.Context())
+		time.Sleep(3 * time.Second)
+		if err != nil || ahead.Sync.ApplyTree(rev, tree) != nil {
+			t.Fatalf("load: %v", err)
+		}
+		net.SetLink(func(_, _ *scale.Endpoint) scale.Link { return scale.Link{Cut: true} })
+		late := scale.NewNode(net, specs[1], nil, zerolog.Nop())
+		late.Sync.OnRevision(ahead.End.Addr, 4, dissemination.Checksum(tree))
+		ctx, cancel := context.WithCancel(t.Context())
+		watcher := dissemination.NewWatcher(settings.NewRepository(stale, "reader"), func(ctx context.Context, from int64) (<-chan struct{}, error) {
+			batches, err := stale.Watch(ctx, settings.Prefix, from)
+			return dissemination.Signals(ctx, batches), err
+		}, late.Sync)
+		done := make(chan error, 2)
+		go func() { done <- watcher.Run(ctx) }()
+		go func() { done <- late.Sync.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		wantRevision(t, []*scale.Node{late}, 0)
+		net.SetLink(func(_, _ *scale.Endpoint) scale.Link { return scale.Link{} })
+		late.Sync.OnRevision(ahead.End.Addr, 4, dissemination.Checksum(tree))
+		time.Sleep(10 * time.Second)
+		wantRevision(t, []*scale.Node{late}, 4)
+		cancel()
+		<-done
+		<-done
+	})
+}
+
+// Guards against a process without settings when the store is down at its start, and against many watchers.
+func TestStartDuringStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, engine := scale.NewNet(1), memstore.New()
+		st := memstore.NewFaulty(engine, 1)
+		commit(t, st, "b0")
+		specs := scale.Grid(8, 2, 4, 1)
+		nodes := start(net, specs[:7], st)
+		time.Sleep(10 * time.Second)
+		if n := engine.Watches(); n != 2*dissemination.HubsPerDomain {
+			t.Errorf("%d watches, want two for each of two failure domains", n)
+		}
+		st.Set(memstore.Faults{Down: true})
+		nodes = append(nodes, start(net, specs[7:], st)...)
+		time.Sleep(10 * time.Second)
+		wantRevision(t, nodes, 1)
+		st.Set(memstore.Faults{})
+		commit(t, st, "b1")
+		time.Sleep(10 * time.Second)
+		wantRevision(t, nodes, 2)
+		stop(nodes)
+	})
+}
+
+// Guards against damaged or invented settings in force: records whose checksum or position does not fit are discarded.
+func TestUnverifiedRecordsAreDiscarded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		live := settings.NewLive()
+		s := dissemination.NewSyncer(live, nil, nil, zerolog.Nop())
+		time.Sleep(3 * time.Second)
+		rec := caslog.Record{Seq: 1, Data: []byte(`{"author":"a","changes":[{"branch":"b0"}]}`)}
+		after, err := settings.ApplyRecord(settings.NewTree(), rec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sum := dissemination.Checksum(after)
+		gap := rec
+		gap.Seq = 2
+		for name, try := range map[string]func() error{
+			"checksum": func() error { return s.ApplyRecords([]caslog.Record{rec}, []uint64{sum + 1}) },
+			"missing":  func() error { return s.ApplyRecords([]caslog.Record{rec}, []uint64{}) },
+			"gap":      func() error { return s.ApplyRecords([]caslog.Record{gap}, []uint64{sum}) },
+		} {
+			if err := try(); err == nil || live.Current().Revision != 0 {
+				t.Errorf("%s: error %v, revision %d in force", name, err, live.Current().Revision)
+			}
+		}
+		if err := s.ApplyRecords([]caslog.Record{rec}, []uint64{sum}); err != nil || live.Current().Revision != 1 {
+			t.Errorf("valid record: error %v, revision %d", err, live.Current().Revision)
+		}
+	})
+}
+
+// Guards against whole trees in one burst: a transfer stays within the control budget and survives lost calls.
+func TestTreeTransferIsPaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := scale.NewNet(7)
+		specs := scale.Grid(2, 1, 2, 1)
+		nodes := []*scale.Node{}
+		for _, s := range specs {
+			nodes = append(nodes, scale.NewNode(net, s, nil, zerolog.Nop()))
+		}
+		tree := scale.Tree(2000, 1)
+		time.Sleep(3 * time.Second)
+		if err := nodes[0].Sync.ApplyTree(9, tree); err != nil {
+			t.Fatal(err)
+		}
+		net.SetLink(func(_, _ *scale.Endpoint) scale.Link { return scale.Link{Loss: 0.02} })
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			nodes[1].Sync.Run(ctx) //nolint:errcheck // ends with ctx
+			close(done)
+		}()
+		begun := time.Now()
+		for nodes[1].Live.Current().Revision != 9 && time.Since(begun) < 5*time.Minute {
+			nodes[1].Sync.OnRevision(nodes[0].End.Addr, 9, dissemination.Checksum(tree))
+			time.Sleep(time.Second)
+		}
+		took := time.Since(begun)
+		wantRevision(t, nodes, 9)
+		if rate := float64(nodes[1].End.Received.Load()) / took.Seconds(); rate > 7<<10 {
+			t.Errorf("%.0f B/s during the transfer, budget 7168", rate)
+		}
+		cancel()
+		<-done
+	})
+}
--- a/internal/dissemination/watcher.go
+++ b/internal/dissemination/watcher.go
@@ -1,45 +1,44 @@
-// Package dissemination brings accepted settings revisions to every process.
 package dissemination
 
 import (
 	"context"
-	"math/rand/v2"
+	"errors"
 	"time"
 
-	"github.com/rs/zerolog"
-
-	"bamboofork/internal/events"
 	"bamboofork/internal/settings"
+	"bamboofork/internal/store"
 )
 
-// Watcher follows the settings log in the store and applies new revisions to a settings.Live.
+// Watcher follows the settings log in the store and passes new revisions to a Syncer. Only hubs run it.
 type Watcher struct {
 	repo  *settings.Repository
 	watch func(ctx context.Context, from int64) (<-chan struct{}, error)
-	live  *settings.Live
-	log   zerolog.Logger
+	sync  *Syncer
 }
 
-// pollInterval is the mean time between reads when the watch reports nothing; it covers lost watch events.
-const pollInterval = 5 * time.Second
+// Pace of reads.
+const (
+	pollInterval = 10 * time.Second // mean, when the watch reports nothing; covers lost watch events
+	heldRetry    = 1 * time.Second  // while others have a higher revision than the store answers
+)
 
 // NewWatcher returns a watcher. The watch function signals that the log may have grown; its channel closes when the
 // watch ends.
-func NewWatcher(repo *settings.Repository, watch func(context.Context, int64) (<-chan struct{}, error), live *settings.Live, log zerolog.Logger) *Watcher {
-	return &Watcher{repo: repo, watch: watch, live: live, log: log}
+func NewWatcher(repo *settings.Repository, watch func(context.Context, int64) (<-chan struct{}, error), sync *Syncer) *Watcher {
+	return &Watcher{repo: repo, watch: watch, sync: sync}
 }
 
-// Run follows the log until ctx ends.
+// Run follows the log until ctx ends. The watch is opened before the first read, so that nothing is missed between.
 func (w *Watcher) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		w.read(ctx)
-		changed, err := w.watch(ctx, 0)
-		if err != nil {
-			sleep(ctx, pollInterval/10+rand.N(pollInterval/5))
-			continue
+		watchCtx, cancel := context.WithCancel(ctx)
+		changed, err := w.watch(watchCtx, 0)
+		if err == nil {
+			w.read(ctx)
+			w.follow(ctx, changed)
 		}
-		w.read(ctx) // what was appended between the first read and the start of the watch
-		w.follow(ctx, changed)
+		cancel()
+		sleep(ctx, jitter(pollInterval/10))
 	}
 	return nil
 }
@@ -53,48 +52,62 @@
 			if !ok {
 				return
 			}
-		case <-time.After(pollInterval/2 + rand.N(pollInterval)):
+		case <-time.After(jitter(pollInterval)):
 		}
 		w.read(ctx)
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+// read applies all records after the revision in force. A first revision that others are ahead of is read again until
+// the store or another process has a newer one.
+func (w *Watcher) read(ctx context.Context) {
+	for ctx.Err() == nil && errors.Is(w.readOnce(ctx), errHeld) {
+		sleep(ctx, jitter(heldRetry))
 	}
 }
 
-// read applies all records after the revision in force.
-func (w *Watcher) read(ctx context.Context) {
-	current := w.live.Current()
-	records, err := w.repo.Revisions(ctx, current.Revision+1)
-	if err != nil || len(records) == 0 && current.Revision > 0 {
-		return
+func (w *Watcher) readOnce(ctx context.Context) error {
+	rev, _ := w.sync.Revision()
+	if rev == 0 {
+		return w.load(ctx)
 	}
-	tree, rev := current.Tree, current.Revision
-	for _, rec := range records {
-		if tree, err = settings.ApplyRecord(tree, rec); err != nil {
-			break
-		}
-		rev = rec.Seq
+	records, err := w.repo.Revisions(ctx, rev+1)
+	if errors.Is(err, store.ErrCompacted) {
+		return w.load(ctx)
 	}
-	if err != nil || len(records) == 0 {
-		if tree, rev, err = w.repo.Load(ctx); err != nil {
-			return
-		}
+	if err != nil {
+		return err
+	}
+	err = w.sync.ApplyRecords(records, nil)
+	if errors.Is(err, errGap) {
+		return w.load(ctx)
 	}
-	w.apply(rev, tree)
+	return err
 }
 
-func (w *Watcher) apply(rev int64, tree settings.Tree) {
-	snap, err := settings.Compile(rev, tree)
-	if err != nil {
-		events.SettingsRejected.Log(&w.log).Int64("revision", rev).Err(err).Send()
-		return
-	}
-	if w.live.Apply(snap) {
-		events.SettingsApplied.Log(&w.log).Int64("revision", rev).Send()
+func (w *Watcher) load(ctx context.Context) error {
+	tree, rev, err := w.repo.Load(ctx)
+	if err != nil || rev == 0 {
+		return err
 	}
+	return w.sync.ApplyTree(rev, tree)
+}
+
+// Signals turns the batches of a store watch into change signals. The channel closes when the watch ends.
+func Signals(ctx context.Context, batches <-chan store.WatchBatch) <-chan struct{} {
+	changed := make(chan struct{})
+	go func() {
+		defer close(changed)
+		for batch := range batches {
+			if batch.Err != nil {
+				return
+			}
+			select {
+			case changed <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return changed
 }
--- a/internal/membership/candidates.go
+++ b/internal/membership/candidates.go
@@ -70,9 +70,17 @@
 	t.interested = want
 }
 
+// chooses asks whether candidates are wanted. The question goes to other packages, so the lock is not held.
+func (t *Table) chooses() bool {
+	t.mu.Lock()
+	want := t.interested
+	t.mu.Unlock()
+	return want != nil && want()
+}
+
 // duePolls returns the polls of this round. Each cell is polled once per pollGap.
 func (t *Table) duePolls(now time.Time) []pollTarget {
-	if t.level == LevelFleet || t.interested == nil || now.Before(t.nextPoll) || !t.interested() {
+	if t.level == LevelFleet || now.Before(t.nextPoll) {
 		return nil
 	}
 	t.nextPoll = now.Add(pollTick)
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -266,7 +266,7 @@
 
 // hear passes the revision of another process on. It runs without the lock.
 func (t *Table) hear(h Header) {
-	if t.cfg.OnRevision != nil && h.Revision > 0 {
+	if t.cfg.OnRevision != nil {
 		t.cfg.OnRevision(h.Addr, h.Revision, h.Checksum)
 	}
 }
--- a/internal/membership/loop.go
+++ b/internal/membership/loop.go
@@ -65,6 +65,7 @@
 // round does what is due and starts the exchanges; it does not wait for them, so that one slow link delays no other.
 func (t *Table) round(ctx context.Context, wg *sync.WaitGroup, urgent bool) {
 	now := time.Now()
+	chooses := t.chooses()
 	t.mu.Lock()
 	t.detectPause(now)
 	t.publishLoad(now)
@@ -74,7 +75,10 @@
 	t.summarise(now)
 	t.forgetLinks(now)
 	targets := t.targets(now, urgent)
-	polls := t.duePolls(now)
+	polls := []pollTarget{}
+	if chooses {
+		polls = t.duePolls(now)
+	}
 	notices := t.takeNotices(now)
 	alone := len(t.entries) == 0 || now.Sub(t.lastContact) > t.isolation()
 	t.mu.Unlock()
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -30,7 +30,7 @@
 func start(specs []scale.Spec) *fleet {
 	f := &fleet{net: scale.NewNet(1)}
 	for _, s := range specs {
-		n := scale.NewNode(f.net, s, zerolog.Nop(), nil)
+		n := scale.NewNode(f.net, s, nil, zerolog.Nop())
 		f.nodes = append(f.nodes, n)
 		n.Start()
 	}
@@ -173,7 +173,7 @@
 			f.nodes[5].Crash()
 			s := f.nodes[5].Spec
 			s.Incarnation = incarnation
-			f.nodes[5] = scale.NewNode(f.net, s, zerolog.Nop(), nil)
+			f.nodes[5] = scale.NewNode(f.net, s, nil, zerolog.Nop())
 			f.nodes[5].Start()
 			time.Sleep(5 * time.Second)
 			self := f.nodes[5].Table.Self().Incarnation
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"bamboofork/internal/config"
 	"bamboofork/internal/dissemination"
 	"bamboofork/internal/entry"
+	"bamboofork/internal/events"
 	"bamboofork/internal/gate"
 	"bamboofork/internal/lease"
 	"bamboofork/internal/membership"
@@ -52,6 +53,7 @@
 	server *peer.Server
 	table  *membership.Table
 	live   *settings.Live
+	sync   *dissemination.Syncer
 	dir    *partition.Directory
 	reg    *telemetry.Registry
 	api    *operatorapi.API
@@ -67,12 +69,33 @@
 	}
 	b := &base{
 		cfg: cfg, log: log, st: st, pool: pool, server: peer.NewServer(cfg.ID, log),
-		table: membership.NewTable(membership.Config{Self: self, Seeds: cfg.Seeds}, pool, log),
-		live:  settings.NewLive(), dir: partition.NewDirectory(st, pool, cfg.Partitions), reg: telemetry.New(),
+		live: settings.NewLive(), dir: partition.NewDirectory(st, pool, cfg.Partitions), reg: telemetry.New(),
 	}
+	b.sync = dissemination.NewSyncer(b.live, pool, func() { b.table.Kick() }, log)
+	b.table = membership.NewTable(membership.Config{
+		Self: self, Seeds: cfg.Seeds, Revision: b.sync.Revision, OnRevision: b.sync.OnRevision, Hubs: b.hubs,
+	}, pool, log)
 	b.api = &operatorapi.API{Table: b.table, Live: b.live, Metrics: b.reg}
-	err := b.server.Register("Member", b.table.Service())
-	return b, eris.Wrap(err, "register membership service")
+	err := errors.Join(b.server.Register("Member", b.table.Service()), b.server.Register("Settings", b.sync.Service()))
+	return b, eris.Wrap(err, "register membership and settings services")
+}
+
+// hubs lists the registered hubs; none while the store does not answer.
+func (b *base) hubs(ctx context.Context) []string {
+	addrs, err := dissemination.ListHubs(ctx, b.st)
+	if err != nil {
+		events.StoreUnavailable.Log(&b.log).Err(err).Msg("hubs not listed")
+	}
+	return addrs
+}
+
+// hub returns the duty of a hub, which this process takes while it represents its failure domain.
+func (b *base) hub() *dissemination.Hub {
+	repo := settings.NewRepository(b.st, b.cfg.ID)
+	return dissemination.NewHub(dissemination.HubConfig{
+		ID: b.cfg.ID, Addr: b.cfg.Listen.Control, Domain: b.cfg.Domain, LeaseTTL: b.cfg.LeaseTTL, Rank: b.table.HubRank,
+		Watch: dissemination.NewWatcher(repo, watchLog(b.st, repo), b.sync).Run,
+	}, b.st, b.log)
 }
 
 // NewEntry assembles an entry and opens its listeners.
@@ -81,6 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
+	b.table.SetInterest(func() bool { return true })
 	e := entry.New(cfg.ID, cfg.Domain, b.live, b.table, b.dir, b.pool, b.reg, b.log)
 	n := b.node()
 	n.Entry = e
@@ -112,6 +136,7 @@
 		ID: unique, Addr: cfg.Listen.Control, Partitions: cfg.Partitions, Max: cfg.MaxPartitions, Outage: cfg.OutageHold,
 	}, b.st, keeper, b.table, b.pool, b.log)
 	b.api.Owned = manager.Owned
+	b.table.SetInterest(func() bool { return len(manager.Owned()) > 0 })
 	a := agent.New(agent.Config{
 		ID: cfg.ID, BackendName: cfg.Backend.Name, BackendAddr: cfg.Backend.Addr, Drain: cfg.Drain,
 		Gate: gate.Config{Slots: cfg.Backend.Slots, Conns: cfg.Backend.Conns, MaxQueue: cfg.Backend.MaxQueue, Room: room},
@@ -176,10 +201,9 @@
 	if err != nil {
 		return eris.Wrap(err, "control listener")
 	}
-	repo := settings.NewRepository(b.st, b.cfg.ID)
-	watcher := dissemination.NewWatcher(repo, watchLog(b.st, repo), b.live, b.log)
+	hub := b.hub()
 	n.stages = append(n.stages,
-		[]app.Part{{Name: "membership", Run: b.table.Run}, {Name: "settings", Run: watcher.Run}},
+		[]app.Part{{Name: "membership", Run: b.table.Run}, {Name: "settings", Run: b.sync.Run}, {Name: "hub", Run: hub.Run}},
 		[]app.Part{{Name: "control", Run: func(ctx context.Context) error { return b.server.Serve(ctx, l) }}})
 	n.closers = append(n.closers, b.pool.Close)
 	b.api.Ready.Store(true)
@@ -193,21 +217,7 @@
 		if err != nil {
 			return nil, err
 		}
-		changed := make(chan struct{})
-		go func() {
-			defer close(changed)
-			for batch := range batches {
-				if batch.Err != nil {
-					return
-				}
-				select {
-				case changed <- struct{}{}:
-				case <-ctx.Done():
-					return
-				}
-			}
-		}()
-		return changed, nil
+		return dissemination.Signals(ctx, batches), nil
 	}
 }
 
--- a/internal/scale/node.go
+++ b/internal/scale/node.go
@@ -7,7 +7,10 @@
 
 	"github.com/rs/zerolog"
 
+	"bamboofork/internal/dissemination"
 	"bamboofork/internal/membership"
+	"bamboofork/internal/settings"
+	"bamboofork/internal/store"
 	"bamboofork/internal/worker"
 )
 
@@ -25,11 +28,20 @@
 // Addr returns the in-memory control address of a node.
 func Addr(id string) string { return "mem:" + id }
 
+// Backing is the store behind a fleet's hubs and the pace of their leases.
+type Backing struct {
+	Store    store.Store
+	LeaseTTL time.Duration
+}
+
 // Node is a small process: the membership table, the settings syncer and a load report that changes.
 type Node struct {
 	Spec   Spec
 	End    *Endpoint
 	Table  *membership.Table
+	Live   *settings.Live
+	Sync   *dissemination.Syncer
+	parts  []func(context.Context) error
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -51,16 +63,25 @@
 	return m
 }
 
-// NewNode adds a node to the network without starting it. The configure function may complete the table's settings.
-func NewNode(n *Net, s Spec, log zerolog.Logger, configure func(*membership.Config)) *Node {
+// NewNode adds a node to the network without starting it. Without a backing it never becomes a hub.
+func NewNode(n *Net, s Spec, b *Backing, log zerolog.Logger) *Node {
 	node := &Node{Spec: s, End: n.NewEndpoint(Addr(s.ID), s.Domain, s.Region)}
 	cfg := membership.Config{
 		Self: s.member(), Seeds: s.Seeds, Interval: s.Interval, FullLimit: s.FullLimit, KeepLoadReports: s.KeepLoadReports,
 	}
-	if configure != nil {
-		configure(&cfg)
+	node.Live = settings.NewLive()
+	node.Sync = dissemination.NewSyncer(node.Live, node.End, func() { node.Table.Kick() }, log)
+	cfg.Revision, cfg.OnRevision = node.Sync.Revision, node.Sync.OnRevision
+	node.parts = append(node.parts, node.Sync.Run)
+	if b != nil {
+		cfg.Hubs = func(ctx context.Context) []string { return listHubs(ctx, b.Store) }
 	}
 	node.Table = membership.NewTable(cfg, node.End, log)
+	node.parts = append(node.parts, node.Table.Run)
+	if b != nil {
+		node.parts = append(node.parts, node.hub(b, log).Run)
+	}
+	Handle(node.End, "Settings.Pull", node.Sync.Service().Pull)
 	if s.Entry {
 		node.Table.SetInterest(func() bool { return true })
 	}
@@ -74,11 +95,34 @@
 	return node
 }
 
+func listHubs(ctx context.Context, st store.Store) []string {
+	addrs, err := dissemination.ListHubs(ctx, st)
+	if err != nil {
+		return nil // asked again later
+	}
+	return addrs
+}
+
+func (n *Node) hub(b *Backing, log zerolog.Logger) *dissemination.Hub {
+	repo := settings.NewRepository(b.Store, n.Spec.ID)
+	watch := func(ctx context.Context, from int64) (<-chan struct{}, error) {
+		batches, err := b.Store.Watch(ctx, repo.RecordPrefix(), from)
+		if err != nil {
+			return nil, err
+		}
+		return dissemination.Signals(ctx, batches), nil
+	}
+	return dissemination.NewHub(dissemination.HubConfig{
+		ID: n.Spec.ID, Addr: n.End.Addr, Domain: n.Spec.Domain, LeaseTTL: b.LeaseTTL, Rank: n.Table.HubRank,
+		Watch: dissemination.NewWatcher(repo, watch, n.Sync).Run,
+	}, b.Store, log)
+}
+
 // Start runs the node's parts until Leave or Crash.
-func (n *Node) Start(parts ...func(context.Context) error) {
+func (n *Node) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel, n.done = cancel, make(chan struct{})
-	parts = append(parts, n.Table.Run)
+	parts := n.parts
 	finished := make(chan struct{}, len(parts))
 	for _, run := range parts {
 		go func() {
