--- /dev/null
+++ b/internal/scale/node.go
@@ -0,0 +1,170 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"bamboofork/internal/dissemination"
+	"bamboofork/internal/membership"
+	"bamboofork/internal/settings"
+	"bamboofork/internal/store"
+	"bamboofork/internal/worker"
+)
+
+// Spec places one node.
+type Spec struct {
+	ID, Region, Domain, Rack string
+	Entry                    bool
+	Seeds                    []string
+	Interval                 time.Duration // 0: the product's default
+	FullLimit                int           // 0: the product's default
+	KeepLoadReports          bool
+	Incarnation              int64 // 0: the present time
+}
+
+// Addr returns the in-memory control address of a node.
+func Addr(id string) string { return "mem:" + id }
+
+// Backing is the store behind a fleet's hubs and the pace of their leases.
+type Backing struct {
+	Store    store.Store
+	LeaseTTL time.Duration
+}
+
+// Node is a small process: the membership table, the settings syncer and a load report that changes.
+type Node struct {
+	Spec   Spec
+	End    *Endpoint
+	Table  *membership.Table
+	Live   *settings.Live
+	Sync   *dissemination.Syncer
+	parts  []func(context.Context) error
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func (s Spec) member() membership.Member {
+	m := membership.Member{
+		ID: s.ID, Role: membership.RoleAgent, Region: s.Region, Domain: s.Domain, Rack: s.Rack,
+		Addr: Addr(s.ID), DataAddr: "data:" + s.ID, Incarnation: s.Incarnation,
+	}
+	if s.Entry {
+		m.Role = membership.RoleEntry
+		return m
+	}
+	m.Load = membership.Load{
+		Backend: "pool", Slots: 8, ConnsMax: 64,
+		Capacity: worker.Resources{Cores: 56, MemoryMB: 234_000, Accelerators: 2},
+		Free:     worker.Resources{Cores: 56, MemoryMB: 234_000, Accelerators: 2},
+	}
+	return m
+}
+
+// NewNode adds a node to the network without starting it. Without a backing it never becomes a hub.
+func NewNode(n *Net, s Spec, b *Backing, log zerolog.Logger) *Node {
+	node := &Node{Spec: s, End: n.NewEndpoint(Addr(s.ID), s.Domain, s.Region)}
+	cfg := membership.Config{
+		Self: s.member(), Seeds: s.Seeds, Interval: s.Interval, FullLimit: s.FullLimit, KeepLoadReports: s.KeepLoadReports,
+	}
+	node.Live = settings.NewLive()
+	node.Sync = dissemination.NewSyncer(node.Live, node.End, func() { node.Table.Kick() }, log)
+	cfg.Revision, cfg.OnRevision = node.Sync.Revision, node.Sync.OnRevision
+	node.parts = append(node.parts, node.Sync.Run)
+	if b != nil {
+		cfg.Hubs = func(ctx context.Context) []string { return listHubs(ctx, b.Store) }
+	}
+	node.Table = membership.NewTable(cfg, node.End, log)
+	node.parts = append(node.parts, node.Table.Run)
+	if b != nil {
+		node.parts = append(node.parts, node.hub(b, log).Run)
+	}
+	Handle(node.End, "Settings.Pull", node.Sync.Service().Pull)
+	if s.Entry {
+		node.Table.SetInterest(func() bool { return true })
+	}
+	service := node.Table.Service()
+	Handle(node.End, "Member.Exchange", service.Exchange)
+	Handle(node.End, "Member.Ping", service.Ping)
+	Handle(node.End, "Member.Probe", service.Probe)
+	Handle(node.End, "Member.Poll", service.Poll)
+	Handle(node.End, "Member.Notify", service.Notify)
+	Handle(node.End, "Member.Find", service.Find)
+	return node
+}
+
+func listHubs(ctx context.Context, st store.Store) []string {
+	addrs, err := dissemination.ListHubs(ctx, st)
+	if err != nil {
+		return nil // asked again later
+	}
+	return addrs
+}
+
+func (n *Node) hub(b *Backing, log zerolog.Logger) *dissemination.Hub {
+	repo := settings.NewRepository(b.Store, n.Spec.ID)
+	watch := func(ctx context.Context, from int64) (<-chan struct{}, error) {
+		batches, err := b.Store.Watch(ctx, repo.RecordPrefix(), from)
+		if err != nil {
+			return nil, err
+		}
+		return dissemination.Signals(ctx, batches), nil
+	}
+	return dissemination.NewHub(dissemination.HubConfig{
+		ID: n.Spec.ID, Addr: n.End.Addr, Domain: n.Spec.Domain, LeaseTTL: b.LeaseTTL, Rank: n.Table.HubRank,
+		Watch: dissemination.NewWatcher(repo, watch, n.Sync).Run,
+	}, b.Store, log)
+}
+
+// Start runs the node's parts until Leave or Crash.
+func (n *Node) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel, n.done = cancel, make(chan struct{})
+	parts := n.parts
+	finished := make(chan struct{}, len(parts))
+	for _, run := range parts {
+		go func() {
+			run(ctx) //nolint:errcheck // the parts end with ctx
+			finished <- struct{}{}
+		}()
+	}
+	go func() {
+		defer close(n.done)
+		for range parts {
+			<-finished
+		}
+	}()
+}
+
+// Leave stops the node in order: it announces that it is gone.
+func (n *Node) Leave() {
+	n.cancel()
+	<-n.done
+}
+
+// Crash stops the node without a word: the network loses its messages first.
+func (n *Node) Crash() {
+	n.End.Stop()
+	n.cancel()
+	<-n.done
+}
+
+// Grid places count nodes over the failure domains, racks of rackSize, the first entries of them entries. All start
+// from the same two seeds.
+func Grid(count, domains, rackSize, entries int) []Spec {
+	specs := make([]Spec, count)
+	for i := range specs {
+		d := i % domains
+		specs[i] = Spec{
+			ID: fmt.Sprintf("n%04d", i), Region: fmt.Sprintf("region-%d", d/2+1), Domain: fmt.Sprintf("domain-%d", d+1),
+			Rack: fmt.Sprintf("rack-%d", i/domains/rackSize+1), Entry: i < entries,
+		}
+	}
+	seeds := []string{Addr(specs[0].ID), Addr(specs[min(1, count-1)].ID)}
+	for i := range specs {
+		specs[i].Seeds = seeds
+	}
+	return specs
+}
