Test planned stops with keyed requests

Change: keyed requests of 400 ms run through the stop of an agent and of an entry; all must be answered. Conclusion: the check now sees a request that is cut off.

--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -25,6 +25,7 @@
 	t.Run("StoreOutage", f.storeOutage)
 	t.Run("AgentKilled", f.agentKilled)
 	t.Run("PlannedStopCutsOffNothing", f.plannedStop)
+	t.Run("EntryStopCutsOffNothing", f.entryStop)
 	t.Run("EveryAgentReplaced", f.everyAgentReplaced)
 	t.Run("KeyedRequestsRunOnce", f.keyedOnce)
 	for _, p := range append(append([]*process{f.platform}, f.agents...), f.entries...) {
@@ -77,19 +78,64 @@
 	f.finished(id, 60*time.Second)
 }
 
-// plannedStop guards against a graceful stop that cuts off a request, or a leaving server that still gets work.
+// plannedStop guards against a graceful stop that cuts off a request, or a leaving server that still gets work. Keyed
+// requests show it, because they are not tried again elsewhere once they may have run: all must be answered, those at
+// a stopping entry too if they were sent before the stop.
 func (f *fleet) plannedStop(t *testing.T) {
-	stop := f.load(6)
+	stop := f.load(4)
+	orders := f.longOrders(4)
 	time.Sleep(500 * time.Millisecond)
 	f.agents[2].stop(t, syscall.SIGTERM)
-	time.Sleep(time.Second)
+	time.Sleep(500 * time.Millisecond)
 	f.agents[2].start(t)
 	time.Sleep(500 * time.Millisecond)
+	done, failed := orders()
 	answered, errs := stop()
+	qt.Check(t, done > 10, qt.IsTrue, qt.Commentf("%d orders", done))
+	qt.Check(t, failed, qt.HasLen, 0)
 	qt.Check(t, answered > 100, qt.IsTrue, qt.Commentf("%d answered", answered))
 	qt.Check(t, errs, qt.HasLen, 0)
 }
 
+// entryStop guards against an entry that cuts off the requests in flight at its planned stop.
+func (f *fleet) entryStop(t *testing.T) {
+	const inFlight = 8
+	results := make(chan error, inFlight)
+	for i := range inFlight {
+		go func() { results <- f.longOrder(1, fmt.Sprintf("entry-stop-%d", i)) }()
+	}
+	time.Sleep(200 * time.Millisecond)
+	f.entries[1].stop(t, syscall.SIGTERM)
+	for range inFlight {
+		qt.Check(t, <-results, qt.IsNil)
+	}
+	f.entries[1].start(t)
+	f.eventually("the entry serves again", 20*time.Second, func() error {
+		_, err := f.quick(1, "again")
+		return err
+	})
+}
+
+// longOrder sends a keyed request that takes 400 ms at the backend server.
+func (f *fleet) longOrder(entryIndex int, key string) error {
+	url := "http://" + f.callers[entryIndex] + "/v1/run/workshop/moulding-orders/-/order?ms=400"
+	status, answer, err := f.do(http.MethodPost, url, key, key)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK || !strings.HasSuffix(answer, " /order "+key+"\n") {
+		return fmt.Errorf("order %s: status %d, answer %q", key, status, answer)
+	}
+	return nil
+}
+
+// longOrders sends keyed requests through all entries until the returned function is called.
+func (f *fleet) longOrders(callers int) (stop func() (int, []error)) {
+	return f.repeat(callers, 0, func(c, i int) error {
+		return f.longOrder((c+i)%len(f.callers), fmt.Sprintf("long-%d-%d", c, i))
+	})
+}
+
 // everyAgentReplaced guards against state that only lives on hosts: all agents are replaced one after another while
 // a job runs.
 func (f *fleet) everyAgentReplaced(t *testing.T) {
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -328,8 +328,16 @@
 }
 
 // load sends quick requests through all entries until stop is called, which returns how many were answered and the
-// first errors.
+// errors.
 func (f *fleet) load(callers int) (stop func() (int, []error)) {
+	return f.repeat(callers, 5*time.Millisecond, func(c, i int) error {
+		_, err := f.quick((c+i)%len(f.callers), fmt.Sprintf("scan-%d-%d", c, i))
+		return err
+	})
+}
+
+// repeat runs send in several goroutines with a pause between two calls until stop is called.
+func (f *fleet) repeat(callers int, pause time.Duration, send func(caller, i int) error) (stop func() (int, []error)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -339,7 +347,7 @@
 		go func() {
 			defer wg.Done()
 			for i := 0; ctx.Err() == nil; i++ {
-				_, err := f.quick((c+i)%len(f.callers), fmt.Sprintf("scan-%d-%d", c, i))
+				err := send(c, i)
 				mu.Lock()
 				if err == nil {
 					answered++
@@ -347,7 +355,7 @@
 					errs = append(errs, err)
 				}
 				mu.Unlock()
-				time.Sleep(5 * time.Millisecond)
+				time.Sleep(pause)
 			}
 		}()
 	}
