Let a branch under its share run ahead, and cap a branch's excess at an entry

Ruled out: the limits of the other branches, which shed under 1% of them. Change: A branch's virtual start time may lie four requests before the gate's, earned back at the rate of its share. At the limit of a branch each prefix may have two requests in flight, up to a ceiling of four times the limit.

--- a/internal/agent/flow.go
+++ b/internal/agent/flow.go
@@ -15,6 +15,11 @@
 // callerWeight is the weight of every prefix and every caller: anonymous callers are equal.
 const callerWeight = 1
 
+// branchBurst is what a branch under its share may run ahead of others at one gate. Without it a branch that asks for
+// most of its share waits behind a flood whenever two of its requests arrive together. Callers get none, because new
+// addresses cost nothing.
+const branchBurst = 4
+
 // flowOf returns the levels of fairness of a request, from the outermost branch to the caller, and the index of the
 // branch's own work.
 func flowOf(live *settings.Snapshot, branch *settings.Effective, caller string) (flow []gate.Share, own int) {
@@ -25,7 +30,7 @@
 		if i := strings.IndexByte(path[from:], '/'); i >= 0 {
 			end = from + i
 		}
-		flow = append(flow, gate.Share{Key: path[from:end], Weight: weightOf(live, path[:end])})
+		flow = append(flow, gate.Share{Key: path[from:end], Weight: weightOf(live, path[:end]), Burst: branchBurst})
 		from = end + 1
 	}
 	own = len(flow)
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -112,6 +113,44 @@
 	})
 }
 
+// Guards against a branch under its share whose requests wait behind a flood when a few arrive together, and against a
+// burst that lets a branch exceed its share for good.
+func TestBranchBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gate.New(gate.Config{Slots: 4, Conns: 16, MaxQueue: 64})
+		burst := func(r gate.Request) gate.Request {
+			r.Flow[0].Burst = 4
+			return r
+		}
+		attack := &load{request: func(int) gate.Request { return burst(request("flood", 90, "p", "a")) }, gap: time.Millisecond, hold: hold}
+		greedy := &load{request: func(int) gate.Request { return burst(request("greedy", 10, "p", "b")) }, gap: 5 * time.Millisecond, hold: hold}
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			for range 20 {
+				started := time.Now()
+				var all sync.WaitGroup
+				for range 3 {
+					all.Go(func() {
+						release, err := g.AcquireSlot(context.Background(), burst(request("quiet", 10, "p", "c")))
+						if err != nil {
+							t.Errorf("a burst of three was refused: %v", err)
+							return
+						}
+						time.Sleep(hold)
+						release()
+					})
+				}
+				all.Wait()
+				qt.Check(t, time.Since(started) <= 3*hold, qt.IsTrue, qt.Commentf("a burst of three took %s", time.Since(started)))
+				time.Sleep(700 * time.Millisecond)
+			}
+		}()
+		offer(g, 20*time.Second, attack, greedy)
+		// The greedy branch asks for all of the capacity; its share of 4000 is at least a tenth, with the flood's.
+		qt.Check(t, greedy.ran >= 360 && greedy.ran <= 440, qt.IsTrue, qt.Commentf("greedy branch ran %d of 4000", greedy.ran))
+	})
+}
+
 // Guards against a slot that goes to a request whose deadline has passed.
 func TestExpiredIsNotGranted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gate/node.go
+++ b/internal/gate/node.go
@@ -14,6 +14,7 @@
 	parent   *node
 	key      string
 	weight   float64
+	burst    float64
 	children map[string]*node
 	active   activeHeap // children with waiters, by virtual start time
 	idle     []*node    // children without waiters, longest idle first
@@ -32,9 +33,20 @@
 }
 
 func newNode(parent *node, s Share) *node {
-	return &node{parent: parent, key: s.Key, weight: float64(max(1, s.Weight)), index: -1}
+	n := &node{parent: parent, key: s.Key, index: -1}
+	n.apply(s)
+	return n
+}
+
+// apply puts a share's weight and burst in force.
+func (n *node) apply(s Share) {
+	n.weight = float64(max(1, s.Weight))
+	n.burst = float64(max(0, s.Burst))
 }
 
+// earliest is the lowest virtual start time that the node may take now.
+func (n *node) earliest() float64 { return n.parent.virtual - n.burst*n.quantum() }
+
 // quantum is the charge of one mean request.
 func (n *node) quantum() float64 { return 1 / n.weight }
 
@@ -48,7 +60,7 @@
 		}
 		n.children[s.Key] = c
 	}
-	c.weight = float64(max(1, s.Weight))
+	c.apply(s)
 	return c
 }
 
@@ -81,7 +93,7 @@
 func (n *node) prune() {
 	for len(n.idle) > 0 {
 		first := n.idle[0]
-		owes := first.inUse() || first.finish > n.virtual
+		owes := first.inUse() || first.finish > first.earliest()
 		if owes && len(n.idle) <= maxIdle {
 			return
 		}
--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -10,6 +10,9 @@
 type Share struct {
 	Key    string // unique among its siblings
 	Weight int    // relative to its siblings; values under 1 count as 1
+	// Burst is the number of requests that the node may run ahead of its siblings after it used less than its share.
+	// It earns them back at the rate of its share, so in the long run it gains at most this many.
+	Burst int
 }
 
 // fairQueue is hierarchical start-time fair queuing. Each node orders its backlogged children by virtual start time;
@@ -75,7 +78,7 @@
 		return
 	}
 	q.order++
-	n.start, n.order = max(n.parent.virtual, n.finish), q.order
+	n.start, n.order = max(n.earliest(), n.finish), q.order
 	heap.Push(&n.parent.active, n)
 }
 
@@ -161,7 +164,7 @@
 		change := max(units*n.quantum(), -n.quantum())
 		n.finish += change
 		if n.index >= 0 {
-			n.start = max(n.start+change, n.parent.virtual)
+			n.start = max(n.start+change, n.earliest())
 			heap.Fix(&n.parent.active, n.index)
 		}
 	}
--- a/internal/limit/concurrency.go
+++ b/internal/limit/concurrency.go
@@ -72,8 +72,7 @@
 	if branch.MaxConcurrency > 0 {
 		limit = min(limit, float64(branch.MaxConcurrency))
 	}
-	hard := branch.MaxConcurrency > 0 && c.inflight >= branch.MaxConcurrency
-	if hard || float64(c.inflight) >= limit && float64(c.callers[slot]) >= c.callerShare(limit, slot) {
+	if c.full(branch, limit, slot) {
 		return nil, &Refusal{Reason: "the branch is overloaded", Overload: true, RetryAfter: retryAfterOverload}
 	}
 	c.enter(slot, now)
@@ -83,14 +82,35 @@
 // retryAfterOverload is the time after which the limits have had several windows to adapt.
 const retryAfterOverload = time.Second
 
-// callerShare is what each active prefix may have in flight at the limit: an equal part. It lets a prefix with nothing in
-// flight in, so the requests in flight are at most the limit plus one for each counter.
+// Beyond the limit, prefixes with few requests in flight are still let in up to a ceiling, so that a flood from a few
+// prefixes does not shut out the others. A flood from thousands of prefixes is stopped by the ceiling.
+const (
+	callerFloor   = 2.0 // requests in flight of one prefix that the limit does not refuse
+	ceilingFactor = 4.0 // times the limit
+	ceilingExtra  = 16.0
+)
+
+// full reports whether a request of the prefix is refused.
+func (c *Concurrency) full(branch *settings.Effective, limit float64, slot int) bool {
+	open := float64(c.inflight)
+	switch {
+	case branch.MaxConcurrency > 0 && c.inflight >= branch.MaxConcurrency:
+		return true
+	case open < limit:
+		return false
+	case open >= ceilingFactor*limit+ceilingExtra:
+		return true
+	}
+	return float64(c.callers[slot]) >= c.callerShare(limit, slot)
+}
+
+// callerShare is what each active prefix may have in flight at the limit: an equal part.
 func (c *Concurrency) callerShare(limit float64, slot int) float64 {
 	active := c.busy
 	if c.callers[slot] == 0 {
 		active++
 	}
-	return max(1, math.Floor(limit/float64(active)))
+	return max(callerFloor, math.Floor(limit/float64(active)))
 }
 
 func (c *Concurrency) enter(slot int, now time.Time) {
