--- a/internal/partition/planner.go
+++ b/internal/partition/planner.go
@@ -27,7 +27,7 @@
 )
 
 // planner holds what one owner knows for placement: its scheduler, the corrected sizes, the merged interference and the
-// newest decisions. It is safe for concurrent use; mu guards avoid and largest.
+// newest decisions. It is safe for concurrent use; mu guards avoid, largest and nodes.
 type planner struct {
 	zlog    zerolog.Logger
 	sched   *scheduler.Scheduler
@@ -39,6 +39,7 @@
 	mu      sync.Mutex
 	avoid   map[string]map[string]time.Time // task -> worker -> end of the avoidance
 	largest worker.Resources                // of any known worker, per resource
+	nodes   []scheduler.NodeInfo            // newest snapshot of the known workers
 }
 
 func newPlanner(id int, zlog zerolog.Logger) *planner {
@@ -101,7 +102,7 @@
 		largest.MemoryMB = max(largest.MemoryMB, n.Capacity.MemoryMB)
 	}
 	p.mu.Lock()
-	p.largest = largest
+	p.largest, p.nodes = largest, nodes
 	p.mu.Unlock()
 	for _, c := range p.sched.Update(nodes) {
 		p.logHealth(c)
@@ -130,10 +131,36 @@
 	ref := ledger.TaskRef(job.ID, index, attempt)
 	return &scheduler.TaskInfo{
 		Ref: ref, JobID: job.ID, Kind: job.Kind, Team: job.Team, Need: need, Run: run, Priority: job.Priority,
-		Submitted: job.Submitted, Deadline: job.Deadline, Avoid: p.avoided(ref.Task), Probe: job.Idempotent,
+		Submitted: job.Submitted, Deadline: job.Deadline, Avoid: p.avoidedBy(ref.Task, job.Tasks[index].FailedOn), Probe: job.Idempotent,
 	}
 }
 
+// known returns the newest snapshot of the known workers, which must not be changed.
+func (p *planner) known() []scheduler.NodeInfo {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.nodes
+}
+
+// avoidedBy adds the workers on which a task failed by the ledger, so that its next attempt tells whether the worker or
+// the job is at fault. A task that failed on all known workers avoids none; it would never be placed otherwise. mu is
+// held.
+func (p *planner) avoidedBy(task string, failedOn []string) map[string]bool {
+	avoid := p.avoided(task)
+	for _, id := range failedOn {
+		if avoid == nil {
+			avoid = map[string]bool{}
+		}
+		avoid[id] = true
+	}
+	for i := range p.nodes {
+		if !avoid[p.nodes[i].ID] {
+			return avoid
+		}
+	}
+	return nil
+}
+
 // avoided returns the workers that a task avoids now; nil if none. mu is held.
 func (p *planner) avoided(task string) map[string]bool {
 	until := p.avoid[task]
