Wait for the owner of a partition as long as the caller has time

Cause: keyed requests were refused after about 2 s while a partition changed owner in a planned stop (seen once in internal/e2e, EntryStopCutsOffNothing after the stop of an owner). Change: Directory.Call tries until the context ends; answers of the store, also that there is no owner, are shared by all waiting callers for 250 ms. Conclusion: a hand-over takes time instead of refusing.

--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -42,6 +42,7 @@
 	Service      time.Duration
 	Interference map[string]float64 // by kind, see sample.Config
 	Tree         settings.Tree
+	Observer     platform.RunObserver // of all workers; nil: none
 	LeaseTTL     time.Duration
 	OutageHold   time.Duration
 	Drain        time.Duration
@@ -225,7 +226,7 @@
 func (f *Fleet) startAgent(i int) error {
 	p := f.Profile
 	id := fmt.Sprintf("agent-%d", i+1)
-	w := platform.NewSimWorker(fmt.Sprintf("worker-%d", i+1), p.Capacity, nil, uint64(i))
+	w := platform.NewSimWorker(fmt.Sprintf("worker-%d", i+1), p.Capacity, p.Observer, uint64(i))
 	b := sample.New(sample.Config{Name: fmt.Sprintf("runner-%d", i+1), Slots: p.Slots, Service: p.Service, Load: w.Load, Interference: p.Interference})
 	workerEcho := quietEcho()
 	platform.RegisterWorker(workerEcho, w)
--- a/internal/partition/directory.go
+++ b/internal/partition/directory.go
@@ -3,18 +3,21 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/singleflight"
 
 	"bamboofork/internal/peer"
 	"bamboofork/internal/store"
 	"bamboofork/internal/wire"
 )
 
-// directoryAge is how long a cached owner is used before the store is asked again after a failure.
-const directoryAge = 500 * time.Millisecond
+// directoryAge is how long an answer of the store is used before the store is asked again after a failure.
+const directoryAge = 250 * time.Millisecond
 
 // Caller sends control calls to other processes; *peer.Pool implements it. Errors: peer.ErrNotSent, peer.ErrLost, or
 // the error of the remote method.
@@ -22,19 +25,21 @@
 	Call(ctx context.Context, addr, method string, args, reply any) error
 }
 
-// Directory finds the owners of partitions. It caches them, so that it works while the store is down.
-// mu guards cache.
+// Directory finds the owners of partitions. It caches them, so that it works while the store is down, and asks the
+// store once for all callers that wait for the same partition. mu guards cache.
 type Directory struct {
 	st         store.Store
 	pool       Caller
 	Partitions int
+	reads      singleflight.Group
 
 	mu    sync.Mutex
 	cache map[int]cachedOwner
 }
 
+// cachedOwner is the newest answer of the store about a partition.
 type cachedOwner struct {
-	addr string
+	addr string // empty if there was no owner
 	read time.Time
 }
 
@@ -43,69 +48,76 @@
 	return &Directory{st: st, pool: pool, Partitions: partitions, cache: map[int]cachedOwner{}}
 }
 
-// Addr returns the owner's control address. With refresh, a cached one older than directoryAge is read again.
+// Addr returns the owner's control address, or ErrNotOwner if there is none. With refresh, an answer older than
+// directoryAge is read again; while the store does not answer, the last known owner is returned.
 func (d *Directory) Addr(ctx context.Context, partition int, refresh bool) (string, error) {
-	d.mu.Lock()
-	c, ok := d.cache[partition]
-	d.mu.Unlock()
-	if ok && (!refresh || time.Since(c.read) < directoryAge) {
+	c, ok := d.cached(partition)
+	if ok && (!refresh && c.addr != "" || time.Since(c.read) < directoryAge) {
+		return c.addr, pick(c.addr == "", ErrNotOwner, nil)
+	}
+	_, err, _ := d.reads.Do(strconv.Itoa(partition), func() (any, error) { return nil, d.read(ctx, partition) })
+	if c, _ := d.cached(partition); c.addr != "" {
 		return c.addr, nil
 	}
+	return "", pick(err != nil, err, ErrNotOwner)
+}
+
+func (d *Directory) cached(partition int) (cachedOwner, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c, ok := d.cache[partition]
+	return c, ok
+}
+
+// read asks the store for the owner and caches the answer.
+func (d *Directory) read(ctx context.Context, partition int) error {
 	kv, err := d.st.Get(ctx, OwnerKey(partition))
 	if err != nil {
-		if ok {
-			return c.addr, nil
-		}
-		return "", err
-	}
-	if kv.ModRevision == 0 {
-		return "", ErrNotOwner
-	}
-	var rec OwnerRecord
-	if err := json.Unmarshal(kv.Value, &rec); err != nil {
-		return "", eris.Wrap(err, "decode owner record")
+		return err
 	}
-	if rec.Released {
-		return "", ErrNotOwner
+	rec := OwnerRecord{Released: true}
+	if kv.ModRevision > 0 {
+		if err := json.Unmarshal(kv.Value, &rec); err != nil {
+			return eris.Wrap(err, "decode owner record")
+		}
 	}
 	d.mu.Lock()
-	d.cache[partition] = cachedOwner{addr: rec.Addr, read: time.Now()}
-	d.mu.Unlock()
-	return rec.Addr, nil
+	defer d.mu.Unlock()
+	d.cache[partition] = cachedOwner{addr: pick(rec.Released, "", rec.Addr), read: time.Now()}
+	return nil
 }
 
-// Attempts of Call to find the owner during a takeover.
-const (
-	findAttempts = 8
-	findDelay    = 250 * time.Millisecond
-)
+// findDelay is the mean wait between two attempts to reach the owner.
+const findDelay = 150 * time.Millisecond
 
-// Call runs a method at the partition's owner. It tries again only when the owner says that it is not the owner or
-// when the request was not sent, so it never runs a method twice. The code function reads the reply's verdict.
+// Call runs a method at the partition's owner. Until ctx ends it tries again when there is no owner, when the owner
+// says that it is not the owner, or when the request was not sent, so a hand-over of the partition only takes time and
+// no method runs twice. The code function reads the reply's verdict.
 func (d *Directory) Call(ctx context.Context, partition int, method string, args, reply any, code func() wire.Code) error {
-	err := error(ErrNotOwner)
-	for attempt := range findAttempts {
-		if attempt > 0 {
-			select {
-			case <-ctx.Done():
-				return err
-			case <-time.After(findDelay):
-			}
-		}
-		var addr string
-		if addr, err = d.Addr(ctx, partition, attempt > 0); err != nil {
-			continue
-		}
-		err = d.pool.Call(ctx, addr, method, args, reply)
-		if err == nil && code() != wire.CodeNotOwner {
-			return nil
-		}
-		if err != nil && err != peer.ErrNotSent {
+	for refresh := false; ; refresh = true {
+		again, err := d.callOnce(ctx, partition, refresh, method, args, reply, code)
+		if !again {
 			return err
 		}
-		if err == nil {
-			err = ErrNotOwner
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(jitter(findDelay)):
 		}
 	}
-	return err
+}
+
+func (d *Directory) callOnce(ctx context.Context, partition int, refresh bool, method string, args, reply any, code func() wire.Code) (again bool, err error) {
+	addr, err := d.Addr(ctx, partition, refresh)
+	if err != nil {
+		return errors.Is(err, ErrNotOwner), err
+	}
+	err = d.pool.Call(ctx, addr, method, args, reply)
+	switch {
+	case err == nil && code() == wire.CodeNotOwner:
+		return true, ErrNotOwner
+	case errors.Is(err, peer.ErrNotSent):
+		return true, err
+	}
+	return false, err
 }
