Send load reports briefly along a tree, close idle connections, add bf-scale

Cause: with 50 nodes in one scope an agent sent 16,911 B/s. Ruled out: the exchanges' frames (about 1.3 KB/s). Most was load reports: each carried the fixed part of the record, and each crossed several links of the same receiver. The rest was probes of connections that were opened while a fleet formed and never used again. Change: a load report leaves out what the receiver acknowledged, and in scopes of 16 and more it follows the tree of the ring's fingers, so each member gets it once. Package peer closes connections without calls after a minute. New program bf-scale and its fleet in internal/scale.

--- /dev/null
+++ b/cmd/bf-scale/main.go
@@ -0,0 +1,77 @@
+// Command bf-scale runs fleets of small nodes in one process over an in-memory network with loss and delay, and
+// measures what membership and settings dissemination cost per node.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"bamboofork/internal/app"
+	"bamboofork/internal/scale"
+)
+
+func main() {
+	cfg := scale.Config{Domains: 4, RackSize: 16, Entries: 3, Delay: 4 * time.Millisecond, Branches: 200, Steady: 20 * time.Second, Edits: 20, Churn: 5}
+	sizes, losses, seed := "10,50,200", "0.01,0.05", 1
+	flaggy.SetName("bf-scale")
+	flaggy.SetDescription("Measure membership and settings dissemination per node.")
+	flaggy.SetVersion(app.Version)
+	flaggy.String(&sizes, "n", "nodes", "Node counts, comma separated.")
+	flaggy.String(&losses, "l", "loss", "Loss between failure domains, comma separated shares.")
+	flaggy.Int(&cfg.Domains, "d", "domains", "Failure domains.")
+	flaggy.Int(&cfg.RackSize, "r", "rack", "Nodes of a rack within one failure domain.")
+	flaggy.Int(&cfg.Entries, "e", "entries", "Choosing processes.")
+	flaggy.Int(&cfg.FullLimit, "f", "full-limit", "Members of a scope before it is narrowed; 0: the default.")
+	flaggy.Int(&cfg.Branches, "b", "branches", "Branches of the settings tree.")
+	flaggy.Int(&cfg.Edits, "", "edits", "Edits whose way is timed.")
+	flaggy.Int(&cfg.Churn, "", "churn", "Leaving and dead nodes, each.")
+	flaggy.Int(&seed, "s", "seed", "Seed of losses and loads.")
+	flaggy.Bool(&cfg.KeepLoadReports, "u", "unmerged", "Baseline: load reports are not merged per rack.")
+	flaggy.Duration(&cfg.Delay, "", "delay", "One-way delay between failure domains.")
+	flaggy.Duration(&cfg.Steady, "t", "steady", "Length of the steady phase.")
+	flaggy.Parse()
+	cfg.Seed = uint64(seed)
+	os.Exit(run(cfg, sizes, losses))
+}
+
+func run(cfg scale.Config, sizes, losses string) int {
+	for _, loss := range strings.Split(losses, ",") {
+		share, err := strconv.ParseFloat(loss, 64)
+		if err != nil || share < 0 || share >= 1 {
+			fmt.Fprintf(os.Stderr, "loss %q: accepted: 0 to below 1\n", loss)
+			return app.ExitUsage
+		}
+		cfg.Loss = share
+		if code := runSizes(cfg, sizes); code != app.ExitOK {
+			return code
+		}
+	}
+	return app.ExitOK
+}
+
+func runSizes(cfg scale.Config, sizes string) int {
+	results := []scale.Result{}
+	for _, size := range strings.Split(sizes, ",") {
+		n, err := strconv.Atoi(size)
+		if err != nil || n < cfg.Entries+2 || n > 1000 {
+			fmt.Fprintf(os.Stderr, "nodes %q: accepted: entries+2 to 1000\n", size)
+			return app.ExitUsage
+		}
+		cfg.Nodes = n
+		r, err := scale.Run(context.Background(), cfg)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return app.ExitFailure
+		}
+		r.Print(os.Stdout)
+		results = append(results, r)
+	}
+	scale.PrintFits(os.Stdout, results)
+	return app.ExitOK
+}
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -131,18 +131,26 @@
 func (t *Table) changedRecords(id string, l *link) []change {
 	list := []change{}
 	if t.selfSeq > l.acked && t.wants(l.scope, t.published) {
-		list = append(list, change{seq: t.selfSeq, item: &Item{Member: t.published}})
+		list = append(list, change{seq: t.selfSeq, item: t.item(t.published, StateAlive, l.acked >= t.selfFixed)})
 	}
 	for other, e := range t.entries {
 		about := other == id && e.state != StateAlive && !e.private // the partner must hear what is said about it
 		wanted := e.seq > l.acked && e.from != id && other != id && t.wants(l.scope, e.member) && !t.heardOnly(e)
-		if wanted || about {
-			list = append(list, change{seq: e.seq, item: &Item{Member: e.member, State: e.reported()}})
+		loadOnly := l.acked >= e.fixedSeq
+		if about || wanted && (!loadOnly || t.passesLoad(other, id)) {
+			list = append(list, change{seq: e.seq, item: t.item(e.member, e.reported(), loadOnly && !about)})
 		}
 	}
 	return list
 }
 
+func (t *Table) item(m Member, s State, brief bool) *Item {
+	if brief {
+		return &Item{Member: m.brief(), State: s, Brief: true}
+	}
+	return &Item{Member: m, State: s}
+}
+
 // wants reports whether a partner of the scope needs the record.
 func (t *Table) wants(s Scope, m Member) bool {
 	return s.covers(m) || t.cfg.KeepLoadReports && m.Domain == s.Domain
--- a/internal/membership/loop.go
+++ b/internal/membership/loop.go
@@ -13,7 +13,6 @@
 	kickGap        = 100 * time.Millisecond // urgent rounds are at least this far apart
 	lostRetry      = 5 * time.Second        // between tries to reach a seed, a dead member or a stale cell
 	joinRetry      = 500 * time.Millisecond // the same during joinTime
-	largeScope     = 16                     // members from which rounds are twice as far apart
 )
 
 // Run exchanges with the links until ctx ends, then announces that the process is gone.
@@ -53,9 +52,6 @@
 }
 
 func (t *Table) interval() time.Duration {
-	if len(t.entries) >= largeScope {
-		return 2 * t.cfg.Interval
-	}
 	return t.cfg.Interval
 }
 
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -12,6 +12,9 @@
 	now := time.Now()
 	urgent := false
 	for _, it := range items {
+		if it.Brief && !t.complete(&it) {
+			continue
+		}
 		if it.Member.ID == t.self.ID {
 			urgent = t.refute(it) || urgent
 			continue
@@ -28,6 +31,17 @@
 	return urgent
 }
 
+// complete fills a brief record from the one that is held. Without one of the same life the sender is asked for
+// everything.
+func (t *Table) complete(it *Item) bool {
+	e := t.entries[it.Member.ID]
+	if e == nil || compareLife(e.member, it.Member) != 0 {
+		return false
+	}
+	it.Member = it.Member.withFixed(e.member)
+	return true
+}
+
 // refute contradicts a claim that this process is suspected, dead, or of a later start. A later start is seen after
 // the host's clock went back; the process then takes a higher incarnation, so that its records count again.
 func (t *Table) refute(it Item) bool {
@@ -68,6 +82,7 @@
 		return false
 	}
 	newer := cmp > 0 || m.Version > e.member.Version
+	fixed := !m.sameFixed(e.member) || it.State != e.state
 	urgent := false
 	if newer {
 		urgent = t.replaceRecord(e, m, now)
@@ -77,7 +92,11 @@
 		urgent = true
 	}
 	if newer || urgent {
-		t.touch(e, from)
+		t.seq++
+		e.seq, e.from = t.seq, from
+	}
+	if fixed && (newer || urgent) {
+		e.fixedSeq = e.seq
 	}
 	return urgent
 }
@@ -98,12 +117,14 @@
 
 func (t *Table) touch(e *entry, from string) {
 	t.seq++
-	e.seq, e.from = t.seq, from
+	e.seq, e.fixedSeq, e.from = t.seq, t.seq, from
+	t.ring = nil
 }
 
 func (t *Table) setState(e *entry, s State, now time.Time, reason string) {
 	old := e.state
 	e.state, e.since = s, now
+	t.ring = nil
 	id := e.member.ID
 	switch {
 	case s == StateSuspect:
@@ -140,6 +161,7 @@
 			e.state == StateDead && (now.Sub(e.since) > deadKept || dead >= lostMax),
 			!covered && !t.cfg.KeepLoadReports && now.Sub(e.candidate) > candidateKept:
 			delete(t.entries, id)
+			t.ring = nil
 		case e.state == StateDead:
 			dead++
 		}
@@ -155,7 +177,7 @@
 }
 
 func (t *Table) setLevel(l Level) {
-	t.level = l
+	t.level, t.ring = l, nil
 	events.ScopeChanged.Log(&t.log).Int("level", int(l)).Int("members", len(t.scopeIDs())+1).Send()
 	t.nextSummary = time.Time{}
 	now, scope := time.Now(), t.scope()
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -86,10 +86,32 @@
 	StateDead
 )
 
-// Item is a record with the state that the sender believes.
+// Item is a record with the state that the sender believes. A brief item leaves out what the receiver has already
+// acknowledged for the same incarnation.
 type Item struct {
 	Member Member
 	State  State
+	Brief  bool
+}
+
+// brief returns the record without its fixed part.
+func (m Member) brief() Member {
+	m.Role, m.Region, m.Domain, m.Rack, m.Addr, m.DataAddr = "", "", "", "", "", ""
+	m.Load.Backend, m.Load.Slots, m.Load.ConnsMax, m.Load.Capacity = "", 0, 0, worker.Resources{}
+	return m
+}
+
+// withFixed returns the brief record completed with the fixed part of full.
+func (m Member) withFixed(full Member) Member {
+	m.Role, m.Region, m.Domain, m.Rack, m.Addr, m.DataAddr = full.Role, full.Region, full.Domain, full.Rack, full.Addr, full.DataAddr
+	m.Load.Backend, m.Load.Slots, m.Load.ConnsMax, m.Load.Capacity = full.Load.Backend, full.Load.Slots, full.Load.ConnsMax, full.Load.Capacity
+	return m
+}
+
+// sameFixed reports whether two records differ only in what brief items carry of one life.
+func (m Member) sameFixed(o Member) bool {
+	return compareLife(m, o) == 0 && m.Leaving == o.Leaving && m.Gone == o.Gone && m.Load.Failing == o.Load.Failing &&
+		m.withFixed(o) == m
 }
 
 // Status is a member as this process sees it.
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -67,6 +67,7 @@
 	member    Member
 	state     State
 	seq       int64     // local sequence of the last change
+	fixedSeq  int64     // ... of the last change other than of the load
 	from      string    // process that the last change came from
 	heard     time.Time // last newer record
 	since     time.Time // start of the present state
@@ -87,7 +88,9 @@
 	published   Member // as last sent
 	publishedAt time.Time
 	selfSeq     int64
-	seq         int64 // local sequence of changes
+	selfFixed   int64
+	ring        map[string]int // positions of the scope's members, self included; nil: to be computed
+	seq         int64          // local sequence of changes
 	level       Level
 	joined      time.Time
 	entries     map[string]*entry
@@ -115,7 +118,7 @@
 	now := time.Now()
 	return &Table{
 		cfg: cfg, pool: pool, log: log, wake: make(chan struct{}, 1),
-		self: cfg.Self, published: cfg.Self, selfSeq: 1, seq: 1, joined: now, lastContact: now,
+		self: cfg.Self, published: cfg.Self, selfSeq: 1, selfFixed: 1, seq: 1, joined: now, lastContact: now,
 		entries: map[string]*entry{}, links: map[string]*link{}, summaries: map[string]*summary{},
 		subscribers: map[string]*subscriber{}, referrals: map[string]Summary{},
 	}
@@ -153,6 +156,9 @@
 	t.self.Version++
 	t.seq++
 	t.selfSeq = t.seq
+	if !t.self.sameFixed(t.published) {
+		t.selfFixed = t.seq
+	}
 	t.published, t.publishedAt = t.self, now
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -27,6 +27,7 @@
 	HandshakeTimeout = 1 * time.Second
 	ProbeInterval    = 1 * time.Second
 	ProbeTimeout     = 2 * time.Second // a silent connection is found within ProbeInterval + ProbeTimeout
+	IdleTimeout      = 1 * time.Minute // a connection without calls is closed; each probe costs control traffic
 	maxHandshake     = 128             // bytes
 )
 
@@ -176,6 +177,8 @@
 	rpc   *rpc.Client
 	err   error
 	stop  context.CancelFunc
+	used  time.Time // last call; guarded by the pool's mu
+	calls int       // under way; guarded by the pool's mu
 }
 
 // NewPool returns an empty pool for the process id. A nil dial uses TCP.
@@ -205,6 +208,7 @@
 	if err != nil {
 		return err
 	}
+	defer p.release(c)
 	select {
 	case <-c.ready:
 	case <-ctx.Done():
@@ -241,15 +245,34 @@
 		return nil, ErrNotSent
 	}
 	if c := p.clients[addr]; c != nil {
+		c.calls++
 		return c, nil
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &client{addr: addr, ready: make(chan struct{}), stop: cancel}
+	c := &client{addr: addr, ready: make(chan struct{}), stop: cancel, calls: 1}
 	p.clients[addr] = c
 	go p.run(ctx, c)
 	return c, nil
 }
 
+func (p *Pool) release(c *client) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.calls--
+	c.used = time.Now()
+}
+
+// retire takes an idle connection out of the pool; later calls open a new one.
+func (p *Pool) retire(c *client) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := c.calls == 0 && time.Since(c.used) > IdleTimeout
+	if idle && p.clients[c.addr] == c {
+		delete(p.clients, c.addr)
+	}
+	return idle
+}
+
 // run dials, then probes the connection until it fails or the pool closes it.
 func (p *Pool) run(ctx context.Context, c *client) {
 	defer p.forget(c)
@@ -264,7 +287,7 @@
 	close(c.ready)
 	events.PeerConnected.Log(&p.log).Str("addr", c.addr).Send()
 	err = p.probe(ctx, c)
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && err != nil {
 		events.PeerLost.Log(&p.log).Str("addr", c.addr).AnErr("cause", err).Send()
 	}
 }
@@ -300,6 +323,7 @@
 	return conn.SetDeadline(time.Time{})
 }
 
+// probe returns nil when the connection is idle.
 func (p *Pool) probe(ctx context.Context, c *client) error {
 	ticker := time.NewTicker(ProbeInterval)
 	defer ticker.Stop()
@@ -309,6 +333,9 @@
 			return ctx.Err()
 		case <-ticker.C:
 		}
+		if p.retire(c) {
+			return nil
+		}
 		probeCtx, cancel := context.WithTimeout(ctx, ProbeTimeout)
 		var reply PingReply
 		err := c.call(probeCtx, "Peer.Ping", PingArgs{From: p.id}, &reply)
--- /dev/null
+++ b/internal/scale/fit.go
@@ -0,0 +1,73 @@
+package scale
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+)
+
+// Fit is a least-squares line y = Base + Slope*x.
+type Fit struct{ Base, Slope float64 }
+
+// FitLine returns the line through the points. With fewer than two different x the slope is 0.
+func FitLine(x, y []float64) Fit {
+	n, sx, sy, sxx, sxy := float64(len(x)), 0.0, 0.0, 0.0, 0.0
+	for i := range x {
+		sx, sy = sx+x[i], sy+y[i]
+		sxx, sxy = sxx+x[i]*x[i], sxy+x[i]*y[i]
+	}
+	d := n*sxx - sx*sx
+	if n == 0 || d == 0 {
+		return Fit{Base: sy / max(n, 1)}
+	}
+	slope := (n*sxy - sx*sy) / d
+	return Fit{Base: (sy - slope*sx) / n, Slope: slope}
+}
+
+// Print writes one run as text.
+func (r Result) Print(w io.Writer) {
+	c := r.Config
+	fmt.Fprintf(w, "nodes %d domains %d rack %d entries %d loss %.0f%% delay %v branches %d seed %d unmerged %v\n",
+		c.Nodes, c.Domains, c.RackSize, c.Entries, c.Loss*100, c.Delay, c.Branches, c.Seed, c.KeepLoadReports)
+	for _, role := range slices.Sorted(maps.Keys(r.Roles)) {
+		x := r.Roles[role]
+		fmt.Fprintf(w, "  %-6s n %3d  sent B/s p50 %.0f max %.0f  received B/s p50 %.0f max %.0f  calls/s %.1f  connections %.1f  members %.1f\n",
+			role, x.Nodes, x.Sent.P50, x.Sent.Max, x.Received.P50, x.Received.Max, x.Calls, x.Connections, x.Members)
+	}
+	fmt.Fprintf(w, "  cpu per node %.3f%% of a core  heap per node %.2f MB  settings ready after %.1fs  wrong views %d\n",
+		100*r.CPUShare, r.HeapPerMB, r.Ready.Seconds(), r.False)
+	fmt.Fprintf(w, "  age of load reports s p50 %.2f p99 %.2f max %.2f\n", r.Stale.P50, r.Stale.P99, r.Stale.Max)
+	fmt.Fprintf(w, "  store calls/s")
+	for _, kind := range slices.Sorted(maps.Keys(r.StoreCalls)) {
+		fmt.Fprintf(w, " %s %.2f", kind, r.StoreCalls[kind])
+	}
+	fmt.Fprintf(w, " open watches %.0f\n", r.Watches)
+	fmt.Fprintf(w, "  in force s p50 %.3f p99 %.3f max %.3f (n %d, late %d)\n", r.InForce.P50, r.InForce.P99, r.InForce.Max, r.InForceN, r.Late)
+	fmt.Fprintf(w, "  dropped by all choosers s: leaving p50 %.3f max %.3f, dead p50 %.3f max %.3f (unnoticed %d)\n",
+		r.Leaving.P50, r.Leaving.Max, r.Dead.P50, r.Dead.Max, r.Unnoticed)
+}
+
+// PrintFits writes the lines of cost against node count.
+func PrintFits(w io.Writer, results []Result) {
+	x, sent, cpu, heap, calls := []float64{}, []float64{}, []float64{}, []float64{}, []float64{}
+	for _, r := range results {
+		x = append(x, float64(r.Config.Nodes))
+		sent = append(sent, r.Roles[RoleMember].Sent.P50)
+		cpu = append(cpu, 100*r.CPUShare)
+		heap = append(heap, r.HeapPerMB)
+		total := r.Watches
+		for _, n := range r.StoreCalls {
+			total += n
+		}
+		calls = append(calls, total)
+	}
+	line := func(name, unit string, y []float64) {
+		f := FitLine(x, y)
+		fmt.Fprintf(w, "fit %s: %.4g + %.4g per node %s\n", name, f.Base, f.Slope, unit)
+	}
+	line("bytes sent by an agent", "B/s", sent)
+	line("cpu of a node", "% of a core", cpu)
+	line("heap of a node", "MB", heap)
+	line("store calls of the fleet, open watches included", "calls/s", calls)
+}
--- a/internal/scale/net.go
+++ b/internal/scale/net.go
@@ -11,9 +11,12 @@
 	"fmt"
 	"math/rand/v2"
 	"reflect"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"bamboofork/internal/peer"
 )
 
 // Bytes added to each message: the net/rpc header with its method name, and TCP/IP headers with timestamps. One
@@ -128,11 +131,20 @@
 	}
 }
 
-// Connections returns the number of addresses that this endpoint has called.
+// Connections returns the number of addresses that this endpoint called within the time after which package peer closes
+// an idle connection.
 func (e *Endpoint) Connections() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.streams) / 2
+	n := 0
+	for key, s := range e.streams {
+		s.mu.Lock()
+		if strings.HasSuffix(key, ">") && time.Since(s.used) < peer.IdleTimeout {
+			n++
+		}
+		s.mu.Unlock()
+	}
+	return n
 }
 
 // ByMethod returns the calls made per method.
@@ -148,10 +160,11 @@
 
 // stream carries messages one way as a connection would: type descriptions are sent once.
 type stream struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-	enc *gob.Encoder
-	dec *gob.Decoder
+	mu   sync.Mutex
+	used time.Time
+	buf  bytes.Buffer
+	enc  *gob.Encoder
+	dec  *gob.Decoder
 }
 
 func (e *Endpoint) stream(key string) *stream {
@@ -170,6 +183,7 @@
 func (s *stream) pass(from any, to any) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.used = time.Now()
 	if err := s.enc.Encode(from); err != nil {
 		return 0, fmt.Errorf("encode: %w", err)
 	}
--- a/internal/scale/node.go
+++ b/internal/scale/node.go
@@ -41,6 +41,7 @@
 	Table  *membership.Table
 	Live   *settings.Live
 	Sync   *dissemination.Syncer
+	began  time.Time // origin of the load reports' clock
 	parts  []func(context.Context) error
 	cancel context.CancelFunc
 	done   chan struct{}
--- /dev/null
+++ b/internal/scale/run.go
@@ -0,0 +1,207 @@
+package scale
+
+import (
+	"context"
+	"runtime"
+	"sort"
+	"syscall"
+	"time"
+
+	"bamboofork/internal/membership"
+)
+
+// Distribution is a summary of measured times or amounts.
+type Distribution struct{ P50, P99, Max float64 }
+
+// Role groups nodes by what they do for others.
+type Role string
+
+// Roles of nodes in a run.
+const (
+	RoleEntry  Role = "entry"
+	RoleMember Role = "agent"
+	RoleHub    Role = "hub" // represents its failure domain
+)
+
+// RoleCost is the cost of the nodes of one role. Bytes are per second and node, with RPC and TCP/IP headers.
+type RoleCost struct {
+	Nodes       int
+	Sent        Distribution
+	Received    Distribution
+	Calls       float64 // begun per second and node
+	Connections float64 // opened per node
+	Members     float64 // held per node
+}
+
+// Result of a run.
+type Result struct {
+	Config     Config
+	Ready      time.Duration // from the start of the last node until all have the settings in force
+	Roles      map[Role]RoleCost
+	CPUShare   float64            // of one core, per node; the in-memory network is included
+	HeapPerMB  float64            // megabytes of heap per node, with the node's share of the network's state
+	StoreCalls map[string]float64 // per second in the steady phase
+	Watches    float64            // open watches, each a call per second at the store
+	InForce    Distribution       // seconds from accept to in force
+	InForceN   int
+	Late       int          // nodes that did not have an edit in force in time
+	Leaving    Distribution // seconds
+	Dead       Distribution // seconds
+	Unnoticed  int          // departures that some chooser did not notice in time
+	Stale      Distribution // age in seconds of the load reports held, of agents in scope and candidates
+	False      int          // live members that some node had suspected or removed at the end of the steady phase
+}
+
+// settle is the time after the start that is not measured: scopes narrow, summaries spread, idle connections close.
+const settle = 75 * time.Second
+
+// Run starts a fleet, measures it and stops it.
+func Run(ctx context.Context, cfg Config) (Result, error) {
+	r := Result{Config: cfg}
+	heap := heapBytes()
+	begun := time.Now()
+	f, err := StartFleet(ctx, cfg)
+	defer f.Stop()
+	if err != nil {
+		return r, err
+	}
+	r.Ready = time.Since(begun)
+	time.Sleep(settle)
+	f.measureSteady(&r)
+	r.HeapPerMB = float64(heapBytes()-heap) / float64(cfg.Nodes) / (1 << 20)
+	times, late, err := f.timeEdits(ctx)
+	if err != nil {
+		return r, err
+	}
+	r.InForce, r.InForceN, r.Late = seconds(times), len(times), late
+	times, r.Unnoticed = f.timeDepartures(ctx, false)
+	r.Leaving = seconds(times)
+	times, late = f.timeDepartures(ctx, true)
+	r.Dead = seconds(times)
+	r.Unnoticed += late
+	return r, nil
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// counters are a node's counts at one moment.
+type counters struct{ sent, received, calls int64 }
+
+func (f *Fleet) counters() []counters {
+	out := make([]counters, len(f.Nodes))
+	for i, n := range f.Nodes {
+		out[i] = counters{n.End.Sent.Load(), n.End.Received.Load(), n.End.Calls.Load()}
+	}
+	return out
+}
+
+func (f *Fleet) measureSteady(r *Result) {
+	before, calls, cpu, begun := f.counters(), f.Store.Calls(), cpuTime(), time.Now()
+	time.Sleep(f.cfg.Steady)
+	after, took := f.counters(), time.Since(begun).Seconds()
+	r.CPUShare = (cpuTime() - cpu).Seconds() / took / float64(len(f.Nodes))
+	r.StoreCalls = map[string]float64{}
+	for kind, n := range f.Store.Calls() {
+		r.StoreCalls[kind] = float64(n-calls[kind]) / took
+	}
+	r.Roles = f.roleCosts(before, after, took)
+	r.Stale = f.staleness()
+	for _, n := range f.Nodes {
+		if n.Table.HubRank() >= 0 {
+			r.Watches++
+		}
+		r.False += f.falseViews(n)
+	}
+}
+
+// staleness measures the age of the load reports that the nodes hold.
+func (f *Fleet) staleness() Distribution {
+	began, ages := map[string]time.Time{}, []float64{}
+	for _, n := range f.Nodes {
+		began[n.Spec.ID] = n.began
+	}
+	for _, n := range f.Nodes {
+		for _, m := range n.Table.Members() {
+			if m.Role == membership.RoleAgent {
+				ages = append(ages, (time.Since(began[m.ID]) - m.Load.Clock).Seconds())
+			}
+		}
+	}
+	return distribution(ages)
+}
+
+// falseViews counts the members of the node's scope that it suspects or lacks. All nodes are alive in the steady phase.
+func (f *Fleet) falseViews(n *Node) int {
+	scope, wrong := n.Table.Scope(), 0
+	for _, o := range f.Nodes {
+		m, ok := n.Table.Lookup(o.Spec.ID)
+		inScope := scope.Level == 0 || o.Spec.Domain == scope.Domain && (scope.Level == 1 || o.Spec.Rack == scope.Rack)
+		if inScope && (!ok || m.Suspect) {
+			wrong++
+		}
+	}
+	return wrong
+}
+
+func (f *Fleet) roleCosts(before, after []counters, took float64) map[Role]RoleCost {
+	sent, received := map[Role][]float64{}, map[Role][]float64{}
+	out := map[Role]RoleCost{}
+	for i, n := range f.Nodes {
+		role := n.role()
+		probes := float64(n.End.Connections()*ProbeBytesPerSecond) / 2
+		sent[role] = append(sent[role], float64(after[i].sent-before[i].sent)/took+probes)
+		received[role] = append(received[role], float64(after[i].received-before[i].received)/took+probes)
+		c := out[role]
+		c.Nodes++
+		c.Calls += float64(after[i].calls-before[i].calls) / took
+		c.Connections += float64(n.End.Connections())
+		c.Members += float64(len(n.Table.Members()))
+		out[role] = c
+	}
+	for role, c := range out {
+		c.Sent, c.Received = distribution(sent[role]), distribution(received[role])
+		c.Calls, c.Connections, c.Members = c.Calls/float64(c.Nodes), c.Connections/float64(c.Nodes), c.Members/float64(c.Nodes)
+		out[role] = c
+	}
+	return out
+}
+
+func (n *Node) role() Role {
+	switch {
+	case n.Table.HubRank() >= 0:
+		return RoleHub
+	case n.Spec.Entry:
+		return RoleEntry
+	}
+	return RoleMember
+}
+
+func seconds(times []time.Duration) Distribution {
+	values := make([]float64, len(times))
+	for i, t := range times {
+		values[i] = t.Seconds()
+	}
+	return distribution(values)
+}
+
+func distribution(values []float64) Distribution {
+	if len(values) == 0 {
+		return Distribution{}
+	}
+	sort.Float64s(values)
+	at := func(q float64) float64 { return values[min(len(values)-1, int(q*float64(len(values))))] }
+	return Distribution{P50: at(0.5), P99: at(0.99), Max: values[len(values)-1]}
+}
