--- a/cmd/bf-scale/main.go
+++ b/cmd/bf-scale/main.go
@@ -35,8 +35,13 @@
 	flaggy.Bool(&cfg.KeepLoadReports, "u", "unmerged", "Baseline: load reports are not merged per rack.")
 	flaggy.Duration(&cfg.Delay, "", "delay", "One-way delay between failure domains.")
 	flaggy.Duration(&cfg.Steady, "t", "steady", "Length of the steady phase.")
+	trees := false
+	flaggy.Bool(&trees, "", "trees", "Measure the cost of an edit against the size of the tree instead.")
 	flaggy.Parse()
 	cfg.Seed = uint64(seed)
+	if trees {
+		os.Exit(runTrees(cfg.Seed))
+	}
 	os.Exit(run(cfg, sizes, losses))
 }
 
@@ -55,6 +60,14 @@
 	return app.ExitOK
 }
 
+func runTrees(seed uint64) int {
+	if err := scale.PrintTrees(os.Stdout, []int{200, 2000, 10000}, seed); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return app.ExitFailure
+	}
+	return app.ExitOK
+}
+
 func runSizes(cfg scale.Config, sizes string) int {
 	results := []scale.Result{}
 	for _, size := range strings.Split(sizes, ",") {
--- a/internal/membership/summary.go
+++ b/internal/membership/summary.go
@@ -42,11 +42,11 @@
 // Representatives and the pace of summaries.
 const (
 	repsPerCell    = 2
-	summaryGap     = 3 * time.Second  // at least, between two summaries of a cell
+	summaryGap     = 5 * time.Second  // at least, between two summaries of a cell
 	summaryBeat    = 30 * time.Second // at most
 	summaryStale   = 100 * time.Second
 	summaryForget  = 6 * time.Hour
-	significantGap = 0.1 // relative change of a cell's load that is worth a summary
+	significantGap = 0.2 // relative change of a cell's load that is worth a summary
 )
 
 // reps returns the representatives of this process's own scope cell. Candidates that leave are passed over.
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -165,7 +165,7 @@
 // Pace of load reports: the time between two reports of one agent grows with the scope, so that the traffic of a scope
 // does not.
 const (
-	loadPacePerMember = 25 * time.Millisecond
+	loadPacePerMember = 35 * time.Millisecond
 	minLoadPace       = 300 * time.Millisecond
 	maxLoadPace       = 2 * time.Second
 	beatPerMember     = 80 * time.Millisecond // reports without a change renew the agent's clock
--- /dev/null
+++ b/internal/scale/treecost.go
@@ -0,0 +1,84 @@
+package scale
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"bamboofork/internal/caslog"
+	"bamboofork/internal/dissemination"
+	"bamboofork/internal/settings"
+)
+
+// TreeCost is what one changed branch costs a process that holds a tree, in CPU seconds of one core, and the sizes of the
+// tree.
+type TreeCost struct {
+	Branches                 int
+	Apply, Checksum, Compile float64
+	JSONBytes, Compressed    int
+}
+
+// treeRounds is the number of repetitions of each step.
+const treeRounds = 5
+
+// MeasureTree applies an edit of one branch to a generated tree, as each process does for each revision.
+func MeasureTree(branches int, seed uint64) (TreeCost, error) {
+	tree := Tree(branches, seed)
+	c := TreeCost{Branches: branches}
+	rec := caslog.Record{Seq: 1, Data: json.RawMessage(`{"author":"bf-scale","changes":[{"branch":"team-0","set":{"weight":"7"}}]}`)}
+	var err error
+	c.Apply = perRound(func() { _, err = settings.ApplyRecord(tree, rec) })
+	if err != nil {
+		return c, err
+	}
+	c.Checksum = perRound(func() { dissemination.Checksum(tree) })
+	c.Compile = perRound(func() { _, err = settings.Compile(1, tree) })
+	if err != nil {
+		return c, err
+	}
+	raw, err := json.Marshal(tree)
+	if err != nil {
+		return c, err
+	}
+	c.JSONBytes = len(raw)
+	var buf bytes.Buffer
+	w := gzip.NewWriter(&buf)
+	if _, err = w.Write(raw); err == nil {
+		err = w.Close()
+	}
+	c.Compressed = buf.Len()
+	return c, err
+}
+
+func perRound(do func()) float64 {
+	before := cpuTime()
+	for range treeRounds {
+		do()
+	}
+	return (cpuTime() - before).Seconds() / treeRounds
+}
+
+// PrintTrees measures trees of the sizes and fits the cost of an edit against the number of branches.
+func PrintTrees(w io.Writer, sizes []int, seed uint64) error {
+	x, y := []float64{}, []float64{}
+	for _, n := range sizes {
+		c, err := MeasureTree(n, seed)
+		if err != nil {
+			return err
+		}
+		total := c.Apply + c.Checksum + c.Compile
+		fmt.Fprintf(w, "branches %d json %d B compressed %d B  apply %v checksum %v compile %v  edit %v\n", n, c.JSONBytes, c.Compressed,
+			rounded(c.Apply), rounded(c.Checksum), rounded(c.Compile), rounded(total))
+		x, y = append(x, float64(n)), append(y, total*1e6)
+	}
+	f := FitLine(x, y)
+	fmt.Fprintf(w, "fit cpu of an edit: %.4g + %.4g per branch us\n", f.Base, f.Slope)
+	return nil
+}
+
+func rounded(seconds float64) time.Duration {
+	return time.Duration(seconds * float64(time.Second)).Round(time.Microsecond)
+}
