--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -4,11 +4,13 @@
 package dev
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"runtime/pprof"
 	"sync"
 	"time"
 
@@ -43,7 +45,9 @@
 	LeaseTTL     time.Duration
 	OutageHold   time.Duration
 	Drain        time.Duration
-	FirstPort    int // 0: any free ports
+	FirstPort    int    // 0: any free ports
+	Routing      string // routing policy of the entries, "": the default
+	MaxQueue     int    // waiting requests of one branch at a gate, 0: the default
 }
 
 // Fleet is a running fleet. mu guards the maps.
@@ -61,12 +65,14 @@
 
 // Host is one host of the fleet.
 type Host struct {
-	Config  config.Process
-	Node    *node.Node
-	Worker  *platform.SimWorker
-	Backend *sample.Server
-	cancel  context.CancelFunc
-	done    chan error
+	Config      config.Process
+	Node        *node.Node
+	Worker      *platform.SimWorker
+	Backend     *sample.Server
+	BackendURL  string
+	stopBackend func()
+	cancel      context.CancelFunc
+	done        chan error
 }
 
 // Start starts everything and returns when the processes serve.
@@ -121,6 +127,9 @@
 	return "http://" + l.Addr().String(), nil
 }
 
+// StopBackend cuts off the host's backend server at once, as a crash would; the agent goes on.
+func (h *Host) StopBackend() { h.stopBackend() }
+
 func (f *Fleet) every(d time.Duration, do func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stops = append(f.stops, cancel)
@@ -183,6 +192,7 @@
 }
 
 func (f *Fleet) startEntry(i int) error {
+	p := f.Profile
 	id := fmt.Sprintf("entry-%d", i+1)
 	cfg, err := f.process(id, i)
 	if err != nil {
@@ -191,6 +201,8 @@
 	if cfg.Listen.Callers, err = f.callerAddr(i); err != nil {
 		return err
 	}
+	cfg.Routing = p.Routing
+	cfg.TrustedProxies = []string{"127.0.0.0/8"} // load runs stand for many callers by X-Forwarded-For
 	n, err := node.NewEntry(cfg, f.log)
 	if err != nil {
 		return err
@@ -221,10 +233,14 @@
 	if err != nil {
 		return err
 	}
-	backendURL, err := f.serve(b, "127.0.0.1:0")
+	var backendURL string
+	pprof.Do(context.Background(), pprof.Labels("role", "backend"), func(context.Context) {
+		backendURL, err = f.serve(b, "127.0.0.1:0")
+	})
 	if err != nil {
 		return err
 	}
+	stopBackend := f.stops[len(f.stops)-1]
 	cfg, err := f.process(id, i)
 	if err != nil {
 		return err
@@ -232,9 +248,9 @@
 	if cfg.Listen.Data, err = FreeAddr(); err != nil {
 		return err
 	}
-	cfg.Backend = config.Backend{Name: p.Backend, Addr: backendURL[len("http://"):], Slots: p.Slots, Conns: p.Conns, MaxQueue: config.DefaultMaxQueue}
+	cfg.Backend = config.Backend{Name: p.Backend, Addr: backendURL[len("http://"):], Slots: p.Slots, Conns: p.Conns, MaxQueue: cmp.Or(p.MaxQueue, config.DefaultMaxQueue)}
 	cfg.Worker = config.Worker{URL: workerURL, Reserve: p.Reserve}
-	return f.addAgent(&Host{Config: cfg, Worker: w, Backend: b})
+	return f.addAgent(&Host{Config: cfg, Worker: w, Backend: b, BackendURL: backendURL, stopBackend: stopBackend})
 }
 
 func (f *Fleet) addAgent(h *Host) error {
@@ -253,7 +269,14 @@
 func (h *Host) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel, h.done = cancel, make(chan error, 1)
-	go func() { h.done <- h.Node.Run(ctx) }()
+	role := "agent"
+	if h.Worker == nil {
+		role = "entry"
+	}
+	// Goroutines inherit the label, so a CPU profile of the fleet can be split by role.
+	pprof.Do(ctx, pprof.Labels("role", role), func(ctx context.Context) {
+		go func() { h.done <- h.Node.Run(ctx) }()
+	})
 }
 
 // Stop stops one host in order and waits for it.
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -41,13 +39,20 @@
 	r.GET(PathJobs, e.handleJobs)
 	r.GET(PathJobs+"/:id", e.handleJob)
 	r.DELETE(PathJobs+"/:id", e.handleCancel)
+	r.GET(PathDecisions+":id", e.handleDecisions)
 }
 
+// defaultRetryAfter is the Retry-After of refusals without a better estimate, in seconds.
+const defaultRetryAfter = "1"
+
 func problem(c echo.Context, status int, outcome wire.Outcome, id, detail string) error {
 	h := c.Response().Header()
 	h.Set(echo.HeaderContentType, "application/problem+json")
 	h.Set(wire.HeaderOutcome, string(outcome))
 	h.Set(wire.HeaderRequestID, id)
+	if (status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable) && h.Get(echo.HeaderRetryAfter) == "" {
+		h.Set(echo.HeaderRetryAfter, defaultRetryAfter)
+	}
 	return c.JSON(status, Problem{Title: http.StatusText(status), Status: status, Detail: detail, Outcome: outcome, RequestID: id})
 }
 
@@ -63,6 +68,10 @@
 	if !branch.Idempotent && key == "" {
 		return problem(c, http.StatusBadRequest, wire.OutcomeNotRun, id, "the branch is not idempotent; send an Idempotency-Key")
 	}
+	caller := e.trusted.Address(r)
+	if refusal := e.limiter.Rate(branch, caller, time.Now()); refusal != nil {
+		return e.shed(c, &Request{ID: id, Branch: branch, Caller: caller}, refusal)
+	}
 	body, tooLarge, err := readBody(r.Body, branch.BodyLimit)
 	if err != nil {
 		return problem(c, http.StatusBadRequest, wire.OutcomeNotRun, id, "request body: "+err.Error())
@@ -73,6 +82,7 @@
 	req := &Request{
 		ID: id, Branch: branch, Method: r.Method, Path: "/" + rest, Query: r.URL.RawQuery,
 		Header: callerHeader(r.Header), Body: body, Deadline: time.Now().Add(branch.Deadline),
+		Caller: caller,
 	}
 	return e.answer(c, req, key)
 }
@@ -97,13 +107,20 @@
 		defer cancel()
 	}
 	started := time.Now()
-	var out *Answer
+	permit, refusal := e.limiter.Admit(req.Branch, req.Caller, started)
+	if refusal != nil {
+		return e.shed(c, req, refusal)
+	}
+	out := &Answer{Waited: -1}
+	defer func() { permit.Done(out.Waited, out.Overload, time.Now()) }()
 	if req.Branch.Idempotent {
 		out = e.Send(ctx, req)
 	} else {
 		out = e.SendKeyed(ctx, req, key)
 	}
 	e.metrics.Counter("entry_outcome_" + string(out.Outcome)).Inc(1)
+	e.decisions.add(decisionRecord{id: req.ID, branch: req.Branch.Branch, outcome: out.Outcome, reason: out.Reason})
+	c.Response().Header().Set(wire.HeaderEntry, e.ID)
 	if out.Response == nil {
 		return problem(c, out.Status, out.Outcome, req.ID, out.Reason)
 	}
@@ -126,22 +143,7 @@
 	h.Set(wire.HeaderRequestID, req.ID)
 	h.Set(wire.HeaderOutcome, string(out.Outcome))
 	c.Response().WriteHeader(out.Response.StatusCode)
-	buf := make([]byte, 32<<10)
-	for {
-		n, err := out.Response.Body.Read(buf)
-		if n > 0 {
-			if _, err := c.Response().Write(buf[:n]); err != nil {
-				return err
-			}
-			c.Response().Flush()
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
+	return wire.CopyBody(c.Response().Writer, out.Response)
 }
 
 // JobRequest is the body of a job submission. Durations are in milliseconds.
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -4,8 +4,10 @@
 package membership
 
 import (
+	"reflect"
 	"time"
 
+	"bamboofork/internal/colocation"
 	"bamboofork/internal/worker"
 )
 
@@ -30,12 +32,20 @@
 	Free      worker.Resources // for batch tasks
 	Failing   bool             // the worker fails what it starts
 	Clock     time.Duration    // the agent's monotonic time since its start, when it wrote the record
+
+	FreeAt      [4]worker.Resources         // projected free room at scheduler.Horizons
+	Teams       map[string]worker.Resources // batch tasks by team
+	Preemptible map[int]worker.Resources    // batch tasks by priority
+	QuickKind   string                      // latency-critical kind closest to its target
+	QuickRatio  float64                     // its p99 / target, 0: not known
+	BatchCores  map[string]float64          // measured cores by kind of batch work
+	Pairs       []colocation.Pair           // learned interference, at most colocation.MaxPairs
 }
 
 // sameExceptClock reports whether the loads differ in nothing but the time of the report.
 func (l Load) sameExceptClock(o Load) bool {
 	l.Clock, o.Clock = 0, 0
-	return l == o
+	return reflect.DeepEqual(l, o)
 }
 
 // Member is a process's record about itself.
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -177,10 +177,11 @@
 func (t *Table) publishLoad(now time.Time) {
 	n := time.Duration(len(t.entries) + 1)
 	wait := min(max(n*beatPerMember, minBeat), maxBeat)
-	if !t.self.Load.sameExceptClock(t.published.Load) || t.self.SettingsRev != t.published.SettingsRev {
+	news := !t.self.Load.sameExceptClock(t.published.Load) || t.self.SettingsRev != t.published.SettingsRev
+	if news {
 		wait = min(max(n*loadPacePerMember, minLoadPace), maxLoadPace)
 	}
-	changed := t.self.Load != t.published.Load || t.self.SettingsRev != t.published.SettingsRev
+	changed := news || t.self.Load.Clock != t.published.Load.Clock
 	if changed && now.Sub(t.publishedAt) >= wait {
 		t.publishSelf(now)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 
 	"bamboofork/internal/agent"
 	"bamboofork/internal/app"
+	"bamboofork/internal/callers"
 	"bamboofork/internal/config"
 	"bamboofork/internal/dissemination"
 	"bamboofork/internal/entry"
@@ -27,6 +28,7 @@
 	"bamboofork/internal/peer"
 	"bamboofork/internal/settings"
 	"bamboofork/internal/store"
+	"bamboofork/internal/store/budget"
 	"bamboofork/internal/store/etcdgw"
 	"bamboofork/internal/telemetry"
 	"bamboofork/internal/worker"
@@ -61,7 +63,16 @@
 
 func newBase(cfg config.Process, role membership.Role, log zerolog.Logger) (*base, error) {
 	log = log.With().Str("node", cfg.ID).Logger()
-	st := etcdgw.NewClient(cfg.Store, 0)
+	reg := telemetry.New()
+	limits := budget.AgentLimits
+	if role == membership.RoleEntry {
+		limits = budget.EntryLimits
+	}
+	creds, err := etcdgw.LoadCredentials(cfg.StoreCredentials)
+	if err != nil {
+		return nil, err
+	}
+	st := budget.New(etcdgw.NewClient(cfg.Store, 0).WithCredentials(creds), limits, reg, log)
 	pool := peer.NewPool(cfg.ID, log, nil)
 	self := membership.Member{
 		ID: cfg.ID, Role: role, Region: cfg.Region, Domain: cfg.Domain, Rack: cfg.Rack,
@@ -69,14 +80,14 @@
 	}
 	b := &base{
 		cfg: cfg, log: log, st: st, pool: pool, server: peer.NewServer(cfg.ID, log),
-		live: settings.NewLive(), dir: partition.NewDirectory(st, pool, cfg.Partitions), reg: telemetry.New(),
+		live: settings.NewLive(), dir: partition.NewDirectory(st, pool, cfg.Partitions), reg: reg,
 	}
 	b.sync = dissemination.NewSyncer(b.live, pool, func() { b.table.Kick() }, log)
 	b.table = membership.NewTable(membership.Config{
 		Self: self, Seeds: cfg.Seeds, Revision: b.sync.Revision, OnRevision: b.sync.OnRevision, Hubs: b.hubs,
 	}, pool, log)
 	b.api = &operatorapi.API{Table: b.table, Live: b.live, Metrics: b.reg}
-	err := errors.Join(b.server.Register("Member", b.table.Service()), b.server.Register("Settings", b.sync.Service()))
+	err = errors.Join(b.server.Register("Member", b.table.Service()), b.server.Register("Settings", b.sync.Service()))
 	return b, eris.Wrap(err, "register membership and settings services")
 }
 
@@ -105,7 +116,12 @@
 		return nil, err
 	}
 	b.table.SetInterest(func() bool { return true })
-	e := entry.New(cfg.ID, cfg.Domain, b.live, b.table, b.dir, b.pool, b.reg, b.log)
+	trusted, err := callers.ParseTrusted(cfg.TrustedProxies)
+	if err != nil {
+		return nil, eris.Wrap(err, "trusted_proxies")
+	}
+	opts := entry.Options{Domain: cfg.Domain, Policy: cfg.Routing, Trusted: trusted}
+	e := entry.New(cfg.ID, opts, b.live, b.table, b.dir, b.pool, b.reg, b.log)
 	n := b.node()
 	n.Entry = e
 	callers := newEcho()
@@ -134,6 +150,7 @@
 	unique := fmt.Sprintf("%s-%d", cfg.ID, b.table.Self().Incarnation)
 	manager := partition.NewManager(partition.Config{
 		ID: unique, Addr: cfg.Listen.Control, Partitions: cfg.Partitions, Max: cfg.MaxPartitions, Outage: cfg.OutageHold,
+		Share: partition.Shares(b.live),
 	}, b.st, keeper, b.table, b.pool, b.log)
 	b.api.Owned = manager.Owned
 	b.table.SetInterest(func() bool { return len(manager.Owned()) > 0 })
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bamboofork/internal/ledger"
+	"bamboofork/internal/scheduler"
 	"bamboofork/internal/worker"
 )
 
@@ -18,8 +19,12 @@
 	HeaderOutcome    = "Bf-Outcome"
 	HeaderReason     = "Bf-Reason"
 	HeaderAgent      = "Bf-Agent"
-	HeaderBusy       = "Bf-Busy"   // slots in use at the agent when it answered
-	HeaderQueued     = "Bf-Queued" // requests waiting at the agent's gate when it answered
+	HeaderBusy       = "Bf-Busy"      // slots in use at the agent when it answered
+	HeaderQueued     = "Bf-Queued"    // requests waiting at the agent's gate when it answered
+	HeaderWaitUs     = "Bf-Wait-Us"   // time the request waited at the agent's gate, in microseconds
+	HeaderCaller     = "Bf-Caller"    // caller's IP address, set by the entry
+	HeaderUnhealthy  = "Bf-Unhealthy" // "1": the agent could not reach its backend server
+	HeaderEntry      = "Bf-Entry"     // the entry that routed the request; it explains its decisions
 	HeaderKey        = "Idempotency-Key"
 )
 
@@ -106,6 +111,8 @@
 	Checkpoint string
 	Reason     string
 	Progress   float64
+	Used       worker.Resources // largest measured use; zero: not measured
+	Ran        time.Duration    // work done in time at full speed; zero: not known
 }
 
 // ReportArgs renews the holds of an agent's tasks and reports their states.
@@ -136,6 +143,28 @@
 	PlaceReply struct {
 		Accepted bool
 		Reason   string
+		Clock    time.Duration    // the agent's clock at its decision
+		Free     worker.Resources // the agent's free room at that clock
+	}
+	// PreemptArgs asks an agent to checkpoint lower priority work until Need is free.
+	PreemptArgs struct {
+		Incarnation int64
+		Task        string // that needs the room
+		Need        worker.Resources
+		Priority    int
+	}
+	PreemptReply struct {
+		Evicted int
+		Reason  string // why nothing was evicted
+	}
+	// ExplainArgs asks for the newest decisions about a task. Partition is used by owners only.
+	ExplainArgs struct {
+		Partition int
+		Task      string
+	}
+	ExplainReply struct {
+		Code    Code
+		Records []scheduler.Record
 	}
 	// StopArgs ends an attempt and fences it, so that a late placement is refused.
 	StopArgs struct {
