Base the controller's verdicts on evidence, and keep preempted room for its task

Throttled tasks then held 37% of the room without using it. Forgetting by a factor on the covariance lost the certainty of directions without new evidence after hours on full hosts. In the fleet, another partition's scheduler placed into the room that an urgent task's preemption had freed, so a second task was evicted 20 s later. Ruled out: a shorter hold for urgent work at the owner, because other owners do not see it. Change: Counts of requests above the target since the last action, tested against the allowed 1%, decide about violation and recovery; tasks that the model is sure to be harmless are left alone; a task at reduced speed for 5 min is evicted so that its room is used; coefficients drift instead of being forgotten by a factor. An agent keeps freed room for the urgent task for 10 s and says so in its refusal; one preemption per task at a time; reservations are per task and end with it. The fakes are kinder than a real host: interference is linear in cores, and noise is independent.

--- a/internal/agent/colocate.go
+++ b/internal/agent/colocate.go
@@ -33,7 +33,7 @@
 // quickSummary is the latency-critical kind closest to its target in the newest windows.
 type quickSummary struct {
 	kind  string
-	ratio float64 // p99 / target, smoothed
+	ratio float64 // p99 / target, 0: not known
 	cores map[string]float64
 }
 
@@ -142,21 +142,18 @@
 	return out
 }
 
-// ratioGain is the weight of the newest window in the reported ratio.
-const ratioGain = 0.3
-
 func (c *colocator) summarise(s colocation.Sample) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s.Count == 0 {
-		c.summary.ratio *= 1 - ratioGain
 		return
 	}
 	if c.summary.kind != s.Quick {
-		c.summary.kind, c.summary.ratio = s.Quick, ratioOf(s)
-		return
+		c.summary.kind, c.summary.ratio = s.Quick, 0
+	}
+	if ratio, ok := c.control.Ratio(s.Target); ok {
+		c.summary.ratio = ratio
 	}
-	c.summary.ratio += ratioGain * (ratioOf(s) - c.summary.ratio)
 }
 
 func (c *colocator) current() quickSummary {
@@ -188,5 +185,11 @@
 	if t := c.r.attempts[ref]; t != nil {
 		t.advanceWork(time.Now())
 		t.throttle, t.throttled = share, time.Now()
+		switch {
+		case share >= 1:
+			t.slowSince = time.Time{}
+		case t.slowSince.IsZero():
+			t.slowSince = time.Now()
+		}
 	}
 }
--- a/internal/agent/preempt.go
+++ b/internal/agent/preempt.go
@@ -31,6 +31,9 @@
 
 func (r *taskRunner) preempt(args wire.PreemptArgs) (int, string) {
 	victims, reason := r.victims(args)
+	if reason == "" {
+		r.keep(args)
+	}
 	for _, ref := range victims {
 		why := fmt.Sprintf("room for urgent task %s of priority %d", args.Task, args.Priority)
 		r.a.history.Add(scheduler.Record{At: time.Now(), Task: ref.Task, What: string(colocation.ActionEvict), Why: why})
@@ -40,6 +43,41 @@
 	return len(victims), reason
 }
 
+// keptRoom is room on this host that was freed for an urgent task.
+type keptRoom struct {
+	need  worker.Resources
+	until time.Time
+}
+
+const (
+	// keepFor is how long freed room is kept. The owner sees it in the next load report and places within 1 s.
+	keepFor    = 10 * time.Second
+	reasonKept = "room is kept for an urgent task"
+)
+
+// keep reserves the freed room, because schedulers of other partitions do not know what it was freed for.
+func (r *taskRunner) keep(args wire.PreemptArgs) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.kept[args.Task] = keptRoom{need: args.Need, until: time.Now().Add(keepFor)}
+}
+
+// keptFromOthers reports whether admitting the task would take room that is kept for another one. r.mu is held.
+func (r *taskRunner) keptFromOthers(task string, need worker.Resources, now time.Time) bool {
+	others := false
+	for name, k := range r.kept {
+		if now.After(k.until) {
+			delete(r.kept, name)
+			continue
+		}
+		if name != task {
+			others = true
+			need = need.Add(k.need)
+		}
+	}
+	return others && !need.Fits(r.a.gate.Usage().Free)
+}
+
 // victims picks the tasks to checkpoint: the lowest priority first, then the least work done.
 func (r *taskRunner) victims(args wire.PreemptArgs) ([]worker.Ref, string) {
 	free := r.a.gate.Usage().Free
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -31,6 +31,7 @@
 	status    worker.Status
 	throttle  float64
 	throttled time.Time        // newest change of throttle
+	slowSince time.Time        // when the speed was first reduced; zero at full speed
 	used      worker.Resources // largest measured use, at full speed
 	memoryMB  int64            // newest measured memory
 	work      time.Duration    // work done on this host, in time at full speed
@@ -48,10 +49,11 @@
 	fenced   map[worker.Ref]time.Time // attempts that must not start any more
 	ends     []ending                 // newest ends of tasks on this worker
 	control  *colocator
+	kept     map[string]keptRoom // room of preempted tasks, by the urgent task that it is for
 }
 
 func newTaskRunner(a *Agent, w worker.Worker, dir *partition.Directory) *taskRunner {
-	r := &taskRunner{a: a, w: w, dir: dir, attempts: map[worker.Ref]*attempt{}, fenced: map[worker.Ref]time.Time{}}
+	r := &taskRunner{a: a, w: w, dir: dir, attempts: map[worker.Ref]*attempt{}, fenced: map[worker.Ref]time.Time{}, kept: map[string]keptRoom{}}
 	r.control = newColocator(a, r)
 	return r
 }
@@ -95,9 +97,13 @@
 	if r.attempts[ref] != nil {
 		return true, ""
 	}
+	if r.keptFromOthers(ref.Task, args.Spec.Need, time.Now()) {
+		return false, reasonKept
+	}
 	if err := r.a.gate.AdmitTask(ref.Task, args.Spec.Need); err != nil {
 		return false, err.Error()
 	}
+	delete(r.kept, ref.Task)
 	r.attempts[ref] = &attempt{
 		spec: args.Spec, partition: args.Partition, hold: time.Now().Add(left), placed: time.Now(), throttle: 1,
 		status: worker.Status{Ref: ref, Kind: args.Spec.Kind, Need: args.Spec.Need, State: worker.StateRunning},
--- a/internal/agent/usage.go
+++ b/internal/agent/usage.go
@@ -40,6 +40,14 @@
 	t.workAt = now
 }
 
+// slowFor is the time since the speed was first reduced; 0 at full speed.
+func (t *attempt) slowFor(now time.Time) time.Duration {
+	if t.throttle >= 1 || t.slowSince.IsZero() {
+		return 0
+	}
+	return now.Sub(t.slowSince)
+}
+
 // controlTasks lists the running tasks for the controller.
 func (r *taskRunner) controlTasks(now time.Time) []colocation.Task {
 	r.mu.Lock()
@@ -55,7 +63,7 @@
 		}
 		out = append(out, colocation.Task{
 			Ref: ref, Kind: t.spec.Kind, Priority: t.spec.Priority, Cores: cores, MemoryMB: t.memoryMB, SizeMB: t.spec.Need.MemoryMB,
-			Share: t.throttle, Ran: now.Sub(t.placed), Run: t.spec.Run,
+			Share: t.throttle, SlowFor: t.slowFor(now), Ran: now.Sub(t.placed), Run: t.spec.Run,
 		})
 	}
 	return out
--- a/internal/colocation/choose.go
+++ b/internal/colocation/choose.go
@@ -10,6 +10,7 @@
 type ranked struct {
 	Task
 	effect float64 // relative slowdown of the latency-critical kind by the task at full speed
+	most   float64 // the same with two deviations on top
 	value  float64 // effect per lost work
 }
 
@@ -33,7 +34,8 @@
 	for _, t := range tasks {
 		e := c.model.Effect(s.Quick, t.Kind, s.Load)
 		effect := max(0, e.Mean) * t.Cores
-		out = append(out, ranked{Task: t, effect: effect, value: value(t, effect) / (1 + float64(t.Priority)/100)})
+		most := effect + 2*e.Deviation*t.Cores
+		out = append(out, ranked{Task: t, effect: effect, most: most, value: value(t, effect) / (1 + float64(t.Priority)/100)})
 	}
 	sort.SliceStable(out, func(i, j int) bool {
 		if out[i].value != out[j].value {
@@ -56,6 +58,13 @@
 	return sum
 }
 
+// harmlessEffect is a slowdown that is not worth any throttle.
+const harmlessEffect = 0.01
+
+// harmless reports whether the model is sure that the task slows latency-critical work by less than harmlessEffect, so
+// that something else is the cause.
+func (t *ranked) harmless() bool { return t.most < harmlessEffect }
+
 // leastShare is the share of the needed reduction that a further throttle must bring.
 const leastShare = 0.1
 
@@ -66,7 +75,8 @@
 func (c *Controller) slowDown(now time.Time, s Sample, tasks []Task) []Action {
 	list := c.rankByThrottle(s, tasks)
 	total := slowdown(list)
-	need := (1 + total) * (1 - c.cfg.Aim*float64(s.Target)/float64(s.P99)) // slowdown to take away
+	p99 := c.p99(s)
+	need := (1 + total) * max(0, 1-c.cfg.Aim*float64(s.Target)/float64(p99)) // slowdown to take away
 	actions := []Action{}
 	taken := 0.0
 	for _, t := range list {
@@ -75,13 +85,13 @@
 		}
 		share := max(c.cfg.MinShare, t.Share*throttleStep)
 		brings := t.effect * (t.Share - share)
-		if t.Share <= c.cfg.MinShare || len(actions) > 0 && brings < leastShare*need {
+		if t.Share <= c.cfg.MinShare || t.harmless() || len(actions) > 0 && brings < leastShare*need {
 			continue
 		}
 		taken += brings
 		actions = append(actions, Action{
 			Kind: ActionThrottle, Ref: t.Ref, Share: share, Rejected: others(list, t),
-			Reason: fmt.Sprintf("%s p99 %s over %s; predicted slowdown by the task %.3f", s.Quick, s.P99, s.Target, t.effect*t.Share),
+			Reason: fmt.Sprintf("%s p99 %s over %s; predicted slowdown by the task %.3f", s.Quick, p99, s.Target, t.effect*t.Share),
 		})
 	}
 	if len(actions) > 0 {
@@ -115,6 +125,10 @@
 	list := c.rankByEviction(s, tasks)
 	rejected := []string{}
 	for _, t := range list {
+		if t.harmless() {
+			rejected = append(rejected, t.Ref.Task+" is harmless")
+			continue
+		}
 		if t.Ran < c.minRun(t.Task) {
 			rejected = append(rejected, t.Ref.Task+" ran too short")
 			continue
@@ -124,7 +138,7 @@
 		}
 		return []Action{{
 			Kind: ActionEvict, Ref: t.Ref, Rejected: append(rejected, others(list, t)...),
-			Reason: fmt.Sprintf("throttling was not enough: %s p99 %s over %s; predicted slowdown by the task %.3f", s.Quick, s.P99, s.Target, t.effect*t.Share),
+			Reason: fmt.Sprintf("throttling was not enough: %s p99 %s over %s; predicted slowdown by the task %.3f", s.Quick, c.p99(s), s.Target, t.effect*t.Share),
 		}}
 	}
 	return nil
@@ -134,6 +148,7 @@
 func (c *Controller) speedUp(now time.Time, s Sample, tasks []Task) []Action {
 	list := c.rankByThrottle(s, tasks)
 	total := slowdown(list)
+	p99 := c.p99(s)
 	for i := len(list) - 1; i >= 0; i-- {
 		t := list[i]
 		if t.Share >= 1 {
@@ -141,13 +156,35 @@
 		}
 		share := min(1, t.Share/throttleStep)
 		after := total + t.effect*(share-t.Share)
-		if s.Target > 0 && s.Count > 0 && float64(s.P99)*(1+after)/(1+total) > c.cfg.Aim*float64(s.Target) {
+		if s.Target > 0 && s.Count > 0 && float64(p99)*(1+after)/(1+total) > c.cfg.Aim*float64(s.Target) {
 			continue
 		}
 		c.lastRestore = now
 		return []Action{{
 			Kind: ActionRestore, Ref: t.Ref, Share: share, Rejected: others(list, t),
-			Reason: fmt.Sprintf("p99 %s well below %s", s.P99, s.Target),
+			Reason: fmt.Sprintf("p99 %s, target %s", p99, s.Target),
+		}}
+	}
+	return nil
+}
+
+// unstick evicts the task that has been slow for longest and holds room that other work could use at full speed. Work
+// that the model holds harmless is given its speed back instead, by speedUp.
+func (c *Controller) unstick(now time.Time, s Sample, tasks []Task) []Action {
+	if s.Target == 0 || s.Count == 0 {
+		return nil
+	}
+	list := c.rankByThrottle(s, tasks)
+	for _, t := range list {
+		if t.SlowFor < c.cfg.StuckAfter || t.Ran < c.minRun(t.Task) || t.harmless() {
+			continue
+		}
+		if !c.allowEviction(now) {
+			return nil
+		}
+		return []Action{{
+			Kind: ActionEvict, Ref: t.Ref, Rejected: others(list, t),
+			Reason: fmt.Sprintf("at reduced speed for %s; predicted slowdown of %s by the task %.3f", t.SlowFor.Round(time.Second), s.Quick, t.effect),
 		}}
 	}
 	return nil
--- a/internal/colocation/controller.go
+++ b/internal/colocation/controller.go
@@ -9,29 +9,29 @@
 
 // Config sets a Controller's behaviour. Zero fields take the defaults.
 type Config struct {
-	Violations   int           // consecutive windows above the target before it acts, default 2
-	Recoveries   int           // consecutive windows below RecoverShare of the target before it gives speed back, default 6
-	RecoverShare float64       // default 0.75; the gap to 1 is the hysteresis
-	Aim          float64       // share of the target that a reaction aims at, default 0.9
-	Settle       time.Duration // time until a throttle or eviction shows in the latency, default 1 s
-	MinShare     float64       // lowest speed by throttling, default 0.25
-	MinRun       time.Duration // run time before a task may be evicted, default 30 s, at most half its expected run time
-	EvictBurst   int           // evictions in a row, default 2
-	EvictEvery   time.Duration // mean time between evictions, default 1 min
-	MaxActions   int           // throttles in one reaction, default 4
+	Violations int           // consecutive windows plainly above the target before it acts, default 2
+	Recoveries int           // consecutive windows with a recovery before it gives speed back, default 6
+	Aim        float64       // share of the target that a reaction aims at, default 0.97
+	Settle     time.Duration // time until a throttle or eviction shows in the latency, default 1 s
+	MinShare   float64       // lowest speed by throttling, default 0.25
+	MinRun     time.Duration // run time before a task may be evicted, default 30 s, at most half its expected run time
+	EvictBurst int           // evictions in a row, default 2
+	EvictEvery time.Duration // mean time between evictions, default 1 min
+	MaxActions int           // throttles in one reaction, default 4
+	StuckAfter time.Duration // time at reduced speed after which a task is evicted to free its room, default 5 min
 }
 
 func (c Config) withDefaults() Config {
 	setDefault(&c.Violations, 2)
 	setDefault(&c.Recoveries, 6)
-	setDefault(&c.RecoverShare, 0.75)
-	setDefault(&c.Aim, 0.9)
+	setDefault(&c.Aim, 0.97)
 	setDefault(&c.Settle, time.Second)
 	setDefault(&c.MinShare, 0.25)
 	setDefault(&c.MinRun, 30*time.Second)
 	setDefault(&c.EvictBurst, 2)
 	setDefault(&c.EvictEvery, time.Minute)
 	setDefault(&c.MaxActions, 4)
+	setDefault(&c.StuckAfter, 5*time.Minute)
 	return c
 }
 
@@ -51,6 +51,7 @@
 	MemoryMB int64         // measured use
 	SizeMB   int64         // memory admitted for it
 	Share    float64       // speed now, 0 to 1
+	SlowFor  time.Duration // time since its speed was first reduced; 0 at full speed
 	Ran      time.Duration // since its start on this host; lost work if the checkpoint fails
 	Run      time.Duration // expected run time, 0: not known
 }
@@ -85,6 +86,7 @@
 	cfg   Config
 	model *Model
 
+	evidence    evidence
 	over, under int
 	reactedAt   time.Time // the newest action; windows that began before its effect are ignored
 	effectAt    time.Time
@@ -109,11 +111,14 @@
 	c.observe(s)
 	var actions []Action
 	switch {
-	case c.over >= c.cfg.Violations:
+	case c.over >= c.cfg.Violations || s.Target > 0 && c.evidence.violated(s.Target):
 		actions = c.slowDown(now, s, tasks)
 	case c.under >= c.cfg.Recoveries*c.patience:
 		actions = c.speedUp(now, s, tasks)
 	}
+	if len(actions) == 0 {
+		actions = c.unstick(now, s, tasks)
+	}
 	if len(actions) > 0 {
 		c.acted(now, s)
 	}
@@ -126,21 +131,41 @@
 }
 
 func (c *Controller) observe(s Sample) {
-	switch {
-	case s.Target == 0 || s.Count == 0:
+	if s.Target == 0 || s.Count == 0 {
 		c.over, c.under = 0, c.under+1
-	case s.P99 > s.Target:
+		return
+	}
+	c.evidence.add(s.Window)
+	switch {
+	case s.gross(s.Target):
 		c.over, c.under = c.over+1, 0
-	case float64(s.P99) < c.cfg.RecoverShare*float64(s.Target):
+	case c.evidence.recovered(s.Target):
 		c.over, c.under = 0, c.under+1
 	default:
 		c.over, c.under = 0, 0 // inside the hysteresis
 	}
 }
 
+// Ratio is the p99 of the requests since the last action relative to the target; ok is false if they are too few.
+func (c *Controller) Ratio(target time.Duration) (ratio float64, ok bool) {
+	if target == 0 || c.evidence.count < ratioSamples {
+		return 0, false
+	}
+	return float64(c.evidence.p99()) / float64(target), true
+}
+
+// p99 is the best estimate of the present p99.
+func (c *Controller) p99(s Sample) time.Duration {
+	if c.evidence.count >= ratioSamples && !s.gross(s.Target) {
+		return c.evidence.p99()
+	}
+	return s.P99
+}
+
 func (c *Controller) acted(now time.Time, s Sample) {
 	invariant.Check(!s.From.Before(c.effectAt), "one_reaction_per_sample", "window from %s, last action took effect at %s", s.From, c.effectAt)
 	c.over, c.under = 0, 0
+	c.evidence.clear()
 	c.reactedAt, c.effectAt = now, now.Add(c.cfg.Settle)
 }
 
--- a/internal/colocation/rls.go
+++ b/internal/colocation/rls.go
@@ -3,8 +3,8 @@
 import "math"
 
 // regression is a Bayesian linear regression with forgetting: recursive least squares in the form of a Kalman filter
-// whose coefficients may drift. The covariance is kept below the prior, so that coefficients without new evidence
-// return to the prior's uncertainty and no further.
+// whose coefficients drift. Forgetting by a factor on the covariance was measured to fail after hours on a host that is
+// always full: directions without new evidence lose all their certainty, and the estimates wander.
 type regression struct {
 	dim   int
 	mean  []float64
@@ -15,9 +15,10 @@
 	gain  []float64 // scratch
 }
 
-// forgetting is the weight of the past per observation: at one observation per second, half of it is forgotten in about
-// twelve minutes.
-const forgetting = 0.999
+// drift is the variance that a coefficient gains per observation, as a share of its prior variance. With evidence an
+// estimate follows a change within some thousand observations; without evidence its deviation grows to 5% of the prior's
+// in a day at one observation per second.
+const drift = 3e-8
 
 func newRegression(prior []float64) *regression {
 	r := &regression{dim: len(prior), mean: make([]float64, len(prior)), prior: prior, gain: make([]float64, len(prior)), noise: initialNoise}
@@ -34,7 +35,7 @@
 
 // observe takes in one measurement y of the features. samples is the number of requests behind it.
 func (r *regression) observe(features []float64, y float64, samples int) {
-	r.age(features)
+	r.age()
 	r.multiply(features)
 	expected, spread := 0.0, 0.0
 	for i, f := range features {
@@ -59,13 +60,12 @@
 // maxSamples bounds the weight of one measurement: the requests of one window share the same disturbances.
 const maxSamples = 16
 
-// age forgets, but only along coefficients that the measurement can renew.
-func (r *regression) age(features []float64) {
-	for i, f := range features {
-		if f == 0 {
-			continue
+// age lets the coefficients drift, up to the uncertainty of the prior.
+func (r *regression) age() {
+	for i := range r.cov {
+		if r.cov[i][i] < r.prior[i] {
+			r.cov[i][i] += drift * r.prior[i]
 		}
-		r.cov[i][i] = math.Min(r.prior[i], r.cov[i][i]/forgetting)
 	}
 }
 
--- a/internal/colocation/window.go
+++ b/internal/colocation/window.go
@@ -15,8 +15,9 @@
 	From, To time.Time
 	P99      time.Duration
 	Mean     time.Duration
-	Count    int     // requests, also those beyond the bound on samples
-	Load     float64 // mean share of the slots in use
+	Count    int             // requests, also those beyond the bound on samples
+	Load     float64         // mean share of the slots in use
+	Samples  []time.Duration // in ascending order, at most windowSamples
 }
 
 // Recorder collects service times and closes windows. It is safe for concurrent use.
@@ -74,8 +75,9 @@
 		out = append(out, Window{
 			Quick: kind, From: k.from, To: now, Count: k.count, Mean: k.sum / time.Duration(k.count),
 			P99: k.samples[min(len(k.samples)-1, len(k.samples)*99/100)], Load: k.load / float64(k.count),
+			Samples: k.samples,
 		})
-		*k = recording{samples: k.samples[:0], from: now}
+		*k = recording{from: now}
 	}
 	slices.SortFunc(out, func(a, b Window) int {
 		switch {
--- a/internal/partition/placing.go
+++ b/internal/partition/placing.go
@@ -170,6 +170,7 @@
 			reply.Reason = err.Error()
 		}
 		if reply.Evicted == 0 {
+			p.planner.sched.ReleaseRoom(task.Ref.Task)
 			p.planner.note(task.Ref.Task, "not placed", "preemption brought no room: "+reply.Reason)
 		}
 	})
@@ -266,7 +267,7 @@
 	}
 	ref := *pl.op.Ref
 	p.planner.sched.Refuse(ref, freshNode(pl.node, reply))
-	if callErr != nil {
+	if callErr != nil || reply.Kept {
 		p.planner.avoidWorker(ref.Task, pl.node.ID)
 	}
 	p.planner.note(ref.Task, "refused", pl.node.ID+": "+reason)
--- a/internal/scheduler/backfill.go
+++ b/internal/scheduler/backfill.go
@@ -9,14 +9,15 @@
 
 // Reservation keeps room on a worker for a task that found none, from the time when the room is expected to be free.
 type Reservation struct {
-	Job      string
-	Priority int
-	Node     string
-	Need     worker.Resources
-	At       time.Time
-	FreeThen worker.Resources // projected free room at At
-	Expires  time.Time
-	placed   map[string]bool // tasks that were on the worker's assumption list when the reservation was made
+	Task      string // that it is for
+	Priority  int
+	Node      string
+	Need      worker.Resources
+	At        time.Time
+	FreeThen  worker.Resources // projected free room at At
+	Expires   time.Time
+	Preempted bool            // the room is freed by checkpoints
+	placed    map[string]bool // tasks that were on the worker's assumption list when the reservation was made
 }
 
 // Bounds of reservations. Each blocks room for some time, so only the tasks that go first get one.
@@ -43,7 +44,7 @@
 // reserveRoom looks for the worker where the task fits first, by the agents' projections, and reserves it. Only a bounded
 // sample of workers is looked at. ok is false if no projection has room or too many reservations are held.
 func (s *Scheduler) reserveRoom(task *TaskInfo) (Reservation, bool) {
-	if r := s.reservations[task.JobID]; r != nil {
+	if r := s.reservations[task.Ref.Task]; r != nil {
 		return *r, true
 	}
 	if len(s.reservations) >= maxReservations || !s.cycleAllows(task) {
@@ -56,16 +57,16 @@
 	now := s.opts.Now()
 	at := now.Add(Horizons[horizon])
 	r := &Reservation{
-		Job: task.JobID, Priority: task.Priority, Node: n.info.ID, Need: task.Need, At: at,
+		Task: task.Ref.Task, Priority: task.Priority, Node: n.info.ID, Need: task.Need, At: at,
 		FreeThen: n.info.FreeAt[horizon], Expires: at.Add(reservationGrace), placed: map[string]bool{},
 	}
 	for name := range n.assumed {
 		r.placed[name] = true
 	}
 	n.reserved = r
-	s.reservations[task.JobID] = r
+	s.reservations[task.Ref.Task] = r
 	s.stats.Reserved++
-	invariant.Check(r.Need.Fits(n.info.Capacity), "reservation_within_capacity", "job %s reserves %+v of %+v", r.Job, r.Need, n.info.Capacity)
+	invariant.Check(r.Need.Fits(n.info.Capacity), "reservation_within_capacity", "task %s reserves %+v of %+v", r.Task, r.Need, n.info.Capacity)
 	return *r, true
 }
 
@@ -108,14 +109,18 @@
 		n.reserved = nil
 		s.cache.freed = true
 	}
-	delete(s.reservations, r.Job)
+	delete(s.reservations, r.Task)
 }
 
-// ReleaseJob drops the reservation of a job that ended or was placed.
-func (s *Scheduler) ReleaseJob(job string) {
+// ReleaseRoom drops the reservation for a task, for example after a preemption that brought no room.
+func (s *Scheduler) ReleaseRoom(task string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r := s.reservations[job]; r != nil {
+	s.releaseFor(task)
+}
+
+func (s *Scheduler) releaseFor(task string) {
+	if r := s.reservations[task]; r != nil {
 		s.release(r)
 	}
 }
--- a/internal/scheduler/fairness.go
+++ b/internal/scheduler/fairness.go
@@ -120,7 +120,7 @@
 
 func (s *Scheduler) decide(u *Unit, failed map[class]Decision, now time.Time) Outcome {
 	lead := u.Lead()
-	if d, known := failed[classOf(lead)]; known && len(lead.Avoid) == 0 && s.reservations[lead.JobID] == nil {
+	if d, known := failed[classOf(lead)]; known && len(lead.Avoid) == 0 && !lead.Urgent() && s.reservations[lead.Ref.Task] == nil {
 		d.Task = lead.Ref.Task
 		s.queue.park(u, firstPlugin(&d), now)
 		return Outcome{Unit: u, Decisions: []Decision{d}}
@@ -143,7 +143,7 @@
 	if d.onlyRoom() {
 		s.makeRoom(o, d)
 	}
-	if o.Preempt != nil || s.reservations[o.Unit.Lead().JobID] != nil {
+	if o.Preempt != nil || s.reservations[d.Task] != nil {
 		s.queue.delay(o.Unit, now)
 		return
 	}
--- a/internal/scheduler/framework.go
+++ b/internal/scheduler/framework.go
@@ -113,7 +113,7 @@
 	cache        *cache
 	health       *Health
 	queue        *queue
-	reservations map[string]*Reservation // by job
+	reservations map[string]*Reservation // by task
 	rnd          *rand.Rand
 	scratch      span
 	width        float64 // workers scored per decision, adapted to the conflicts with other schedulers
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -80,7 +80,7 @@
 		s.explainRest(task, &d)
 		return d
 	}
-	d.Backfilled = best.reserved != nil && best.reserved.Job != task.JobID
+	d.Backfilled = best.reserved != nil && best.reserved.Task != task.Ref.Task
 	info := best.info
 	d.Node = &info
 	s.reserve(c, task, best)
@@ -89,7 +89,7 @@
 
 func (s *Scheduler) reserve(c *Cycle, task *TaskInfo, n *node) {
 	s.cache.assume(task, n, c.Now)
-	if r := n.reserved; r != nil && r.Job == task.JobID {
+	if r := n.reserved; r != nil && r.Task == task.Ref.Task {
 		s.release(r)
 	}
 	s.health.NoteProbe(n.info.ID, task.Ref.Task, c.Now)
@@ -129,9 +129,9 @@
 	return best
 }
 
-// reservedFor is the worker that is reserved for the task's job; nil if none is.
+// reservedFor is the worker that is reserved for the task; nil if none is.
 func (s *Scheduler) reservedFor(task *TaskInfo) *node {
-	r := s.reservations[task.JobID]
+	r := s.reservations[task.Ref.Task]
 	if r == nil {
 		return nil
 	}
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -19,6 +19,9 @@
 	if !task.Urgent() || !s.cycleAllows(task) {
 		return NodeInfo{}, false
 	}
+	if r := s.reservations[task.Ref.Task]; r != nil && r.Preempted {
+		return NodeInfo{}, false // the room is on its way; a second eviction would be wasted
+	}
 	var best *node
 	cost := 0.0
 	s.cache.sample(s.opts.MaxLook, s.rnd, func(n *node) {
@@ -38,7 +41,7 @@
 }
 
 func (s *Scheduler) preemptable(task *TaskInfo, n *node) bool {
-	if n.reserved != nil && n.reserved.Job != task.JobID && n.reserved.Priority >= task.Priority {
+	if n.reserved != nil && n.reserved.Task != task.Ref.Task && n.reserved.Priority >= task.Priority {
 		return false
 	}
 	if task.Avoid[n.info.ID] || s.health.State(n.info.ID) != HealthGood {
@@ -67,11 +70,9 @@
 	if n.reserved != nil {
 		s.release(n.reserved)
 	}
-	if old := s.reservations[task.JobID]; old != nil {
-		s.release(old)
-	}
+	s.releaseFor(task.Ref.Task)
 	now := s.opts.Now()
-	r := &Reservation{Job: task.JobID, Priority: task.Priority, Node: n.info.ID, Need: task.Need, At: now, Expires: now.Add(preemptReserve), placed: map[string]bool{}}
+	r := &Reservation{Preempted: true, Task: task.Ref.Task, Priority: task.Priority, Node: n.info.ID, Need: task.Need, At: now, Expires: now.Add(preemptReserve), placed: map[string]bool{}}
 	n.reserved = r
-	s.reservations[task.JobID] = r
+	s.reservations[task.Ref.Task] = r
 }
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -242,6 +242,9 @@
 		if u.seen != q.pass {
 			q.take(u)
 			delete(q.units, key)
+			for _, t := range u.Tasks {
+				s.releaseFor(t.Ref.Task)
+			}
 		}
 	}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -141,6 +141,7 @@
 		Reason   string
 		Clock    time.Duration    // the agent's clock at its decision
 		Free     worker.Resources // the agent's free room at that clock
+		Kept     bool             // refused because the room is kept for an urgent task
 	}
 	// PreemptArgs asks an agent to checkpoint lower priority work until Need is free.
 	PreemptArgs struct {
