Test the planner of a partition owner

Cause: Corrected sizes, avoidance, reconciliation with the ledger, inherited quotas and gang starts had no test of their own. Change: Table and unit tests of the planner, of Shares and of gangStart.

--- /dev/null
+++ b/internal/partition/planner_test.go
@@ -0,0 +1,139 @@
+package partition
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"bamboofork/internal/colocation"
+	"bamboofork/internal/ledger"
+	"bamboofork/internal/membership"
+	"bamboofork/internal/scheduler"
+	"bamboofork/internal/settings"
+	"bamboofork/internal/wire"
+	"bamboofork/internal/worker"
+)
+
+func member(i int, capacity worker.Resources) membership.Member {
+	return membership.Member{
+		ID: fmt.Sprint("agent-", i), Role: membership.RoleAgent, Domain: fmt.Sprint("domain-", i%2), Incarnation: 1,
+		Load: membership.Load{Capacity: capacity, Free: capacity, Clock: time.Second},
+	}
+}
+
+func planJob(id string) *ledger.Job {
+	return &ledger.Job{ID: id, Kind: "plan", Team: "t", Idempotent: true, Need: worker.Resources{Cores: 8, MemoryMB: 8000}, Run: time.Minute, Tasks: make([]ledger.Task, 1)}
+}
+
+// place lets the planner decide about the first task of a job and returns the worker; empty if there is none.
+func place(p *planner, job *ledger.Job, attempt int) (worker.Ref, string) {
+	info := p.taskInfo(job, 0, attempt)
+	p.sched.Sync([]*scheduler.Unit{{Key: info.Ref.Task, Tasks: []*scheduler.TaskInfo{info}}})
+	for _, o := range p.sched.Cycle(1) {
+		if o.Placed {
+			return info.Ref, o.Decisions[0].Node.ID
+		}
+	}
+	return info.Ref, ""
+}
+
+// Guards against a corrected size that no worker can hold, and against sizes that are not learned from reports.
+func TestPlannerCorrectsSizes(t *testing.T) {
+	p := newPlanner(0, zerolog.Nop())
+	capacity := worker.Resources{Cores: 16, MemoryMB: 20_000}
+	p.update([]membership.Member{member(1, capacity)})
+	for i := range 20 {
+		job := planJob(fmt.Sprint("job", i))
+		ref, node := place(p, job, 1)
+		qt.Assert(t, node, qt.Equals, "agent-1")
+		p.ended(endedTask{job: job.ID, kind: "plan", team: "t", declared: job.Need, run: job.Run},
+			wire.TaskReport{Ref: ref, State: worker.StateDone, Used: worker.Resources{Cores: 40, MemoryMB: 4000}, Ran: 2 * time.Minute})
+	}
+	info := p.taskInfo(planJob("next"), 0, 1)
+	qt.Check(t, info.Need.Cores, qt.Equals, 16.0)
+	qt.Check(t, info.Need.MemoryMB > 4000 && info.Need.MemoryMB < 6000, qt.IsTrue, qt.Commentf("%d", info.Need.MemoryMB))
+	qt.Check(t, info.Run > time.Minute, qt.IsTrue)
+}
+
+// Guards against a task that returns at once to the worker that failed it, and against an end that is told twice or late
+// and takes away the next attempt.
+func TestPlannerAvoidsAndKeepsAttempts(t *testing.T) {
+	p := newPlanner(0, zerolog.Nop())
+	capacity := worker.Resources{Cores: 16, MemoryMB: 20_000}
+	p.update([]membership.Member{member(1, capacity), member(2, capacity)})
+	job := planJob("job")
+	ref, first := place(p, job, 1)
+	failed := wire.TaskReport{Ref: ref, State: worker.StateFailed, Reason: "exit 1"}
+	p.ended(endedTask{job: job.ID}, failed)
+	_, second := place(p, job, 2)
+	qt.Check(t, second, qt.Not(qt.Equals), first)
+	p.ended(endedTask{job: job.ID}, failed)
+	qt.Check(t, p.sched.Ended(worker.Ref{Task: "job/0", Attempt: 2}), qt.Equals, second)
+}
+
+// Guards against a placement that the ledger has undone and the scheduler still counts, and the reverse after a takeover.
+func TestPlannerReconciles(t *testing.T) {
+	p := newPlanner(0, zerolog.Nop())
+	p.setShare(func(string) scheduler.TeamShare {
+		return scheduler.TeamShare{Weight: 1, Quota: worker.Resources{Cores: 8}}
+	})
+	p.update([]membership.Member{member(1, worker.Resources{Cores: 64, MemoryMB: 64_000})})
+	old := scheduler.PlacedTask{Task: *p.taskInfo(planJob("old"), 0, 1), Node: "agent-1"}
+	p.sched.Reconcile([]scheduler.PlacedTask{old})
+	_, node := place(p, planJob("new"), 1)
+	qt.Check(t, node, qt.Equals, "")
+	qt.Check(t, p.sched.Waiting(), qt.DeepEquals, map[string]int{"quota": 1})
+	p.sched.Reconcile(nil)
+	_, node = place(p, planJob("new"), 1)
+	qt.Check(t, node, qt.Equals, "agent-1")
+}
+
+// Guards against a team whose quota is taken from a deeper branch, or that is not renewed by an edit.
+func TestSharesInherit(t *testing.T) {
+	live := settings.NewLive()
+	shares := Shares(live)
+	qt.Check(t, shares("press").Weight, qt.Equals, 1)
+	tree := settings.NewTree()
+	tree.Branches["a"] = map[string]string{"quota_cores": "100", "weight": "30"}
+	tree.Branches["a/b"] = map[string]string{"team": "press", "quota_memory_mb": "5000"}
+	tree.Branches["a/b/c"] = map[string]string{"quota_cores": "7", "weight": "1"}
+	snap, err := settings.Compile(1, tree)
+	qt.Assert(t, err, qt.IsNil)
+	live.Apply(snap)
+	qt.Check(t, shares("press"), qt.DeepEquals, scheduler.TeamShare{Weight: 30, Quota: worker.Resources{Cores: 100, MemoryMB: 5000}})
+}
+
+// Guards against the effects of one failure domain that are used in another one that has its own.
+func TestPlannerMergesByDomain(t *testing.T) {
+	p := newPlanner(0, zerolog.Nop())
+	a, b, c := member(0, worker.Resources{}), member(1, worker.Resources{}), member(2, worker.Resources{})
+	pair := func(mean float64) []colocation.Pair {
+		e := colocation.Estimate{Mean: mean, Deviation: 0.001}
+		return []colocation.Pair{{Quick: "scan", Batch: "plan", Low: e, High: e}}
+	}
+	a.Load.Pairs, b.Load.Pairs, c.Load.Pairs = pair(0.01), pair(0.05), pair(0.03)
+	p.learnEffects([]membership.Member{a, b, c})
+	near := func(domain string, want float64) {
+		got := p.domainEffects(domain).Effect("scan", "plan", 0.5).Mean
+		qt.Check(t, got > want-0.001 && got < want+0.001, qt.IsTrue, qt.Commentf("%s: %g", domain, got))
+	}
+	near("domain-0", 0.02)
+	near("domain-1", 0.05)
+	near("domain-9", 0.03)
+}
+
+// Guards against a gang of which some tasks keep running after another was refused.
+func TestGangStart(t *testing.T) {
+	g := &gangStart{open: 3}
+	one, two, three := placement{cp: "1"}, placement{cp: "2"}, placement{cp: "3"}
+	qt.Check(t, g.answered(one, true), qt.HasLen, 0)
+	qt.Check(t, g.answered(two, false), qt.HasLen, 0)
+	back := g.answered(three, true)
+	qt.Assert(t, back, qt.HasLen, 2)
+	qt.Check(t, back[0].cp+back[1].cp, qt.Equals, "13")
+	whole := &gangStart{open: 1}
+	qt.Check(t, whole.answered(one, true), qt.HasLen, 0)
+}
