--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -34,6 +34,7 @@
 	status    worker.Status
 	throttle  float64
 	throttled time.Time        // newest change of throttle
+	slowSince time.Time        // when the speed was first reduced; zero at full speed
 	used      worker.Resources // largest measured use, at full speed
 	memoryMB  int64            // newest measured memory
 	work      time.Duration    // work done on this host, in time at full speed
@@ -54,10 +55,11 @@
 	adopted  bool                     // the worker's list was read since the start; before, nothing is known or placed
 	boot     time.Time                // on this process's clock, the earliest start of the worker's clock
 	control  *colocator
+	kept     map[string]keptRoom // room of preempted tasks, by the urgent task that it is for
 }
 
 func newTaskRunner(a *Agent, w worker.Worker, dir *partition.Directory) *taskRunner {
-	r := &taskRunner{a: a, w: w, dir: dir, attempts: map[worker.Ref]*attempt{}, fenced: map[worker.Ref]time.Time{}}
+	r := &taskRunner{a: a, w: w, dir: dir, attempts: map[worker.Ref]*attempt{}, fenced: map[worker.Ref]time.Time{}, kept: map[string]keptRoom{}}
 	r.control = newColocator(a, r)
 	return r
 }
@@ -137,9 +139,13 @@
 	if r.attempts[ref] != nil {
 		return true, ""
 	}
+	if r.keptFromOthers(ref.Task, args.Spec.Need, time.Now()) {
+		return false, reasonKept
+	}
 	if err := r.a.gate.AdmitTask(ref.Task, args.Spec.Need); err != nil {
 		return false, err.Error()
 	}
+	delete(r.kept, ref.Task)
 	r.attempts[ref] = &attempt{
 		spec: args.Spec, partition: args.Partition, hold: hold, placed: time.Now(), boot: boot, throttle: 1,
 		status: worker.Status{Ref: ref, Kind: args.Spec.Kind, Need: args.Spec.Need, State: worker.StateRunning},
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -121,7 +121,7 @@
 // sameFixed reports whether two records differ only in what brief items carry of one life.
 func (m Member) sameFixed(o Member) bool {
 	return compareLife(m, o) == 0 && m.Leaving == o.Leaving && m.Gone == o.Gone && m.Load.Failing == o.Load.Failing &&
-		m.withFixed(o) == m
+		reflect.DeepEqual(m.withFixed(o), m)
 }
 
 // Status is a member as this process sees it.
--- a/internal/partition/placing.go
+++ b/internal/partition/placing.go
@@ -208,6 +208,7 @@
 			reply.Reason = err.Error()
 		}
 		if reply.Evicted == 0 {
+			p.planner.sched.ReleaseRoom(task.Ref.Task)
 			p.planner.note(task.Ref.Task, "not placed", "preemption brought no room: "+reply.Reason)
 		}
 	})
@@ -288,6 +289,9 @@
 func (p *placer) placementRefused(ctx context.Context, pl placement, reply wire.PlaceReply) {
 	ref := *pl.op.Ref
 	p.planner.sched.Refuse(ref, freshNode(pl.node, reply))
+	if reply.Kept {
+		p.planner.avoidWorker(ref.Task, pl.node.ID)
+	}
 	p.planner.note(ref.Task, "refused", pl.node.ID+": "+reply.Reason)
 	p.refused(ctx, pl.op, reply.Reason)
 }
