--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -22,7 +22,11 @@
 }
 
 func reportOf(t *attempt) wire.TaskReport {
-	return wire.TaskReport{Ref: t.spec.Ref, State: t.status.State, Checkpoint: t.status.Checkpoint, Reason: t.status.Reason, Progress: t.status.Progress}
+	report := wire.TaskReport{Ref: t.spec.Ref, State: t.status.State, Checkpoint: t.status.Checkpoint, Reason: t.status.Reason, Progress: t.status.Progress, Used: t.used}
+	if t.status.State == worker.StateDone && t.spec.Checkpoint == "" {
+		report.Ran = t.work
+	}
+	return report
 }
 
 // report renews the holds at the owners of all partitions with tasks on this host.
--- a/internal/agent/taskloop.go
+++ b/internal/agent/taskloop.go
@@ -127,10 +127,11 @@
 	}
 	if st.State != worker.StateRunning {
 		r.a.gate.ReleaseTask(t.spec.Ref.Task)
-		if st.State != worker.StateNotStarted {
-			r.health.note(t.spec.Ref.Task, st.State == worker.StateFailed, time.Now())
+		if st.State == worker.StateFailed || st.State == worker.StateDone {
+			r.noteEnd(st.Ref, st.State == worker.StateFailed)
 		}
 	}
+	t.advanceWork(time.Now())
 	t.status = st
 }
 
@@ -178,7 +179,7 @@
 	}
 	events.TaskAdopted.Log(&r.a.log).Str("task", st.Ref.Task).Int("attempt", st.Ref.Attempt).Str("state", string(st.State)).Send()
 	r.attempts[st.Ref] = &attempt{
-		spec: worker.Spec{Ref: st.Ref, Kind: st.Kind, Need: st.Need, Lease: partition.WorkerLease}, placed: time.Now(), throttle: 1,
+		spec: worker.Spec{Ref: st.Ref, Kind: st.Kind, Need: st.Need, Lease: partition.WorkerLease, Team: st.Team, Priority: st.Priority}, placed: time.Now(), throttle: 1,
 		partition: r.partitionOf(jobID), hold: hold, status: st, listed: true, boot: r.boot,
 	}
 }
--- a/internal/partition/evidence.go
+++ b/internal/partition/evidence.go
@@ -72,6 +72,7 @@
 	case !ok || reply.Incarnation < incarnation:
 		return
 	case reply.Incarnation == incarnation:
+		p.planner.sched.Refuse(ref, nil)
 		p.refused(ctx, ledger.Op{Ref: &ref}, "the placement never reached the agent")
 	case reply.Settled:
 		p.lost(ctx, ref, "the agent came back without the task", nil)
@@ -101,6 +102,7 @@
 func (p *placer) lost(ctx context.Context, ref worker.Ref, reason string, when func() error) {
 	op := ledger.Op{Kind: ledger.OpLost, Ref: &ref, Reason: reason}
 	if p.owner.commitIf(ctx, when, op) == nil {
+		p.planner.sched.Ended(ref)
 		events.TaskLost.Log(&p.owner.zlog).Str("task", ref.Task).Int("attempt", ref.Attempt).Str("reason", reason).Send()
 	}
 }
--- a/internal/partition/fleet_test.go
+++ b/internal/partition/fleet_test.go
@@ -44,6 +44,7 @@
 	agent   *agent.Agent
 	manager *partition.Manager
 	table   *membership.Table
+	view    *view
 	service *agent.Service
 	cancel  context.CancelFunc
 	done    chan struct{}
@@ -114,6 +115,10 @@
 		var r wire.QueryReply
 		_ = p.service.Query(args.(wire.QueryArgs), &r)
 		return r
+	case "Agent.Preempt":
+		var r wire.PreemptReply
+		_ = p.service.Preempt(args.(wire.PreemptArgs), &r)
+		return r
 	case "Agent.Stop":
 		var r wire.StopReply
 		_ = p.service.Stop(args.(wire.StopArgs), &r)
@@ -160,11 +165,12 @@
 	call := endpoint{f.net, p}
 	log := f.log.With().Str("node", id).Logger()
 	p.table = membership.NewTable(membership.Config{Self: membership.Member{ID: id, Role: membership.RoleAgent, Addr: p.addr}}, isolated(log), log)
+	p.view = newView(p.table)
 	dir := partition.NewDirectory(st, call, runPartitions)
 	keeper := lease.NewKeeper(st, runLease, log)
 	p.manager = partition.NewManager(partition.Config{
 		Self: id, ID: fmt.Sprintf("%s-%d", id, p.table.Self().Incarnation), Addr: p.addr, Partitions: runPartitions, Max: 2, Outage: runOutage,
-	}, st, keeper, p.table, call, log)
+	}, st, keeper, p.view, call, log)
 	p.agent = agent.New(agent.Config{ID: id, BackendName: "none", BackendAddr: "127.0.0.1:1", Drain: runDrain, Gate: gate.Config{Slots: 1, Conns: 1, Room: runCapacity}},
 		hostWorker{f.workers[id], p}, settings.NewLive(), dir, p.table, telemetry.New(), log)
 	p.service = p.agent.Service()
@@ -252,8 +258,9 @@
 	}
 	for _, p := range f.all() {
 		if p.running() {
-			var reply membership.ExchangeReply
-			_ = p.table.Service().Exchange(membership.ExchangeArgs{Members: records}, &reply)
+			for _, m := range records {
+				p.view.hear(m)
+			}
 		}
 	}
 }
--- a/internal/partition/manager.go
+++ b/internal/partition/manager.go
@@ -22,7 +22,8 @@
 	Partitions int    // number of partitions of the fleet
 	Max        int    // partitions that this process takes at most
 	Outage     time.Duration
-	Retention  time.Duration // how long finished jobs and recorded claims are kept at least; 0: DefaultRetention
+	Retention  time.Duration                         // how long finished jobs and recorded claims are kept at least; 0: DefaultRetention
+	Share      func(team string) scheduler.TeamShare // quotas and weights, see Shares; nil: none
 }
 
 // storeAppends is the number of appends per second of all partitions together in the long run. The platform's store
@@ -37,7 +38,6 @@
 	keeper *lease.Keeper
 	nodes  Nodes
 	pool   Caller
-	sched  *scheduler.Scheduler
 	log    zerolog.Logger
 
 	mu     sync.Mutex
@@ -56,7 +56,7 @@
 		cfg.Outage = DefaultOutage
 	}
 	return &Manager{
-		cfg: cfg, st: st, keeper: keeper, nodes: nodes, pool: pool, sched: scheduler.Default(), log: log, owners: map[int]*Owner{},
+		cfg: cfg, st: st, keeper: keeper, nodes: nodes, pool: pool, log: log, owners: map[int]*Owner{},
 		views: map[int]ownerView{}, budget: rate.NewLimiter(claimRate, claimBurst),
 	}
 }
--- a/internal/partition/owner.go
+++ b/internal/partition/owner.go
@@ -68,7 +68,6 @@
 	state     *ledger.State
 	holds     map[worker.Ref]time.Time // until when an agent may run the attempt
 	seen      map[worker.Ref]sighting  // newest report of each attempt
-	explain   map[string]string        // task -> newest decision
 	aside     map[string]setAside      // jobs that no worker can run, by id
 	refusals  map[string]int           // task -> refusals in a row
 	waiters   map[string][]chan struct{}
@@ -78,6 +77,8 @@
 	seq       int64
 	epoch     int64
 	lost      bool
+
+	planner *planner // decides where tasks run; not guarded by mu
 }
 
 // OwnerConfig configures an Owner.
@@ -99,7 +100,7 @@
 		drained:  make(chan struct{}),
 		holds:    map[worker.Ref]time.Time{},
 		seen:     map[worker.Ref]sighting{},
-		explain:  map[string]string{},
+		planner:  newPlanner(cfg.Partition, zlog.With().Int("partition", cfg.Partition).Logger()),
 		aside:    map[string]setAside{},
 		refusals: map[string]int{},
 		finished: map[string]time.Time{},
--- a/internal/partition/ownership.go
+++ b/internal/partition/ownership.go
@@ -102,7 +102,6 @@
 func (o *Owner) forgetJob(job *ledger.Job) {
 	for i := range job.Tasks {
 		name := ledger.TaskRef(job.ID, i, 0).Task
-		delete(o.explain, name)
 		delete(o.refusals, name)
 	}
 	delete(o.aside, job.ID)
--- a/internal/partition/placing.go
+++ b/internal/partition/placing.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sort"
 	"sync"
 	"time"
 
@@ -31,22 +30,29 @@
 	Lookup(id string) (membership.Status, bool)
 }
 
-// placer assigns the pending tasks of one partition.
+// placer assigns the pending tasks of one partition. Only its own goroutine uses its fields, but for those that mu
+// guards; sends are concurrent.
 type placer struct {
-	owner *Owner
-	nodes Nodes
-	pool  Caller
-	sched *scheduler.Scheduler
-	self  string               // id of this process, which its own membership view leaves out
-	asked map[string]time.Time // when each agent was last asked about silent attempts
+	owner   *Owner
+	nodes   Nodes
+	pool    Caller
+	planner *planner
+	self    string // id of this process, which its own membership view leaves out
+	sends   sync.WaitGroup
+
+	reportsAt   time.Time
+	effectsAt   time.Time
+	reconcileAt time.Time
+	asked       map[string]time.Time // when each agent was last asked about silent attempts
 
 	mu    sync.Mutex
-	avoid map[string]time.Time // agents that could not be reached, until when they get no placement; guarded by mu
+	avoid map[string]time.Time // agents that could not be reached, until when they get no placement
 }
 
 func newPlacer(m *Manager, o *Owner) *placer {
+	o.planner.setShare(m.cfg.Share)
 	return &placer{
-		owner: o, nodes: m.nodes, pool: m.pool, sched: m.sched, self: m.cfg.Self,
+		owner: o, nodes: m.nodes, pool: m.pool, planner: o.planner, self: m.cfg.Self,
 		asked: map[string]time.Time{}, avoid: map[string]time.Time{},
 	}
 }
@@ -72,8 +78,9 @@
 	return ok
 }
 
-// run places tasks and finds lost ones until ctx ends.
+// run places tasks and finds lost ones until ctx ends, then waits for the offers that are on their way.
 func (p *placer) run(ctx context.Context) {
+	defer p.sends.Wait()
 	ticker := time.NewTicker(placeInterval)
 	defer ticker.Stop()
 	pruned := time.Now()
@@ -86,6 +93,7 @@
 		if p.owner.valid() {
 			p.querySilent(ctx)
 			p.expireHolds(ctx)
+			p.refresh(time.Now())
 			p.placePending(ctx)
 			if time.Since(pruned) >= pruneEvery {
 				pruned = time.Now()
@@ -95,62 +103,170 @@
 	}
 }
 
+// refresh takes in reports, interference and the ledger's placed tasks, each at its own interval.
+func (p *placer) refresh(now time.Time) {
+	if now.Sub(p.reportsAt) >= reportsEvery {
+		p.reportsAt = now
+		members := p.members()
+		p.planner.update(members)
+		if now.Sub(p.effectsAt) >= effectsEvery {
+			p.effectsAt = now
+			p.planner.learnEffects(members)
+		}
+	}
+	if now.Sub(p.reconcileAt) >= reconcileEvery {
+		p.reconcileAt = now
+		p.planner.sched.Reconcile(p.owner.placedTasks())
+	}
+}
+
 type placement struct {
 	job  ledger.Job
 	op   ledger.Op
+	info *scheduler.TaskInfo
+	// node is as known before the placement became durable, its clock included. A successor counts its wait from a
+	// later moment, so a placement that this owner sends late, after a pause, arrives after its hold and is refused.
 	node scheduler.NodeInfo
 	cp   string
-	// clock is the agent's clock as known before the placement became durable. A successor counts its wait from a
-	// later moment, so a placement that this owner sends late, after a pause, arrives after its hold and is refused.
-	clock time.Duration
+	gang *gangStart // nil for a single task
 }
 
+// placePending places what the queue lets go first, makes the placements durable and offers them to the agents.
 func (p *placer) placePending(ctx context.Context) {
-	tasks := p.owner.pendingTasks(time.Now())
-	if len(tasks) == 0 {
+	waiting := p.owner.pendingUnits(p.planner, time.Now())
+	p.planner.sched.Sync(waiting.units)
+	chosen := []placement{}
+	for _, o := range p.planner.sched.Cycle(placeBatch) {
+		p.logOutcome(&o)
+		if o.Preempt != nil {
+			p.preempt(ctx, o)
+		}
+		if o.Placed {
+			chosen = append(chosen, p.placements(waiting, o)...)
+		}
+	}
+	if len(chosen) == 0 {
 		return
 	}
-	nodes, clocks := p.snapshot()
-	ops := []ledger.Op{}
-	chosen := []placement{}
-	for i := range tasks {
-		if !p.owner.examine(&tasks[i].job, nodes, &tasks[i].info, time.Now()) {
-			continue
+	ops := make([]ledger.Op, len(chosen))
+	for i := range chosen {
+		ops[i] = chosen[i].op
+	}
+	if p.owner.Commit(ctx, ops...) != nil {
+		for _, pl := range chosen {
+			p.planner.sched.Ended(*pl.op.Ref)
 		}
-		widen(&tasks[i].info, nodes)
-		d := p.sched.Place(nodes, &tasks[i].info)
-		p.owner.explainTask(tasks[i].info.Ref.Task, d.Explain())
-		if d.Node == nil {
-			events.TaskUnplaced.Log(&p.owner.zlog).Str("task", tasks[i].info.Ref.Task).Str("reason", d.Explain()).Send()
+		return
+	}
+	for _, pl := range chosen {
+		p.sends.Go(func() { p.send(ctx, pl) })
+	}
+}
+
+func (p *placer) placements(w pendingWork, o scheduler.Outcome) []placement {
+	out := make([]placement, 0, len(o.Decisions))
+	var gang *gangStart
+	if o.Unit.Gang {
+		gang = &gangStart{open: len(o.Decisions)}
+	}
+	for i, d := range o.Decisions {
+		info := o.Unit.Tasks[i]
+		ref := info.Ref
+		pending := w.tasks[ref.Task]
+		op := ledger.Op{Kind: ledger.OpPlace, Ref: &ref, Agent: d.Node.ID, AgentInc: d.Node.Incarnation}
+		out = append(out, placement{job: pending.job, op: op, info: info, node: *d.Node, cp: pending.checkpoint, gang: gang})
+	}
+	return out
+}
+
+// logOutcome writes the decision lines of a unit and keeps them for explanations.
+func (p *placer) logOutcome(o *scheduler.Outcome) {
+	for i := range o.Decisions {
+		d := &o.Decisions[i]
+		why := d.Explain()
+		if d.Placed() {
+			ref := o.Unit.Tasks[i].Ref
+			events.TaskPlaced.Log(&p.owner.zlog).Str("task", ref.Task).Int("attempt", ref.Attempt).Str("decision", why).Send()
+			p.planner.note(d.Task, "placed", why)
 			continue
 		}
-		ref := tasks[i].info.Ref
-		op := ledger.Op{Kind: ledger.OpPlace, Ref: &ref, Agent: d.Node.ID, AgentInc: d.Node.Incarnation}
-		events.TaskPlaced.Log(&p.owner.zlog).Str("task", ref.Task).Int("attempt", ref.Attempt).Str("decision", d.Explain()).Send()
-		ops = append(ops, op)
-		chosen = append(chosen, placement{job: tasks[i].job, op: op, node: *d.Node, cp: tasks[i].checkpoint, clock: clocks[d.Node.ID]})
+		ev := events.TaskUnplaced
+		if p.planner.newest(d.Task) != why {
+			ev = events.TaskDeferred
+		}
+		ev.Log(&p.owner.zlog).Str("task", d.Task).Str("reason", why).Send()
+		p.planner.note(d.Task, "not placed", why)
+	}
+}
+
+// preempt asks an agent to checkpoint lower priority work for an urgent task.
+func (p *placer) preempt(ctx context.Context, o scheduler.Outcome) {
+	task := o.Unit.Lead()
+	args := wire.PreemptArgs{Incarnation: o.Preempt.Incarnation, Task: task.Ref.Task, Need: task.Need, Priority: task.Priority}
+	addr := o.Preempt.Addr
+	events.TaskPreempting.Log(&p.owner.zlog).Str("task", task.Ref.Task).Str("worker", o.Preempt.ID).Send()
+	p.sends.Go(func() {
+		callCtx, cancel := context.WithTimeout(ctx, placeTimeout)
+		defer cancel()
+		var reply wire.PreemptReply
+		if err := p.pool.Call(callCtx, addr, "Agent.Preempt", args, &reply); err != nil {
+			reply.Reason = err.Error()
+		}
+		if reply.Evicted == 0 {
+			p.planner.sched.ReleaseRoom(task.Ref.Task)
+			p.planner.note(task.Ref.Task, "not placed", "preemption brought no room: "+reply.Reason)
+		}
+	})
+}
+
+// gangStart follows the answers to the offers of one gang.
+type gangStart struct {
+	mu       sync.Mutex
+	open     int
+	refused  bool
+	accepted []placement
+}
+
+// answered notes an answer. The last one returns the accepted placements to take back if any was refused.
+func (g *gangStart) answered(pl placement, accepted bool) []placement {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.open--
+	if accepted {
+		g.accepted = append(g.accepted, pl)
+	} else {
+		g.refused = true
+	}
+	if g.open > 0 || !g.refused {
+		return nil
 	}
-	if len(ops) == 0 || p.owner.Commit(ctx, ops...) != nil {
+	return g.accepted
+}
+
+// settleGang checkpoints the started tasks of a gang of which one was refused, so that they wait together again.
+func (p *placer) settleGang(ctx context.Context, pl placement, accepted bool) {
+	if pl.gang == nil {
 		return
 	}
-	var wg sync.WaitGroup
-	for _, pl := range chosen {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			p.send(ctx, pl)
-		}()
+	for _, other := range pl.gang.answered(pl, accepted) {
+		events.GangIncomplete.Log(&p.owner.zlog).Str("task", other.op.Ref.Task).Str("agent", other.node.ID).Send()
+		callCtx, cancel := context.WithTimeout(ctx, placeTimeout)
+		var reply wire.StopReply
+		err := p.pool.Call(callCtx, other.node.Addr, "Agent.Stop", wire.StopArgs{Ref: *other.op.Ref, Checkpoint: true}, &reply)
+		cancel()
+		if err != nil {
+			p.planner.note(other.op.Ref.Task, "gang incomplete", "agent did not answer: "+err.Error())
+		}
 	}
-	wg.Wait()
 }
 
 // send offers a durable placement to the agent. Without an answer the agent is asked about it.
 func (p *placer) send(ctx context.Context, pl placement) {
 	args := wire.PlaceArgs{
-		Partition: p.owner.id, Incarnation: pl.node.Incarnation, HoldUntil: pl.clock + pl.job.Hold,
+		Partition: p.owner.id, Incarnation: pl.node.Incarnation, HoldUntil: pl.node.Clock + pl.job.Hold,
 		Spec: worker.Spec{
-			Ref: *pl.op.Ref, Kind: pl.job.Kind, Need: pl.job.Need, Run: pl.job.Run, Payload: pl.job.Payload,
-			Checkpoint: pl.cp, Lease: min(WorkerLease, pl.job.Hold/2),
+			Ref: *pl.op.Ref, Kind: pl.job.Kind, Need: pl.info.Need, Run: pl.info.Run, Payload: pl.job.Payload, Checkpoint: pl.cp,
+			Lease: min(WorkerLease, pl.job.Hold/2), Team: pl.job.Team, Priority: pl.job.Priority, Declared: pl.job.Need,
 		},
 	}
 	callCtx, cancel := context.WithTimeout(ctx, placeTimeout)
@@ -159,14 +275,30 @@
 	err := p.pool.Call(callCtx, pl.node.Addr, "Agent.Place", args, &reply)
 	switch {
 	case err == nil && reply.Accepted:
+		p.planner.sched.Confirm(*pl.op.Ref, reply.Clock)
+		p.settleGang(ctx, pl, true)
 	case err == nil:
-		p.refused(ctx, pl.op, reply.Reason)
+		p.placementRefused(ctx, pl, reply)
+		p.settleGang(ctx, pl, false)
 	case errors.Is(err, peer.ErrNotSent):
 		p.avoidAgent(pl.node.ID)
-		p.refused(ctx, pl.op, "agent not reachable")
+		p.placementRefused(ctx, pl, wire.PlaceReply{Reason: "agent not reachable"})
+		p.settleGang(ctx, pl, false)
 	default:
 		p.queryAgent(ctx, pl.node.ID, []worker.Ref{*pl.op.Ref})
+		p.settleGang(ctx, pl, true)
+	}
+}
+
+// placementRefused returns a task to the queue after proof that it did not start.
+func (p *placer) placementRefused(ctx context.Context, pl placement, reply wire.PlaceReply) {
+	ref := *pl.op.Ref
+	p.planner.sched.Refuse(ref, freshNode(pl.node, reply))
+	if reply.Kept {
+		p.planner.avoidWorker(ref.Task, pl.node.ID)
 	}
+	p.planner.note(ref.Task, "refused", pl.node.ID+": "+reply.Reason)
+	p.refused(ctx, pl.op, reply.Reason)
 }
 
 // refusalCeiling bounds the delay after refusals.
@@ -189,46 +321,36 @@
 	}
 }
 
-// snapshot builds the scheduler's view from the members' load reports.
-func (p *placer) snapshot() ([]scheduler.NodeInfo, map[string]time.Duration) {
-	nodes := []scheduler.NodeInfo{}
-	clocks := map[string]time.Duration{}
-	members := p.nodes.Members()
-	if self, ok := p.nodes.Lookup(p.self); ok {
-		members = append(members, self)
+// freshNode is the worker with the room that its refusal told; nil if it told none.
+func freshNode(n scheduler.NodeInfo, reply wire.PlaceReply) *scheduler.NodeInfo {
+	if reply.Clock == 0 {
+		return nil
 	}
-	for _, m := range members {
-		if m.Role == membership.RoleAgent && !m.Suspect && !m.Leaving && !p.avoided(m.ID) {
-			nodes = append(nodes, NodeInfo(m.Member))
-			clocks[m.ID] = m.Load.Clock
-		}
-	}
-	capQuarantine(nodes)
-	return nodes, clocks
+	n.Clock, n.Free = reply.Clock, reply.Free
+	return &n
 }
 
-// quarantineShare is the largest share of the workers that may be kept from work because they fail what they start. If
-// more do, the cause is more likely a common one, and work must go on.
-const quarantineShare = 0.25
-
-// capQuarantine lifts the quarantine of the workers beyond the share, but always leaves one possible.
-func capQuarantine(nodes []scheduler.NodeInfo) {
-	left := max(1, int(quarantineShare*float64(len(nodes))))
-	for i := range nodes {
-		if !nodes[i].Quarantined {
-			continue
-		}
-		if left--; left < 0 {
-			nodes[i].Quarantined = false
+// members lists the agents that may get tasks, this process included.
+func (p *placer) members() []membership.Member {
+	known := p.nodes.Members()
+	if self, ok := p.nodes.Lookup(p.self); ok {
+		known = append(known, self)
+	}
+	out := make([]membership.Member, 0, len(known))
+	for _, m := range known {
+		if m.Role == membership.RoleAgent && !m.Suspect && !m.Leaving && !p.avoided(m.ID) {
+			out = append(out, m.Member)
 		}
 	}
+	return out
 }
 
 // NodeInfo converts a member's load report for the scheduler.
 func NodeInfo(m membership.Member) scheduler.NodeInfo {
 	n := scheduler.NodeInfo{
 		ID: m.ID, Incarnation: m.Incarnation, Addr: m.Addr, Domain: m.Domain, Rack: m.Rack,
-		Capacity: m.Load.Capacity, Free: m.Load.Free, Quarantined: m.Load.Failing,
+		Capacity: m.Load.Capacity, Free: m.Load.Free, FreeAt: m.Load.FreeAt, Teams: m.Load.Teams, Preemptible: m.Load.Preemptible,
+		QuickKind: m.Load.QuickKind, QuickRatio: m.Load.QuickRatio, BatchCores: m.Load.BatchCores, Failing: m.Load.Failing, Clock: m.Load.Clock,
 	}
 	if m.Load.Slots > 0 {
 		n.QuickLoad = float64(m.Load.SlotsBusy+m.Load.Queued) / float64(m.Load.Slots)
@@ -238,63 +360,70 @@
 
 type pendingTask struct {
 	job        ledger.Job
-	info       scheduler.TaskInfo
 	checkpoint string
 }
 
-func (o *Owner) pendingTasks(now time.Time) []pendingTask {
+// pendingWork is what waits in a partition: units for the queue and their tasks by name.
+type pendingWork struct {
+	units []*scheduler.Unit
+	tasks map[string]pendingTask
+}
+
+// pendingUnits lists the waiting tasks. Those of a gang form one unit, which waits until all of them may start.
+func (o *Owner) pendingUnits(pl *planner, now time.Time) pendingWork {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	out := []pendingTask{}
+	w := pendingWork{tasks: map[string]pendingTask{}}
+	known := pl.known()
 	for _, job := range o.state.Jobs {
-		if now.Before(o.aside[job.ID].until) {
+		if job.Finished() || now.Before(o.aside[job.ID].until) || !o.examine(job, known, now) {
 			continue
 		}
+		var gang *scheduler.Unit
+		if job.Gang {
+			gang = &scheduler.Unit{Key: job.ID, Gang: true}
+		}
+		early := false
 		for i := range job.Tasks {
 			t := &job.Tasks[i]
-			if t.State != ledger.TaskPending || now.Before(t.NotBefore) {
+			if t.State != ledger.TaskPending {
 				continue
 			}
-			out = append(out, pendingTask{job: copyJob(job), checkpoint: t.Checkpoint, info: scheduler.TaskInfo{
-				Ref: ledger.TaskRef(job.ID, i, t.Attempt+1), JobID: job.ID, Kind: job.Kind, Team: job.Team, Need: job.Need, Priority: job.Priority,
-				Avoid: avoided(t.FailedOn),
-			}})
-		}
-	}
-	sort.Slice(out, func(i, j int) bool {
-		if out[i].job.Priority != out[j].job.Priority {
-			return out[i].job.Priority > out[j].job.Priority
-		}
-		if !out[i].job.Submitted.Equal(out[j].job.Submitted) {
-			return out[i].job.Submitted.Before(out[j].job.Submitted)
+			if now.Before(t.NotBefore) {
+				early = true
+				continue
+			}
+			info := pl.taskInfo(job, i, t.Attempt+1)
+			w.tasks[info.Ref.Task] = pendingTask{job: copyJob(job), checkpoint: t.Checkpoint}
+			if gang != nil {
+				gang.Tasks = append(gang.Tasks, info)
+				continue
+			}
+			w.units = append(w.units, &scheduler.Unit{Key: info.Ref.Task, Tasks: []*scheduler.TaskInfo{info}})
 		}
-		return out[i].info.Ref.Task < out[j].info.Ref.Task
-	})
-	return out[:min(len(out), placeBatch)]
-}
-
-// avoided is the set of workers on which a task failed, so that its next attempt tells whether the worker or the job is
-// at fault.
-func avoided(failedOn []string) map[string]bool {
-	set := make(map[string]bool, len(failedOn))
-	for _, id := range failedOn {
-		set[id] = true
-	}
-	return set
-}
-
-// widen drops the avoided workers of a task that failed on all known ones; it would never be placed otherwise.
-func widen(task *scheduler.TaskInfo, nodes []scheduler.NodeInfo) {
-	for i := range nodes {
-		if !task.Avoid[nodes[i].ID] {
-			return
+		if gang != nil && len(gang.Tasks) > 0 && !early {
+			w.units = append(w.units, gang)
 		}
 	}
-	task.Avoid = nil
+	return w
 }
 
-func (o *Owner) explainTask(task, decision string) {
+// placedTasks lists the tasks that are on workers.
+func (o *Owner) placedTasks() []scheduler.PlacedTask {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.explain[task] = decision
+	out := []scheduler.PlacedTask{}
+	for _, job := range o.state.Jobs {
+		for i := range job.Tasks {
+			t := &job.Tasks[i]
+			if t.State != ledger.TaskPlaced {
+				continue
+			}
+			info := scheduler.TaskInfo{
+				Ref: ledger.TaskRef(job.ID, i, t.Attempt), JobID: job.ID, Kind: job.Kind, Team: job.Team, Need: job.Need, Run: job.Run, Priority: job.Priority,
+			}
+			out = append(out, scheduler.PlacedTask{Task: info, Node: t.Agent})
+		}
+	}
+	return out
 }
--- a/internal/partition/service.go
+++ b/internal/partition/service.go
@@ -169,7 +169,7 @@
 	}
 	reply.Code, reply.Job = wire.CodeOK, copyJob(job)
 	for i := range job.Tasks {
-		reply.Explain = append(reply.Explain, o.explain[ledger.TaskRef(job.ID, i, 0).Task])
+		reply.Explain = append(reply.Explain, o.planner.newest(ledger.TaskRef(job.ID, i, 0).Task))
 	}
 	return nil
 }
@@ -268,14 +268,16 @@
 	defer cancel()
 	ops := make([]ledger.Op, len(ended))
 	answers := make([]<-chan error, len(ended))
+	tasks := make([]endedTask, len(ended))
 	for i, t := range ended {
-		ops[i] = o.endOp(agent, t)
+		ops[i], tasks[i] = o.endOp(agent, t)
 		answers[i] = o.enqueue(ctx, nil, ops[i])
 	}
 	for i, t := range ended {
 		err := o.wait(ctx, answers[i])
 		if err == nil {
 			o.logEnd(ops[i], t)
+			o.planner.ended(tasks[i], t)
 		}
 		if err == nil || errors.Is(err, ledger.ErrStale) || errors.Is(err, ledger.ErrUnknown) {
 			reply.Forget = append(reply.Forget, t.Ref)
@@ -291,12 +293,16 @@
 	retryCeiling  = 5 * time.Minute
 )
 
-func (o *Owner) endOp(agent string, t wire.TaskReport) ledger.Op {
+func (o *Owner) endOp(agent string, t wire.TaskReport) (ledger.Op, endedTask) {
 	ref := t.Ref
 	op := ledger.Op{Kind: ledger.OpEnd, Ref: &ref, Agent: agent, Reason: t.Reason}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	job, task := o.state.Task(ref.Task)
+	ended := endedTask{}
+	if job != nil {
+		ended = endedTask{job: job.ID, kind: job.Kind, team: job.Team, declared: job.Need, run: job.Run}
+	}
 	switch t.State {
 	case worker.StateDone:
 		op.State = ledger.TaskDone
@@ -315,7 +321,7 @@
 			failedOp(&op, job, task, agent, t.Reason)
 		}
 	}
-	return op
+	return op, ended
 }
 
 // failedOp decides whether a failed task is tried again, and states the reason if not.
--- a/internal/partition/setaside.go
+++ b/internal/partition/setaside.go
@@ -7,6 +7,7 @@
 	"bamboofork/internal/events"
 	"bamboofork/internal/ledger"
 	"bamboofork/internal/scheduler"
+	"bamboofork/internal/worker"
 )
 
 // Timing of jobs that no worker can run.
@@ -24,21 +25,19 @@
 }
 
 // tooLarge reports whether no worker could run a task even when idle.
-func tooLarge(nodes []scheduler.NodeInfo, task *scheduler.TaskInfo) bool {
+func tooLarge(nodes []scheduler.NodeInfo, need worker.Resources) bool {
 	for i := range nodes {
-		if task.Need.Fits(nodes[i].Capacity) {
+		if need.Fits(nodes[i].Capacity) {
 			return false
 		}
 	}
 	return len(nodes) > 0
 }
 
-// examine notes whether a job can run at all. It returns false if the job is set aside.
-func (o *Owner) examine(job *ledger.Job, nodes []scheduler.NodeInfo, task *scheduler.TaskInfo, now time.Time) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
+// examine notes whether a job can run at all. It returns false if the job is set aside; mu is held.
+func (o *Owner) examine(job *ledger.Job, nodes []scheduler.NodeInfo, now time.Time) bool {
 	a, known := o.aside[job.ID]
-	if !tooLarge(nodes, task) {
+	if !tooLarge(nodes, job.Need) {
 		if known && !a.until.IsZero() {
 			events.JobTakenBack.Log(&o.zlog).Str("job", job.ID).Send()
 		}
@@ -61,7 +60,7 @@
 	o.aside[job.ID] = a
 	for i := range job.Tasks {
 		if name := ledger.TaskRef(job.ID, i, 0).Task; job.Tasks[i].State == ledger.TaskPending {
-			o.explain[name] = a.reason
+			o.planner.note(name, "set aside", a.reason)
 		}
 	}
 	return false
