--- a/internal/partition/directory.go
+++ b/internal/partition/directory.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		return err
 	}
-	rec := OwnerRecord{Released: true}
+	var rec OwnerRecord // a released or absent key has no address
 	if kv.ModRevision > 0 {
 		if err := json.Unmarshal(kv.Value, &rec); err != nil {
 			return eris.Wrap(err, "decode owner record")
