--- a/internal/agent/taskloop.go
+++ b/internal/agent/taskloop.go
@@ -43,8 +43,10 @@
 func (r *taskRunner) refresh(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if _, err := r.workerBoot(callCtx); err != nil {
-		return
+	if !r.bootFresh() {
+		if _, err := r.workerBoot(callCtx); err != nil {
+			return
+		}
 	}
 	asked := time.Now()
 	list, err := r.w.List(callCtx)
@@ -69,6 +71,17 @@
 	}
 }
 
+// bootEvery is how often the worker's clock is read beside placements.
+const bootEvery = time.Second
+
+// bootFresh reports whether the worker's clock was read lately. An older reading stays safe for renewals: a worker that
+// restarted since has no tasks to renew.
+func (r *taskRunner) bootFresh() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.bootRead) < bootEvery
+}
+
 // compare updates the known attempts and returns those that the worker should have listed; mu is held.
 func (r *taskRunner) compare(seen map[worker.Ref]worker.Status, asked time.Time) []worker.Ref {
 	absent := []worker.Ref{}
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -54,6 +54,7 @@
 	ends     []ending                 // newest ends of tasks on this worker
 	adopted  bool                     // the worker's list was read since the start; before, nothing is known or placed
 	boot     time.Time                // on this process's clock, the earliest start of the worker's clock
+	bootRead time.Time                // when boot was read
 	control  *colocator
 	kept     map[string]keptRoom // room of preempted tasks, by the urgent task that it is for
 }
@@ -113,7 +114,7 @@
 	boot := time.Now().Add(-clock)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.boot = boot
+	r.boot, r.bootRead = boot, time.Now()
 	return boot, nil
 }
 
