--- a/internal/partition/placing.go
+++ b/internal/partition/placing.go
@@ -83,6 +83,7 @@
 	defer p.sends.Wait()
 	ticker := time.NewTicker(placeInterval)
 	defer ticker.Stop()
+	pruned := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -94,6 +95,10 @@
 			p.expireHolds(ctx)
 			p.refresh(time.Now())
 			p.placePending(ctx)
+			if time.Since(pruned) >= pruneEvery {
+				pruned = time.Now()
+				p.owner.prune(ctx, pruned)
+			}
 		}
 	}
 }
