Let a waiting task use a worker again when its avoidance ends

Change: the queue takes over the newer set of avoided workers, and tries a parked unit at once when it shrinks.

--- /dev/null
+++ b/internal/scheduler/avoid_test.go
@@ -0,0 +1,33 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a task that avoids a worker for as long as it waits: the avoidance ends, but the waiting unit keeps
+// the set with which it was queued.
+func TestAvoidanceEndsWhileWaiting(t *testing.T) {
+	panicOnViolation(t)
+	s, c := newTest(nil)
+	s.Update(fleetOf(1, size(8)))
+	first := task("a", 4, 50)
+	first.Avoid = map[string]bool{"w00000": true}
+	for range 3 {
+		out := cycleOne(t, s, unit(first))
+		for _, o := range out {
+			qt.Assert(t, o.Placed, qt.IsFalse)
+		}
+		c.now = c.now.Add(time.Second)
+	}
+	placed := false
+	for i := 0; i < 12 && !placed; i++ {
+		for _, o := range cycleOne(t, s, unit(task("a", 4, 50))) {
+			placed = placed || o.Placed
+		}
+		c.now = c.now.Add(time.Second)
+	}
+	qt.Assert(t, placed, qt.IsTrue)
+}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -214,6 +214,17 @@
 	return u
 }
 
+// refreshAvoid takes over which workers the tasks of a waiting unit avoid now: an avoidance ends while the unit waits.
+// It reports whether a worker became possible again.
+func (u *Unit) refreshAvoid(newer *Unit) bool {
+	freed := false
+	for i, t := range u.Tasks {
+		freed = freed || len(newer.Tasks[i].Avoid) < len(t.Avoid)
+		t.Avoid = newer.Tasks[i].Avoid
+	}
+	return freed
+}
+
 // Sync replaces the set of waiting units. Known units keep their place; a unit whose tasks changed is queued anew.
 func (s *Scheduler) Sync(units []*Unit) {
 	s.mu.Lock()
@@ -225,8 +236,13 @@
 		old := q.units[u.Key]
 		if old != nil && sameTasks(old, u) {
 			old.seen = q.pass
-			if old.where == inFlight {
+			freed := old.refreshAvoid(u)
+			switch {
+			case old.where == inFlight:
 				q.delay(old, now)
+			case freed && old.where == inPool:
+				q.take(old)
+				q.activate(old)
 			}
 			continue
 		}
