Make two focused tests reach the fault that they guard against

Cause: removing the guarded line in a scratch copy left TestReleaseStatesInheritedHolds and TestEndIsNotForgottenBeforeItIsDurable green: the rig ended the lease before the owner could write its release, and the reports neither shared a group nor met a valid lease. Change: the rig's lease outlives its owner; the reports come at once while only appends are refused.

--- a/internal/partition/owner_test.go
+++ b/internal/partition/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 	"bamboofork/internal/lease"
 	"bamboofork/internal/ledger"
 	"bamboofork/internal/membership"
+	"bamboofork/internal/store"
 	"bamboofork/internal/store/memstore"
 	"bamboofork/internal/wire"
 	"bamboofork/internal/worker"
@@ -24,28 +26,48 @@
 type rig struct {
 	engine *memstore.Engine
 	store  *memstore.Faulty
+	refuse atomic.Bool // the store refuses appends while the lease is renewed
 	keeper *lease.Keeper
 	owner  *Owner
 	stop   func()
 }
 
+// refusing is a store that refuses writes of keys on demand.
+type refusing struct {
+	store.Store
+	on *atomic.Bool
+}
+
+func (s refusing) CompareAndSwap(ctx context.Context, key string, expect int64, value []byte, id store.LeaseID) (store.CASResult, error) {
+	if s.on.Load() {
+		return store.CASResult{}, store.ErrRateLimited
+	}
+	return s.Store.CompareAndSwap(ctx, key, expect, value, id)
+}
+
 // newRig recovers partition 0 as the writer and runs its owner without a placer.
 func newRig(c *qt.C, engine *memstore.Engine, writer string) *rig {
 	r := &rig{engine: engine, store: memstore.NewFaulty(engine, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
+	leaseCtx, cancelLease := context.WithCancel(context.Background())
 	r.keeper = lease.NewKeeper(r.store, 3*time.Second, zerolog.Nop())
 	done := make(chan struct{})
-	go func() { defer close(done); _ = r.keeper.Run(ctx) }()
+	go func() { defer close(done); _ = r.keeper.Run(leaseCtx) }()
 	time.Sleep(10 * time.Millisecond)
 	id, _, ok := r.keeper.Current()
 	c.Assert(ok, qt.IsTrue)
 	cfg := OwnerConfig{Outage: 30 * time.Second, Retention: time.Hour, Appends: 100}
-	o, err := Recover(ctx, cfg, caslog.New(r.store, LogPrefix(0), writer), r.keeper, id, zerolog.Nop())
+	o, err := Recover(ctx, cfg, caslog.New(refusing{r.store, &r.refuse}, LogPrefix(0), writer), r.keeper, id, zerolog.Nop())
 	c.Assert(err, qt.IsNil)
 	r.owner = o
 	ended := make(chan struct{})
 	go func() { defer close(ended); _ = o.run(ctx) }()
-	r.stop = func() { cancel(); <-ended; <-done }
+	r.stop = func() { // the lease outlives the owner, so that it can write its release
+		cancel()
+		<-ended
+		cancelLease()
+		<-done
+	}
 	return r
 }
 
@@ -71,23 +93,20 @@
 		r := newRig(c, memstore.New(), "w1")
 		defer r.stop()
 		ref := placedJob(c, r.owner, "00-j")
-		r.store.Set(memstore.Faults{Down: true})
-		for range 5 {
-			c.Assert(report(r.owner, ref, worker.StateDone).Forget, qt.HasLen, 0)
-			time.Sleep(300 * time.Millisecond)
+		r.refuse.Store(true)
+		replies := make(chan wire.ReportReply, 5)
+		for range cap(replies) { // at once, so that they share a group
+			go func() { replies <- report(r.owner, ref, worker.StateDone) }()
 		}
-		r.store.Set(memstore.Faults{})
-		time.Sleep(4 * time.Second)
-		for range 3 {
-			if len(report(r.owner, ref, worker.StateDone).Forget) == 1 {
-				break
-			}
+		for range cap(replies) {
+			c.Check((<-replies).Forget, qt.HasLen, 0)
 		}
+		c.Assert(r.owner.valid(), qt.IsTrue)
+		r.refuse.Store(false)
+		c.Assert(report(r.owner, ref, worker.StateDone).Forget, qt.HasLen, 1)
 		state, err := LoadState(context.Background(), caslog.New(r.engine, LogPrefix(0), "check"))
 		c.Assert(err, qt.IsNil)
-		if r.owner.valid() {
-			c.Assert(state.Jobs["00-j"].Tasks[0].State, qt.Equals, ledger.TaskDone)
-		}
+		c.Assert(state.Jobs["00-j"].Tasks[0].State, qt.Equals, ledger.TaskDone)
 	})
 }
 
