Estimate service time by group, size the limit by Little's law

At 0.95 the limits shed 16% of the requests, because each window cut 15% on samples from before the last cut. Change: The mean of the local and of the remote servers is used unless a server's own average differs by 30%; the queue ahead is a smooth maximum; the policy looks beyond its domain with under two free slots. A decrease counts only requests admitted after the last one and follows from Little's law. At 0.95 the limit still sheds too early.

--- a/internal/limit/concurrency.go
+++ b/internal/limit/concurrency.go
@@ -16,7 +16,7 @@
 	minLimit   = 4.0 // lets measurements go on
 	maxLimit   = 10_000.0
 	window     = 100 * time.Millisecond // between two adjustments; several round trips, so that a change shows first
-	decrease   = 0.85
+	decrease   = 0.6  // least factor of one adjustment
 	increase   = 0.05 // share of the limit, at least one request
 	usedShare  = 0.7  // the limit grows only if at least this share of it was used
 )
@@ -41,7 +41,9 @@
 	busy     int                // counters above zero
 	peak     int                // most requests in flight in the window
 	ends     time.Time          // of the window
+	changed  time.Time          // newest decrease; requests from before it say nothing about it
 	waited   time.Duration      // sum of the waits in the window
+	took     time.Duration      // sum of the whole times in the window
 	samples  int
 }
 
@@ -59,6 +61,7 @@
 	c      *Concurrency
 	slot   int
 	target time.Duration
+	since  time.Time
 }
 
 func (c *Concurrency) admit(branch *settings.Effective, caller netip.Addr, now time.Time) (*Permit, *Refusal) {
@@ -76,7 +79,7 @@
 		return nil, &Refusal{Reason: "the branch is overloaded", Overload: true, RetryAfter: retryAfterOverload}
 	}
 	c.enter(slot, now)
-	return &Permit{c: c, slot: slot, target: target(branch)}, nil
+	return &Permit{c: c, slot: slot, target: target(branch), since: now}, nil
 }
 
 // retryAfterOverload is the time after which the limits have had several windows to adapt.
@@ -144,8 +147,9 @@
 	if refused {
 		waited = max(waited, 2*p.target)
 	}
-	if waited >= 0 {
+	if waited >= 0 && p.since.After(c.changed) {
 		c.waited += waited
+		c.took += max(waited, now.Sub(p.since))
 		c.samples++
 	}
 	if !now.Before(c.ends) {
@@ -153,17 +157,21 @@
 	}
 }
 
-// adjust ends the window: the limit falls while requests wait longer than the target, and grows while they do not
+// adjust ends the window. By Little's law the requests in flight are the rate times the time of each; to bring the
+// wait to the target at the same rate, the limit must fall by the ratio of the times. It grows while requests wait less
 // and the limit is used.
 func (c *Concurrency) adjust(target time.Duration, now time.Time) {
 	if c.samples > 0 {
-		mean := c.waited / time.Duration(c.samples)
+		n := time.Duration(c.samples)
+		wait, took := c.waited/n, c.took/n
 		switch {
-		case mean > target:
-			c.limit = max(minLimit, min(c.limit, float64(c.peak))*decrease)
+		case wait > target:
+			factor := float64(took-wait+target) / float64(took)
+			c.limit = max(minLimit, min(c.limit, float64(c.peak))*max(decrease, factor))
+			c.changed = now
 		case float64(c.peak) >= usedShare*c.limit:
 			c.limit = min(maxLimit, c.limit+max(1, increase*c.limit))
 		}
 	}
-	c.peak, c.waited, c.samples, c.ends = c.inflight, 0, 0, now.Add(window)
+	c.peak, c.waited, c.took, c.samples, c.ends = c.inflight, 0, 0, 0, now.Add(window)
 }
--- a/internal/route/policy_cost.go
+++ b/internal/route/policy_cost.go
@@ -1,6 +1,9 @@
 package route
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Costs of the default policy.
 const (
@@ -20,8 +23,12 @@
 	tieShare = 0.1
 )
 
-// costPolicy compares the estimated time to the answer of a few servers. It leaves the failure domain only when none
-// of the compared local servers has a free slot.
+// headroom is the number of slots that must be free by the estimate for a server to count as free. Reports are late, so
+// a server with one free slot is often full when the request arrives.
+const headroom = 2.0
+
+// costPolicy compares the estimated time to the answer of a few servers. It looks beyond the failure domain only when
+// the best of the compared local servers is nearly full.
 type costPolicy struct{}
 
 // Name implements Policy.
@@ -52,7 +59,7 @@
 		c := q.cost(s, load)
 		q.decision.note(Considered{Server: s, Cost: c, Load: load})
 		if best == nil || c < bestCost {
-			best, bestCost, free = s, c, load < float64(s.Load.Slots)
+			best, bestCost, free = s, c, load <= float64(s.Load.Slots)-headroom
 		}
 	}
 	return best, bestCost, free
@@ -62,25 +69,34 @@
 func (q *query) cost(s *Server, load float64) time.Duration {
 	slots := float64(max(1, s.Load.Slots))
 	service := q.service(s)
-	ahead := max(0, load+1-slots)
-	cost := service * (1 + ahead/slots + tieShare*min(1, load/slots))
+	cost := service * (1 + queueAhead(load+1-slots)/slots + tieShare*min(1, load/slots))
 	if !s.local {
 		cost += float64(linkCost)
 	}
 	return time.Duration(cost)
 }
 
-// service returns the measured service time, which includes the link, or a guess from the rest of the pool.
-func (q *query) service(s *Server) float64 {
-	if t := s.state.expected(q.pool.service, q.now); t > 0 {
-		return t
+// queueAhead is the expected number of requests ahead in the queue when the estimate of the load over the slots is
+// wrong by about one either way: a smooth maximum of 0 and over.
+func queueAhead(over float64) float64 {
+	const exact = 8 // beyond it the smooth maximum equals over
+	if over > exact {
+		return over
 	}
-	guess := q.pool.service
-	if guess == 0 {
-		guess = priorService
-	}
-	if !s.local {
-		guess += linkDelay
+	return math.Log1p(math.Exp(over))
+}
+
+// slowBand is the deviation from the mean of the servers in the same place up to which a service time counts as chance.
+// With exponential service times the average of a server strays by about 10%, which would hide a queue of one.
+const slowBand = 0.3
+
+// service returns the expected service time, which includes the link: the mean of the servers in the same place, unless
+// the server's own differs by more than slowBand.
+func (q *query) service(s *Server) float64 {
+	mean := q.pool.mean(s.local)
+	own := s.state.expected(mean, q.now)
+	if own > 0 && math.Abs(own-float64(mean)) > slowBand*float64(mean) {
+		return own
 	}
-	return float64(guess)
+	return float64(mean)
 }
--- a/internal/route/server.go
+++ b/internal/route/server.go
@@ -63,10 +63,10 @@
 }
 
 // serviceDecay is the time constant of the service time's average.
-const serviceDecay = time.Second
+const serviceDecay = 3 * time.Second
 
 // minSampleShare keeps a burst of answers from leaving the average unmoved: each answer counts at least this much.
-const minSampleShare = 0.02
+const minSampleShare = 0.005
 
 // observe takes in one service time.
 func (s *server) observe(took time.Duration, now time.Time) {
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -18,10 +18,10 @@
 
 // pool holds the servers of one pool that are neither leaving nor suspected.
 type pool struct {
-	all     []*Server // at most maxServers
-	local   []*Server // in the entry's failure domain
-	remote  []*Server
-	service time.Duration // mean service time of the servers with an estimate, 0: none
+	all    []*Server // at most maxServers
+	local  []*Server // in the entry's failure domain
+	remote []*Server
+	means  [2]time.Duration // mean service time of the local and of the remote servers
 }
 
 // maxServers bounds the servers of one pool that an entry sends to. Beyond it each entry uses its own subset, by
@@ -91,21 +91,52 @@
 	if len(p.all) > maxServers {
 		p.subset(domain)
 	}
-	var sum, n int64
 	for _, s := range p.all {
 		if s.local {
 			p.local = append(p.local, s)
 		} else {
 			p.remote = append(p.remote, s)
 		}
+	}
+	p.means[0] = meanService(p.local)
+	p.means[1] = meanService(p.remote)
+	p.guessMeans()
+	invariant.Check(len(p.all) <= maxServers, "route_subset_bounded", "%d servers in a view", len(p.all))
+}
+
+// meanService averages the measured service times, 0 if there are none.
+func meanService(servers []*Server) time.Duration {
+	var sum, n int64
+	for _, s := range servers {
 		if t := s.state.service.Load(); t > 0 {
 			sum, n = sum+t, n+1
 		}
 	}
-	if n > 0 {
-		p.service = time.Duration(sum / n)
+	if n == 0 {
+		return 0
 	}
-	invariant.Check(len(p.all) <= maxServers, "route_subset_bounded", "%d servers in a view", len(p.all))
+	return time.Duration(sum / n)
+}
+
+// guessMeans fills in a mean that is not measured yet from the other one and the link's delay.
+func (p *pool) guessMeans() {
+	if p.means[0] == 0 && p.means[1] == 0 {
+		p.means[0] = priorService
+	}
+	if p.means[0] == 0 {
+		p.means[0] = max(p.means[1]-linkDelay, p.means[1]/2)
+	}
+	if p.means[1] == 0 {
+		p.means[1] = p.means[0] + linkDelay
+	}
+}
+
+// mean returns the mean service time of the servers in the entry's failure domain or outside, link included.
+func (p *pool) mean(local bool) time.Duration {
+	if local {
+		return p.means[0]
+	}
+	return p.means[1]
 }
 
 // subset keeps the servers with the highest hashes, at most three quarters of them local.
