Compare policies with slow servers, let the limit react later

Cause: With equal servers and exponential service times the tail is mostly the service time itself, so the policies differ little; slow servers are the usual case beside batch work. The limit's target of a tenth of queue_timeout is a third of a 160 ms service time and is passed at 0.95 of capacity by chance. Ruled out: a target from the service time, which a slow server would raise.

--- a/internal/limit/concurrency.go
+++ b/internal/limit/concurrency.go
@@ -24,9 +24,9 @@
 // The target for the mean wait at the gate is a share of the branch's queue_timeout: long enough that a slot never
 // stays free, short enough that the rest of the timeout absorbs bursts.
 const (
-	targetShare = 0.1
+	targetShare = 0.2
 	minTarget   = 5 * time.Millisecond
-	maxTarget   = 100 * time.Millisecond
+	maxTarget   = 200 * time.Millisecond
 )
 
 // callerSlots is the number of counters that the callers' prefixes are hashed to, so that callers cost no state.
--- a/internal/load/study.go
+++ b/internal/load/study.go
@@ -20,6 +20,8 @@
 	Out      io.Writer
 	Progress io.Writer
 	Results  []*Result
+	slow     int // backend servers that take slowBy times as long
+	slowBy   float64
 	figures  []figure
 }
 
@@ -38,6 +40,7 @@
 	"flood":    (*Study).flood,
 	"outage":   (*Study).outage,
 	"overhead": (*Study).overhead,
+	"uneven":   (*Study).uneven,
 }
 
 // Run executes a study by name and writes its figures.
@@ -107,13 +110,26 @@
 		return err
 	}
 	defer f.Stop() //nolint:errcheck // the result of the run counts
+	for i := range s.slow {
+		f.Agents[fmt.Sprintf("agent-%d", i+1)].Backend.SetSlowdown(s.slowBy)
+	}
 	return do(f)
 }
 
+// size returns the capacity of a fleet, slow servers counted by what they can do.
+func (s *Study) size(f *dev.Fleet) Size {
+	size := SizeOf(f)
+	if s.slow > 0 {
+		n := float64(f.Profile.Agents)
+		size.Capacity *= (n - float64(s.slow)*(1-1/s.slowBy)) / n
+	}
+	return size
+}
+
 // mixRun measures the mix at a multiple of the capacity on a new fleet, with more classes beside it.
 func (s *Study) mixRun(ctx context.Context, name, routing string, factor float64, extra func(Size) ([]Class, error)) (out *Result, err error) {
 	err = s.withFleet(ctx, routing, func(f *dev.Fleet) error {
-		classes, err := Mix(s.Mix, SizeOf(f), factor)
+		classes, err := Mix(s.Mix, s.size(f), factor)
 		if err != nil {
 			return err
 		}
--- a/internal/load/study_runs.go
+++ b/internal/load/study_runs.go
@@ -10,6 +10,18 @@
 	"bamboofork/internal/settings"
 )
 
+// Slow servers of the uneven study: three, one in each failure domain, as noisy neighbours make them.
+const (
+	unevenSlow = 3
+	unevenBy   = 2.0
+)
+
+// uneven is the study policies with some slow servers.
+func (s *Study) uneven(ctx context.Context) error {
+	s.slow, s.slowBy = unevenSlow, unevenBy
+	return s.policies(ctx)
+}
+
 // policies compares the default policy's tail with round robin and random.
 func (s *Study) policies(ctx context.Context) error {
 	for _, factor := range []float64{0.5, 0.8, 0.95} {
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"sync"
@@ -33,6 +34,7 @@
 	inflight atomic.Int64
 	over     atomic.Int64
 	served   atomic.Int64
+	slowdown atomic.Uint64 // bits of the factor on the service time, 0: none
 
 	mu   sync.Mutex
 	runs map[string]int
@@ -89,11 +91,17 @@
 	fmt.Fprintf(w, "%s %s %s\n", s.cfg.Name, r.URL.Path, body)
 }
 
+// SetSlowdown multiplies all service times by the factor, as a noisy neighbour would.
+func (s *Server) SetSlowdown(factor float64) { s.slowdown.Store(math.Float64bits(factor)) }
+
 func (s *Server) serviceTime(r *http.Request) time.Duration {
 	base := s.cfg.Service
 	if ms, err := strconv.ParseFloat(r.URL.Query().Get("ms"), 64); err == nil {
 		base = time.Duration(ms * float64(time.Millisecond))
 	}
+	if bits := s.slowdown.Load(); bits != 0 {
+		base = time.Duration(float64(base) * math.Float64frombits(bits))
+	}
 	if s.cfg.Load == nil {
 		return base
 	}
