--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -118,7 +118,9 @@
 	started := time.Now()
 	resp, err := e.roundTrip(ctx, req, attempt, s.Member)
 	if err != nil {
-		e.balancer.Done(s, route.Result{Failed: ctx.Err() == nil, Busy: -1})
+		// A server that lets the deadline pass counts as failed: a silent connection shows only in this way until its
+		// probe ends. A caller that hangs up says nothing about the server.
+		e.balancer.Done(s, route.Result{Failed: !errors.Is(ctx.Err(), context.Canceled), Busy: -1})
 		return e.lost(ctx, req, attempt, s.Member, err)
 	}
 	result := resultOf(resp, time.Since(started))
@@ -171,6 +173,10 @@
 	return r
 }
 
+// hopReserve is taken off the deadline that the agent is told, so that its refusal of expired work arrives before this
+// entry gives up and takes the server for a silent one.
+const hopReserve = 5 * time.Millisecond
+
 func (e *Entry) roundTrip(ctx context.Context, req *Request, attempt int, m membership.Member) (*http.Response, error) {
 	url := "http://" + m.DataAddr + wire.ForwardPath + req.Path
 	if req.Query != "" {
@@ -192,7 +198,7 @@
 	out.Header.Set(wire.HeaderBranch, req.Branch.Branch)
 	out.Header.Set(wire.HeaderCaller, req.Caller.String())
 	out.Header.Set(wire.HeaderAttempt, strconv.Itoa(attempt))
-	out.Header.Set(wire.HeaderDeadlineMs, strconv.FormatInt(time.Until(req.Deadline).Milliseconds(), 10))
+	out.Header.Set(wire.HeaderDeadlineMs, strconv.FormatInt(max(1, (time.Until(req.Deadline)-hopReserve).Milliseconds()), 10))
 	return e.client.RoundTrip(out)
 }
 
--- a/internal/limit/concurrency.go
+++ b/internal/limit/concurrency.go
@@ -16,9 +16,9 @@
 	minLimit   = 4.0 // lets measurements go on
 	maxLimit   = 10_000.0
 	window     = 100 * time.Millisecond // between two adjustments; several round trips, so that a change shows first
-	decrease   = 0.6  // least factor of one adjustment
-	increase   = 0.05 // share of the limit, at least one request
-	usedShare  = 0.7  // the limit grows only if at least this share of it was used
+	decrease   = 0.6                    // least factor of one adjustment
+	increase   = 0.05                   // share of the limit, at least one request
+	usedShare  = 0.7                    // the limit grows only if at least this share of it was used
 )
 
 // The target for the mean wait at the gate is a share of the branch's queue_timeout: long enough that a slot never
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -133,8 +133,24 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, r.Wrong(), qt.Equals, int64(0))
 	qt.Check(t, r.All.Share() > 0.9, qt.IsTrue, qt.Commentf("%v", r.All.Why))
+	checkCallerRate(t, load.URLs(f)[:1])
 	for _, h := range f.Agents {
 		qt.Check(t, h.Backend.Overruns(), qt.Equals, int64(0))
 	}
 	qt.Check(t, f.Stop(), qt.IsNil)
 }
+
+// checkCallerRate sends 100 requests/s from one caller of a branch whose callers may send 20; refusals without an outcome,
+// a reason or Retry-After would count as wrong.
+func checkCallerRate(t *testing.T, urls []string) {
+	one := load.Class{Name: "one", Kind: load.KindQuick, Branch: "workshop/foot-scan/clients-abroad", Rate: 100, Callers: 1, Body: 64}
+	other := one
+	other.Name, other.Rate = "other", 5
+	r, err := load.Run(context.Background(), load.Config{Name: "rate", URLs: urls, Classes: []load.Class{one, other}, Duration: 2 * time.Second, Seed: 1})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, r.Wrong(), qt.Equals, int64(0))
+	c := r.Classes[0]
+	qt.Check(t, c.Count["done"] <= 70, qt.IsTrue, qt.Commentf("%v", c.Count))
+	qt.Check(t, c.Count["refused"] >= 100, qt.IsTrue, qt.Commentf("%v", c.Count))
+	qt.Check(t, r.Classes[1].Count["refused"], qt.Equals, int64(0), qt.Commentf("%v", r.Classes[1].Why))
+}
