--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -39,6 +39,7 @@
 	r.GET(PathJobs, e.handleJobs)
 	r.GET(PathJobs+"/:id", e.handleJob)
 	r.DELETE(PathJobs+"/:id", e.handleCancel)
+	r.GET(PathDecisions+":id", e.handleDecisions)
 }
 
 // defaultRetryAfter is the Retry-After of refusals without a better estimate, in seconds.
@@ -118,6 +119,8 @@
 		out = e.SendKeyed(ctx, req, key)
 	}
 	e.metrics.Counter("entry_outcome_" + string(out.Outcome)).Inc(1)
+	e.decisions.add(decisionRecord{id: req.ID, branch: req.Branch.Branch, outcome: out.Outcome, reason: out.Reason})
+	c.Response().Header().Set(wire.HeaderEntry, e.ID)
 	if out.Response == nil {
 		return problem(c, out.Status, out.Outcome, req.ID, out.Reason)
 	}
@@ -224,7 +227,11 @@
 }
 
 func (e *Entry) handleJob(c echo.Context) error {
-	res := e.Job(c.Request().Context(), c.Param("id"))
+	waitMs, err := strconv.ParseInt(c.QueryParam("wait_ms"), 10, 64)
+	if c.QueryParam("wait_ms") != "" && (err != nil || waitMs < 0) {
+		return problem(c, http.StatusBadRequest, wire.OutcomeNotRun, "", "wait_ms must be a number of milliseconds")
+	}
+	res := e.WaitJob(c.Request().Context(), c.Param("id"), time.Duration(waitMs)*time.Millisecond)
 	if res.Code != wire.CodeOK {
 		return jobProblem(c, res)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"bamboofork/internal/config"
 	"bamboofork/internal/dissemination"
 	"bamboofork/internal/entry"
+	"bamboofork/internal/events"
 	"bamboofork/internal/gate"
 	"bamboofork/internal/lease"
 	"bamboofork/internal/membership"
@@ -27,6 +28,7 @@
 	"bamboofork/internal/peer"
 	"bamboofork/internal/settings"
 	"bamboofork/internal/store"
+	"bamboofork/internal/store/budget"
 	"bamboofork/internal/store/etcdgw"
 	"bamboofork/internal/telemetry"
 	"bamboofork/internal/worker"
@@ -53,6 +55,7 @@
 	server *peer.Server
 	table  *membership.Table
 	live   *settings.Live
+	sync   *dissemination.Syncer
 	dir    *partition.Directory
 	reg    *telemetry.Registry
 	api    *operatorapi.API
@@ -60,7 +63,16 @@
 
 func newBase(cfg config.Process, role membership.Role, log zerolog.Logger) (*base, error) {
 	log = log.With().Str("node", cfg.ID).Logger()
-	st := etcdgw.NewClient(cfg.Store, 0)
+	reg := telemetry.New()
+	limits := budget.AgentLimits
+	if role == membership.RoleEntry {
+		limits = budget.EntryLimits
+	}
+	creds, err := etcdgw.LoadCredentials(cfg.StoreCredentials)
+	if err != nil {
+		return nil, err
+	}
+	st := budget.New(etcdgw.NewClient(cfg.Store, 0).WithCredentials(creds), limits, reg, log)
 	pool := peer.NewPool(cfg.ID, log, nil)
 	self := membership.Member{
 		ID: cfg.ID, Role: role, Region: cfg.Region, Domain: cfg.Domain, Rack: cfg.Rack,
@@ -68,12 +80,33 @@
 	}
 	b := &base{
 		cfg: cfg, log: log, st: st, pool: pool, server: peer.NewServer(cfg.ID, log),
-		table: membership.NewTable(membership.Config{Self: self, Seeds: cfg.Seeds}, pool, log),
-		live:  settings.NewLive(), dir: partition.NewDirectory(st, pool, cfg.Partitions), reg: telemetry.New(),
+		live: settings.NewLive(), dir: partition.NewDirectory(st, pool, cfg.Partitions), reg: reg,
 	}
+	b.sync = dissemination.NewSyncer(b.live, pool, func() { b.table.Kick() }, log)
+	b.table = membership.NewTable(membership.Config{
+		Self: self, Seeds: cfg.Seeds, Revision: b.sync.Revision, OnRevision: b.sync.OnRevision, Hubs: b.hubs,
+	}, pool, log)
 	b.api = &operatorapi.API{Table: b.table, Live: b.live, Metrics: b.reg}
-	err := b.server.Register("Member", b.table.Service())
-	return b, eris.Wrap(err, "register membership service")
+	err = errors.Join(b.server.Register("Member", b.table.Service()), b.server.Register("Settings", b.sync.Service()))
+	return b, eris.Wrap(err, "register membership and settings services")
+}
+
+// hubs lists the registered hubs; none while the store does not answer.
+func (b *base) hubs(ctx context.Context) []string {
+	addrs, err := dissemination.ListHubs(ctx, b.st)
+	if err != nil {
+		events.StoreUnavailable.Log(&b.log).Err(err).Msg("hubs not listed")
+	}
+	return addrs
+}
+
+// hub returns the duty of a hub, which this process takes while it represents its failure domain.
+func (b *base) hub() *dissemination.Hub {
+	repo := settings.NewRepository(b.st, b.cfg.ID)
+	return dissemination.NewHub(dissemination.HubConfig{
+		ID: b.cfg.ID, Addr: b.cfg.Listen.Control, Domain: b.cfg.Domain, LeaseTTL: b.cfg.LeaseTTL, Rank: b.table.HubRank,
+		Watch: dissemination.NewWatcher(repo, watchLog(b.st, repo), b.sync).Run,
+	}, b.st, b.log)
 }
 
 // NewEntry assembles an entry and opens its listeners.
@@ -82,6 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
+	b.table.SetInterest(func() bool { return true })
 	trusted, err := callers.ParseTrusted(cfg.TrustedProxies)
 	if err != nil {
 		return nil, eris.Wrap(err, "trusted_proxies")
@@ -115,9 +149,11 @@
 	keeper := lease.NewKeeper(b.st, cfg.LeaseTTL, b.log)
 	unique := fmt.Sprintf("%s-%d", cfg.ID, b.table.Self().Incarnation)
 	manager := partition.NewManager(partition.Config{
-		ID: unique, Addr: cfg.Listen.Control, Partitions: cfg.Partitions, Max: cfg.MaxPartitions, Outage: cfg.OutageHold,
+		Self: cfg.ID, ID: unique, Addr: cfg.Listen.Control, Partitions: cfg.Partitions, Max: cfg.MaxPartitions, Outage: cfg.OutageHold,
+		Share: partition.Shares(b.live),
 	}, b.st, keeper, b.table, b.pool, b.log)
 	b.api.Owned = manager.Owned
+	b.table.SetInterest(func() bool { return len(manager.Owned()) > 0 })
 	a := agent.New(agent.Config{
 		ID: cfg.ID, BackendName: cfg.Backend.Name, BackendAddr: cfg.Backend.Addr, Drain: cfg.Drain,
 		Gate: gate.Config{Slots: cfg.Backend.Slots, Conns: cfg.Backend.Conns, MaxQueue: cfg.Backend.MaxQueue, Room: room},
@@ -182,10 +218,9 @@
 	if err != nil {
 		return eris.Wrap(err, "control listener")
 	}
-	repo := settings.NewRepository(b.st, b.cfg.ID)
-	watcher := dissemination.NewWatcher(repo, watchLog(b.st, repo), b.live, b.log)
+	hub := b.hub()
 	n.stages = append(n.stages,
-		[]app.Part{{Name: "membership", Run: b.table.Run}, {Name: "settings", Run: watcher.Run}},
+		[]app.Part{{Name: "membership", Run: b.table.Run}, {Name: "settings", Run: b.sync.Run}, {Name: "hub", Run: hub.Run}},
 		[]app.Part{{Name: "control", Run: func(ctx context.Context) error { return b.server.Serve(ctx, l) }}})
 	n.closers = append(n.closers, b.pool.Close)
 	b.api.Ready.Store(true)
@@ -199,21 +234,7 @@
 		if err != nil {
 			return nil, err
 		}
-		changed := make(chan struct{})
-		go func() {
-			defer close(changed)
-			for batch := range batches {
-				if batch.Err != nil {
-					return
-				}
-				select {
-				case changed <- struct{}{}:
-				case <-ctx.Done():
-					return
-				}
-			}
-		}()
-		return changed, nil
+		return dissemination.Signals(ctx, batches), nil
 	}
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bamboofork/internal/ledger"
+	"bamboofork/internal/scheduler"
 	"bamboofork/internal/worker"
 )
 
@@ -23,6 +24,7 @@
 	HeaderWaitUs     = "Bf-Wait-Us"   // time the request waited at the agent's gate, in microseconds
 	HeaderCaller     = "Bf-Caller"    // caller's IP address, set by the entry
 	HeaderUnhealthy  = "Bf-Unhealthy" // "1": the agent could not reach its backend server
+	HeaderEntry      = "Bf-Entry"     // the entry that routed the request; it explains its decisions
 	HeaderKey        = "Idempotency-Key"
 )
 
@@ -86,6 +88,7 @@
 	GetArgs     struct {
 		Partition int
 		JobID     string
+		Wait      time.Duration // answer when the job has finished, at the latest after this time; 0: at once
 	}
 	GetReply struct {
 		Code    Code
@@ -109,6 +112,8 @@
 	Checkpoint string
 	Reason     string
 	Progress   float64
+	Used       worker.Resources // largest measured use; zero: not measured
+	Ran        time.Duration    // work done in time at full speed; zero: not known
 }
 
 // ReportArgs renews the holds of an agent's tasks and reports their states.
@@ -139,6 +144,29 @@
 	PlaceReply struct {
 		Accepted bool
 		Reason   string
+		Clock    time.Duration    // the agent's clock at its decision
+		Free     worker.Resources // the agent's free room at that clock
+		Kept     bool             // refused because the room is kept for an urgent task
+	}
+	// PreemptArgs asks an agent to checkpoint lower priority work until Need is free.
+	PreemptArgs struct {
+		Incarnation int64
+		Task        string // that needs the room
+		Need        worker.Resources
+		Priority    int
+	}
+	PreemptReply struct {
+		Evicted int
+		Reason  string // why nothing was evicted
+	}
+	// ExplainArgs asks for the newest decisions about a task. Partition is used by owners only.
+	ExplainArgs struct {
+		Partition int
+		Task      string
+	}
+	ExplainReply struct {
+		Code    Code
+		Records []scheduler.Record
 	}
 	// StopArgs ends an attempt and fences it, so that a late placement is refused.
 	StopArgs struct {
@@ -149,6 +177,16 @@
 		Report TaskReport
 		Known  bool
 	}
+	// QueryArgs asks about attempts; those that the agent does not know are fenced.
+	QueryArgs struct{ Refs []worker.Ref }
+	// QueryReply is evidence only if Ready: the agent has read its worker's list since its start. Settled means that
+	// the leases which an earlier incarnation of the agent could have renewed at the worker are over.
+	QueryReply struct {
+		Ready       bool
+		Settled     bool
+		Incarnation int64
+		Unknown     []worker.Ref
+	}
 	// FenceArgs asks whether a forwarded request has started; if not, it never will.
 	FenceArgs  struct{ RequestID string }
 	FenceReply struct {
