--- a/internal/partition/manager.go
+++ b/internal/partition/manager.go
@@ -22,8 +22,8 @@
 	Partitions int    // number of partitions of the fleet
 	Max        int    // partitions that this process takes at most
 	Outage     time.Duration
-	Share      func(team string) scheduler.TeamShare // quotas and weights, see Shares; nil: none
 	Retention  time.Duration                         // how long finished jobs and recorded claims are kept at least; 0: DefaultRetention
+	Share      func(team string) scheduler.TeamShare // quotas and weights, see Shares; nil: none
 }
 
 // storeAppends is the number of appends per second of all partitions together in the long run. The platform's store
