Publish the parts of a load report at their own pace

Ruled out: a longer pace for all parts, because routing needs the slots in use soon. Change: records have three extents (whole, with details, load only), each sent when the receiver lacks it. Details are published every 0.2 s per member of the scope, learned pairs every second per member. Load reports follow the tree from 6 members on. bf-scale fills the new parts and measures the loss of a whole failure domain. A brief record that the receiver cannot complete makes it ask for everything.

--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -130,25 +130,22 @@
 
 func (t *Table) changedRecords(id string, l *link) []change {
 	list := []change{}
-	if t.selfSeq > l.acked && t.wants(l.scope, t.published) {
-		list = append(list, change{seq: t.selfSeq, item: t.item(t.published, StateAlive, l.acked >= t.selfFixed)})
+	if t.selfSeqs.load > l.acked && t.wants(l.scope, t.published) {
+		list = append(list, change{seq: t.selfSeqs.load, item: newItem(t.published, StateAlive, t.selfSeqs.extent(l.acked))})
 	}
 	for other, e := range t.entries {
 		about := other == id && e.state != StateAlive && !e.private // the partner must hear what is said about it
-		wanted := e.seq > l.acked && e.from != id && other != id && t.wants(l.scope, e.member) && !t.heardOnly(e)
-		loadOnly := l.acked >= e.fixedSeq
+		wanted := e.seqs.load > l.acked && e.from != id && other != id && t.wants(l.scope, e.member) && !t.heardOnly(e)
+		loadOnly := l.acked >= e.lifeSeq
 		if about || wanted && (!loadOnly || t.passesLoad(other, id)) {
-			list = append(list, change{seq: e.seq, item: t.item(e.member, e.reported(), loadOnly && !about)})
+			list = append(list, change{seq: e.seqs.load, item: newItem(e.member, e.reported(), e.seqs.extent(l.acked))})
 		}
 	}
 	return list
 }
 
-func (t *Table) item(m Member, s State, brief bool) *Item {
-	if brief {
-		return &Item{Member: m.brief(), State: s, Brief: true}
-	}
-	return &Item{Member: m, State: s}
+func newItem(m Member, s State, x Extent) *Item {
+	return &Item{Member: m.brief(x), State: s, Extent: x}
 }
 
 // wants reports whether a partner of the scope needs the record.
@@ -220,7 +217,11 @@
 	}
 	t.contact()
 	t.followLevel(h)
+	t.incomplete = false
 	urgent := t.mergeItems(items, h.ID, false)
+	if t.incomplete {
+		l.received = 0
+	}
 	urgent = t.mergeSummaries(sums, h.ID) || urgent
 	if urgent {
 		t.kick()
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -12,13 +12,14 @@
 	now := time.Now()
 	urgent := false
 	for _, it := range items {
-		if it.Brief && !t.complete(&it) {
-			continue
-		}
 		if it.Member.ID == t.self.ID {
 			urgent = t.refute(it) || urgent
 			continue
 		}
+		if it.Extent != ExtentFull && !t.complete(&it) {
+			t.incomplete = true
+			continue
+		}
 		covered := t.scope().covers(it.Member) || t.cfg.KeepLoadReports && it.Member.Domain == t.self.Domain
 		if !covered && !candidate && t.entries[it.Member.ID] == nil {
 			continue
@@ -31,14 +32,14 @@
 	return urgent
 }
 
-// complete fills a brief record from the one that is held. Without one of the same life the sender is asked for
+// complete fills a brief record from the one that is held. Without one of the same life the link's partner is asked for
 // everything.
 func (t *Table) complete(it *Item) bool {
 	e := t.entries[it.Member.ID]
 	if e == nil || compareLife(e.member, it.Member) != 0 {
 		return false
 	}
-	it.Member = it.Member.withFixed(e.member)
+	it.Member = it.Member.withRest(e.member, it.Extent)
 	return true
 }
 
@@ -82,7 +83,7 @@
 		return false
 	}
 	newer := cmp > 0 || m.Version > e.member.Version
-	fixed := !m.sameFixed(e.member) || it.State != e.state
+	extent, life := extentOfChange(e.member, m), !m.sameLife(e.member) || it.State != e.state
 	urgent := false
 	if newer {
 		urgent = t.replaceRecord(e, m, now)
@@ -91,12 +92,13 @@
 		t.setState(e, it.State, now, "reported by "+from)
 		urgent = true
 	}
-	if newer || urgent {
+	switch {
+	case life && (newer || urgent):
+		t.touch(e, from)
+	case newer:
 		t.seq++
-		e.seq, e.from = t.seq, from
-	}
-	if fixed && (newer || urgent) {
-		e.fixedSeq = e.seq
+		e.seqs.note(extent, t.seq)
+		e.from = from
 	}
 	return urgent
 }
@@ -117,7 +119,7 @@
 
 func (t *Table) touch(e *entry, from string) {
 	t.seq++
-	e.seq, e.fixedSeq, e.from = t.seq, t.seq, from
+	e.seqs, e.lifeSeq, e.from = seqs{t.seq, t.seq, t.seq}, t.seq, from
 	t.ring = nil
 }
 
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -96,32 +96,91 @@
 	StateDead
 )
 
-// Item is a record with the state that the sender believes. A brief item leaves out what the receiver has already
-// acknowledged for the same incarnation.
+// Extent says how much of a record an item carries. What is left out was acknowledged by the receiver for the same life.
+type Extent uint8
+
+// Extents from large to small.
+const (
+	ExtentFull    Extent = iota // everything
+	ExtentDetails               // without the identity, the sizes of the host and the learned pairs
+	ExtentLoad                  // without the load's details either
+)
+
+// Item is a record with the state that the sender believes.
 type Item struct {
 	Member Member
 	State  State
-	Brief  bool
+	Extent Extent
 }
 
-// brief returns the record without its fixed part.
-func (m Member) brief() Member {
-	m.Role, m.Region, m.Domain, m.Rack, m.Addr, m.DataAddr = "", "", "", "", "", ""
-	m.Load.Backend, m.Load.Slots, m.Load.ConnsMax, m.Load.Capacity = "", 0, 0, worker.Resources{}
-	return m
+// brief returns the part of the record that the extent carries.
+func (m Member) brief(x Extent) Member {
+	if x == ExtentFull {
+		return m
+	}
+	return m.withRest(Member{}, x)
 }
 
-// withFixed returns the brief record completed with the fixed part of full.
-func (m Member) withFixed(full Member) Member {
-	m.Role, m.Region, m.Domain, m.Rack, m.Addr, m.DataAddr = full.Role, full.Region, full.Domain, full.Rack, full.Addr, full.DataAddr
-	m.Load.Backend, m.Load.Slots, m.Load.ConnsMax, m.Load.Capacity = full.Load.Backend, full.Load.Slots, full.Load.ConnsMax, full.Load.Capacity
+// withRest returns the record with what the extent leaves out taken from full.
+func (m Member) withRest(full Member, x Extent) Member {
+	if x >= ExtentDetails {
+		m.Role, m.Region, m.Domain, m.Rack, m.Addr, m.DataAddr = full.Role, full.Region, full.Domain, full.Rack, full.Addr, full.DataAddr
+		m.Load.Backend, m.Load.Slots, m.Load.ConnsMax, m.Load.Capacity = full.Load.Backend, full.Load.Slots, full.Load.ConnsMax, full.Load.Capacity
+		m.Load.Pairs = full.Load.Pairs
+	}
+	if x >= ExtentLoad {
+		m.Load = m.Load.withDetails(full.Load)
+	}
 	return m
 }
 
-// sameFixed reports whether two records differ only in what brief items carry of one life.
-func (m Member) sameFixed(o Member) bool {
+// withDetails returns the load with the details of another report. They serve placement, which stands a few seconds'
+// delay, and are published less often than the rest.
+func (l Load) withDetails(o Load) Load {
+	l.FreeAt, l.Teams, l.Preemptible, l.BatchCores = o.FreeAt, o.Teams, o.Preemptible, o.BatchCores
+	return l
+}
+
+// extentOfChange returns the smallest extent that carries all differences between two records.
+func extentOfChange(old, m Member) Extent {
+	switch {
+	case !m.sameLife(old) || !reflect.DeepEqual(m.withRest(old, ExtentDetails), m):
+		return ExtentFull
+	case !reflect.DeepEqual(m.withRest(old, ExtentLoad), m):
+		return ExtentDetails
+	}
+	return ExtentLoad
+}
+
+// seqs are the local sequences of the last change of each extent.
+type seqs struct{ full, details, load int64 }
+
+// note records a change of the extent.
+func (s *seqs) note(x Extent, seq int64) {
+	s.load = seq
+	if x <= ExtentDetails {
+		s.details = seq
+	}
+	if x == ExtentFull {
+		s.full = seq
+	}
+}
+
+// extent returns what a partner needs that has everything up to acked.
+func (s seqs) extent(acked int64) Extent {
+	switch {
+	case acked < s.full:
+		return ExtentFull
+	case acked < s.details:
+		return ExtentDetails
+	}
+	return ExtentLoad
+}
+
+// sameLife reports whether two records agree in what all members must hear of at once.
+func (m Member) sameLife(o Member) bool {
 	return compareLife(m, o) == 0 && m.Leaving == o.Leaving && m.Gone == o.Gone && m.Load.Failing == o.Load.Failing &&
-		m.withFixed(o) == m
+		m.Load.Backend == o.Load.Backend && m.Load.Slots == o.Load.Slots
 }
 
 // Status is a member as this process sees it.
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -66,8 +66,8 @@
 type entry struct {
 	member    Member
 	state     State
-	seq       int64     // local sequence of the last change
-	fixedSeq  int64     // ... of the last change other than of the load
+	seqs      seqs      // local sequences of the last changes
+	lifeSeq   int64     // ... of the last change that goes over all links
 	from      string    // process that the last change came from
 	heard     time.Time // last newer record
 	since     time.Time // start of the present state
@@ -87,8 +87,9 @@
 	self        Member // as last updated
 	published   Member // as last sent
 	publishedAt time.Time
-	selfSeq     int64
-	selfFixed   int64
+	selfSeqs    seqs
+	detailsAt   time.Time      // last publication of the load's details
+	pairsAt     time.Time      // ... of the learned pairs
 	ring        map[string]int // positions of the scope's members, self included; nil: to be computed
 	seq         int64          // local sequence of changes
 	level       Level
@@ -100,6 +101,7 @@
 	interested  func() bool
 	referrals   map[string]Summary // rack cells in other domains, by domain
 	notices     []notice
+	incomplete  bool      // the message being merged leaves out what is not held here
 	lastContact time.Time // last successful exchange
 	lastRound   time.Time
 	quietUntil  time.Time // failures of calls begun before are not held against others
@@ -118,7 +120,7 @@
 	now := time.Now()
 	return &Table{
 		cfg: cfg, pool: pool, log: log, wake: make(chan struct{}, 1),
-		self: cfg.Self, published: cfg.Self, selfSeq: 1, selfFixed: 1, seq: 1, joined: now, lastContact: now,
+		self: cfg.Self, published: cfg.Self, selfSeqs: seqs{1, 1, 1}, seq: 1, joined: now, lastContact: now,
 		entries: map[string]*entry{}, links: map[string]*link{}, summaries: map[string]*summary{},
 		subscribers: map[string]*subscriber{}, referrals: map[string]Summary{},
 	}
@@ -147,30 +149,47 @@
 }
 
 func (t *Table) urgentChange() bool {
-	a, b := t.self, t.published
-	return a.Leaving != b.Leaving || a.Gone != b.Gone || a.Load.Failing != b.Load.Failing ||
-		a.Load.Slots != b.Load.Slots || a.Load.Backend != b.Load.Backend
+	return !t.self.sameLife(t.published)
 }
 
 func (t *Table) publishSelf(now time.Time) {
 	t.self.Version++
 	t.seq++
-	t.selfSeq = t.seq
-	if !t.self.sameFixed(t.published) {
-		t.selfFixed = t.seq
+	next := t.self
+	if !t.due(&t.detailsAt, now, detailsPacePerMember, minDetailsPace) {
+		next.Load = next.Load.withDetails(t.published.Load)
 	}
-	t.published, t.publishedAt = t.self, now
+	if !t.due(&t.pairsAt, now, pairsPacePerMember, minPairsPace) {
+		next.Load.Pairs = t.published.Load.Pairs
+	}
+	t.selfSeqs.note(extentOfChange(t.published, next), t.seq)
+	t.published, t.publishedAt = next, now
+}
+
+// due reports whether a part that is published at its own pace may go out, and notes the time if so.
+func (t *Table) due(last *time.Time, now time.Time, perMember, least time.Duration) bool {
+	if now.Sub(*last) < max(time.Duration(len(t.entries)+1)*perMember, least) {
+		return false
+	}
+	*last = now
+	return true
 }
 
 // Pace of load reports: the time between two reports of one agent grows with the scope, so that the traffic of a scope
 // does not.
 const (
-	loadPacePerMember = 35 * time.Millisecond
+	loadPacePerMember = 50 * time.Millisecond
 	minLoadPace       = 300 * time.Millisecond
-	maxLoadPace       = 2 * time.Second
+	maxLoadPace       = 4 * time.Second
 	beatPerMember     = 80 * time.Millisecond // reports without a change renew the agent's clock
 	minBeat           = 1 * time.Second
-	maxBeat           = 5 * time.Second
+
+	// Details are about 250 bytes and pairs up to 500, so they go out less often.
+	detailsPacePerMember = 200 * time.Millisecond
+	minDetailsPace       = 1 * time.Second
+	pairsPacePerMember   = 1 * time.Second
+	minPairsPace         = 5 * time.Second
+	maxBeat              = 5 * time.Second
 )
 
 // publishLoad publishes a changed record if its pace allows.
--- a/internal/membership/tree.go
+++ b/internal/membership/tree.go
@@ -7,13 +7,14 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// treeFrom is the size of the scope from which load reports follow a tree. In smaller ones newer reports overtake older
-// ones before a link carries them twice.
-const treeFrom = 16
+// treeFrom is the size of the scope from which load reports follow a tree. With fewer members the tree has hardly fewer
+// links than the ring.
+const treeFrom = 6
 
 // passesLoad reports whether this process passes load reports of origin to the partner. On the ring a member at distance
 // d from the origin hears from the one at d minus its highest power of two, which has it as a finger: each member gets
-// each report once, in at most log2(n) steps. Everything but load reports goes over all links.
+// each report once, in at most log2(n) steps. Everything but load reports goes over all links; their details
+// follow the tree as well.
 func (t *Table) passesLoad(origin, partner string) bool {
 	ring := t.positions()
 	n := len(ring)
--- a/internal/scale/churn.go
+++ b/internal/scale/churn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"bamboofork/internal/membership"
@@ -55,3 +56,45 @@
 	}
 	return false
 }
+
+// timeDomainLoss ends all nodes of the last failure domain at once. It returns the time until no chooser would give any
+// of them work and the mean bytes per second that an agent elsewhere sent meanwhile.
+func (f *Fleet) timeDomainLoss(ctx context.Context) (took time.Duration, sent float64, late int) {
+	domain := f.Nodes[len(f.Nodes)-1].Spec.Domain
+	lost, rest := []*Node{}, []*Node{}
+	for _, n := range f.Nodes {
+		if n.Spec.Domain == domain && !n.Spec.Entry {
+			lost = append(lost, n)
+			continue
+		}
+		rest = append(rest, n)
+	}
+	f.Nodes = rest
+	before := f.counters()
+	begun := time.Now()
+	var wg sync.WaitGroup
+	for _, n := range lost {
+		wg.Go(n.Crash)
+	}
+	wg.Wait()
+	for f.anyEligible(lost) && time.Since(begun) < churnTimeout && ctx.Err() == nil {
+		time.Sleep(watchStep)
+	}
+	took = time.Since(begun)
+	for i, c := range f.counters() {
+		sent += float64(c.sent-before[i].sent) / took.Seconds() / float64(len(rest))
+	}
+	if f.anyEligible(lost) {
+		late = 1
+	}
+	return took, sent, late
+}
+
+func (f *Fleet) anyEligible(nodes []*Node) bool {
+	for _, n := range nodes {
+		if f.eligible(n.Spec.ID) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -44,8 +44,8 @@
 	}
 	fmt.Fprintf(w, " open watches %.0f\n", r.Watches)
 	fmt.Fprintf(w, "  in force s p50 %.3f p99 %.3f max %.3f (n %d, late %d)\n", r.InForce.P50, r.InForce.P99, r.InForce.Max, r.InForceN, r.Late)
-	fmt.Fprintf(w, "  dropped by all choosers s: leaving p50 %.3f max %.3f, dead p50 %.3f max %.3f (unnoticed %d)\n",
-		r.Leaving.P50, r.Leaving.Max, r.Dead.P50, r.Dead.Max, r.Unnoticed)
+	fmt.Fprintf(w, "  dropped by all choosers s: leaving p50 %.3f max %.3f, dead p50 %.3f max %.3f, whole failure domain %.3f, %.0f B/s sent by each other node meanwhile (unnoticed %d)\n",
+		r.Leaving.P50, r.Leaving.Max, r.Dead.P50, r.Dead.Max, r.DomainLost, r.DomainSent, r.Unnoticed)
 }
 
 // PrintFits writes the lines of cost against node count.
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -4,14 +4,17 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"bamboofork/internal/colocation"
 	"bamboofork/internal/membership"
 	"bamboofork/internal/settings"
 	"bamboofork/internal/store/memstore"
+	"bamboofork/internal/worker"
 )
 
 // Config describes one run.
@@ -113,11 +116,30 @@
 			if m.Role == membership.RoleAgent {
 				m.Load.SlotsBusy, m.Load.Clock = busy, time.Since(started)
 				m.Load.Free.Cores = float64(56 - 4*busy)
+				details(&m.Load, busy, rnd.Float64())
 			}
 		})
 	})
 }
 
+// details fills what an agent with three kinds of batch work and eight learned pairs reports.
+func details(l *membership.Load, busy int, x float64) {
+	l.QuickKind, l.QuickRatio = "quick-check", x
+	l.Teams, l.Preemptible, l.BatchCores = map[string]worker.Resources{}, map[int]worker.Resources{}, map[string]float64{}
+	for i, name := range []string{"team-plates", "team-plans", "team-proofs"} {
+		used := worker.Resources{Cores: float64(busy), MemoryMB: int64(4000 * busy)}
+		l.Teams[name], l.Preemptible[10*i], l.BatchCores["kind-"+name] = used, used, x*float64(busy)
+	}
+	for i := range l.FreeAt {
+		l.FreeAt[i] = worker.Resources{Cores: l.Free.Cores + float64(i), MemoryMB: l.Free.MemoryMB}
+	}
+	l.Pairs = make([]colocation.Pair, colocation.MaxPairs)
+	for i := range l.Pairs {
+		e := colocation.Estimate{Mean: x + float64(i), Deviation: x / 3}
+		l.Pairs[i] = colocation.Pair{Quick: "quick-check", Batch: "kind-" + strconv.Itoa(i), Low: e, High: e}
+	}
+}
+
 func (f *Fleet) ready(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -47,6 +47,8 @@
 	Late       int          // nodes that did not have an edit in force in time
 	Leaving    Distribution // seconds
 	Dead       Distribution // seconds
+	DomainLost float64      // seconds until all choosers dropped a whole failure domain
+	DomainSent float64      // bytes per second that each remaining node sent meanwhile, probes of connections not included
 	Unnoticed  int          // departures that some chooser did not notice in time
 	Stale      Distribution // age in seconds of the load reports held, of agents in scope and candidates
 	False      int          // live members that some node had suspected or removed at the end of the steady phase
@@ -79,6 +81,9 @@
 	times, late = f.timeDepartures(ctx, true)
 	r.Dead = seconds(times)
 	r.Unnoticed += late
+	lost, sent, late := f.timeDomainLoss(ctx)
+	r.DomainLost, r.DomainSent = lost.Seconds(), sent
+	r.Unnoticed += late
 	return r, nil
 }
 
