Pass summaries within a cell along a tree

Cause: summaries of other cells crossed every link of a cell, so a member received each about as often as it has links. At the design size 62 cells renew theirs at least every 30 s. Change: within a cell they follow the finger tree that starts at the first representative; representatives of different cells still use all links.

--- a/internal/membership/summary.go
+++ b/internal/membership/summary.go
@@ -233,8 +233,9 @@
 // changedSummaries returns the summaries that a partner lacks: failure domains for all, racks within their domain.
 func (t *Table) changedSummaries(id string, l *link) []change {
 	list := []change{}
+	passes := t.passesSummaries(id, l)
 	for cell, s := range t.summaries {
-		if s.seq <= l.acked || s.from == id || s.stale {
+		if !passes || s.seq <= l.acked || s.from == id || s.stale {
 			continue
 		}
 		if isRackCell(cell) && cellDomain(cell) != l.scope.Domain {
@@ -245,6 +246,17 @@
 	return list
 }
 
+// passesSummaries reports whether the partner gets summaries from this process. Representatives of different cells pass
+// them on all links. Within a cell they follow the tree that starts at its first representative, after the first exchange
+// has brought what is known.
+func (t *Table) passesSummaries(id string, l *link) bool {
+	if !l.scope.sameCell(t.scope()) || l.acked == 0 {
+		return true
+	}
+	reps := t.reps()
+	return len(reps) == 0 || rank(reps, id) >= 0 || t.passesLoad(reps[0].ID, id)
+}
+
 // replaces orders the summaries of a cell. Parts of a cell that lost each other may publish the same version; the first
 // representative's id then decides, so that the parts hear of each other.
 func (s Summary) replaces(old Summary) bool {
