--- a/internal/partition/placing.go
+++ b/internal/partition/placing.go
@@ -19,7 +19,8 @@
 const (
 	placeInterval = 50 * time.Millisecond
 	placeTimeout  = 2 * time.Second
-	placeBatch    = 256 // tasks per cycle
+	placeBatch    = 256                    // tasks per cycle
+	refusedDelay  = 200 * time.Millisecond // doubles with each refusal in a row; lets the agent's next load report arrive before the task is offered again
 	WorkerLease   = 5 * time.Second
 )
 
@@ -29,17 +30,52 @@
 	Lookup(id string) (membership.Status, bool)
 }
 
-// placer assigns the pending tasks of one partition. Only its own goroutine uses its fields; sends are concurrent.
+// placer assigns the pending tasks of one partition. Only its own goroutine uses its fields, but for those that mu
+// guards; sends are concurrent.
 type placer struct {
 	owner   *Owner
 	nodes   Nodes
-	pool    *peer.Pool
+	pool    Caller
 	planner *planner
+	self    string // id of this process, which its own membership view leaves out
 	sends   sync.WaitGroup
 
 	reportsAt   time.Time
 	effectsAt   time.Time
 	reconcileAt time.Time
+	asked       map[string]time.Time // when each agent was last asked about silent attempts
+
+	mu    sync.Mutex
+	avoid map[string]time.Time // agents that could not be reached, until when they get no placement
+}
+
+func newPlacer(m *Manager, o *Owner) *placer {
+	o.planner.setShare(m.cfg.Share)
+	return &placer{
+		owner: o, nodes: m.nodes, pool: m.pool, planner: o.planner, self: m.cfg.Self,
+		asked: map[string]time.Time{}, avoid: map[string]time.Time{},
+	}
+}
+
+// unreachableFor is how long an agent that could not be reached gets no placement; the membership view takes as long
+// to suspect it.
+const unreachableFor = 2 * time.Second
+
+func (p *placer) avoidAgent(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.avoid[id] = time.Now().Add(unreachableFor)
+}
+
+func (p *placer) avoided(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	until, ok := p.avoid[id]
+	if ok && time.Now().After(until) {
+		delete(p.avoid, id)
+		return false
+	}
+	return ok
 }
 
 // run places tasks and finds lost ones until ctx ends, then waits for the offers that are on their way.
@@ -47,6 +83,7 @@
 	defer p.sends.Wait()
 	ticker := time.NewTicker(placeInterval)
 	defer ticker.Stop()
+	pruned := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -54,9 +91,14 @@
 		case <-ticker.C:
 		}
 		if p.owner.valid() {
+			p.querySilent(ctx)
 			p.expireHolds(ctx)
 			p.refresh(time.Now())
 			p.placePending(ctx)
+			if time.Since(pruned) >= pruneEvery {
+				pruned = time.Now()
+				p.owner.prune(ctx, pruned)
+			}
 		}
 	}
 }
@@ -82,6 +124,8 @@
 	job  ledger.Job
 	op   ledger.Op
 	info *scheduler.TaskInfo
+	// node is as known before the placement became durable, its clock included. A successor counts its wait from a
+	// later moment, so a placement that this owner sends late, after a pause, arrives after its hold and is refused.
 	node scheduler.NodeInfo
 	cp   string
 	gang *gangStart // nil for a single task
@@ -115,7 +159,6 @@
 		return
 	}
 	for _, pl := range chosen {
-		p.owner.startHold(*pl.op.Ref, pl.job.Hold)
 		p.sends.Go(func() { p.send(ctx, pl) })
 	}
 }
@@ -170,6 +213,7 @@
 			reply.Reason = err.Error()
 		}
 		if reply.Evicted == 0 {
+			p.planner.sched.ReleaseRoom(task.Ref.Task)
 			p.planner.note(task.Ref.Task, "not placed", "preemption brought no room: "+reply.Reason)
 		}
 	})
@@ -216,17 +260,13 @@
 	}
 }
 
-// send offers a durable placement to the agent. Without an answer the task stays placed; the hold decides.
+// send offers a durable placement to the agent. Without an answer the agent is asked about it.
 func (p *placer) send(ctx context.Context, pl placement) {
-	member, ok := p.nodes.Lookup(pl.node.ID)
-	if !ok {
-		return
-	}
 	args := wire.PlaceArgs{
-		Partition: p.owner.id, Incarnation: pl.node.Incarnation, HoldUntil: member.Load.Clock + pl.job.Hold,
+		Partition: p.owner.id, Incarnation: pl.node.Incarnation, HoldUntil: pl.node.Clock + pl.job.Hold,
 		Spec: worker.Spec{
-			Ref: *pl.op.Ref, Kind: pl.job.Kind, Need: pl.info.Need, Run: pl.info.Run, Payload: pl.job.Payload, Checkpoint: pl.cp, Lease: WorkerLease,
-			Team: pl.job.Team, Priority: pl.job.Priority, Declared: pl.job.Need,
+			Ref: *pl.op.Ref, Kind: pl.job.Kind, Need: pl.info.Need, Run: pl.info.Run, Payload: pl.job.Payload, Checkpoint: pl.cp,
+			Lease: min(WorkerLease, pl.job.Hold/2), Team: pl.job.Team, Priority: pl.job.Priority, Declared: pl.job.Need,
 		},
 	}
 	callCtx, cancel := context.WithTimeout(ctx, placeTimeout)
@@ -237,43 +277,47 @@
 	case err == nil && reply.Accepted:
 		p.planner.sched.Confirm(*pl.op.Ref, reply.Clock)
 		p.settleGang(ctx, pl, true)
-	case err != nil && !errors.Is(err, peer.ErrNotSent):
-		p.fence(ctx, pl)
-		p.settleGang(ctx, pl, true)
-	default:
-		p.refused(ctx, pl, reply, err)
+	case err == nil:
+		p.placementRefused(ctx, pl, reply)
 		p.settleGang(ctx, pl, false)
+	case errors.Is(err, peer.ErrNotSent):
+		p.avoidAgent(pl.node.ID)
+		p.placementRefused(ctx, pl, wire.PlaceReply{Reason: "agent not reachable"})
+		p.settleGang(ctx, pl, false)
+	default:
+		p.queryAgent(ctx, pl.node.ID, []worker.Ref{*pl.op.Ref})
+		p.settleGang(ctx, pl, true)
 	}
 }
 
-// fence asks the agent to refuse a placement whose answer was lost; if it says that the attempt is not there, it
-// never will be.
-func (p *placer) fence(ctx context.Context, pl placement) {
-	callCtx, cancel := context.WithTimeout(ctx, placeTimeout)
-	defer cancel()
-	var reply wire.StopReply
-	err := p.pool.Call(callCtx, pl.node.Addr, "Agent.Stop", wire.StopArgs{Ref: *pl.op.Ref}, &reply)
-	if err == nil && !reply.Known {
-		p.refused(ctx, pl, wire.PlaceReply{Reason: "placement lost on the way"}, nil)
-	}
-}
-
-// refused returns a task to the queue after proof that it did not start.
-func (p *placer) refused(ctx context.Context, pl placement, reply wire.PlaceReply, callErr error) {
-	reason := reply.Reason
-	if callErr != nil {
-		reason = callErr.Error()
-	}
+// placementRefused returns a task to the queue after proof that it did not start.
+func (p *placer) placementRefused(ctx context.Context, pl placement, reply wire.PlaceReply) {
 	ref := *pl.op.Ref
 	p.planner.sched.Refuse(ref, freshNode(pl.node, reply))
-	if callErr != nil {
+	if reply.Kept {
 		p.planner.avoidWorker(ref.Task, pl.node.ID)
 	}
-	p.planner.note(ref.Task, "refused", pl.node.ID+": "+reason)
-	op := ledger.Op{Kind: ledger.OpRefuse, Ref: &ref, Reason: reason}
-	events.TaskRefused.Log(&p.owner.zlog).Str("task", ref.Task).Int("attempt", ref.Attempt).Str("agent", pl.node.ID).Str("reason", reason).Send()
-	if err := p.owner.Commit(ctx, op); err != nil {
-		events.CommitFailed.Log(&p.owner.zlog).Err(err).Str("task", ref.Task).Send()
+	p.planner.note(ref.Task, "refused", pl.node.ID+": "+reply.Reason)
+	p.refused(ctx, pl.op, reply.Reason)
+}
+
+// refusalCeiling bounds the delay after refusals.
+const refusalCeiling = 10 * time.Second
+
+// refusalDelay returns how long a refused task waits. Each refusal costs two operations, so they back off.
+func (o *Owner) refusalDelay(task string) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n := o.refusals[task]
+	o.refusals[task] = n + 1
+	return min(refusedDelay<<min(n, 10), refusalCeiling)
+}
+
+func (p *placer) refused(ctx context.Context, op ledger.Op, reason string) {
+	refuse := ledger.Op{Kind: ledger.OpRefuse, Ref: op.Ref, Reason: reason, NotBefore: time.Now().Add(p.owner.refusalDelay(op.Ref.Task))}
+	events.TaskRefused.Log(&p.owner.zlog).Str("task", op.Ref.Task).Int("attempt", op.Ref.Attempt).Str("agent", op.Agent).Str("reason", reason).Send()
+	if err := p.owner.Commit(ctx, refuse); err != nil {
+		events.CommitFailed.Log(&p.owner.zlog).Err(err).Str("task", op.Ref.Task).Send()
 	}
 }
 
@@ -288,15 +332,14 @@
 
 // members lists the agents that may get tasks, this process included.
 func (p *placer) members() []membership.Member {
-	out := []membership.Member{}
-	for _, m := range p.nodes.Members() {
-		if m.Role == membership.RoleAgent && !m.Suspect && !m.Leaving {
-			out = append(out, m.Member)
-		}
+	known := p.nodes.Members()
+	if self, ok := p.nodes.Lookup(p.self); ok {
+		known = append(known, self)
 	}
-	if t, ok := p.nodes.(interface{ Self() membership.Member }); ok {
-		if self := t.Self(); self.Role == membership.RoleAgent && !self.Leaving {
-			out = append(out, self)
+	out := make([]membership.Member, 0, len(known))
+	for _, m := range known {
+		if m.Role == membership.RoleAgent && !m.Suspect && !m.Leaving && !p.avoided(m.ID) {
+			out = append(out, m.Member)
 		}
 	}
 	return out
@@ -331,7 +374,11 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	w := pendingWork{tasks: map[string]pendingTask{}}
+	known := pl.known()
 	for _, job := range o.state.Jobs {
+		if job.Finished() || now.Before(o.aside[job.ID].until) || !o.examine(job, known, now) {
+			continue
+		}
 		var gang *scheduler.Unit
 		if job.Gang {
 			gang = &scheduler.Unit{Key: job.ID, Gang: true}
@@ -347,7 +394,7 @@
 				continue
 			}
 			info := pl.taskInfo(job, i, t.Attempt+1)
-			w.tasks[info.Ref.Task] = pendingTask{job: *job, checkpoint: t.Checkpoint}
+			w.tasks[info.Ref.Task] = pendingTask{job: copyJob(job), checkpoint: t.Checkpoint}
 			if gang != nil {
 				gang.Tasks = append(gang.Tasks, info)
 				continue
@@ -380,35 +427,3 @@
 	}
 	return out
 }
-
-func (o *Owner) startHold(ref worker.Ref, hold time.Duration) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.holds[ref] = time.Now().Add(hold)
-}
-
-// expireHolds returns tasks to the queue whose agents can no longer be running them.
-func (p *placer) expireHolds(ctx context.Context) {
-	for _, op := range p.owner.expired(time.Now(), p.nodes) {
-		if err := p.owner.Commit(ctx, op); err == nil {
-			events.TaskLost.Log(&p.owner.zlog).Str("task", op.Ref.Task).Int("attempt", op.Ref.Attempt).Str("reason", op.Reason).Send()
-		}
-	}
-}
-
-func (o *Owner) expired(now time.Time, _ Nodes) []ledger.Op {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	ops := []ledger.Op{}
-	for ref, until := range o.holds {
-		_, task := o.state.Task(ref.Task)
-		if task == nil || task.State != ledger.TaskPlaced || task.Attempt != ref.Attempt {
-			delete(o.holds, ref)
-			continue
-		}
-		if now.After(until) {
-			ops = append(ops, ledger.Op{Kind: ledger.OpLost, Ref: &ref, Reason: "no report before the hold ran out"})
-		}
-	}
-	return ops
-}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -88,6 +88,7 @@
 	GetArgs     struct {
 		Partition int
 		JobID     string
+		Wait      time.Duration // answer when the job has finished, at the latest after this time; 0: at once
 	}
 	GetReply struct {
 		Code    Code
@@ -145,6 +146,7 @@
 		Reason   string
 		Clock    time.Duration    // the agent's clock at its decision
 		Free     worker.Resources // the agent's free room at that clock
+		Kept     bool             // refused because the room is kept for an urgent task
 	}
 	// PreemptArgs asks an agent to checkpoint lower priority work until Need is free.
 	PreemptArgs struct {
@@ -175,6 +177,16 @@
 		Report TaskReport
 		Known  bool
 	}
+	// QueryArgs asks about attempts; those that the agent does not know are fenced.
+	QueryArgs struct{ Refs []worker.Ref }
+	// QueryReply is evidence only if Ready: the agent has read its worker's list since its start. Settled means that
+	// the leases which an earlier incarnation of the agent could have renewed at the worker are over.
+	QueryReply struct {
+		Ready       bool
+		Settled     bool
+		Incarnation int64
+		Unknown     []worker.Ref
+	}
 	// FenceArgs asks whether a forwarded request has started; if not, it never will.
 	FenceArgs  struct{ RequestID string }
 	FenceReply struct {
