--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -12,13 +12,14 @@
 	now := time.Now()
 	urgent := false
 	for _, it := range items {
-		if it.Brief && !t.complete(&it) {
-			continue
-		}
 		if it.Member.ID == t.self.ID {
 			urgent = t.refute(it) || urgent
 			continue
 		}
+		if it.Extent != ExtentFull && !t.complete(&it) {
+			t.incomplete = true
+			continue
+		}
 		covered := t.scope().covers(it.Member) || t.cfg.KeepLoadReports && it.Member.Domain == t.self.Domain
 		if !covered && !candidate && t.entries[it.Member.ID] == nil {
 			continue
@@ -26,19 +27,22 @@
 		urgent = t.mergeItem(it, from, now) && covered || urgent
 		if e := t.entries[it.Member.ID]; e != nil && !covered {
 			e.candidate = now
+			if compareLife(it.Member, e.member) == 0 && e.state != it.State {
+				t.setState(e, it.State, now, "reported by its representative") // which is the authority on candidates
+			}
 		}
 	}
 	return urgent
 }
 
-// complete fills a brief record from the one that is held. Without one of the same life the sender is asked for
+// complete fills a brief record from the one that is held. Without one of the same life the link's partner is asked for
 // everything.
 func (t *Table) complete(it *Item) bool {
 	e := t.entries[it.Member.ID]
 	if e == nil || compareLife(e.member, it.Member) != 0 {
 		return false
 	}
-	it.Member = it.Member.withFixed(e.member)
+	it.Member = it.Member.withRest(e.member, it.Extent)
 	return true
 }
 
@@ -82,7 +86,7 @@
 		return false
 	}
 	newer := cmp > 0 || m.Version > e.member.Version
-	fixed := !m.sameFixed(e.member) || it.State != e.state
+	extent, life := extentOfChange(e.member, m), !m.sameLife(e.member) || it.State != e.state
 	urgent := false
 	if newer {
 		urgent = t.replaceRecord(e, m, now)
@@ -92,11 +96,7 @@
 		urgent = true
 	}
 	if newer || urgent {
-		t.seq++
-		e.seq, e.from = t.seq, from
-	}
-	if fixed && (newer || urgent) {
-		e.fixedSeq = e.seq
+		t.noteChange(e, extent, life, from)
 	}
 	return urgent
 }
@@ -115,10 +115,18 @@
 	return m.Leaving != old.Leaving || m.Gone != old.Gone || m.Load.Failing != old.Load.Failing || compareLife(m, old) > 0
 }
 
-func (t *Table) touch(e *entry, from string) {
+// touch makes the whole record known to the links.
+func (t *Table) touch(e *entry, from string) { t.noteChange(e, ExtentFull, true, from) }
+
+// noteChange makes the extent of a record known to the links; life says that it goes over all of them. A changed state
+// alone needs no more than the smallest extent, which keeps the loss of many members affordable.
+func (t *Table) noteChange(e *entry, x Extent, life bool, from string) {
 	t.seq++
-	e.seq, e.fixedSeq, e.from = t.seq, t.seq, from
-	t.ring = nil
+	e.seqs.note(x, t.seq)
+	e.from = from
+	if life {
+		e.lifeSeq, t.ring = t.seq, nil
+	}
 }
 
 func (t *Table) setState(e *entry, s State, now time.Time, reason string) {
@@ -155,7 +163,7 @@
 		switch {
 		case e.state == StateSuspect && now.Sub(e.since) > t.cfg.SuspectTimeout && now.After(t.quietUntil):
 			t.setState(e, StateDead, now, "suspicion not refuted")
-			t.touch(e, "")
+			t.noteChange(e, ExtentLoad, true, "")
 			t.kick()
 		case e.member.Gone && now.Sub(e.since) > goneKept,
 			e.state == StateDead && (now.Sub(e.since) > deadKept || dead >= lostMax),
