--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -43,15 +43,17 @@
 	metrics *telemetry.Registry
 	started time.Time
 	quick   *latencyWindow
+	stop    *stopState
 }
 
 // New returns an agent; Run starts it.
 func New(cfg Config, w worker.Worker, live *settings.Live, dir *partition.Directory, table *membership.Table, metrics *telemetry.Registry, log zerolog.Logger) *Agent {
 	a := &Agent{
-		cfg: cfg, log: log, live: live, gate: gate.New(cfg.Gate), fences: newFenceTable(),
+		cfg: cfg, log: log, live: live, gate: gate.New(cfg.Gate),
 		backend: backend.NewClient(cfg.BackendAddr, cfg.Gate.Conns),
-		table:   table, metrics: metrics, started: time.Now(), quick: newLatencyWindow(),
+		table:   table, metrics: metrics, started: time.Now(), quick: newLatencyWindow(), stop: newStopState(),
 	}
+	a.fences = newFenceTable(a.clock)
 	a.tasks = newTaskRunner(a, w, dir)
 	return a
 }
@@ -74,6 +76,7 @@
 		defer close(tasksDone)
 		a.tasks.run(taskCtx)
 	}()
+	go a.backend.Watch(taskCtx, a.backendChanged)
 	a.publish(ctx)
 	a.drain()
 	stopTasks()
@@ -82,6 +85,15 @@
 	return nil
 }
 
+func (a *Agent) backendChanged(down bool) {
+	ev := events.BackendUp
+	if down {
+		ev = events.BackendDown
+	}
+	ev.Log(&a.log).Str("addr", a.cfg.BackendAddr).Send()
+	a.updateRecord()
+}
+
 func (a *Agent) publish(ctx context.Context) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
@@ -103,7 +115,7 @@
 		m.Load = membership.Load{
 			Backend: a.cfg.BackendName, Slots: u.Slots, SlotsBusy: u.Busy, Queued: u.Queued,
 			Conns: u.Conns, ConnsMax: u.ConnsMax, Capacity: u.Room, Free: u.Free, Clock: a.clock(),
-			Failing: a.tasks.failing(),
+			Failing: a.tasks.failing(), BackendDown: a.backend.Down(),
 		}
 	})
 	a.metrics.Gauge("agent_slots_busy").Update(int64(u.Busy))
@@ -111,22 +123,6 @@
 	a.metrics.Gauge("agent_connections").Update(int64(u.Conns))
 }
 
-// announceDelay is the time for the entries to hear that this agent leaves.
-const announceDelay = 1500 * time.Millisecond
-
-func (a *Agent) drain() {
-	events.AgentDraining.Log(&a.log).Send()
-	a.table.Update(func(m *membership.Member) { m.Leaving = true })
-	time.Sleep(announceDelay) // requests routed before the entries heard are still served
-	a.gate.Leave()
-	ctx, cancel := context.WithTimeout(context.Background(), a.cfg.Drain)
-	defer cancel()
-	if err := a.gate.Drain(ctx); err != nil {
-		events.AgentDraining.Log(&a.log).Err(err).Msg("streams are still open at the end of the drain time")
-	}
-	a.tasks.handOver(ctx)
-}
-
 // Service answers control calls of partition owners and entries; register it as "Agent".
 type Service struct{ a *Agent }
 
@@ -145,10 +141,14 @@
 	return nil
 }
 
-// FenceRequest reports whether a forwarded request has started; if not, it never will.
+// FenceRequest reports how a dispatched request ended; if it has not started, it never will.
 func (s *Service) FenceRequest(args wire.FenceArgs, reply *wire.FenceReply) error {
-	reply.Started = s.a.fences.fence(args.RequestID)
 	reply.Incarnation = s.a.table.Self().Incarnation
+	if args.Incarnation != reply.Incarnation {
+		reply.Verdict = wire.VerdictUnknown // a restarted agent does not remember what started before
+		return nil
+	}
+	reply.Verdict, reply.Result = s.a.fences.settle(args.RequestID, args.Until)
 	return nil
 }
 
--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -5,12 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"bamboofork/internal/backend"
 	"bamboofork/internal/events"
 	"bamboofork/internal/gate"
 	"bamboofork/internal/settings"
@@ -25,14 +25,38 @@
 		return
 	}
 	w.Header().Set(wire.HeaderRequestID, r.Header.Get(wire.HeaderRequestID))
+	w.Header().Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
 	w.Header().Set(wire.HeaderAgent, a.cfg.ID)
 	branch, known := a.live.Current().Branch(r.Header.Get(wire.HeaderBranch))
 	if !known {
 		a.refuse(w, r, http.StatusServiceUnavailable, "branch not known to this agent yet")
 		return
 	}
+	d, err := dispatchOf(r)
+	if err == nil && r.Header.Get(wire.HeaderRequestID) == "" {
+		err = errors.New("the request has no identifier")
+	}
+	if err == nil && d == nil && !branch.Idempotent {
+		err = errors.New("a request of a branch that is not idempotent must be keyed")
+	}
+	switch {
+	case err != nil:
+		a.refuse(w, r, http.StatusBadRequest, err.Error())
+	case d != nil:
+		a.serveOnce(w, r, path, branch, d)
+	default:
+		a.serveRepeatable(w, r, path, branch)
+	}
+}
+
+// serveRepeatable takes a request that may run more than once.
+func (a *Agent) serveRepeatable(w http.ResponseWriter, r *http.Request, path string, branch *settings.Effective) {
 	ctx, cancel := requestContext(r, branch)
 	defer cancel()
+	if branch.Class == settings.ClassStream {
+		ctx, cancel = a.streamContext(ctx)
+		defer cancel()
+	}
 	release, err := a.admit(ctx, branch)
 	if err != nil {
 		a.refuse(w, r, refusalStatus(err), err.Error())
@@ -43,15 +67,6 @@
 		a.refuse(w, r, http.StatusServiceUnavailable, "deadline passed before the request ran")
 		return
 	}
-	switch err := a.fences.start(r.Header.Get(wire.HeaderRequestID) + "/" + r.Header.Get(wire.HeaderAttempt)); err {
-	case nil:
-	case errFenced:
-		a.refuse(w, r, http.StatusConflict, err.Error())
-		return
-	default:
-		a.answerUnknown(w, http.StatusConflict, err)
-		return
-	}
 	a.forward(ctx, w, r, path, branch)
 }
 
@@ -92,6 +107,9 @@
 	u := a.gate.Usage()
 	w.Header().Set(wire.HeaderBusy, strconv.Itoa(u.Busy))
 	w.Header().Set(wire.HeaderQueued, strconv.Itoa(u.Queued))
+	if a.stop.isLeaving() {
+		w.Header().Set(wire.HeaderLeaving, "1")
+	}
 }
 
 // hopHeaders are not passed on.
@@ -99,7 +117,28 @@
 
 func (a *Agent) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, path string, branch *settings.Effective) {
 	started := time.Now()
-	out := r.Clone(ctx)
+	resp, err := a.backend.Do(outgoing(r.WithContext(ctx), path))
+	if err == nil {
+		err = checkEcho(r, resp)
+	}
+	if err != nil {
+		a.forwardFailed(w, r, err)
+		return
+	}
+	defer resp.Body.Close()
+	a.startAnswer(w, resp)
+	readErr, writeErr := copyBody(w, resp.Body)
+	if err := errors.Join(readErr, writeErr); err != nil {
+		events.ForwardFailed.Log(&a.log).Str("request", r.Header.Get(wire.HeaderRequestID)).Err(err).Msg("answer truncated")
+		panic(http.ErrAbortHandler) // resets the HTTP/2 stream, so that the entry sees the truncation
+	}
+	a.observe(branch, time.Since(started))
+}
+
+// outgoing is the request to the backend server. Its body cannot be sent twice: net/http repeats a request with an
+// Idempotency-Key by itself unless its body cannot be replayed.
+func outgoing(r *http.Request, path string) *http.Request {
+	out := r.Clone(r.Context())
 	out.URL.Path = path
 	out.URL.RawPath = ""
 	out.RequestURI = ""
@@ -107,42 +146,48 @@
 		out.Header.Del(h)
 	}
 	out.GetBody = nil
-	out.Body = onceBody{r.Body} // net/http repeats a request with an Idempotency-Key unless its body cannot be replayed
-	resp, err := a.backend.Do(out)
-	if err != nil {
-		a.forwardFailed(w, r, err)
-		return
+	out.Body = onceBody{r.Body}
+	return out
+}
+
+var errEcho = errors.New("the backend server answered another request")
+
+// checkEcho compares the request identifier if the backend server returns one. A mismatch closes the connection.
+func checkEcho(r *http.Request, resp *http.Response) error {
+	got := resp.Header.Get(wire.HeaderRequestID)
+	if got == "" || got == r.Header.Get(wire.HeaderRequestID) {
+		return nil
 	}
-	defer resp.Body.Close()
+	resp.Body.Close()
+	return errEcho
+}
+
+func (a *Agent) startAnswer(w http.ResponseWriter, resp *http.Response) {
 	copyHeader(w.Header(), resp.Header)
 	a.loadHeaders(w)
 	w.Header().Set(wire.HeaderOutcome, string(wire.OutcomeDone))
 	w.WriteHeader(resp.StatusCode)
-	if err := copyBody(w, resp.Body); err != nil {
-		events.ForwardFailed.Log(&a.log).Str("request", r.Header.Get(wire.HeaderRequestID)).Err(err).Msg("answer truncated")
-		panic(http.ErrAbortHandler) // resets the HTTP/2 stream, so that the entry sees the truncation
-	}
-	a.observe(branch, time.Since(started))
 }
 
 // onceBody hides http.NoBody and the concrete type of a body, so that the transport never sends it twice.
 type onceBody struct{ io.ReadCloser }
 
 func (a *Agent) answerUnknown(w http.ResponseWriter, status int, err error) {
+	a.loadHeaders(w)
 	w.Header().Set(wire.HeaderOutcome, string(wire.OutcomeUnknown))
 	w.Header().Set(wire.HeaderReason, err.Error())
 	w.WriteHeader(status)
 }
 
 func (a *Agent) forwardFailed(w http.ResponseWriter, r *http.Request, err error) {
-	var opErr *net.OpError
-	notRun := errors.As(err, &opErr) && opErr.Op == "dial"
+	notRun := errors.Is(err, backend.ErrNotSent)
 	events.ForwardFailed.Log(&a.log).Str("request", r.Header.Get(wire.HeaderRequestID)).Err(err).Bool("not_run", notRun).Send()
 	a.metrics.Counter("agent_forward_failed").Inc(1)
 	a.loadHeaders(w)
 	err = fmt.Errorf("backend server: %w", err)
 	switch {
 	case notRun:
+		w.Header().Set(wire.HeaderBackendDown, "1")
 		a.refuse(w, r, http.StatusServiceUnavailable, err.Error())
 	case errors.Is(err, context.DeadlineExceeded):
 		a.answerUnknown(w, http.StatusGatewayTimeout, err)
@@ -166,25 +211,26 @@
 // copyBufferBytes is the unit in which bodies are passed on.
 const copyBufferBytes = 32 << 10
 
-// copyBody passes a body on and flushes after each read, so that streams are not held back.
-func copyBody(w http.ResponseWriter, body io.Reader) error {
+// copyBody passes a body on and flushes after each read, so that streams are not held back. It tells a body that
+// broke off (readErr) from a receiver that is gone (writeErr).
+func copyBody(w http.ResponseWriter, body io.Reader) (readErr, writeErr error) {
 	buf := make([]byte, copyBufferBytes)
 	rc := http.NewResponseController(w)
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
 			if _, err := w.Write(buf[:n]); err != nil {
-				return err
+				return nil, err
 			}
 			if err := rc.Flush(); err != nil {
-				return err
+				return nil, err
 			}
 		}
 		if err == io.EOF {
-			return nil
+			return nil, nil
 		}
 		if err != nil {
-			return err
+			return err, nil
 		}
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -59,6 +59,10 @@
 	LogLevel      string        `yaml:"log_level"`      // debug, info, warn or error; default info
 	Backend       Backend       `yaml:"backend"`
 	Worker        Worker        `yaml:"worker"`
+	Advertise     Advertise     `yaml:"advertise"`            // addresses told to other processes, default the listening ones
+	TLS           TLS           `yaml:"tls"`                  // between processes
+	CallersTLS    TLS           `yaml:"callers_tls"`          // of the caller API; without ca
+	Credentials   string        `yaml:"operator_credentials"` // file of operators' tokens; empty: operator endpoints are open
 }
 
 // Defaults of Process.
@@ -155,6 +159,7 @@
 		}
 	}
 	check(p.ID != "", "id", "a name is required")
+	p.checkSecurity(check)
 	check(p.Domain != "", "domain", "the failure domain is required")
 	check(p.Listen.Control != "", "listen.control", "an address ip:port is required")
 	check(p.Store != "", "store", "a base URL such as http://127.0.0.1:2379 is required")
--- /dev/null
+++ b/internal/config/security.go
@@ -0,0 +1,79 @@
+package config
+
+import (
+	"net"
+	"os"
+	"strconv"
+)
+
+// Advertise holds the addresses under which other processes reach this one, as ip:port.
+type Advertise struct {
+	Control string `yaml:"control"`
+	Data    string `yaml:"data"`
+}
+
+// TLS names the PEM files of a certificate. Files are read again when they change.
+type TLS struct {
+	Cert string `yaml:"cert"`
+	Key  string `yaml:"key"`
+	CA   string `yaml:"ca"`   // authorities of the other processes
+	Name string `yaml:"name"` // DNS name in the other processes' certificates, default bamboofork
+}
+
+// On reports whether TLS is configured.
+func (t TLS) On() bool { return t != TLS{} }
+
+// ControlAddr is the control address that other processes are told.
+func (p *Process) ControlAddr() string { return firstOf(p.Advertise.Control, p.Listen.Control) }
+
+// DataAddr is the data address that other processes are told.
+func (p *Process) DataAddr() string { return firstOf(p.Advertise.Data, p.Listen.Data) }
+
+func firstOf(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
+
+// checkSecurity validates addresses and files. TLS is either off or complete, so that a forgotten line does not leave
+// a connection unprotected.
+func (p *Process) checkSecurity(check func(ok bool, field, msg string)) {
+	for field, addr := range map[string]string{
+		"listen.callers": p.Listen.Callers, "listen.control": p.Listen.Control, "listen.data": p.Listen.Data,
+		"listen.operator": p.Listen.Operator, "advertise.control": p.Advertise.Control, "advertise.data": p.Advertise.Data,
+	} {
+		check(addr == "" || isHostPort(addr), field, "accepted: ip:port with a port of 1 to 65535")
+	}
+	if p.TLS.On() {
+		checkFile(check, "tls.cert", p.TLS.Cert)
+		checkFile(check, "tls.key", p.TLS.Key)
+		checkFile(check, "tls.ca", p.TLS.CA)
+	}
+	if p.CallersTLS.On() {
+		checkFile(check, "callers_tls.cert", p.CallersTLS.Cert)
+		checkFile(check, "callers_tls.key", p.CallersTLS.Key)
+		check(p.CallersTLS.CA == "", "callers_tls.ca", "callers are anonymous and present no certificate")
+	}
+	if p.Credentials != "" {
+		checkFile(check, "operator_credentials", p.Credentials)
+	}
+}
+
+func isHostPort(addr string) bool {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil || net.ParseIP(host) == nil {
+		return false
+	}
+	n, err := strconv.Atoi(port)
+	return err == nil && n > 0 && n <= 65535
+}
+
+func checkFile(check func(ok bool, field, msg string), field, name string) {
+	if name == "" {
+		check(false, field, "a file is required")
+		return
+	}
+	info, err := os.Stat(name)
+	check(err == nil && info.Mode().IsRegular(), field, "the file "+strconv.Quote(name)+" cannot be read")
+}
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -36,6 +38,8 @@
 
 // Register adds the caller API to e.
 func (e *Entry) Register(r *echo.Echo) {
+	r.HTTPErrorHandler = httpError
+	r.Use(e.closeWhenLeaving)
 	r.Any(PathRun+"*", e.handleRun)
 	r.POST(PathJobs, e.handleSubmit)
 	r.GET(PathJobs, e.handleJobs)
@@ -43,11 +47,47 @@
 	r.DELETE(PathJobs+"/:id", e.handleCancel)
 }
 
+// httpError answers what no handler took with a problem body.
+func httpError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	status, detail := http.StatusInternalServerError, ""
+	var he *echo.HTTPError
+	if errors.As(err, &he) {
+		status = he.Code
+	}
+	if errors.Is(err, echo.ErrNotFound) || errors.Is(err, echo.ErrMethodNotAllowed) {
+		detail = "see " + PathRun + "{branch}" + pathSplit + "{path} and " + PathJobs
+	}
+	outcome := wire.OutcomeNotRun
+	if status >= http.StatusInternalServerError {
+		outcome = wire.OutcomeUnknown
+	}
+	problem(c, status, outcome, "", detail) //nolint:errcheck // the caller is gone if this fails
+}
+
+// closeWhenLeaving closes callers' connections with their next answer once the entry leaves.
+func (e *Entry) closeWhenLeaving(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if e.isLeaving() {
+			c.Response().Header().Set(echo.HeaderConnection, "close")
+		}
+		return next(c)
+	}
+}
+
+// retryAfterSpread is the number of seconds over which refused callers are asked to come back.
+const retryAfterSpread = 4
+
 func problem(c echo.Context, status int, outcome wire.Outcome, id, detail string) error {
 	h := c.Response().Header()
 	h.Set(echo.HeaderContentType, "application/problem+json")
 	h.Set(wire.HeaderOutcome, string(outcome))
 	h.Set(wire.HeaderRequestID, id)
+	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusConflict {
+		h.Set("Retry-After", strconv.Itoa(1+rand.IntN(retryAfterSpread)))
+	}
 	return c.JSON(status, Problem{Title: http.StatusText(status), Status: status, Detail: detail, Outcome: outcome, RequestID: id})
 }
 
@@ -63,13 +103,18 @@
 	if !branch.Idempotent && key == "" {
 		return problem(c, http.StatusBadRequest, wire.OutcomeNotRun, id, "the branch is not idempotent; send an Idempotency-Key")
 	}
-	body, tooLarge, err := readBody(r.Body, branch.BodyLimit)
-	if err != nil {
-		return problem(c, http.StatusBadRequest, wire.OutcomeNotRun, id, "request body: "+err.Error())
+	if len(key) > maxKeyBytes || strings.ContainsFunc(key, notVisible) {
+		return problem(c, http.StatusBadRequest, wire.OutcomeNotRun, id, "an Idempotency-Key has up to 255 visible ASCII characters")
 	}
-	if tooLarge {
-		return problem(c, http.StatusRequestEntityTooLarge, wire.OutcomeNotRun, id, "body exceeds "+strconv.FormatInt(branch.BodyLimit, 10)+" bytes")
+	if e.isLeaving() && branch.Class == settings.ClassStream {
+		return problem(c, http.StatusServiceUnavailable, wire.OutcomeNotRun, id, "this entry is leaving; open the stream again")
 	}
+	body, err := e.receive(c, branch)
+	if err != nil {
+		out := bodyAnswer(err)
+		return problem(c, out.Status, out.Outcome, id, out.Reason)
+	}
+	defer body.Release()
 	req := &Request{
 		ID: id, Branch: branch, Method: r.Method, Path: "/" + rest, Query: r.URL.RawQuery,
 		Header: callerHeader(r.Header), Body: body, Deadline: time.Now().Add(branch.Deadline),
@@ -77,6 +122,20 @@
 	return e.answer(c, req, key)
 }
 
+// maxKeyBytes bounds an idempotency key.
+const maxKeyBytes = 255
+
+func notVisible(r rune) bool { return r < 0x20 || r > 0x7e }
+
+// receive reads the head of the body. A caller that sends it slower than the branch's deadline is cut off.
+func (e *Entry) receive(c echo.Context, branch *settings.Effective) (*Body, error) {
+	rc := http.NewResponseController(c.Response().Writer)
+	if branch.Class != settings.ClassStream && rc.SetReadDeadline(time.Now().Add(branch.Deadline)) == nil {
+		defer rc.SetReadDeadline(time.Time{}) //nolint:errcheck // a closed connection fails at its next use
+	}
+	return newBody(c.Request().Body, c.Request().ContentLength, branch.BodyLimit, &e.buffers)
+}
+
 // callerHeader drops what a caller must not set and what belongs to one hop.
 func callerHeader(h http.Header) http.Header {
 	out := http.Header{}
@@ -90,12 +149,8 @@
 }
 
 func (e *Entry) answer(c echo.Context, req *Request, key string) error {
-	ctx := c.Request().Context()
-	if req.Branch.Class != settings.ClassStream {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
-		defer cancel()
-	}
+	ctx, cancel := e.requestContext(c.Request().Context(), req)
+	defer cancel()
 	started := time.Now()
 	var out *Answer
 	if req.Branch.Idempotent {
@@ -116,6 +171,17 @@
 	return nil
 }
 
+// requestContext ends at the request's deadline. Streams have none; they end when the entry leaves.
+func (e *Entry) requestContext(parent context.Context, req *Request) (context.Context, context.CancelFunc) {
+	if req.Branch.Class == settings.ClassStream {
+		return e.streamContext(parent)
+	}
+	return context.WithDeadline(parent, req.Deadline)
+}
+
+// callerWriteTimeout bounds one write to a caller that does not read.
+const callerWriteTimeout = 30 * time.Second
+
 func passOn(c echo.Context, req *Request, out *Answer) error {
 	h := c.Response().Header()
 	for name, values := range out.Response.Header {
@@ -127,9 +193,14 @@
 	h.Set(wire.HeaderOutcome, string(out.Outcome))
 	c.Response().WriteHeader(out.Response.StatusCode)
 	buf := make([]byte, 32<<10)
+	rc := http.NewResponseController(c.Response().Writer)
+	defer rc.SetWriteDeadline(time.Time{}) //nolint:errcheck // a closed connection fails at its next use
 	for {
 		n, err := out.Response.Body.Read(buf)
 		if n > 0 {
+			if err := rc.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+				return err
+			}
 			if _, err := c.Response().Write(buf[:n]); err != nil {
 				return err
 			}
@@ -178,12 +249,28 @@
 	return branch, ""
 }
 
+// DecodeJob reads a submission. On an error the status is 400, or 413 beyond maxJobBody.
+func DecodeJob(r io.Reader) (in JobRequest, status int, err error) {
+	data, err := io.ReadAll(io.LimitReader(r, maxJobBody+1))
+	if err != nil {
+		return in, http.StatusBadRequest, err
+	}
+	if len(data) > maxJobBody {
+		return in, http.StatusRequestEntityTooLarge, errJobTooLarge
+	}
+	if err := json.Unmarshal(data, &in); err != nil {
+		return in, http.StatusBadRequest, err
+	}
+	return in, http.StatusOK, nil
+}
+
+var errJobTooLarge = errors.New("more than " + strconv.Itoa(maxJobBody) + " bytes")
+
 func (e *Entry) handleSubmit(c echo.Context) error {
 	id := NewID()
-	var in JobRequest
-	c.Request().Body = http.MaxBytesReader(c.Response(), c.Request().Body, maxJobBody)
-	if err := c.Bind(&in); err != nil {
-		return problem(c, http.StatusBadRequest, wire.OutcomeNotRun, id, "malformed job: "+err.Error())
+	in, status, err := DecodeJob(c.Request().Body)
+	if err != nil {
+		return problem(c, status, wire.OutcomeNotRun, id, "malformed job: "+err.Error())
 	}
 	branch, fault := in.check(e.live.Current())
 	if fault != "" {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,24 +9,16 @@
 
 	"github.com/rs/zerolog"
 
-	"bamboofork/internal/events"
 	"bamboofork/internal/membership"
 	"bamboofork/internal/partition"
 	"bamboofork/internal/peer"
 	"bamboofork/internal/retry"
 	"bamboofork/internal/route"
+	"bamboofork/internal/security"
 	"bamboofork/internal/settings"
 	"bamboofork/internal/telemetry"
 )
 
-// Probing of connections to agents: after probeIdle without a frame a PING is sent, after probeTimeout more the
-// connection is dropped, so a silent connection is found within 3 s.
-const (
-	probeIdle    = 1 * time.Second
-	probeTimeout = 2 * time.Second
-	dialTimeout  = 1 * time.Second
-)
-
 // Entry serves callers.
 type Entry struct {
 	ID       string
@@ -39,29 +31,27 @@
 	budget   *retry.Budget
 	metrics  *telemetry.Registry
 	client   *http.Transport
+	scheme   string // of agents' data addresses
+	buffers  bufferBudget
+	leaving  leavingSet  // agents that said so in an answer
+	stop     *stopSignal // of this entry
 }
 
 // New returns an entry in the failure domain.
 func New(id, domain string, live *settings.Live, table *membership.Table, dir *partition.Directory, pool *peer.Pool, metrics *telemetry.Registry, log zerolog.Logger) *Entry {
 	return &Entry{
 		ID: id, log: log, live: live, table: table, dir: dir, pool: pool, metrics: metrics,
-		balancer: route.New(domain, table), budget: retry.NewBudget(), client: newTransport(),
+		balancer: route.New(domain, table), budget: retry.NewBudget(), client: newTransport(nil), scheme: "http", stop: newStopSignal(),
 	}
 }
 
-// newTransport speaks HTTP/2 cleartext to agents and probes idle connections with PING frames.
-func newTransport() *http.Transport {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Transport{
-		Protocols:          protocols,
-		DialContext:        dialer().DialContext,
-		DisableCompression: true,
-		HTTP2:              &http.HTTP2Config{SendPingTimeout: probeIdle, PingTimeout: probeTimeout},
-	}
+// Secure makes the entry speak TLS to agents as id; call it before Run.
+func (e *Entry) Secure(id *security.Identity) {
+	e.client, e.scheme = newTransport(id), "https"
 }
 
-// Drain waits for the requests in flight at the HTTP server; Run only publishes the settings revision.
+// Run publishes the settings revision until ctx ends, then announces that the entry leaves. It returns after the
+// time in which load balancers and other processes hear of it; requests are served until the HTTP server stops.
 func (e *Entry) Run(ctx context.Context) error {
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
@@ -70,9 +60,7 @@
 		e.table.Update(func(m *membership.Member) { m.SettingsRev = rev })
 		select {
 		case <-ctx.Done():
-			events.EntryDraining.Log(&e.log).Send()
-			e.table.Update(func(m *membership.Member) { m.Leaving = true })
-			e.client.CloseIdleConnections()
+			e.leave()
 			return nil
 		case <-ticker.C:
 		}
--- /dev/null
+++ b/internal/entry/keep.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+
+	"bamboofork/internal/ledger"
+	"bamboofork/internal/wire"
+)
+
+// recorded is the answer to a request whose end is on record.
+func recorded(r wire.Result) *Answer {
+	if r.Outcome != wire.OutcomeDone {
+		return &Answer{Outcome: r.Outcome, Status: http.StatusBadGateway, Reason: "recorded outcome of the request", final: true}
+	}
+	header := http.Header{}
+	for name, value := range r.Header {
+		header.Set(name, value)
+	}
+	header.Set("Bf-Replayed", "true")
+	if r.Truncated {
+		header.Set("Bf-Body", "not kept")
+	}
+	resp := &http.Response{StatusCode: r.Status, Header: header, Body: io.NopCloser(bytes.NewReader(r.Body))}
+	return &Answer{Outcome: wire.OutcomeDone, Response: resp}
+}
+
+// keepBody records an answer with its body if that is small, before the caller sees it. A larger body is passed on
+// while it arrives, and its end is recorded.
+func (k *keyedCall) keepBody(claim ledger.Claim, out *Answer) *Answer {
+	head, err := io.ReadAll(io.LimitReader(out.Response.Body, wire.KeptBody+1))
+	if err != nil {
+		out.Close(true)
+		claim.Outcome, claim.Truncated = string(wire.OutcomeFailed), true
+		k.complete(claim, false)
+		return &Answer{Outcome: wire.OutcomeFailed, Status: http.StatusBadGateway, Reason: "the request ran, its answer was cut off: " + err.Error()}
+	}
+	if len(head) <= wire.KeptBody {
+		claim.Body = head
+		claim.Truncated = out.Response.Header.Get("Bf-Body") != ""
+		k.complete(claim, false)
+		out.replaceBody(bytes.NewReader(head))
+		return out
+	}
+	claim.Truncated = true
+	rest := &endReader{r: out.Response.Body, end: func(err error) {
+		if err != nil {
+			claim.Outcome = string(wire.OutcomeFailed)
+		}
+		k.complete(claim, false)
+	}}
+	out.replaceBody(io.MultiReader(bytes.NewReader(head), rest))
+	return out
+}
+
+// replaceBody substitutes the content of the response; closing it still closes the connection's body.
+func (a *Answer) replaceBody(r io.Reader) {
+	a.Response.Body = struct {
+		io.Reader
+		io.Closer
+	}{r, a.Response.Body}
+}
+
+// endReader calls end once when r ends, with nil at its regular end.
+type endReader struct {
+	r   io.Reader
+	end func(error)
+}
+
+// Read implements io.Reader.
+func (e *endReader) Read(p []byte) (int, error) {
+	n, err := e.r.Read(p)
+	if err != nil && e.end != nil {
+		if errors.Is(err, io.EOF) {
+			e.end(nil)
+		} else {
+			e.end(err)
+		}
+		e.end = nil
+	}
+	return n, err
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -87,7 +87,14 @@
 	Key       string            `json:"key"`
 	Branch    string            `json:"branch"`
 	RequestID string            `json:"request_id"`
-	At        time.Time         `json:"at"`
+	Digest    string            `json:"digest,omitempty"` // of method, path, query and body; a repeat must have the same
+	At        time.Time         `json:"at"`               // by the clock of the partition owner
+	Agent     string            `json:"agent,omitempty"`  // that the attempt is dispatched to
+	AgentAddr string            `json:"agent_addr,omitempty"`
+	AgentInc  int64             `json:"agent_inc,omitempty"`
+	Attempt   int               `json:"attempt,omitempty"` // dispatches, each to one agent; grows only after proof that the one before did not run
+	Until     time.Duration     `json:"until,omitempty"`   // on the agent's clock; the agent refuses a later arrival
+	Ended     time.Time         `json:"ended,omitzero"`    // when the outcome was recorded
 	Done      bool              `json:"done,omitempty"`
 	Outcome   string            `json:"outcome,omitempty"`
 	Status    int               `json:"status,omitempty"` // HTTP status of the answer
@@ -109,6 +116,7 @@
 	OpLost     OpKind = "lost"     // Ref: placed -> pending or unknown, after its hold ran out
 	OpCancel   OpKind = "cancel"   // JobID
 	OpClaim    OpKind = "claim"    // Claim
+	OpAssign   OpKind = "assign"   // Claim: proven not run at its agent, the next attempt goes to another
 	OpComplete OpKind = "complete" // Claim
 	OpRelease  OpKind = "release"  // Claim: proven not run, the key may be claimed again
 	OpPrune    OpKind = "prune"    // JobID or Claim.Key
@@ -192,6 +200,8 @@
 		return s.cancel(op.JobID)
 	case OpClaim:
 		return s.claim(op.Claim)
+	case OpAssign:
+		return s.assign(op.Claim)
 	case OpComplete:
 		return s.complete(op.Claim)
 	case OpRelease:
@@ -308,40 +318,9 @@
 	}, nil
 }
 
-func (s *State) claim(c *Claim) (Undo, error) {
-	if s.Claims[c.Key] != nil {
-		return nil, ErrDuplicate
-	}
-	s.Claims[c.Key] = c
-	return func() { delete(s.Claims, c.Key) }, nil
-}
-
-func (s *State) complete(c *Claim) (Undo, error) {
-	old := s.Claims[c.Key]
-	if old == nil {
-		return nil, ErrUnknown
-	}
-	if old.Done || old.RequestID != c.RequestID {
-		return nil, ErrStale
-	}
-	s.Claims[c.Key] = c
-	return func() { s.Claims[c.Key] = old }, nil
-}
-
-func (s *State) release(c *Claim) (Undo, error) {
-	old := s.Claims[c.Key]
-	if old == nil || old.Done || old.RequestID != c.RequestID {
-		return nil, ErrStale
-	}
-	delete(s.Claims, c.Key)
-	return func() { s.Claims[c.Key] = old }, nil
-}
-
 func (s *State) prune(op Op) (Undo, error) {
 	if op.Claim != nil {
-		old := s.Claims[op.Claim.Key]
-		delete(s.Claims, op.Claim.Key)
-		return func() { s.Claims[op.Claim.Key] = old }, nil
+		return s.pruneClaim(op.Claim)
 	}
 	job := s.Jobs[op.JobID]
 	if job == nil || !job.Finished() {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -38,7 +38,9 @@
 	Capacity  worker.Resources // for batch tasks
 	Free      worker.Resources // for batch tasks
 	Failing   bool             // the worker fails what it starts
-	Clock     time.Duration    // the agent's monotonic time since its start, when it wrote the record
+	// BackendDown: the backend server refuses connections or does not answer probes.
+	BackendDown bool
+	Clock       time.Duration // the agent's monotonic time since its start, when it wrote the record
 }
 
 // Member is a process's record about itself.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,8 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
-	"net/http"
+	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -41,13 +40,19 @@
 	Agent   *agent.Agent // nil for entries
 	stages  [][]app.Part // in the order in which they stop
 	closers []func()
+	doors   []door // listeners and servers, for Abort
+
+	pool      *peer.Pool
+	store     *cutStore
+	aborted   chan struct{}
+	abortOnce sync.Once
 }
 
 // base holds what entries and agents share.
 type base struct {
 	cfg    config.Process
 	log    zerolog.Logger
-	st     store.Store
+	st     *cutStore
 	pool   *peer.Pool
 	server *peer.Server
 	table  *membership.Table
@@ -55,23 +60,28 @@
 	dir    *partition.Directory
 	reg    *telemetry.Registry
 	api    *operatorapi.API
+	sec    *nodeSecurity
 }
 
 func newBase(cfg config.Process, role membership.Role, log zerolog.Logger) (*base, error) {
 	log = log.With().Str("node", cfg.ID).Logger()
-	st := etcdgw.NewClient(cfg.Store, 0)
-	pool := peer.NewPool(cfg.ID, log, nil)
+	st := &cutStore{Store: etcdgw.NewClient(cfg.Store, 0)}
+	sec, err := loadSecurity(cfg, log)
+	if err != nil {
+		return nil, err
+	}
+	pool := peer.NewPool(cfg.ID, log, sec.dialer())
 	self := membership.Member{
 		ID: cfg.ID, Role: role, Region: cfg.Region, Domain: cfg.Domain, Rack: cfg.Rack,
-		Addr: cfg.Listen.Control, DataAddr: cfg.Listen.Data,
+		Addr: cfg.ControlAddr(), DataAddr: cfg.DataAddr(),
 	}
 	b := &base{
-		cfg: cfg, log: log, st: st, pool: pool, server: peer.NewServer(cfg.ID, log),
+		cfg: cfg, log: log, sec: sec, st: st, pool: pool, server: peer.NewServer(cfg.ID, log),
 		table: membership.NewTable(membership.Config{Self: self, Seeds: cfg.Seeds}, pool, log),
 		live:  settings.NewLive(), dir: partition.NewDirectory(st, pool, cfg.Partitions), reg: telemetry.New(),
 	}
 	b.api = &operatorapi.API{Table: b.table, Live: b.live, Metrics: b.reg}
-	err := b.server.Register("Member", b.table.Service())
+	err = b.server.Register("Member", b.table.Service())
 	return b, eris.Wrap(err, "register membership service")
 }
 
@@ -86,8 +96,12 @@
 	n.Entry = e
 	callers := newEcho()
 	e.Register(callers)
-	b.api.Register(callers)
-	server, err := httpPart("callers", cfg.Listen.Callers, callers, cfg.Drain)
+	b.registerOperator(callers)
+	if b.sec.peers != nil {
+		e.Secure(b.sec.peers)
+	}
+	e.OnLeave(cfg.Drain, func() { b.api.Ready.Store(false) })
+	server, err := n.httpPart("callers", cfg.Listen.Callers, callers, cfg.Drain, b.sec.callers)
 	if err != nil {
 		return nil, err
 	}
@@ -109,12 +123,12 @@
 	keeper := lease.NewKeeper(b.st, cfg.LeaseTTL, b.log)
 	unique := fmt.Sprintf("%s-%d", cfg.ID, b.table.Self().Incarnation)
 	manager := partition.NewManager(partition.Config{
-		ID: unique, Addr: cfg.Listen.Control, Partitions: cfg.Partitions, Max: cfg.MaxPartitions, Outage: cfg.OutageHold,
+		ID: unique, Addr: cfg.ControlAddr(), Partitions: cfg.Partitions, Max: cfg.MaxPartitions, Outage: cfg.OutageHold,
 	}, b.st, keeper, b.table, b.pool, b.log)
 	b.api.Owned = manager.Owned
 	a := agent.New(agent.Config{
 		ID: cfg.ID, BackendName: cfg.Backend.Name, BackendAddr: cfg.Backend.Addr, Drain: cfg.Drain,
-		Gate: gate.Config{Slots: cfg.Backend.Slots, Conns: cfg.Backend.Conns, MaxQueue: cfg.Backend.MaxQueue, Room: room},
+		Gate: gate.Config{Slots: cfg.Backend.Slots, Conns: forRequests(cfg.Backend), MaxQueue: cfg.Backend.MaxQueue, Room: room},
 	}, w, b.live, b.dir, b.table, b.reg, b.log)
 	if err := errors.Join(b.server.Register("Agent", a.Service()), b.server.Register("Partition", manager.Service())); err != nil {
 		return nil, eris.Wrap(err, "register services")
@@ -122,7 +136,7 @@
 	n := b.node()
 	n.Agent = a
 	n.closers = append(n.closers, w.Close)
-	data, err := httpPart("data", cfg.Listen.Data, a, cfg.Drain)
+	data, err := n.httpPart("data", cfg.Listen.Data, a, cfg.Drain, b.sec.peers)
 	if err != nil {
 		return nil, err
 	}
@@ -134,8 +148,8 @@
 	}
 	if cfg.Listen.Operator != "" {
 		e := newEcho()
-		b.api.Register(e)
-		operator, err := httpPart("operator", cfg.Listen.Operator, e, time.Second)
+		b.registerOperator(e)
+		operator, err := n.httpPart("operator", cfg.Listen.Operator, e, time.Second, b.sec.callers)
 		if err != nil {
 			return nil, err
 		}
@@ -144,6 +158,9 @@
 	return n, b.finish(n)
 }
 
+// forRequests is the number of connections to the backend server for requests; one more is used for probes.
+func forRequests(b config.Backend) int { return max(b.Slots, b.Conns-1) }
+
 const capacityAttempts = 20
 
 // roomOf reads the worker's capacity and keeps the reserve for the backend server.
@@ -167,15 +184,16 @@
 }
 
 func (b *base) node() *Node {
-	return &Node{Config: b.cfg, Live: b.live, Table: b.table, Metrics: b.reg}
+	return &Node{Config: b.cfg, Live: b.live, Table: b.table, Metrics: b.reg, pool: b.pool, store: b.st, aborted: make(chan struct{})}
 }
 
 // finish adds the shared parts. They stop last, so that a draining node stays known and reachable.
 func (b *base) finish(n *Node) error {
-	l, err := net.Listen("tcp", b.cfg.Listen.Control)
+	l, err := n.listen("control", b.cfg.Listen.Control)
 	if err != nil {
-		return eris.Wrap(err, "control listener")
+		return err
 	}
+	l = secureListener(l, b.sec.peers)
 	repo := settings.NewRepository(b.st, b.cfg.ID)
 	watcher := dissemination.NewWatcher(repo, watchLog(b.st, repo), b.live, b.log)
 	n.stages = append(n.stages,
@@ -211,39 +229,6 @@
 	}
 }
 
-// httpPart opens a listener and returns its server. HTTP/1.1 and HTTP/2 cleartext are served.
-func httpPart(name, addr string, h http.Handler, drain time.Duration) (app.Part, error) {
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
-		return app.Part{}, eris.Wrapf(err, "%s listener", name)
-	}
-	return app.Part{Name: name, Run: func(ctx context.Context) error { return ServeHTTP(ctx, l, h, drain) }}, nil
-}
-
-// readHeaderTimeout bounds slow or half-open callers.
-const readHeaderTimeout = 5 * time.Second
-
-// ServeHTTP serves until ctx ends, then waits up to drain for requests in flight.
-func ServeHTTP(ctx context.Context, l net.Listener, h http.Handler, drain time.Duration) error {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	srv := &http.Server{Handler: h, Protocols: protocols, ReadHeaderTimeout: readHeaderTimeout}
-	done := make(chan error, 1)
-	go func() { done <- srv.Serve(l) }()
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-	}
-	drainCtx, cancel := context.WithTimeout(context.Background(), drain)
-	defer cancel()
-	if err := srv.Shutdown(drainCtx); err != nil {
-		return srv.Close()
-	}
-	return nil
-}
-
 // Run serves until ctx ends or a part fails, then stops the stages one after another.
 func (n *Node) Run(ctx context.Context) error {
 	defer func() {
@@ -257,14 +242,29 @@
 	for i, parts := range n.stages {
 		stages[i] = startStage(parts, fail)
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-n.aborted:
+	}
 	var all []error
-	for _, s := range stages {
+	for i, s := range stages {
+		if n.isAborted() {
+			cancelAll(stages[i:])
+		}
 		all = append(all, s.stop())
 	}
+	if n.isAborted() {
+		return nil // the parts fail because their connections are gone
+	}
 	return errors.Join(all...)
 }
 
+func cancelAll(stages []*stage) {
+	for _, s := range stages {
+		s.cancel()
+	}
+}
+
 // stage is a set of parts that stop together.
 type stage struct {
 	cancel context.CancelFunc
--- a/internal/partition/manager.go
+++ b/internal/partition/manager.go
@@ -26,6 +26,7 @@
 	Partitions int    // number of partitions of the fleet
 	Max        int    // partitions that this process takes at most
 	Outage     time.Duration
+	ClaimTTL   time.Duration // how long the outcome of a keyed request is kept, default DefaultClaimTTL
 }
 
 // claimInterval is the mean time between looks for partitions without an owner.
@@ -51,6 +52,9 @@
 	if cfg.Outage == 0 {
 		cfg.Outage = DefaultOutage
 	}
+	if cfg.ClaimTTL == 0 {
+		cfg.ClaimTTL = DefaultClaimTTL
+	}
 	return &Manager{cfg: cfg, st: st, keeper: keeper, nodes: nodes, pool: pool, sched: scheduler.Default(), log: log, owners: map[int]*Owner{}}
 }
 
@@ -157,6 +161,11 @@
 	defer m.wg.Done()
 	placeCtx, stop := context.WithCancel(ctx)
 	placed := make(chan struct{})
+	settled := make(chan struct{})
+	go func() {
+		defer close(settled)
+		(&settler{owner: o, pool: m.pool, ttl: m.cfg.ClaimTTL}).run(placeCtx)
+	}()
 	go func() {
 		defer close(placed)
 		(&placer{owner: o, nodes: m.nodes, pool: m.pool, sched: m.sched}).run(placeCtx)
@@ -164,6 +173,7 @@
 	err := o.run(ctx)
 	stop()
 	<-placed
+	<-settled
 	m.mu.Lock()
 	delete(m.owners, o.id)
 	m.mu.Unlock()
--- a/internal/partition/owner.go
+++ b/internal/partition/owner.go
@@ -66,6 +66,7 @@
 	outage time.Duration
 
 	requests chan request
+	claims   claimStats
 
 	mu      sync.Mutex
 	state   *ledger.State
--- a/internal/partition/service.go
+++ b/internal/partition/service.go
@@ -71,38 +71,6 @@
 	return job.ID
 }
 
-// Claim records a keyed request before its dispatch.
-func (s *Service) Claim(args wire.ClaimArgs, reply *wire.ClaimReply) error {
-	claim := args.Claim
-	code, err := s.commit(args.Partition, ledger.Op{Kind: ledger.OpClaim, Claim: &claim})
-	reply.Code, reply.Granted = code, err == nil
-	if errors.Is(err, ledger.ErrDuplicate) {
-		reply.Code = wire.CodeOK
-		reply.Existing = s.m.owner(args.Partition).claim(claim.Key)
-	}
-	return nil
-}
-
-func (o *Owner) claim(key string) ledger.Claim {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if c := o.state.Claims[key]; c != nil {
-		return *c
-	}
-	return ledger.Claim{Key: key}
-}
-
-// Complete records the outcome of a keyed request, or releases its key if it was proven not to have run.
-func (s *Service) Complete(args wire.CompleteArgs, reply *wire.CompleteReply) error {
-	claim := args.Claim
-	op := ledger.Op{Kind: ledger.OpComplete, Claim: &claim}
-	if args.Release {
-		op.Kind = ledger.OpRelease
-	}
-	reply.Code, _ = s.commit(args.Partition, op)
-	return nil
-}
-
 // Cancel cancels a job. Its running tasks are stopped at the agents' next reports.
 func (s *Service) Cancel(args wire.CancelArgs, reply *wire.CancelReply) error {
 	var err error
--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,130 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/gob"
+	"errors"
+	"io"
+	"net"
+	"net/rpc"
+	"sync/atomic"
+	"time"
+)
+
+// Limits of a connection.
+const (
+	maxMessage   = 32 << 20        // bytes of one message; the largest are listings of jobs
+	writeTimeout = 2 * time.Second // of one message; a connection that takes longer counts as silent
+	// idleTimeout ends a served connection on which no probe arrives; it exceeds ProbeInterval + ProbeTimeout, after
+	// which the client has replaced the connection.
+	idleTimeout = 5 * time.Second
+)
+
+var errMessageTooLarge = errors.New("message exceeds the limit of a control connection")
+
+// envelope carries the arguments of a call to the codec, which notes that they left.
+type envelope struct {
+	args any
+	sent atomic.Bool
+}
+
+// limitReader bounds the bytes read between two resets, so that a peer cannot make this process hold more.
+type limitReader struct {
+	r    io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (l *limitReader) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errMessageTooLarge
+	}
+	if int64(len(p)) > l.left {
+		p = p[:l.left]
+	}
+	n, err := l.r.Read(p)
+	l.left -= int64(n)
+	return n, err
+}
+
+// gobConn encodes messages on one connection. Writes have a deadline, so that a caller never waits for a connection
+// whose other side does not read.
+type gobConn struct {
+	conn  net.Conn
+	dec   *gob.Decoder
+	enc   *gob.Encoder
+	limit *limitReader
+	out   *bufio.Writer
+}
+
+func newGobConn(conn net.Conn) *gobConn {
+	limit := &limitReader{r: conn, left: maxMessage}
+	out := bufio.NewWriter(conn)
+	return &gobConn{conn: conn, dec: gob.NewDecoder(bufio.NewReader(limit)), enc: gob.NewEncoder(out), limit: limit, out: out}
+}
+
+func (g *gobConn) write(header, body any) error {
+	if err := g.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	if err := errors.Join(g.enc.Encode(header), g.enc.Encode(body)); err != nil {
+		return err
+	}
+	return g.out.Flush()
+}
+
+func (g *gobConn) readHeader(header any) error {
+	g.limit.left = maxMessage
+	return g.dec.Decode(header)
+}
+
+// clientCodec implements rpc.ClientCodec.
+type clientCodec struct{ *gobConn }
+
+// WriteRequest implements rpc.ClientCodec. The body is an envelope, marked before its first byte can leave. A failed
+// write closes the connection, because part of a message may be on it.
+func (c clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	env := body.(*envelope)
+	env.sent.Store(true)
+	err := c.write(r, env.args)
+	if err != nil {
+		c.conn.Close()
+	}
+	return err
+}
+
+// ReadResponseHeader implements rpc.ClientCodec.
+func (c clientCodec) ReadResponseHeader(r *rpc.Response) error { return c.readHeader(r) }
+
+// ReadResponseBody implements rpc.ClientCodec.
+func (c clientCodec) ReadResponseBody(body any) error { return c.dec.Decode(body) }
+
+// Close implements rpc.ClientCodec.
+func (c clientCodec) Close() error { return c.conn.Close() }
+
+// serverCodec implements rpc.ServerCodec.
+type serverCodec struct{ *gobConn }
+
+// ReadRequestHeader implements rpc.ServerCodec. Clients probe each second, so a connection without a message for
+// idleTimeout is silent.
+func (c serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	if err := c.conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+		return err
+	}
+	return c.readHeader(r)
+}
+
+// ReadRequestBody implements rpc.ServerCodec.
+func (c serverCodec) ReadRequestBody(body any) error { return c.dec.Decode(body) }
+
+// WriteResponse implements rpc.ServerCodec.
+func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	err := c.write(r, body)
+	if err != nil {
+		c.conn.Close()
+	}
+	return err
+}
+
+// Close implements rpc.ServerCodec.
+func (c serverCodec) Close() error { return c.conn.Close() }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -9,8 +9,10 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"reflect"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -53,75 +55,6 @@
 	return nil
 }
 
-// Server accepts connections of other processes.
-type Server struct {
-	rpc *rpc.Server
-	log zerolog.Logger
-
-	mu    sync.Mutex
-	conns map[net.Conn]bool
-}
-
-// NewServer returns a server that answers probes as id.
-func NewServer(id string, log zerolog.Logger) *Server {
-	s := &Server{rpc: rpc.NewServer(), log: log, conns: map[net.Conn]bool{}}
-	if err := s.rpc.RegisterName("Peer", &pingService{id: id}); err != nil {
-		panic(err) // the method set is fixed at compile time
-	}
-	return s
-}
-
-// Register adds the exported methods of receiver under the name.
-func (s *Server) Register(name string, receiver any) error { return s.rpc.RegisterName(name, receiver) }
-
-// Serve accepts connections until ctx ends.
-func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { l.Close(); s.closeAll() })
-	defer stop()
-	for {
-		conn, err := l.Accept()
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		go s.serveConn(ctx, conn)
-	}
-}
-
-func (s *Server) closeAll() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		c.Close()
-	}
-}
-
-func (s *Server) track(c net.Conn, on bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if on {
-		s.conns[c] = true
-		return
-	}
-	delete(s.conns, c)
-}
-
-func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	defer conn.Close()
-	s.track(conn, true)
-	defer s.track(conn, false)
-	if ctx.Err() != nil {
-		return
-	}
-	if err := acceptHandshake(conn); err != nil {
-		events.PeerRefused.Log(&s.log).Str("remote", conn.RemoteAddr().String()).Err(err).Send()
-		return
-	}
-	s.rpc.ServeConn(conn)
-}
-
 func acceptHandshake(conn net.Conn) error {
 	if err := conn.SetDeadline(time.Now().Add(HandshakeTimeout)); err != nil {
 		return err
@@ -168,6 +101,7 @@
 	mu      sync.Mutex
 	clients map[string]*client
 	closed  bool
+	late    atomic.Int64
 }
 
 type client struct {
@@ -176,6 +110,8 @@
 	rpc   *rpc.Client
 	err   error
 	stop  context.CancelFunc
+	log   zerolog.Logger
+	late  *atomic.Int64 // answers after their callers had given up
 }
 
 // NewPool returns an empty pool for the process id. A nil dial uses TCP.
@@ -188,6 +124,9 @@
 	return &Pool{id: id, log: log, dial: dial, clients: map[string]*client{}}
 }
 
+// LateAnswers is the number of calls that were answered after their callers had given up.
+func (p *Pool) LateAnswers() int64 { return p.late.Load() }
+
 // Close ends all connections; later calls fail with ErrNotSent.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -216,23 +155,40 @@
 	return c.call(ctx, method, args, reply)
 }
 
+// call runs a method. The reply is decoded into a value of its own and copied when the call succeeded, because
+// net/rpc still writes to it when the answer arrives after the caller has given up.
 func (c *client) call(ctx context.Context, method string, args, reply any) error {
-	call := c.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
+	own := reflect.New(reflect.TypeOf(reply).Elem())
+	env := &envelope{args: args}
+	call := c.rpc.Go(method, env, own.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
+		go c.awaitLate(call, method)
 		return ErrLost
 	}
 	var answer rpc.ServerError
 	switch {
-	case call.Error == nil, errors.As(call.Error, &answer):
+	case call.Error == nil:
+		reflect.ValueOf(reply).Elem().Set(own.Elem())
+		return nil
+	case errors.As(call.Error, &answer):
 		return call.Error
-	case errors.Is(call.Error, rpc.ErrShutdown):
+	case !env.sent.Load():
 		return ErrNotSent
 	}
 	return ErrLost
 }
 
+// awaitLate accounts for an answer that nobody waits for any more. It ends at the latest with the connection.
+func (c *client) awaitLate(call *rpc.Call, method string) {
+	<-call.Done
+	if call.Error == nil {
+		c.late.Add(1)
+		events.ControlAnswerLate.Log(&c.log).Str("addr", c.addr).Str("method", method).Send()
+	}
+}
+
 // client returns the connection to addr and starts to dial it if there is none.
 func (p *Pool) client(addr string) (*client, error) {
 	p.mu.Lock()
@@ -244,7 +200,7 @@
 		return c, nil
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &client{addr: addr, ready: make(chan struct{}), stop: cancel}
+	c := &client{addr: addr, ready: make(chan struct{}), stop: cancel, log: p.log, late: &p.late}
 	p.clients[addr] = c
 	go p.run(ctx, c)
 	return c, nil
@@ -259,7 +215,7 @@
 		close(c.ready)
 		return
 	}
-	c.rpc = rpc.NewClient(conn)
+	c.rpc = rpc.NewClientWithCodec(clientCodec{newGobConn(conn)})
 	defer c.rpc.Close()
 	close(c.ready)
 	events.PeerConnected.Log(&p.log).Str("addr", c.addr).Send()
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -101,6 +101,8 @@
 		return "leaving"
 	case m.Suspect:
 		return "suspected"
+	case m.Load.BackendDown:
+		return "backend server down"
 	case avoid[m.ID]:
 		return "already tried"
 	case now.Before(b.state(m.ID).until):
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -86,6 +86,7 @@
 	time.Sleep(s.serviceTime(r))
 	s.served.Add(1)
 	w.Header().Set("Content-Type", "text/plain")
+	w.Header().Set("Bf-Request-Id", r.Header.Get("Bf-Request-Id"))
 	fmt.Fprintf(w, "%s %s %s\n", s.cfg.Name, r.URL.Path, body)
 }
 
--- /dev/null
+++ b/internal/security/operators.go
@@ -0,0 +1,194 @@
+package security
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"bamboofork/internal/events"
+)
+
+// Right is what an operator may do.
+type Right int
+
+// Rights; each includes the ones before it.
+const (
+	RightRead  Right = iota + 1 // status, metrics, explanations
+	RightWrite                  // settings and commands
+)
+
+// Limits of a credentials file.
+const (
+	maxCredentialsBytes = 1 << 20
+	maxOperators        = 10_000
+)
+
+type operator struct {
+	name  string
+	hash  [sha256.Size]byte // of the token; tokens are random, so a plain hash suffices
+	right Right
+}
+
+// Operators checks bearer tokens against a file with one operator a line: "name read|write sha256-of-token-in-hex".
+// Empty lines and lines starting with # are skipped. The file is read again when it changes; content that is not
+// valid is reported and the earlier one stays in use.
+type Operators struct {
+	file string
+	log  zerolog.Logger
+
+	mu      sync.Mutex // guards the fields below it
+	checked time.Time
+	stamp   fileStamp
+	list    []operator
+}
+
+// LoadOperators reads a credentials file. An error names the line at fault.
+func LoadOperators(file string, log zerolog.Logger) (*Operators, error) {
+	o := &Operators{file: file, log: log, checked: time.Now(), stamp: stampOf(file)}
+	var err error
+	o.list, err = readOperators(file)
+	return o, err
+}
+
+func readOperators(file string) ([]operator, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "operator credentials")
+	}
+	defer f.Close()
+	data, err := io.ReadAll(io.LimitReader(f, maxCredentialsBytes+1))
+	if err != nil {
+		return nil, eris.Wrap(err, "operator credentials")
+	}
+	if len(data) > maxCredentialsBytes {
+		return nil, eris.Errorf("%s: larger than %d bytes", file, maxCredentialsBytes)
+	}
+	return ParseOperators(file, data)
+}
+
+// ParseOperators decodes a credentials file; errors have the form file:line: message.
+func ParseOperators(file string, data []byte) ([]operator, error) {
+	list := []operator{}
+	scanner := bufio.NewScanner(bytes.NewReader(data))
+	for line := 1; scanner.Scan(); line++ {
+		text := strings.TrimSpace(scanner.Text())
+		if text == "" || strings.HasPrefix(text, "#") {
+			continue
+		}
+		op, err := parseOperator(text)
+		if err != nil {
+			return nil, fmt.Errorf("%s:%d: %w", file, line, err)
+		}
+		if len(list) == maxOperators {
+			return nil, fmt.Errorf("%s:%d: more than %d operators", file, line, maxOperators)
+		}
+		list = append(list, op)
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return list, nil
+}
+
+func parseOperator(text string) (operator, error) {
+	fields := strings.Fields(text)
+	if len(fields) != 3 {
+		return operator{}, eris.New("accepted: name, read or write, SHA-256 of the token in hex")
+	}
+	op := operator{name: fields[0]}
+	switch fields[1] {
+	case "read":
+		op.right = RightRead
+	case "write":
+		op.right = RightWrite
+	default:
+		return operator{}, eris.Errorf("right %q; accepted: read, write", fields[1])
+	}
+	hash, err := hex.DecodeString(fields[2])
+	if err != nil || len(hash) != sha256.Size {
+		return operator{}, eris.New("the hash must have 64 hex digits")
+	}
+	copy(op.hash[:], hash)
+	return op, nil
+}
+
+// HashToken returns the form of a token that a credentials file holds.
+func HashToken(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+func (o *Operators) operators() []operator {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if time.Since(o.checked) < reloadInterval {
+		return o.list
+	}
+	o.checked = time.Now()
+	stamp := stampOf(o.file)
+	if stamp == o.stamp {
+		return o.list
+	}
+	list, err := readOperators(o.file)
+	if err != nil {
+		events.CertificateRejected.Log(&o.log).Err(err).Send()
+		return o.list
+	}
+	o.list, o.stamp = list, stamp
+	events.CertificateLoaded.Log(&o.log).Str("file", o.file).Int("operators", len(list)).Send()
+	return o.list
+}
+
+// find compares the token with every operator, so that the time does not depend on which one matches.
+func (o *Operators) find(token string) (found operator, ok bool) {
+	sum := sha256.Sum256([]byte(token))
+	for _, op := range o.operators() {
+		if subtle.ConstantTimeCompare(sum[:], op.hash[:]) == 1 {
+			found, ok = op, true
+		}
+	}
+	return found, ok
+}
+
+// Require passes requests on whose bearer token has the right; others get 401 or 403 with a JSON problem body. A nil
+// Operators passes everything on, for deployments without credentials.
+func (o *Operators) Require(right Right, next http.Handler) http.Handler {
+	if o == nil {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		op, known := o.find(token)
+		switch {
+		case !ok || !known:
+			events.OperatorRefused.Log(&o.log).Str("remote", r.RemoteAddr).Str("path", r.URL.Path).Send()
+			w.Header().Set("WWW-Authenticate", `Bearer realm="bamboofork"`)
+			writeProblem(w, http.StatusUnauthorized, "an operator's bearer token is required")
+		case op.right < right:
+			events.OperatorRefused.Log(&o.log).Str("operator", op.name).Str("path", r.URL.Path).Send()
+			writeProblem(w, http.StatusForbidden, "the operator may not do this")
+		default:
+			next.ServeHTTP(w, r)
+		}
+	})
+}
+
+func writeProblem(w http.ResponseWriter, status int, detail string) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(status)
+	body := map[string]any{"title": http.StatusText(status), "status": status, "detail": detail}
+	json.NewEncoder(w).Encode(body) //nolint:errcheck // the caller is gone if this fails
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -3,6 +3,7 @@
 package wire
 
 import (
+	"strconv"
 	"time"
 
 	"bamboofork/internal/ledger"
@@ -21,8 +22,28 @@
 	HeaderBusy       = "Bf-Busy"   // slots in use at the agent when it answered
 	HeaderQueued     = "Bf-Queued" // requests waiting at the agent's gate when it answered
 	HeaderKey        = "Idempotency-Key"
+	// HeaderIncarnation and HeaderUntilMs mark a request that must run at most once: the incarnation of the agent
+	// that it is dispatched to, and the time on that agent's clock in milliseconds after which it is refused.
+	HeaderIncarnation = "Bf-Incarnation"
+	HeaderUntilMs     = "Bf-Until-Ms"
+	// HeaderLeaving is set on every answer of an agent that leaves, HeaderBackendDown on refusals because its backend
+	// server does not accept connections.
+	HeaderLeaving     = "Bf-Leaving"
+	HeaderBackendDown = "Bf-Backend-Down"
 )
 
+// Times of keyed requests, on the clock of the agent that executes them.
+const (
+	// DispatchWindow is how long after its claim a dispatch may arrive.
+	DispatchWindow = 30 * time.Second
+	// RequestMemory is how long an agent remembers starts, fences and ends. It exceeds DispatchWindow, so that a
+	// repeated or fenced arrival is refused either by memory or by its time.
+	RequestMemory = 2 * time.Minute
+)
+
+// KeptBody is the largest response body, in bytes, that is stored with a claim.
+const KeptBody = 8 << 10
+
 // ForwardPath is the prefix of forwarded requests on an agent's data address.
 const ForwardPath = "/forward"
 
@@ -67,8 +88,15 @@
 	ClaimReply struct {
 		Code     Code
 		Granted  bool
+		Reason   string       // why the code is not CodeOK
 		Existing ledger.Claim // the claim in the way if not granted
 	}
+	// AssignArgs moves an open claim to another agent; Claim carries the new attempt.
+	AssignArgs struct {
+		Partition int
+		Claim     ledger.Claim
+	}
+	AssignReply  struct{ Code Code }
 	CompleteArgs struct {
 		Partition int
 		Claim     ledger.Claim
@@ -146,10 +174,37 @@
 		Report TaskReport
 		Known  bool
 	}
-	// FenceArgs asks whether a forwarded request has started; if not, it never will.
-	FenceArgs  struct{ RequestID string }
+	// FenceArgs asks how a dispatched request ended. If it has not started, it never will.
+	FenceArgs struct {
+		RequestID   string        // with the attempt, see AttemptID
+		Incarnation int64         // of the agent that it was dispatched to
+		Until       time.Duration // of the dispatch
+	}
 	FenceReply struct {
-		Started     bool
-		Incarnation int64 // a restarted agent does not remember what started before
+		Verdict     Verdict
+		Incarnation int64  // of the answering agent
+		Result      Result // if the verdict is VerdictEnded
+	}
+	// Result is how a request ended, as far as it is kept.
+	Result struct {
+		Outcome   Outcome
+		Status    int // HTTP status of the backend server
+		Header    map[string]string
+		Body      []byte
+		Truncated bool // the body was too large to keep
 	}
 )
+
+// Verdict is what an agent knows about a dispatched request.
+type Verdict string
+
+// Verdicts.
+const (
+	VerdictNever   Verdict = "never"   // proven not started, and fenced
+	VerdictRunning Verdict = "running" // started, not ended
+	VerdictEnded   Verdict = "ended"
+	VerdictUnknown Verdict = "unknown" // another incarnation, or too long ago to remember
+)
+
+// AttemptID names one dispatch of a request.
+func AttemptID(requestID string, attempt int) string { return requestID + "/" + strconv.Itoa(attempt) }
