Run keyed requests under faults and check every outcome against the servers

Cause: nothing showed at most once under loss of answers, killed processes and a failing store. A first run hung at its end: a fleet host sent its result to the channel of its successor, because the channel was read after Run.

--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -44,6 +44,9 @@
 	OutageHold   time.Duration
 	Drain        time.Duration
 	FirstPort    int // 0: any free ports
+	// Relayed puts a faultnet relay before each process's control and data address; RelaySeed determines their faults.
+	Relayed   bool
+	RelaySeed uint64
 }
 
 // Fleet is a running fleet. mu guards the maps.
@@ -57,6 +60,7 @@
 	Agents  map[string]*Host
 	Entries map[string]*Host
 	stops   []func()
+	zombies []chan error // of aborted nodes
 }
 
 // Host is one host of the fleet.
@@ -65,6 +69,7 @@
 	Node    *node.Node
 	Worker  *platform.SimWorker
 	Backend *sample.Server
+	Links   Links
 	cancel  context.CancelFunc
 	done    chan error
 }
@@ -177,7 +182,7 @@
 	defer f.mu.Unlock()
 	out := []string{}
 	for _, h := range f.Entries {
-		out = append(out, h.Config.Listen.Control)
+		out = append(out, h.Config.ControlAddr())
 	}
 	return out
 }
@@ -191,11 +196,15 @@
 	if cfg.Listen.Callers, err = f.callerAddr(i); err != nil {
 		return err
 	}
-	n, err := node.NewEntry(cfg, f.log)
+	h := &Host{Config: cfg}
+	if err := f.relay(h); err != nil {
+		return err
+	}
+	n, err := node.NewEntry(h.Config, f.log)
 	if err != nil {
 		return err
 	}
-	h := &Host{Config: cfg, Node: n}
+	h.Node = n
 	h.run()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -238,6 +247,9 @@
 }
 
 func (f *Fleet) addAgent(h *Host) error {
+	if err := f.relay(h); err != nil {
+		return err
+	}
 	n, err := node.NewAgent(h.Config, f.log)
 	if err != nil {
 		return err
@@ -252,8 +264,9 @@
 
 func (h *Host) run() {
 	ctx, cancel := context.WithCancel(context.Background())
-	h.cancel, h.done = cancel, make(chan error, 1)
-	go func() { h.done <- h.Node.Run(ctx) }()
+	n, done := h.Node, make(chan error, 1)
+	h.cancel, h.done = cancel, done
+	go func() { done <- n.Run(ctx) }()
 }
 
 // Stop stops one host in order and waits for it.
@@ -262,6 +275,12 @@
 	return <-h.done
 }
 
+func (f *Fleet) host(hosts map[string]*Host, kind string, i int) *Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return hosts[fmt.Sprintf("%s-%d", kind, i+1)]
+}
+
 // EntryURL returns the base URL of an entry's caller API.
 func (f *Fleet) EntryURL(i int) string {
 	f.mu.Lock()
@@ -305,6 +324,7 @@
 
 // Stop stops all hosts in order, agents first, then the stand-ins.
 func (f *Fleet) Stop() error {
+	f.awaitZombies()
 	errs := append(stopAll(f.Agents), stopAll(f.Entries)...)
 	for i := len(f.stops) - 1; i >= 0; i-- {
 		f.stops[i]()
--- /dev/null
+++ b/internal/dev/keyedfaults.go
@@ -0,0 +1,119 @@
+package dev
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"bamboofork/internal/faultnet"
+	"bamboofork/internal/store/memstore"
+)
+
+// faultLength is how long a fault of a link or of the store lasts.
+const faultLength = 400 * time.Millisecond
+
+// fault is one kind of injected failure.
+type fault struct {
+	name   string
+	weight int
+	do     func(k *KeyedRun, rng *rand.Rand)
+}
+
+var keyedFaults = []fault{
+	{"data links reset", 6, func(k *KeyedRun, rng *rand.Rand) { k.randomAgent(rng).Links.Data.Reset() }},
+	{"control links reset", 4, func(k *KeyedRun, rng *rand.Rand) { k.randomAgent(rng).Links.Control.Reset() }},
+	{"data links silent", 3, func(k *KeyedRun, rng *rand.Rand) {
+		k.randomAgent(rng).Links.Data.Silence(faultnet.ToServer, faultnet.ToClient)
+	}},
+	{"answers silent", 3, func(k *KeyedRun, rng *rand.Rand) { k.randomAgent(rng).Links.Data.Silence(faultnet.ToClient) }},
+	{"requests silent", 3, func(k *KeyedRun, rng *rand.Rand) { k.randomAgent(rng).Links.Data.Silence(faultnet.ToServer) }},
+	{"control links silent", 2, func(k *KeyedRun, rng *rand.Rand) {
+		k.randomAgent(rng).Links.Control.Silence(faultnet.ToServer, faultnet.ToClient)
+	}},
+	{"data links half open", 2, func(k *KeyedRun, rng *rand.Rand) { k.randomAgent(rng).Links.Data.HalfOpen() }},
+	{"data links refused", 3, func(k *KeyedRun, rng *rand.Rand) {
+		k.forAWhile(k.randomAgent(rng).Links.Data, faultnet.Faults{Refuse: true})
+	}},
+	{"links slow and lossy", 3, func(k *KeyedRun, rng *rand.Rand) {
+		for _, l := range k.randomAgent(rng).Links.All() {
+			k.forAWhile(l, faultnet.Faults{Delay: 4 * time.Millisecond, Jitter: 4 * time.Millisecond, Loss: 0.05})
+		}
+	}},
+	{"store answers lost", 3, func(k *KeyedRun, rng *rand.Rand) { k.storeFault(memstore.Faults{LoseAnswer: 0.3}) }},
+	{"store down", 1, func(k *KeyedRun, rng *rand.Rand) { k.storeFault(memstore.Faults{Down: true}) }},
+	{"agent killed", 1, func(k *KeyedRun, rng *rand.Rand) { k.restart(k.randomAgent(rng), true) }},
+	{"partition owner killed", 1, func(k *KeyedRun, rng *rand.Rand) { k.restart(k.owner(rng), true) }},
+	{"entry killed", 1, func(k *KeyedRun, rng *rand.Rand) {
+		k.restart(k.Fleet.Entry(rng.IntN(k.Fleet.Profile.Entries)), false)
+	}},
+}
+
+// injectFaults brings about random faults until ctx ends.
+func (k *KeyedRun) injectFaults(ctx context.Context) {
+	if k.FaultEvery == 0 {
+		return
+	}
+	rng := rand.New(rand.NewPCG(k.Seed, 1<<32))
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(k.FaultEvery/2 + time.Duration(rng.Int64N(int64(k.FaultEvery)))):
+		}
+		f := pickFault(rng)
+		f.do(k, rng)
+		k.mu.Lock()
+		k.report.Faults[f.name]++
+		k.mu.Unlock()
+	}
+}
+
+func pickFault(rng *rand.Rand) fault {
+	total := 0
+	for _, f := range keyedFaults {
+		total += f.weight
+	}
+	n := rng.IntN(total)
+	for _, f := range keyedFaults {
+		if n < f.weight {
+			return f
+		}
+		n -= f.weight
+	}
+	return keyedFaults[0]
+}
+
+func (k *KeyedRun) randomAgent(rng *rand.Rand) *Host {
+	return k.Fleet.Agent(rng.IntN(k.Fleet.Profile.Agents))
+}
+
+// owner returns an agent that owns a partition, or any if there is none.
+func (k *KeyedRun) owner(rng *rand.Rand) *Host {
+	first := rng.IntN(k.Fleet.Profile.Agents)
+	for i := range k.Fleet.Profile.Agents {
+		h := k.Fleet.Agent((first + i) % k.Fleet.Profile.Agents)
+		if len(h.Node.Owned()) > 0 {
+			return h
+		}
+	}
+	return k.Fleet.Agent(first)
+}
+
+func (k *KeyedRun) forAWhile(r *faultnet.Relay, f faultnet.Faults) {
+	r.SetFaults(f)
+	time.AfterFunc(faultLength, func() { r.SetFaults(faultnet.Faults{}) })
+}
+
+func (k *KeyedRun) storeFault(f memstore.Faults) {
+	k.Fleet.Store.Faulty.Set(f)
+	time.AfterFunc(faultLength, func() { k.Fleet.Store.Faulty.Set(memstore.Faults{}) })
+}
+
+// restart kills a process and starts it again. A failure shows as missing answers of this process in the report.
+func (k *KeyedRun) restart(h *Host, agent bool) {
+	if err := k.Fleet.Restart(h, agent); err != nil {
+		k.mu.Lock()
+		k.report.Faults["restart failed: "+err.Error()]++
+		k.mu.Unlock()
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,12 +42,21 @@
 	closers []func()
 	doors   []door // listeners and servers, for Abort
 
+	owned     func() []int // nil for entries
 	pool      *peer.Pool
 	store     *cutStore
 	aborted   chan struct{}
 	abortOnce sync.Once
 }
 
+// Owned returns the partitions that this node owns.
+func (n *Node) Owned() []int {
+	if n.owned == nil {
+		return nil
+	}
+	return n.owned()
+}
+
 // base holds what entries and agents share.
 type base struct {
 	cfg    config.Process
@@ -135,6 +144,7 @@
 	}
 	n := b.node()
 	n.Agent = a
+	n.owned = manager.Owned
 	n.closers = append(n.closers, w.Close)
 	data, err := n.httpPart("data", cfg.Listen.Data, a, cfg.Drain, b.sec.peers)
 	if err != nil {
