Keep answers whole when the end frame is lost, and commits whole at a planned stop

TestPlannedStopUnderLoad: the owner's stop cancelled the append in flight (outcome uncertain), requests that came in after the waiting ones were refused hung until their timeout, and the search for the next owner ended after 2 s. Ruled out: read deadlines of the caller's connection; a panic of a handler. Change: an answer of announced length ends with its last byte; a group on its way is not cancelled; requests of a stopped owner get not_owner; a claim waits up to 6 s for the next owner.

--- /dev/null
+++ b/internal/agent/fence_test.go
@@ -0,0 +1,62 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"bamboofork/internal/wire"
+)
+
+// Guards against a request that runs after the agent said that it never will, or runs twice, whatever the order of
+// arrivals, questions and elapsed time.
+func TestFenceTableNeverContradictsItself(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Duration(0)
+		table := newFenceTable(func() time.Duration { return now })
+		until, ran, never, arrived := wire.DispatchWindow, 0, false, false
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				now += time.Duration(rapid.Int64Range(0, int64(2*wire.RequestMemory)).Draw(t, "pass"))
+			case 1:
+				arrived = table.arrive("a/1", until) == nil
+			case 2:
+				if arrived && table.start("a/1") == nil {
+					ran++
+				}
+				arrived = false
+			case 3:
+				if ran == 1 {
+					if v, _ := table.settle("a/1", until); v == wire.VerdictRunning {
+						table.end("a/1", wire.Result{Outcome: wire.OutcomeDone})
+					}
+				}
+			case 4:
+				v, _ := table.settle("a/1", until)
+				never = never || v == wire.VerdictNever
+			}
+			if ran > 1 || ran > 0 && never {
+				t.Fatalf("ran %d times, said never: %v", ran, never)
+			}
+		}
+	})
+}
+
+// Guards against forgetting a request that still runs, and against proof from a memory that does not reach back.
+func TestFenceTableMemory(t *testing.T) {
+	now := time.Duration(0)
+	table := newFenceTable(func() time.Duration { return now })
+	qt.Assert(t, table.arrive("long/1", wire.DispatchWindow), qt.IsNil)
+	qt.Assert(t, table.start("long/1"), qt.IsNil)
+	for range 5 {
+		now += 2 * wire.RequestMemory
+		v, _ := table.settle("long/1", wire.DispatchWindow)
+		qt.Assert(t, v, qt.Equals, wire.VerdictRunning)
+	}
+	v, _ := table.settle("forgotten/1", wire.DispatchWindow)
+	qt.Assert(t, v, qt.Equals, wire.VerdictUnknown)
+	qt.Assert(t, table.arrive("forgotten/1", wire.DispatchWindow), qt.Equals, errLate)
+}
--- /dev/null
+++ b/internal/dev/leaving_test.go
@@ -0,0 +1,111 @@
+package dev_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bamboofork/internal/dev"
+)
+
+// balancedLoad sends requests through the entries that report ready, as the platform's load balancer does, until it
+// is stopped.
+type balancedLoad struct {
+	f     *dev.Fleet
+	ready [2]atomic.Bool
+	done  atomic.Int64
+	mu    sync.Mutex
+	bad   []string
+	end   chan struct{}
+	wg    sync.WaitGroup
+}
+
+func startLoad(f *dev.Fleet, callers int) *balancedLoad {
+	l := &balancedLoad{f: f, end: make(chan struct{})}
+	urls := [2]string{f.EntryURL(0), f.EntryURL(1)}
+	for i := range urls {
+		l.ready[i].Store(true)
+		l.loop(func(int) {
+			resp, err := http.Get(urls[i] + "/readyz")
+			l.ready[i].Store(err == nil && resp.StatusCode == http.StatusOK)
+			if err == nil {
+				resp.Body.Close()
+			}
+			time.Sleep(50 * time.Millisecond)
+		})
+	}
+	for c := range callers {
+		l.loop(func(n int) {
+			i := (c + n) % 2
+			if !l.ready[i].Load() {
+				i = 1 - i
+			}
+			path, key := scanPath, ""
+			if n%4 == 0 {
+				path, key = orderPath, fmt.Sprintf("leave-%d-%d", c, n)
+			}
+			l.check(i, post(urls[i]+path+"?ms=20", key, "load"))
+		})
+	}
+	return l
+}
+
+func (l *balancedLoad) loop(do func(n int)) {
+	l.wg.Add(1)
+	go func() {
+		defer l.wg.Done()
+		for n := 0; ; n++ {
+			select {
+			case <-l.end:
+				return
+			default:
+				do(n)
+			}
+		}
+	}()
+}
+
+func (l *balancedLoad) check(entry int, a answer) {
+	if a.err == nil && a.outcome == "done" {
+		l.done.Add(1)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bad = append(l.bad, fmt.Sprintf("entry %d: %d %v %s", entry, a.status, a.err, a.body))
+}
+
+func (l *balancedLoad) stop() {
+	close(l.end)
+	l.wg.Wait()
+}
+
+// Guards against a planned stop that cuts off a request in flight, in each order of entry and agent.
+func TestPlannedStopUnderLoad(t *testing.T) {
+	for name, order := range map[string]func(f *dev.Fleet) []*dev.Host{
+		"agent then entry": func(f *dev.Fleet) []*dev.Host { return []*dev.Host{f.Agent(0), f.Entry(0)} },
+		"entry then agent": func(f *dev.Fleet) []*dev.Host { return []*dev.Host{f.Entry(0), f.Agent(0)} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := smallFleet(t)
+			load := startLoad(f, 8)
+			time.Sleep(300 * time.Millisecond)
+			for _, h := range order(f) {
+				qt.Check(t, h.Stop(), qt.IsNil)
+			}
+			load.stop()
+			qt.Check(t, load.bad, qt.HasLen, 0)
+			qt.Check(t, load.done.Load() > 100, qt.IsTrue)
+			for _, h := range order(f) {
+				f.Forget(h)
+			}
+			qt.Check(t, f.Stop(), qt.IsNil)
+		})
+	}
+}
--- a/internal/dev/links.go
+++ b/internal/dev/links.go
@@ -91,3 +91,11 @@
 		<-done
 	}
 }
+
+// Forget removes a host that was stopped from the fleet.
+func (f *Fleet) Forget(h *Host) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.Agents, h.Config.ID)
+	delete(f.Entries, h.Config.ID)
+}
--- /dev/null
+++ b/internal/dev/path_test.go
@@ -0,0 +1,98 @@
+package dev_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bamboofork/internal/faultnet"
+)
+
+// Guards the request path of one fleet against silence, bad input and repeated keys. The cases share a fleet, because
+// starting one takes seconds.
+func TestRequestPath(t *testing.T) {
+	f := smallFleet(t)
+	defer func() { qt.Check(t, f.Stop(), qt.IsNil) }()
+	url := f.EntryURL(0)
+
+	t.Run("key with another body", func(t *testing.T) {
+		qt.Assert(t, post(url+orderPath, "k1", "one").outcome, qt.Equals, "done")
+		isProblem(t, post(f.EntryURL(1)+orderPath, "k1", "two"), 422, "not_run")
+		again := post(f.EntryURL(1)+orderPath, "k1", "one")
+		qt.Check(t, again.header.Get("Bf-Replayed"), qt.Equals, "true")
+		qt.Check(t, runsOf(f, "k1"), qt.Equals, 1)
+	})
+	t.Run("bad input", func(t *testing.T) {
+		isProblem(t, post(url+"/v1/run/nowhere/-/x", "", ""), 404, "not_run")
+		isProblem(t, post(url+"/nowhere", "", ""), 404, "not_run")
+		isProblem(t, post(url+orderPath, "", "no key"), 400, "not_run")
+		isProblem(t, post(url+orderPath, strings.Repeat("k", 256), "long key"), 400, "not_run")
+		isProblem(t, post(url+scanPath, "", strings.Repeat("x", 1<<20+1)), 413, "not_run")
+		isProblem(t, call("POST", url+orderPath, "k2", io.MultiReader(strings.NewReader(strings.Repeat("x", 1<<20+1)))), 413, "not_run")
+		isProblem(t, post(url+"/v1/jobs", "", "{"), 400, "not_run")
+		isProblem(t, post(url+"/v1/jobs", "", strings.Repeat(" ", 256<<10)+"{}"), 413, "not_run")
+		isProblem(t, call("PATCH", url+"/v1/jobs", "", nil), 405, "not_run")
+		qt.Check(t, post(url+scanPath, "", strings.Repeat("x", 1<<19)).outcome, qt.Equals, "done") // streamed
+	})
+	t.Run("garbage on the ports", func(t *testing.T) {
+		h := f.Agent(0).Config
+		for _, addr := range []string{h.Listen.Control, h.Listen.Data, strings.TrimPrefix(url, "http://")} {
+			conn, err := net.Dial("tcp", addr)
+			qt.Assert(t, err, qt.IsNil)
+			_, err = io.WriteString(conn, "\x16\x03\x01 not a request \xff\r\n\r\n")
+			qt.Assert(t, err, qt.IsNil)
+			conn.Close()
+		}
+		qt.Check(t, post(url+scanPath, "", "after").outcome, qt.Equals, "done")
+	})
+	t.Run("truncated answer over HTTP/1.1", func(t *testing.T) {
+		resp, err := http.Get(url + watchPath)
+		qt.Assert(t, err, qt.IsNil)
+		defer resp.Body.Close()
+		lines := bufio.NewReader(resp.Body)
+		_, err = lines.ReadString('\n')
+		qt.Assert(t, err, qt.IsNil)
+		for i := range f.Profile.Agents {
+			f.Agent(i).Links.Data.Reset()
+		}
+		for err == nil {
+			_, err = lines.ReadString('\n')
+		}
+		qt.Check(t, err, qt.Not(qt.Equals), io.EOF)
+	})
+	for name, directions := range map[string][]faultnet.Direction{
+		"requests": {faultnet.ToServer}, "answers": {faultnet.ToClient}, "both": {faultnet.ToServer, faultnet.ToClient},
+	} {
+		t.Run("silent connections, "+name, func(t *testing.T) {
+			qt.Assert(t, post(url+scanPath, "", "before").outcome, qt.Equals, "done")
+			for i := range f.Profile.Agents {
+				f.Agent(i).Links.Data.Silence(directions...)
+			}
+			keyed := make(chan answer, 1)
+			go func() { keyed <- post(url+orderPath, "silent-"+name, "order") }()
+			started := time.Now()
+			a := post(url+scanPath, "", "during")
+			t.Logf("answered after %s", time.Since(started))
+			qt.Check(t, a.outcome, qt.Equals, "done", qt.Commentf("%d %v %s", a.status, a.err, a.body))
+			k := <-keyed
+			qt.Check(t, k.outcome, qt.Equals, "done", qt.Commentf("%s", k.body))
+			qt.Check(t, runsOf(f, "silent-"+name), qt.Equals, 1)
+		})
+	}
+	t.Run("slow and lossy links", func(t *testing.T) {
+		for i := range f.Profile.Agents {
+			for _, l := range f.Agent(i).Links.All() {
+				l.SetFaults(faultnet.Faults{Delay: 4 * time.Millisecond, Jitter: 4 * time.Millisecond, Loss: 0.05})
+			}
+		}
+		for i := range 20 {
+			qt.Check(t, post(f.EntryURL(i%2)+scanPath, "", "slow").outcome, qt.Equals, "done")
+		}
+	})
+}
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -13,6 +13,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"bamboofork/internal/events"
 	"bamboofork/internal/ledger"
 	"bamboofork/internal/settings"
 	"bamboofork/internal/wire"
@@ -165,6 +166,7 @@
 	err := passOn(c, req, out)
 	out.Close(err != nil)
 	if err != nil {
+		events.AnswerCut.Log(&e.log).Str("request", req.ID).Err(err).Send()
 		panic(http.ErrAbortHandler) // the caller must see that the answer is cut off
 	}
 	e.metrics.Histogram("entry_latency_us").Update(time.Since(started).Microseconds())
--- a/internal/entry/keep.go
+++ b/internal/entry/keep.go
@@ -82,3 +82,26 @@
 	}
 	return n, err
 }
+
+// sizedBody ends after the announced number of bytes. HTTP/2 announces the end once more in a frame of its own; if that
+// frame is lost with its connection, the answer is whole all the same.
+type sizedBody struct {
+	io.ReadCloser
+	left int64
+}
+
+// Read implements io.Reader.
+func (b *sizedBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := b.ReadCloser.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	if b.left == 0 {
+		return n, io.EOF
+	}
+	if errors.Is(err, io.EOF) {
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -17,8 +17,11 @@
 	"bamboofork/internal/wire"
 )
 
-// ownerTimeout bounds a call to a partition owner.
-const ownerTimeout = 3 * time.Second
+// Bounds of calls to a partition owner. A claim waits for a change of owners, within the request's deadline.
+const (
+	ownerTimeout = 3 * time.Second
+	claimTimeout = 6 * time.Second
+)
 
 // keyedCall is one request with an idempotency key on its way. claim names the agent that the current attempt goes to.
 type keyedCall struct {
@@ -93,7 +96,9 @@
 	}
 	var reply wire.ClaimReply
 	args := wire.ClaimArgs{Partition: k.partition, Claim: k.claim}
-	err := k.e.callOwner(ctx, k.partition, "Partition.Claim", args, &reply, func() wire.Code { return reply.Code })
+	callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	err := k.e.dir.Call(callCtx, k.partition, "Partition.Claim", args, &reply, func() wire.Code { return reply.Code })
 	switch {
 	case err != nil:
 		// The claim may be durable. This entry dispatches nothing for it, so the request does not run; the owner
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -151,6 +151,9 @@
 	}
 	outcome := wire.Outcome(resp.Header.Get(wire.HeaderOutcome))
 	if outcome == wire.OutcomeDone {
+		if resp.ContentLength > 0 && req.Method != http.MethodHead {
+			resp.Body = &sizedBody{ReadCloser: resp.Body, left: resp.ContentLength}
+		}
 		return &Answer{Outcome: outcome, Response: resp, done: done}, nil
 	}
 	done(outcome != wire.OutcomeNotRun || resp.Header.Get(wire.HeaderBackendDown) != "")
--- a/internal/events/dataplane.go
+++ b/internal/events/dataplane.go
@@ -8,6 +8,7 @@
 	ClaimUnresolved = register(1502, "claim_unresolved", zerolog.WarnLevel, "Nobody can say whether the request of a claim ran; it is recorded as unknown.")
 	KeyReused       = register(1503, "key_reused", zerolog.WarnLevel, "A caller repeated an idempotency key with a different request; it was refused.")
 	CompleteFailed  = register(1504, "complete_failed", zerolog.WarnLevel, "The outcome of a keyed request could not be recorded; the partition owner asks the agent for it.")
+	AnswerCut       = register(1505, "answer_cut", zerolog.InfoLevel, "An answer could not be passed on to its end; the caller's connection was aborted.")
 	RequestRepeated = register(2501, "request_repeated", zerolog.WarnLevel, "A keyed request arrived twice at an agent; the repeat was not run.")
 	AnswerLate      = register(2502, "answer_late", zerolog.InfoLevel, "A keyed request ended after its entry was gone; its result is kept for questions about it.")
 )
--- a/internal/partition/directory.go
+++ b/internal/partition/directory.go
@@ -67,7 +67,7 @@
 
 // Attempts of Call to find the owner during a takeover.
 const (
-	findAttempts = 8
+	findAttempts = 20 // with findDelay 5 s: after a planned stop a partition is without an owner for up to 3 s
 	findDelay    = 250 * time.Millisecond
 )
 
--- a/internal/partition/owner.go
+++ b/internal/partition/owner.go
@@ -67,6 +67,7 @@
 
 	requests chan request
 	claims   claimStats
+	ended    chan struct{} // closed when run has returned: what is not answered by then had no effect
 
 	mu      sync.Mutex
 	state   *ledger.State
@@ -83,6 +84,7 @@
 		id: id, log: log, keeper: keeper, outage: outage,
 		zlog:     zlog.With().Int("partition", id).Logger(),
 		requests: make(chan request, requestBacklog),
+		ended:    make(chan struct{}),
 		holds:    map[worker.Ref]time.Time{},
 		explain:  map[string]string{},
 	}
@@ -215,13 +217,27 @@
 	select {
 	case err := <-r.done:
 		return err
+	case <-o.ended:
+		return o.answerOfEnded(r)
 	case <-ctx.Done():
 		return ErrUncertain
 	}
 }
 
+// answerOfEnded is the answer to a request of an owner that has stopped. A request that came in after the waiting ones
+// were refused was never looked at.
+func (o *Owner) answerOfEnded(r request) error {
+	select {
+	case err := <-r.done:
+		return err
+	default:
+		return ErrNotOwner
+	}
+}
+
 // run commits groups until ctx ends or ownership is lost, then refuses what waits.
 func (o *Owner) run(ctx context.Context) error {
+	defer close(o.ended)
 	defer o.refuseWaiting()
 	sinceSnapshot := 0
 	for {
@@ -229,7 +245,8 @@
 		case <-ctx.Done():
 			return o.release()
 		case r := <-o.requests:
-			if err := o.commitGroup(ctx, o.gather(r)); err != nil {
+			// A planned stop does not cut off a group on its way; the lease bounds its time.
+			if err := o.commitGroup(context.WithoutCancel(ctx), o.gather(r)); err != nil {
 				return err
 			}
 		}
