Run a fleet over TLS, fuzz the decoders, keep requests from unreachable agents

Cause: TLS and operators' credentials were not shown to work in a whole fleet; decoders of outside input had no fuzz targets. An agent whose data path was silent while its control calls worked was chosen again after each ejection. Ruled out: membership, which rightly sees such an agent as alive.

--- /dev/null
+++ b/internal/config/fuzz_test.go
@@ -0,0 +1,16 @@
+package config
+
+import "testing"
+
+// Guards against a process file that crashes the decoder or is accepted without its required settings.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("id: a\ndomain: d\nlisten: {control: 127.0.0.1:1, callers: 127.0.0.1:2}\nstore: http://127.0.0.1:3\n"))
+	f.Add([]byte("tls: {cert: x}\n"))
+	f.Add([]byte("id: [\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		p, err := Parse("f", data, false)
+		if err == nil && (p.ID == "" || !isHostPort(p.Listen.Control) || p.TLS.On() && p.TLS.CA == "") {
+			t.Fatalf("accepted %+v", p)
+		}
+	})
+}
--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -47,6 +47,9 @@
 	// Relayed puts a faultnet relay before each process's control and data address; RelaySeed determines their faults.
 	Relayed   bool
 	RelaySeed uint64
+	// TLS protects the connections between processes, CallersTLS the caller API, Credentials the operator endpoints.
+	TLS, CallersTLS config.TLS
+	Credentials     string
 }
 
 // Fleet is a running fleet. mu guards the maps.
@@ -173,6 +176,7 @@
 		Listen: config.Listen{Control: control}, Store: f.StoreURL, Seeds: f.seeds(),
 		Partitions: config.DefaultPartitions, MaxPartitions: config.DefaultMaxPartitions,
 		LeaseTTL: p.LeaseTTL, OutageHold: p.OutageHold, Drain: p.Drain, LogLevel: "info",
+		TLS: p.TLS, CallersTLS: p.CallersTLS, Credentials: p.Credentials,
 	}, nil
 }
 
@@ -285,7 +289,11 @@
 func (f *Fleet) EntryURL(i int) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return "http://" + f.Entries[fmt.Sprintf("entry-%d", i+1)].Config.Listen.Callers
+	scheme := "http://"
+	if f.Profile.CallersTLS.On() {
+		scheme = "https://"
+	}
+	return scheme + f.Entries[fmt.Sprintf("entry-%d", i+1)].Config.Listen.Callers
 }
 
 // WaitReady waits until every entry sees every agent and the tree is in force.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -35,6 +35,8 @@
 	buffers  bufferBudget
 	leaving  leavingSet  // agents that said so in an answer
 	stop     *stopSignal // of this entry
+
+	unreachable unreachable
 }
 
 // New returns an entry in the failure domain.
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -96,7 +96,10 @@
 // pick chooses an agent that was not tried before and logs the decision.
 func (e *Entry) pick(req *Request, attempt int, avoid map[string]bool) route.Decision {
 	e.leaving.avoid(avoid, e.table)
-	d := e.balancer.Pick(req.Branch.Backend, avoid)
+	d := e.balancer.Pick(req.Branch.Backend, e.unreachable.with(avoid))
+	if d.Chosen == nil {
+		d = e.balancer.Pick(req.Branch.Backend, avoid) // an agent that may answer again is better than none
+	}
 	if d.Chosen == nil {
 		events.RequestUnrouted.Log(&e.log).Str("request", req.ID).Str("decision", d.Explain()).Send()
 		return d
@@ -137,6 +140,9 @@
 	resp, err := e.roundTrip(ctx, req, m, claim)
 	if err != nil {
 		e.balancer.Done(m.ID, ctx.Err() == nil || !errors.Is(err, context.Canceled))
+		if ctx.Err() == nil {
+			e.suspect(m)
+		}
 		return nil, err
 	}
 	done := func(failed bool) { e.balancer.Done(m.ID, failed) }
--- /dev/null
+++ b/internal/store/etcdgw/fuzz_test.go
@@ -0,0 +1,38 @@
+package etcdgw
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"testing"
+)
+
+type cannedAnswer struct {
+	status int
+	body   []byte
+}
+
+func (c cannedAnswer) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: c.status, Body: io.NopCloser(bytes.NewReader(c.body)), Header: http.Header{}}, nil
+}
+
+// Guards against a store answer that crashes the client.
+func FuzzStoreAnswers(f *testing.F) {
+	f.Add(200, []byte(`{"header":{"revision":"5"},"succeeded":true,"responses":[{}],"kvs":[{"key":"YQ==","value":"Yg==","mod_revision":"3"}]}`))
+	f.Add(200, []byte(`{"responses":[]}`))
+	f.Add(503, []byte(`{"code":14}`))
+	f.Add(500, []byte(`garbage`))
+	f.Fuzz(func(t *testing.T, status int, body []byte) {
+		c := NewClient("http://127.0.0.1:1", 0)
+		c.http.Transport = cannedAnswer{status, body}
+		ctx := context.Background()
+		c.Get(ctx, "k")                               //nolint:errcheck // only a crash is a fault here
+		c.List(ctx, "a", "b", 0)                      //nolint:errcheck // as above
+		c.CompareAndSwap(ctx, "k", 0, []byte("v"), 0) //nolint:errcheck // as above
+		c.DeleteRange(ctx, "a", "b")                  //nolint:errcheck // as above
+		c.GrantLease(ctx, 1e9)                        //nolint:errcheck // as above
+		c.KeepAlive(ctx, 1)                           //nolint:errcheck // as above
+		c.RevokeLease(ctx, 1)                         //nolint:errcheck // as above
+	})
+}
