--- /dev/null
+++ b/internal/backend/backend_test.go
@@ -0,0 +1,71 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bamboofork/internal/faultnet"
+)
+
+func request(ctx context.Context, t *testing.T) *http.Request {
+	r, err := http.NewRequestWithContext(ctx, "POST", "http://backend/", nil)
+	qt.Assert(t, err, qt.IsNil)
+	return r
+}
+
+// Guards against a request that waits for a backend server that has gone silent, or that is reported as not sent.
+func TestSilentBackendServer(t *testing.T) {
+	arrived, release := make(chan bool, 1), make(chan bool)
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrived <- true; <-release }))
+	defer srv.Close()
+	defer close(release)
+	relay, err := faultnet.New(srv.Listener.Addr().String(), 1)
+	qt.Assert(t, err, qt.IsNil)
+	defer relay.Close()
+	c := NewClient(relay.Addr(), 4)
+	defer c.Close()
+	go func() {
+		<-arrived
+		relay.SetFaults(faultnet.Faults{Mute: true})
+		relay.Silence(faultnet.ToServer, faultnet.ToClient)
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	started := time.Now()
+	_, err = c.Do(request(ctx, t))
+	t.Logf("found after %s", time.Since(started))
+	qt.Check(t, errors.Is(err, ErrSilent), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Check(t, errors.Is(err, ErrNotSent), qt.IsFalse)
+}
+
+// Guards against a slow answer that is taken for silence: the server answers probes meanwhile.
+func TestSlowAnswerIsNotSilence(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		time.Sleep(ProbeInterval + ProbeTimeout + 500*time.Millisecond)
+	}))
+	defer srv.Close()
+	c := NewClient(srv.Listener.Addr().String(), 4)
+	defer c.Close()
+	resp, err := c.Do(request(context.Background(), t))
+	qt.Assert(t, err, qt.IsNil)
+	resp.Body.Close()
+}
+
+// Guards against a refused connection that is not recognised as proof that nothing ran.
+func TestRefusedIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	addr := l.Addr().String()
+	l.Close()
+	c := NewClient(addr, 4)
+	defer c.Close()
+	_, err = c.Do(request(context.Background(), t))
+	qt.Check(t, errors.Is(err, ErrNotSent), qt.IsTrue)
+}
--- a/internal/dev/measure_test.go
+++ b/internal/dev/measure_test.go
@@ -76,6 +76,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 			qt.Assert(t, f.WaitReady(ctx), qt.IsNil)
 			cancel()
+			time.Sleep(4 * time.Second) // partitions have owners
 			load := startLoad(f, 8)
 			time.Sleep(500 * time.Millisecond)
 			start := time.Now()
