--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,6 +15,7 @@
 	"bamboofork/internal/gate"
 	"bamboofork/internal/membership"
 	"bamboofork/internal/partition"
+	"bamboofork/internal/scheduler"
 	"bamboofork/internal/settings"
 	"bamboofork/internal/telemetry"
 	"bamboofork/internal/wire"
@@ -42,8 +43,8 @@
 	table   *membership.Table
 	metrics *telemetry.Registry
 	started time.Time
-	quick   *latencyWindow
 	stop    *stopState
+	history *scheduler.History
 }
 
 // New returns an agent; Run starts it.
@@ -51,7 +52,7 @@
 	a := &Agent{
 		cfg: cfg, log: log, live: live, gate: gate.New(cfg.Gate),
 		backend: backend.NewClient(cfg.BackendAddr, cfg.Gate.Conns),
-		table:   table, metrics: metrics, started: time.Now(), quick: newLatencyWindow(), stop: newStopState(),
+		table:   table, metrics: metrics, started: time.Now(), history: scheduler.NewHistory(), stop: newStopState(),
 	}
 	a.fences = newFenceTable(a.clock)
 	a.tasks = newTaskRunner(a, w, dir)
@@ -108,14 +109,18 @@
 }
 
 func (a *Agent) updateRecord() {
+	clock := a.clock() // before the room is read: a report with a later clock than an admission counts it
 	u := a.gate.Usage()
 	rev := a.live.Current().Revision
+	load, quick := a.tasks.load(u.Free, time.Now()), a.tasks.control.current()
+	pairs := a.tasks.control.model.Pairs()
 	a.table.Update(func(m *membership.Member) {
 		m.SettingsRev = rev
 		m.Load = membership.Load{
 			Backend: a.cfg.BackendName, Slots: u.Slots, SlotsBusy: u.Busy, Queued: u.Queued,
-			Conns: u.Conns, ConnsMax: u.ConnsMax, Capacity: u.Room, Free: u.Free, Clock: a.clock(),
-			Failing: a.tasks.failing(), BackendDown: a.backend.Down(),
+			Conns: u.Conns, ConnsMax: u.ConnsMax, Capacity: u.Room, Free: u.Free, Clock: clock,
+			Failing: a.tasks.failing(), FreeAt: load.freeAt, Teams: load.teams, Preemptible: load.preemptible,
+			QuickKind: quick.kind, QuickRatio: quick.ratio, BatchCores: quick.cores, Pairs: pairs, BackendDown: a.backend.Down(),
 		}
 	})
 	a.metrics.Gauge("agent_slots_busy").Update(int64(u.Busy))
@@ -132,6 +137,8 @@
 // Place offers a task.
 func (s *Service) Place(args wire.PlaceArgs, reply *wire.PlaceReply) error {
 	reply.Accepted, reply.Reason = s.a.tasks.place(args)
+	reply.Kept = reply.Reason == reasonKept
+	reply.Clock, reply.Free = s.a.clock(), s.a.gate.Usage().Free
 	return nil
 }
 
@@ -141,6 +148,12 @@
 	return nil
 }
 
+// Query fences attempts that this host does not know and reports them.
+func (s *Service) Query(args wire.QueryArgs, reply *wire.QueryReply) error {
+	*reply = s.a.tasks.query(args)
+	return nil
+}
+
 // FenceRequest reports how a dispatched request ended; if it has not started, it never will.
 func (s *Service) FenceRequest(args wire.FenceArgs, reply *wire.FenceReply) error {
 	reply.Incarnation = s.a.table.Self().Incarnation
@@ -154,7 +167,7 @@
 
 func (a *Agent) observe(branch *settings.Effective, took time.Duration) {
 	if branch.Class == settings.ClassQuick {
-		a.quick.add(took)
+		a.tasks.control.observe(branch, took)
 		a.metrics.Histogram("agent_quick_us").Update(took.Microseconds())
 	}
 }
--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -57,7 +57,9 @@
 		ctx, cancel = a.streamContext(ctx)
 		defer cancel()
 	}
-	release, err := a.admit(ctx, branch)
+	arrived := time.Now()
+	release, err := a.admit(ctx, r, branch)
+	setWait(w, time.Since(arrived))
 	if err != nil {
 		a.refuse(w, r, refusalStatus(err), err.Error())
 		return
@@ -79,11 +81,13 @@
 	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
 }
 
-func (a *Agent) admit(ctx context.Context, branch *settings.Effective) (func(), error) {
+func (a *Agent) admit(ctx context.Context, r *http.Request, branch *settings.Effective) (func(), error) {
 	if branch.Class == settings.ClassStream {
 		return a.gate.AcquireStream()
 	}
-	return a.gate.AcquireSlot(ctx, branch.Branch, branch.Weight, branch.QueueTimeout)
+	flow, own := flowOf(a.live.Current(), branch, r.Header.Get(wire.HeaderCaller))
+	deadline, _ := ctx.Deadline()
+	return a.gate.AcquireSlot(ctx, gate.Request{Flow: flow, Branch: own, Timeout: branch.QueueTimeout, Deadline: deadline})
 }
 
 func refusalStatus(err error) int {
@@ -112,6 +116,11 @@
 	}
 }
 
+// setWait reports the time at the gate, so that the entry can tell queueing from service.
+func setWait(w http.ResponseWriter, waited time.Duration) {
+	w.Header().Set(wire.HeaderWaitUs, strconv.FormatInt(waited.Microseconds(), 10))
+}
+
 // hopHeaders are not passed on.
 var hopHeaders = []string{"Connection", "Keep-Alive", "Transfer-Encoding", "Upgrade", "Te", "Trailer", "Proxy-Connection", "Proxy-Authorization"}
 
@@ -127,7 +136,7 @@
 	}
 	defer resp.Body.Close()
 	a.startAnswer(w, resp)
-	readErr, writeErr := copyBody(w, resp.Body)
+	readErr, writeErr := copyBody(w, resp.Body, resp.ContentLength < 0)
 	if err := errors.Join(readErr, writeErr); err != nil {
 		events.ForwardFailed.Log(&a.log).Str("request", r.Header.Get(wire.HeaderRequestID)).Err(err).Msg("answer truncated")
 		panic(http.ErrAbortHandler) // resets the HTTP/2 stream, so that the entry sees the truncation
@@ -187,7 +196,7 @@
 	err = fmt.Errorf("backend server: %w", err)
 	switch {
 	case notRun:
-		w.Header().Set(wire.HeaderBackendDown, "1")
+		w.Header().Set(wire.HeaderUnhealthy, "1")
 		a.refuse(w, r, http.StatusServiceUnavailable, err.Error())
 	case errors.Is(err, context.DeadlineExceeded):
 		a.answerUnknown(w, http.StatusGatewayTimeout, err)
@@ -211,18 +220,21 @@
 // copyBufferBytes is the unit in which bodies are passed on.
 const copyBufferBytes = 32 << 10
 
-// copyBody passes a body on and flushes after each read, so that streams are not held back. It tells a body that
+// copyBody passes a body on. A body of unknown length may be a stream, so each part is flushed. It tells a body that
 // broke off (readErr) from a receiver that is gone (writeErr).
-func copyBody(w http.ResponseWriter, body io.Reader) (readErr, writeErr error) {
+func copyBody(w http.ResponseWriter, body io.Reader, stream bool) (readErr, writeErr error) {
 	buf := make([]byte, copyBufferBytes)
-	rc := http.NewResponseController(w)
+	flush := func() error { return nil }
+	if stream {
+		flush = http.NewResponseController(w).Flush
+	}
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
 			if _, err := w.Write(buf[:n]); err != nil {
 				return nil, err
 			}
-			if err := rc.Flush(); err != nil {
+			if err := flush(); err != nil {
 				return nil, err
 			}
 		}
--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"bamboofork/internal/partition"
 	"bamboofork/internal/settings"
 )
 
@@ -30,11 +31,11 @@
 }
 
 // Guards against a job id that names a partition out of range or crashes the parser.
-func FuzzPartitionOfJob(f *testing.F) {
+func FuzzJobID(f *testing.F) {
 	f.Add("0a-x")
 	f.Add("-")
 	f.Fuzz(func(t *testing.T, id string) {
-		if p, ok := PartitionOfJob(id); ok && (p < 0 || p > 255) {
+		if p, ok := partition.OfJob(id); ok && (p < 0 || p > 255) {
 			t.Fatalf("%q: partition %d", id, p)
 		}
 	})
--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"bamboofork/internal/events"
 	"bamboofork/internal/membership"
+	"bamboofork/internal/route"
 )
 
 // leavingSet holds the agents that announced their leaving in an answer, by incarnation. It reaches an entry that is
@@ -31,18 +33,23 @@
 	return true
 }
 
-// avoid adds the leaving agents to the set and forgets those that are gone or started anew.
-func (s *leavingSet) avoid(set map[string]bool, table *membership.Table) {
+// with returns avoid and the leaving agents; it forgets those that are gone or started anew.
+func (s *leavingSet) with(avoid route.Avoid, table *membership.Table) route.Avoid {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(s.agents) == 0 {
+		return avoid
+	}
+	out := slices.Clone(avoid)
 	for id, incarnation := range s.agents {
 		m, ok := table.Lookup(id)
 		if !ok || m.Incarnation != incarnation {
 			delete(s.agents, id)
 			continue
 		}
-		set[id] = true
+		out = append(out, id)
 	}
+	return out
 }
 
 // Times of a planned stop.
--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"bamboofork/internal/events"
 	"bamboofork/internal/membership"
+	"bamboofork/internal/route"
 )
 
 // Probing of agents whose data connection failed.
@@ -47,16 +49,16 @@
 	}
 }
 
-// with returns avoid and the unreachable agents, in a new set.
-func (u *unreachable) with(avoid map[string]bool) map[string]bool {
+// with returns avoid and the unreachable agents.
+func (u *unreachable) with(avoid route.Avoid) route.Avoid {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	out := make(map[string]bool, len(avoid)+len(u.agents))
-	for id := range avoid {
-		out[id] = true
+	if len(u.agents) == 0 {
+		return avoid
 	}
+	out := slices.Clone(avoid)
 	for id := range u.agents {
-		out[id] = true
+		out = append(out, id)
 	}
 	return out
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bamboofork/internal/ledger"
+	"bamboofork/internal/scheduler"
 	"bamboofork/internal/worker"
 )
 
@@ -19,17 +20,19 @@
 	HeaderOutcome    = "Bf-Outcome"
 	HeaderReason     = "Bf-Reason"
 	HeaderAgent      = "Bf-Agent"
-	HeaderBusy       = "Bf-Busy"   // slots in use at the agent when it answered
-	HeaderQueued     = "Bf-Queued" // requests waiting at the agent's gate when it answered
+	HeaderBusy       = "Bf-Busy"      // slots in use at the agent when it answered
+	HeaderQueued     = "Bf-Queued"    // requests waiting at the agent's gate when it answered
+	HeaderWaitUs     = "Bf-Wait-Us"   // time the request waited at the agent's gate, in microseconds
+	HeaderCaller     = "Bf-Caller"    // caller's IP address, set by the entry
+	HeaderUnhealthy  = "Bf-Unhealthy" // "1": the agent could not reach its backend server
+	HeaderEntry      = "Bf-Entry"     // the entry that routed the request; it explains its decisions
 	HeaderKey        = "Idempotency-Key"
 	// HeaderIncarnation and HeaderUntilMs mark a request that must run at most once: the incarnation of the agent
 	// that it is dispatched to, and the time on that agent's clock in milliseconds after which it is refused.
 	HeaderIncarnation = "Bf-Incarnation"
 	HeaderUntilMs     = "Bf-Until-Ms"
-	// HeaderLeaving is set on every answer of an agent that leaves, HeaderBackendDown on refusals because its backend
-	// server does not accept connections.
-	HeaderLeaving     = "Bf-Leaving"
-	HeaderBackendDown = "Bf-Backend-Down"
+	// HeaderLeaving is set on every answer of an agent that leaves.
+	HeaderLeaving = "Bf-Leaving"
 )
 
 // Times of keyed requests, on the clock of the agent that executes them.
@@ -111,6 +114,7 @@
 	GetArgs     struct {
 		Partition int
 		JobID     string
+		Wait      time.Duration // answer when the job has finished, at the latest after this time; 0: at once
 	}
 	GetReply struct {
 		Code    Code
@@ -134,6 +138,8 @@
 	Checkpoint string
 	Reason     string
 	Progress   float64
+	Used       worker.Resources // largest measured use; zero: not measured
+	Ran        time.Duration    // work done in time at full speed; zero: not known
 }
 
 // ReportArgs renews the holds of an agent's tasks and reports their states.
@@ -164,6 +170,29 @@
 	PlaceReply struct {
 		Accepted bool
 		Reason   string
+		Clock    time.Duration    // the agent's clock at its decision
+		Free     worker.Resources // the agent's free room at that clock
+		Kept     bool             // refused because the room is kept for an urgent task
+	}
+	// PreemptArgs asks an agent to checkpoint lower priority work until Need is free.
+	PreemptArgs struct {
+		Incarnation int64
+		Task        string // that needs the room
+		Need        worker.Resources
+		Priority    int
+	}
+	PreemptReply struct {
+		Evicted int
+		Reason  string // why nothing was evicted
+	}
+	// ExplainArgs asks for the newest decisions about a task. Partition is used by owners only.
+	ExplainArgs struct {
+		Partition int
+		Task      string
+	}
+	ExplainReply struct {
+		Code    Code
+		Records []scheduler.Record
 	}
 	// StopArgs ends an attempt and fences it, so that a late placement is refused.
 	StopArgs struct {
@@ -174,6 +203,16 @@
 		Report TaskReport
 		Known  bool
 	}
+	// QueryArgs asks about attempts; those that the agent does not know are fenced.
+	QueryArgs struct{ Refs []worker.Ref }
+	// QueryReply is evidence only if Ready: the agent has read its worker's list since its start. Settled means that
+	// the leases which an earlier incarnation of the agent could have renewed at the worker are over.
+	QueryReply struct {
+		Ready       bool
+		Settled     bool
+		Incarnation int64
+		Unknown     []worker.Ref
+	}
 	// FenceArgs asks how a dispatched request ended. If it has not started, it never will.
 	FenceArgs struct {
 		RequestID   string        // with the attempt, see AttemptID
