--- a/internal/agent/once.go
+++ b/internal/agent/once.go
@@ -58,7 +58,9 @@
 	}
 	ctx, cancel := requestContext(r, branch)
 	defer cancel()
+	arrived := time.Now()
 	release, body, status, err := a.admitOnce(ctx, r, branch)
+	setWait(w, time.Since(arrived))
 	if err != nil {
 		a.fences.refuse(d.id)
 		a.refuse(w, r, status, err.Error())
@@ -74,7 +76,7 @@
 
 // admitOnce gets a slot and the whole body; nothing has run if it fails.
 func (a *Agent) admitOnce(ctx context.Context, r *http.Request, branch *settings.Effective) (release func(), body []byte, status int, err error) {
-	release, err = a.admit(ctx, branch)
+	release, err = a.admit(ctx, r, branch)
 	if err != nil {
 		return nil, nil, refusalStatus(err), err
 	}
@@ -111,7 +113,7 @@
 	defer resp.Body.Close()
 	a.startAnswer(w, resp)
 	kept := &headBuffer{limit: wire.KeptBody}
-	readErr, writeErr := copyBody(w, io.TeeReader(resp.Body, kept))
+	readErr, writeErr := copyBody(w, io.TeeReader(resp.Body, kept), resp.ContentLength < 0)
 	if writeErr != nil && readErr == nil {
 		_, readErr = io.Copy(io.Discard, io.TeeReader(resp.Body, kept))
 	}
--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -4,11 +4,13 @@
 package dev
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"runtime/pprof"
 	"sync"
 	"time"
 
@@ -40,10 +42,13 @@
 	Service      time.Duration
 	Interference map[string]float64 // by kind, see sample.Config
 	Tree         settings.Tree
+	Observer     platform.RunObserver // of all workers; nil: none
 	LeaseTTL     time.Duration
 	OutageHold   time.Duration
 	Drain        time.Duration
-	FirstPort    int // 0: any free ports
+	FirstPort    int    // 0: any free ports
+	Routing      string // routing policy of the entries, "": the default
+	MaxQueue     int    // waiting requests of one branch at a gate, 0: the default
 	// Relayed puts a faultnet relay before each process's control and data address; RelaySeed determines their faults.
 	Relayed   bool
 	RelaySeed uint64
@@ -68,13 +73,15 @@
 
 // Host is one host of the fleet.
 type Host struct {
-	Config  config.Process
-	Node    *node.Node
-	Worker  *platform.SimWorker
-	Backend *sample.Server
-	Links   Links
-	cancel  context.CancelFunc
-	done    chan error
+	Config      config.Process
+	Node        *node.Node
+	Worker      *platform.SimWorker
+	Backend     *sample.Server
+	BackendURL  string
+	Links       Links
+	stopBackend func()
+	cancel      context.CancelFunc
+	done        chan error
 }
 
 // Start starts everything and returns when the processes serve.
@@ -129,6 +136,9 @@
 	return "http://" + l.Addr().String(), nil
 }
 
+// StopBackend cuts off the host's backend server at once, as a crash would; the agent goes on.
+func (h *Host) StopBackend() { h.stopBackend() }
+
 func (f *Fleet) every(d time.Duration, do func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stops = append(f.stops, cancel)
@@ -192,6 +202,7 @@
 }
 
 func (f *Fleet) startEntry(i int) error {
+	p := f.Profile
 	id := fmt.Sprintf("entry-%d", i+1)
 	cfg, err := f.process(id, i)
 	if err != nil {
@@ -200,6 +211,8 @@
 	if cfg.Listen.Callers, err = f.callerAddr(i); err != nil {
 		return err
 	}
+	cfg.Routing = p.Routing
+	cfg.TrustedProxies = []string{"127.0.0.0/8"} // load runs stand for many callers by X-Forwarded-For
 	h := &Host{Config: cfg}
 	if err := f.relay(h); err != nil {
 		return err
@@ -226,7 +239,7 @@
 func (f *Fleet) startAgent(i int) error {
 	p := f.Profile
 	id := fmt.Sprintf("agent-%d", i+1)
-	w := platform.NewSimWorker(fmt.Sprintf("worker-%d", i+1), p.Capacity, nil, uint64(i))
+	w := platform.NewSimWorker(fmt.Sprintf("worker-%d", i+1), p.Capacity, p.Observer, uint64(i))
 	b := sample.New(sample.Config{Name: fmt.Sprintf("runner-%d", i+1), Slots: p.Slots, Service: p.Service, Load: w.Load, Interference: p.Interference})
 	workerEcho := quietEcho()
 	platform.RegisterWorker(workerEcho, w)
@@ -234,10 +247,14 @@
 	if err != nil {
 		return err
 	}
-	backendURL, err := f.serve(b, "127.0.0.1:0")
+	var backendURL string
+	pprof.Do(context.Background(), pprof.Labels("role", "backend"), func(context.Context) {
+		backendURL, err = f.serve(b, "127.0.0.1:0")
+	})
 	if err != nil {
 		return err
 	}
+	stopBackend := f.stops[len(f.stops)-1]
 	cfg, err := f.process(id, i)
 	if err != nil {
 		return err
@@ -245,9 +262,9 @@
 	if cfg.Listen.Data, err = FreeAddr(); err != nil {
 		return err
 	}
-	cfg.Backend = config.Backend{Name: p.Backend, Addr: backendURL[len("http://"):], Slots: p.Slots, Conns: p.Conns, MaxQueue: config.DefaultMaxQueue}
+	cfg.Backend = config.Backend{Name: p.Backend, Addr: backendURL[len("http://"):], Slots: p.Slots, Conns: p.Conns, MaxQueue: cmp.Or(p.MaxQueue, config.DefaultMaxQueue)}
 	cfg.Worker = config.Worker{URL: workerURL, Reserve: p.Reserve}
-	return f.addAgent(&Host{Config: cfg, Worker: w, Backend: b})
+	return f.addAgent(&Host{Config: cfg, Worker: w, Backend: b, BackendURL: backendURL, stopBackend: stopBackend})
 }
 
 func (f *Fleet) addAgent(h *Host) error {
@@ -270,7 +287,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n, done := h.Node, make(chan error, 1)
 	h.cancel, h.done = cancel, done
-	go func() { done <- n.Run(ctx) }()
+	role := "agent"
+	if h.Worker == nil {
+		role = "entry"
+	}
+	// Goroutines inherit the label, so a CPU profile of the fleet can be split by role.
+	pprof.Do(ctx, pprof.Labels("role", role), func(ctx context.Context) {
+		go func() { done <- n.Run(ctx) }()
+	})
 }
 
 // Stop stops one host in order and waits for it.
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -46,6 +46,7 @@
 	r.GET(PathJobs, e.handleJobs)
 	r.GET(PathJobs+"/:id", e.handleJob)
 	r.DELETE(PathJobs+"/:id", e.handleCancel)
+	r.GET(PathDecisions+":id", e.handleDecisions)
 }
 
 // httpError answers what no handler took with a problem body.
@@ -78,7 +79,7 @@
 	}
 }
 
-// retryAfterSpread is the number of seconds over which refused callers are asked to come back.
+// retryAfterSpread is the number of seconds over which refused callers come back, without a better estimate.
 const retryAfterSpread = 4
 
 func problem(c echo.Context, status int, outcome wire.Outcome, id, detail string) error {
@@ -86,8 +87,9 @@
 	h.Set(echo.HeaderContentType, "application/problem+json")
 	h.Set(wire.HeaderOutcome, string(outcome))
 	h.Set(wire.HeaderRequestID, id)
-	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusConflict {
-		h.Set("Retry-After", strconv.Itoa(1+rand.IntN(retryAfterSpread)))
+	again := status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusConflict
+	if again && h.Get(echo.HeaderRetryAfter) == "" {
+		h.Set(echo.HeaderRetryAfter, strconv.Itoa(1+rand.IntN(retryAfterSpread)))
 	}
 	return c.JSON(status, Problem{Title: http.StatusText(status), Status: status, Detail: detail, Outcome: outcome, RequestID: id})
 }
@@ -110,6 +112,10 @@
 	if e.isLeaving() && branch.Class == settings.ClassStream {
 		return problem(c, http.StatusServiceUnavailable, wire.OutcomeNotRun, id, "this entry is leaving; open the stream again")
 	}
+	caller := e.trusted.Address(r)
+	if refusal := e.limiter.Rate(branch, caller, time.Now()); refusal != nil {
+		return e.shed(c, &Request{ID: id, Branch: branch, Caller: caller}, refusal)
+	}
 	body, err := e.receive(c, branch)
 	if err != nil {
 		out := bodyAnswer(err)
@@ -119,6 +125,7 @@
 	req := &Request{
 		ID: id, Branch: branch, Method: r.Method, Path: "/" + rest, Query: r.URL.RawQuery,
 		Header: callerHeader(r.Header), Body: body, Deadline: time.Now().Add(branch.Deadline),
+		Caller: caller,
 	}
 	return e.answer(c, req, key)
 }
@@ -153,13 +160,20 @@
 	ctx, cancel := e.requestContext(c.Request().Context(), req)
 	defer cancel()
 	started := time.Now()
-	var out *Answer
+	permit, refusal := e.limiter.Admit(req.Branch, req.Caller, started)
+	if refusal != nil {
+		return e.shed(c, req, refusal)
+	}
+	out := &Answer{Waited: -1}
+	defer func() { permit.Done(out.Waited, out.Overload, time.Now()) }()
 	if req.Branch.Idempotent {
 		out = e.Send(ctx, req)
 	} else {
 		out = e.SendKeyed(ctx, req, key)
 	}
 	e.metrics.Counter("entry_outcome_" + string(out.Outcome)).Inc(1)
+	e.decisions.add(decisionRecord{id: req.ID, branch: req.Branch.Branch, outcome: out.Outcome, reason: out.Reason})
+	c.Response().Header().Set(wire.HeaderEntry, e.ID)
 	if out.Response == nil {
 		return problem(c, out.Status, out.Outcome, req.ID, out.Reason)
 	}
@@ -184,6 +198,23 @@
 // callerWriteTimeout bounds one write to a caller that does not read.
 const callerWriteTimeout = 30 * time.Second
 
+// deadlineWriter gives each write to a caller its own deadline.
+type deadlineWriter struct {
+	http.ResponseWriter
+	rc *http.ResponseController
+}
+
+// Write implements io.Writer.
+func (w *deadlineWriter) Write(p []byte) (int, error) {
+	if err := w.rc.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return 0, err
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w *deadlineWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 func passOn(c echo.Context, req *Request, out *Answer) error {
 	h := c.Response().Header()
 	for name, values := range out.Response.Header {
@@ -194,27 +225,9 @@
 	h.Set(wire.HeaderRequestID, req.ID)
 	h.Set(wire.HeaderOutcome, string(out.Outcome))
 	c.Response().WriteHeader(out.Response.StatusCode)
-	buf := make([]byte, 32<<10)
-	rc := http.NewResponseController(c.Response().Writer)
-	defer rc.SetWriteDeadline(time.Time{}) //nolint:errcheck // a closed connection fails at its next use
-	for {
-		n, err := out.Response.Body.Read(buf)
-		if n > 0 {
-			if err := rc.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
-				return err
-			}
-			if _, err := c.Response().Write(buf[:n]); err != nil {
-				return err
-			}
-			c.Response().Flush()
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
+	w := &deadlineWriter{ResponseWriter: c.Response().Writer, rc: http.NewResponseController(c.Response().Writer)}
+	defer w.rc.SetWriteDeadline(time.Time{}) //nolint:errcheck // a closed connection fails at its next use
+	return wire.CopyBody(w, out.Response)
 }
 
 // JobRequest is the body of a job submission. Durations are in milliseconds.
@@ -314,7 +327,11 @@
 }
 
 func (e *Entry) handleJob(c echo.Context) error {
-	res := e.Job(c.Request().Context(), c.Param("id"))
+	waitMs, err := strconv.ParseInt(c.QueryParam("wait_ms"), 10, 64)
+	if c.QueryParam("wait_ms") != "" && (err != nil || waitMs < 0) {
+		return problem(c, http.StatusBadRequest, wire.OutcomeNotRun, "", "wait_ms must be a number of milliseconds")
+	}
+	res := e.WaitJob(c.Request().Context(), c.Param("id"), time.Duration(waitMs)*time.Millisecond)
 	if res.Code != wire.CodeOK {
 		return jobProblem(c, res)
 	}
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -35,37 +35,27 @@
 		key = job.ID
 	}
 	id := partition.Of(key, e.dir.Partitions)
-	job.ID = jobID(id, job.ID)
-	var reply wire.SubmitReply
-	err := e.callOwner(ctx, id, "Partition.Submit", wire.SubmitArgs{Partition: id, Job: job}, &reply, func() wire.Code { return reply.Code })
-	if err != nil {
-		return JobResult{Code: failureCode(err), Reason: err.Error()}
+	job.ID = partition.JobID(id, job.ID)
+	var res JobResult
+	for range submitAttempts {
+		if res = e.submitOnce(ctx, id, job); res.Code != wire.CodeUncertain || ctx.Err() != nil {
+			break
+		}
 	}
-	return JobResult{Code: reply.Code, JobID: reply.JobID}
+	return res
 }
 
-// Job ids carry their partition, so that a job is found without a directory: "<partition in hex>-<random>".
-func jobID(partition int, random string) string {
-	const digits = "0123456789abcdef"
-	return string([]byte{digits[partition>>4&15], digits[partition&15]}) + "-" + random
-}
+// submitAttempts bounds the calls of one submission. A repeat after a lost answer is safe: the owner knows the job by
+// its id and key.
+const submitAttempts = 3
 
-// PartitionOfJob parses the partition from a job id; ok is false for other strings.
-func PartitionOfJob(id string) (partitionID int, ok bool) {
-	if len(id) < 4 || id[2] != '-' {
-		return 0, false
-	}
-	for _, c := range id[:2] {
-		switch {
-		case c >= '0' && c <= '9':
-			partitionID = partitionID<<4 | int(c-'0')
-		case c >= 'a' && c <= 'f':
-			partitionID = partitionID<<4 | int(c-'a'+10)
-		default:
-			return 0, false
-		}
+func (e *Entry) submitOnce(ctx context.Context, id int, job ledger.Job) JobResult {
+	var reply wire.SubmitReply
+	err := e.callOwner(ctx, id, "Partition.Submit", wire.SubmitArgs{Partition: id, Job: job}, &reply, func() wire.Code { return reply.Code })
+	if err != nil {
+		return JobResult{Code: failureCode(err), Reason: err.Error()}
 	}
-	return partitionID, true
+	return JobResult{Code: reply.Code, JobID: reply.JobID, Reason: string(reply.Code)}
 }
 
 func (e *Entry) callOwner(ctx context.Context, id int, method string, args, reply any, code func() wire.Code) error {
@@ -85,13 +75,20 @@
 }
 
 // Job returns one job.
-func (e *Entry) Job(ctx context.Context, id string) JobResult {
-	p, ok := PartitionOfJob(id)
+func (e *Entry) Job(ctx context.Context, id string) JobResult { return e.WaitJob(ctx, id, 0) }
+
+// WaitJob returns one job when it has finished, at the latest after wait (at most partition.MaxWait; 0: at once).
+func (e *Entry) WaitJob(ctx context.Context, id string, wait time.Duration) JobResult {
+	p, ok := partition.OfJob(id)
 	if !ok || p >= e.dir.Partitions {
 		return JobResult{Code: wire.CodeUnknown, Reason: "not a job id"}
 	}
 	var reply wire.GetReply
-	err := e.callOwner(ctx, p, "Partition.Get", wire.GetArgs{Partition: p, JobID: id}, &reply, func() wire.Code { return reply.Code })
+	wait = min(max(wait, 0), partition.MaxWait)
+	callCtx, cancel := context.WithTimeout(ctx, ownerTimeout+wait)
+	defer cancel()
+	args := wire.GetArgs{Partition: p, JobID: id, Wait: wait}
+	err := e.dir.Call(callCtx, p, "Partition.Get", args, &reply, func() wire.Code { return reply.Code })
 	if err != nil {
 		return JobResult{Code: failureCode(err), Reason: err.Error()}
 	}
@@ -100,7 +97,7 @@
 
 // Cancel cancels a job.
 func (e *Entry) Cancel(ctx context.Context, id string) JobResult {
-	p, ok := PartitionOfJob(id)
+	p, ok := partition.OfJob(id)
 	if !ok || p >= e.dir.Partitions {
 		return JobResult{Code: wire.CodeUnknown, Reason: "not a job id"}
 	}
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -36,6 +36,7 @@
 // the next one is recorded only after proof that the one before did not run. A repeat of the key gets the recorded
 // outcome. The call goes on when the caller hangs up, up to the request's deadline.
 func (e *Entry) SendKeyed(ctx context.Context, req *Request, key string) *Answer {
+	req.Once = true
 	if err := req.Body.buffer(); err != nil {
 		return bodyAnswer(err)
 	}
@@ -61,33 +62,36 @@
 }
 
 func (k *keyedCall) run(ctx context.Context) *Answer {
-	k.e.budget.Deposit(k.req.Branch.RetryBudget)
-	avoid := map[string]bool{}
-	var last *Answer
-	for attempt := 1; attempt <= maxAttempts; attempt++ {
-		d := k.e.pick(k.req, attempt, avoid)
-		if d.Chosen == nil {
-			return k.release(last, unrouted(d))
-		}
-		if answer := k.record(ctx, attempt, d.Chosen); answer != nil {
-			k.e.balancer.Done(d.Chosen.ID, false)
+	k.e.budget.Deposit(k.req.Branch.Branch, k.req.Branch.RetryBudget)
+	avoid := route.Avoid{}
+	pick := k.e.pick(k.req, avoid)
+	if pick.Chosen == nil {
+		return k.e.unrouted(k.req, &pick)
+	}
+	for attempt := 1; ; attempt++ {
+		k.e.noteRouted(k.req, attempt, &pick)
+		avoid = append(avoid, pick.Chosen.ID)
+		if answer := k.record(ctx, attempt, pick.Chosen); answer != nil {
+			k.e.balancer.Cancel(pick.Chosen)
 			return answer
 		}
-		last = k.dispatch(ctx, d.Chosen)
-		if last.Outcome != wire.OutcomeNotRun {
-			return k.finish(last)
+		out := k.dispatch(ctx, pick.Chosen)
+		if out.Outcome != wire.OutcomeNotRun {
+			return k.finish(out)
 		}
-		if ctx.Err() != nil || attempt == maxAttempts || !k.e.budget.Withdraw() {
-			break
+		next, again := k.e.next(ctx, k.req, attempt, avoid, out)
+		if !again {
+			k.complete(k.claim, true)
+			return out
 		}
-		k.e.retried(k.req, attempt, last)
+		k.e.retried(k.req, attempt, out)
+		pick = next
 	}
-	return k.release(last, last)
 }
 
 // record makes the attempt durable: the claim for the first, its reassignment for the others. A nil answer means that
 // the attempt must be dispatched; otherwise nothing is dispatched for it.
-func (k *keyedCall) record(ctx context.Context, attempt int, c *route.Candidate) *Answer {
+func (k *keyedCall) record(ctx context.Context, attempt int, c *route.Server) *Answer {
 	k.claim.Attempt = attempt
 	k.claim.Agent, k.claim.AgentAddr, k.claim.AgentInc = c.ID, c.Addr, c.Incarnation
 	k.claim.Until = c.Load.Clock + wire.DispatchWindow
@@ -112,10 +116,6 @@
 	return nil
 }
 
-func refused(reason string) *Answer {
-	return &Answer{Outcome: wire.OutcomeNotRun, Status: http.StatusServiceUnavailable, Reason: reason}
-}
-
 func (k *keyedCall) assign(ctx context.Context) *Answer {
 	var reply wire.AssignReply
 	args := wire.AssignArgs{Partition: k.partition, Claim: k.claim}
@@ -131,19 +131,19 @@
 	switch {
 	case c.Digest != k.claim.Digest:
 		events.KeyReused.Log(&k.e.log).Str("request", k.req.ID).Str("earlier", c.RequestID).Str("branch", c.Branch).Send()
-		return &Answer{Outcome: wire.OutcomeNotRun, Status: http.StatusUnprocessableEntity, Reason: "the key was used for a different request"}
+		return &Answer{Outcome: wire.OutcomeNotRun, Status: http.StatusUnprocessableEntity, Reason: "the key was used for a different request", Waited: -1}
 	case !c.Done:
-		return &Answer{Outcome: wire.OutcomeUnknown, Status: http.StatusConflict, Reason: "a request with this key is open"}
+		return &Answer{Outcome: wire.OutcomeUnknown, Status: http.StatusConflict, Reason: "a request with this key is open", Waited: -1}
 	}
 	return recorded(wire.Result{Outcome: wire.Outcome(c.Outcome), Status: c.Status, Header: c.Header, Body: c.Body, Truncated: c.Truncated})
 }
 
 // dispatch sends the recorded attempt, once, and asks its agent if the answer does not tell how it ended.
-func (k *keyedCall) dispatch(ctx context.Context, c *route.Candidate) *Answer {
+func (k *keyedCall) dispatch(ctx context.Context, c *route.Server) *Answer {
 	k.dispatched++
 	invariant.Check(k.dispatched == k.claim.Attempt && c.ID == k.claim.Agent && c.Incarnation == k.claim.AgentInc, "one_dispatch_per_claim",
 		"request %s: dispatch %d to %s for attempt %d at %s", k.req.ID, k.dispatched, c.ID, k.claim.Attempt, k.claim.Agent)
-	out, err := k.e.exchange(ctx, k.req, c.Member, &k.claim)
+	out, err := k.e.exchange(ctx, k.req, c, &k.claim)
 	if err == nil && out.Outcome != wire.OutcomeUnknown {
 		return out
 	}
@@ -200,14 +200,6 @@
 	return out
 }
 
-// release gives the key back after proof that nothing ran. attempted is nil if no attempt was recorded.
-func (k *keyedCall) release(attempted, out *Answer) *Answer {
-	if attempted != nil {
-		k.complete(k.claim, true)
-	}
-	return out
-}
-
 // finish records an outcome. An unknown one leaves the claim open, because its agent may still tell.
 func (k *keyedCall) finish(out *Answer) *Answer {
 	if out.Outcome == wire.OutcomeUnknown && !out.final {
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
 	"bamboofork/internal/events"
 	"bamboofork/internal/ledger"
 	"bamboofork/internal/membership"
+	"bamboofork/internal/retry"
 	"bamboofork/internal/route"
 	"bamboofork/internal/settings"
 	"bamboofork/internal/wire"
@@ -25,6 +28,8 @@
 	Header   http.Header
 	Body     *Body
 	Deadline time.Time
+	Caller   netip.Addr // zero if unknown
+	Once     bool       // must not run twice
 }
 
 // Answer is the outcome of a request. Response is nil unless the request ran; its body must be closed.
@@ -33,6 +38,8 @@
 	Status   int // HTTP status for the caller when Response is nil
 	Reason   string
 	Response *http.Response
+	Waited   time.Duration // at the agent's gate; negative if not known
+	Overload bool          // a gate refused the request because of overload
 	done     func(failed bool)
 	final    bool // an unknown outcome that no question can improve
 }
@@ -63,29 +70,50 @@
 	}
 }
 
-// maxAttempts bounds the tries of one request.
-const maxAttempts = 3
-
-// Send routes a request that may run more than once, and tries again where the budget allows it.
+// Send routes the request and tries again where that is known to be safe and the budget allows it.
 func (e *Entry) Send(ctx context.Context, req *Request) *Answer {
-	e.budget.Deposit(req.Branch.RetryBudget)
-	avoid := map[string]bool{}
-	var last *Answer
-	for attempt := 1; attempt <= maxAttempts; attempt++ {
-		answer := e.try(ctx, req, attempt, avoid)
-		if answer == nil {
-			break
+	e.budget.Deposit(req.Branch.Branch, req.Branch.RetryBudget)
+	var tried [retry.MaxAttempts]string
+	avoid := route.Avoid(tried[:0])
+	pick := e.pick(req, avoid)
+	for attempt := 1; ; attempt++ {
+		if pick.Chosen == nil {
+			return e.unrouted(req, &pick)
 		}
-		last = answer
-		if answer.Response != nil || ctx.Err() != nil || !req.Body.replayable() {
+		e.noteRouted(req, attempt, &pick)
+		avoid = append(avoid, pick.Chosen.ID)
+		answer := e.try(ctx, req, attempt, pick.Chosen)
+		next, again := e.next(ctx, req, attempt, avoid, answer)
+		if !again {
 			return answer
 		}
-		if attempt == maxAttempts || time.Now().After(req.Deadline) || !e.budget.Withdraw() {
-			break
-		}
+		pick = next
 		e.retried(req, attempt, answer)
 	}
-	return last
+}
+
+// next decides whether to try again and where. A refusal for overload is tried again only at a server with a free
+// slot by this entry's estimate, because other full gates would only be loaded more.
+func (e *Entry) next(ctx context.Context, req *Request, attempt int, avoid route.Avoid, last *Answer) (route.Decision, bool) {
+	a := retry.Attempt{Number: attempt, Outcome: last.Outcome, Once: req.Once, Deadline: req.Deadline}
+	if ctx.Err() != nil || !req.Body.replayable() || a.Refuse(time.Now()) != "" {
+		return route.Decision{}, false
+	}
+	pick := e.pick(req, avoid)
+	if pick.Chosen == nil {
+		return pick, false
+	}
+	if last.Overload && pick.Load() >= 1 || !e.budget.Withdraw(req.Branch.Branch) {
+		e.balancer.Cancel(pick.Chosen)
+		return pick, false
+	}
+	return pick, true
+}
+
+func (e *Entry) unrouted(req *Request, d *route.Decision) *Answer {
+	reason := d.Explain()
+	events.RequestUnrouted.Log(&e.log).Str("request", req.ID).Str("decision", reason).Send()
+	return &Answer{Outcome: wire.OutcomeNotRun, Status: http.StatusServiceUnavailable, Reason: "no backend server: " + reason, Waited: -1}
 }
 
 func (e *Entry) retried(req *Request, attempt int, answer *Answer) {
@@ -93,36 +121,35 @@
 	events.RequestRetried.Log(&e.log).Str("request", req.ID).Int("attempt", attempt).Str("reason", answer.Reason).Send()
 }
 
-// pick chooses an agent that was not tried before and logs the decision.
-func (e *Entry) pick(req *Request, attempt int, avoid map[string]bool) route.Decision {
-	e.leaving.avoid(avoid, e.table)
+// pick chooses an agent. Those that leave by their own word are never chosen; those that are unreachable only if there
+// is no other.
+func (e *Entry) pick(req *Request, avoid route.Avoid) route.Decision {
+	avoid = e.leaving.with(avoid, e.table)
 	d := e.balancer.Pick(req.Branch.Backend, e.unreachable.with(avoid))
 	if d.Chosen == nil {
-		d = e.balancer.Pick(req.Branch.Backend, avoid) // an agent that may answer again is better than none
-	}
-	if d.Chosen == nil {
-		events.RequestUnrouted.Log(&e.log).Str("request", req.ID).Str("decision", d.Explain()).Send()
-		return d
+		d = e.balancer.Pick(req.Branch.Backend, avoid)
 	}
-	events.RequestRouted.Log(&e.log).Str("request", req.ID).Str("branch", req.Branch.Branch).Int("attempt", attempt).Str("decision", d.Explain()).Send()
-	avoid[d.Chosen.ID] = true
 	return d
 }
 
-func unrouted(d route.Decision) *Answer {
-	return refused("no backend server: " + d.Explain())
+func (e *Entry) noteRouted(req *Request, attempt int, d *route.Decision) {
+	e.decisions.add(decisionRecord{id: req.ID, branch: req.Branch.Branch, attempt: attempt, decision: *d})
+	e.logRouted(req, attempt, d)
 }
 
-// try sends the request to one agent. It returns nil if an earlier attempt's answer says more than "no agent left".
-func (e *Entry) try(ctx context.Context, req *Request, attempt int, avoid map[string]bool) *Answer {
-	d := e.pick(req, attempt, avoid)
-	if d.Chosen == nil {
-		if attempt > 1 {
-			return nil
-		}
-		return unrouted(d)
+// logRouted explains a decision for the branch's log_sample share of the requests. Rendering costs more than the
+// decision itself, so it happens only for lines that are written.
+func (e *Entry) logRouted(req *Request, attempt int, d *route.Decision) {
+	if e.log.GetLevel() > events.RequestRouted.Level || rand.Float64() >= req.Branch.LogSample {
+		return
 	}
-	out, err := e.exchange(ctx, req, d.Chosen.Member, &ledger.Claim{Attempt: attempt})
+	events.RequestRouted.Log(&e.log).Str("request", req.ID).Str("branch", req.Branch.Branch).Int("attempt", attempt).
+		Bool("spilled", d.Spilled).Str("decision", d.Explain()).Send()
+}
+
+// try sends a request that may run more than once to one agent.
+func (e *Entry) try(ctx context.Context, req *Request, attempt int, s *route.Server) *Answer {
+	out, err := e.exchange(ctx, req, s, &ledger.Claim{Attempt: attempt})
 	switch {
 	case errors.Is(err, errNotSent):
 		return refused(err.Error())
@@ -132,43 +159,78 @@
 	return out
 }
 
+func refused(reason string) *Answer {
+	return &Answer{Outcome: wire.OutcomeNotRun, Status: http.StatusServiceUnavailable, Reason: reason, Waited: -1}
+}
+
 var errMismatch = errors.New("answer of another request")
 
 // exchange sends one attempt to an agent and reads the head of its answer. errNotSent proves that the request did not
 // leave this process; after other errors its outcome is not known.
-func (e *Entry) exchange(ctx context.Context, req *Request, m membership.Member, claim *ledger.Claim) (*Answer, error) {
-	resp, err := e.roundTrip(ctx, req, m, claim)
+func (e *Entry) exchange(ctx context.Context, req *Request, s *route.Server, claim *ledger.Claim) (*Answer, error) {
+	started := time.Now()
+	resp, err := e.roundTrip(ctx, req, s.Member, claim)
 	if err != nil {
-		e.balancer.Done(m.ID, ctx.Err() == nil || !errors.Is(err, context.Canceled))
+		e.balancer.Done(s, route.Result{Failed: ctx.Err() == nil, Busy: -1})
 		if ctx.Err() == nil {
-			e.suspect(m)
+			e.suspect(s.Member)
 		}
 		return nil, err
 	}
-	done := func(failed bool) { e.balancer.Done(m.ID, failed) }
+	result := resultOf(resp, time.Since(started))
+	done := func(failed bool) {
+		result.Failed = failed
+		e.balancer.Done(s, result)
+	}
 	if resp.Header.Get(wire.HeaderRequestID) != req.ID || resp.Header.Get(wire.HeaderAttempt) != strconv.Itoa(claim.Attempt) {
 		done(true)
 		resp.Body.Close()
-		events.AnswerMismatch.Log(&e.log).Str("request", req.ID).Str("got", resp.Header.Get(wire.HeaderRequestID)).Str("agent", m.ID).Send()
+		events.AnswerMismatch.Log(&e.log).Str("request", req.ID).Str("got", resp.Header.Get(wire.HeaderRequestID)).Str("agent", s.ID).Send()
 		return nil, errMismatch
 	}
-	if resp.Header.Get(wire.HeaderLeaving) != "" && e.leaving.add(m) {
-		events.ServerLeaving.Log(&e.log).Str("agent", m.ID).Send()
+	if resp.Header.Get(wire.HeaderLeaving) != "" && e.leaving.add(s.Member) {
+		events.ServerLeaving.Log(&e.log).Str("agent", s.ID).Send()
 	}
-	outcome := wire.Outcome(resp.Header.Get(wire.HeaderOutcome))
-	if outcome == wire.OutcomeDone {
-		if resp.ContentLength > 0 && req.Method != http.MethodHead {
-			resp.Body = &sizedBody{ReadCloser: resp.Body, left: resp.ContentLength}
-		}
-		return &Answer{Outcome: outcome, Response: resp, done: done}, nil
+	if resp.ContentLength > 0 && req.Method != http.MethodHead {
+		resp.Body = &sizedBody{ReadCloser: resp.Body, left: resp.ContentLength}
+	}
+	return answerOf(resp, result, done), nil
+}
+
+// answerOf reads the agent's verdict. The server is released now unless the caller still reads the body.
+func answerOf(resp *http.Response, result route.Result, done func(failed bool)) *Answer {
+	a := &Answer{Waited: result.Waited, Overload: result.Overload}
+	switch a.Outcome = wire.Outcome(resp.Header.Get(wire.HeaderOutcome)); a.Outcome {
+	case wire.OutcomeDone:
+		a.Response, a.done = resp, done
+		return a
+	case wire.OutcomeNotRun:
+		done(resp.Header.Get(wire.HeaderUnhealthy) != "")
+		a.Status = callerStatus(resp.StatusCode)
+	default:
+		done(true)
+		a.Outcome, a.Status = wire.OutcomeUnknown, http.StatusBadGateway
 	}
-	done(outcome != wire.OutcomeNotRun || resp.Header.Get(wire.HeaderBackendDown) != "")
+	a.Reason = resp.Header.Get(wire.HeaderReason)
 	resp.Body.Close()
-	reason := resp.Header.Get(wire.HeaderReason)
-	if outcome == wire.OutcomeNotRun {
-		return &Answer{Outcome: outcome, Status: callerStatus(resp.StatusCode), Reason: reason}, nil
+	return a
+}
+
+// resultOf reads what an answer says about its server.
+func resultOf(resp *http.Response, took time.Duration) route.Result {
+	r := route.Result{Took: took, Busy: -1}
+	if busy, err := strconv.Atoi(resp.Header.Get(wire.HeaderBusy)); err == nil && busy >= 0 {
+		r.Busy = busy
+	}
+	if queued, err := strconv.Atoi(resp.Header.Get(wire.HeaderQueued)); err == nil && queued >= 0 {
+		r.Queued = queued
+	}
+	if us, err := strconv.ParseInt(resp.Header.Get(wire.HeaderWaitUs), 10, 64); err == nil && us >= 0 {
+		r.Waited = time.Duration(us) * time.Microsecond
 	}
-	return &Answer{Outcome: wire.OutcomeUnknown, Status: http.StatusBadGateway, Reason: reason}, nil
+	r.Refused = resp.Header.Get(wire.HeaderOutcome) == string(wire.OutcomeNotRun)
+	r.Overload = r.Refused && resp.StatusCode == http.StatusTooManyRequests
+	return r
 }
 
 // callerStatus maps an agent's refusal to what a caller may see: 503 and 429 invite a repeat, 4xx blame the request.
@@ -201,6 +263,7 @@
 	}
 	out.Header.Set(wire.HeaderRequestID, req.ID)
 	out.Header.Set(wire.HeaderBranch, req.Branch.Branch)
+	out.Header.Set(wire.HeaderCaller, req.Caller.String())
 	out.Header.Set(wire.HeaderAttempt, strconv.Itoa(claim.Attempt))
 	out.Header.Set(wire.HeaderDeadlineMs, strconv.FormatInt(time.Until(req.Deadline).Milliseconds(), 10))
 	if claim.AgentInc != 0 {
@@ -216,5 +279,5 @@
 	if errors.Is(cause, context.DeadlineExceeded) {
 		status = http.StatusGatewayTimeout
 	}
-	return &Answer{Outcome: wire.OutcomeUnknown, Status: status, Reason: cause.Error()}
+	return &Answer{Outcome: wire.OutcomeUnknown, Status: status, Reason: cause.Error(), Waited: -1}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,9 +14,11 @@
 
 	"bamboofork/internal/agent"
 	"bamboofork/internal/app"
+	"bamboofork/internal/callers"
 	"bamboofork/internal/config"
 	"bamboofork/internal/dissemination"
 	"bamboofork/internal/entry"
+	"bamboofork/internal/events"
 	"bamboofork/internal/gate"
 	"bamboofork/internal/lease"
 	"bamboofork/internal/membership"
@@ -25,6 +27,7 @@
 	"bamboofork/internal/peer"
 	"bamboofork/internal/settings"
 	"bamboofork/internal/store"
+	"bamboofork/internal/store/budget"
 	"bamboofork/internal/store/etcdgw"
 	"bamboofork/internal/telemetry"
 	"bamboofork/internal/worker"
@@ -66,6 +69,7 @@
 	server *peer.Server
 	table  *membership.Table
 	live   *settings.Live
+	sync   *dissemination.Syncer
 	dir    *partition.Directory
 	reg    *telemetry.Registry
 	api    *operatorapi.API
@@ -74,11 +78,20 @@
 
 func newBase(cfg config.Process, role membership.Role, log zerolog.Logger) (*base, error) {
 	log = log.With().Str("node", cfg.ID).Logger()
-	st := &cutStore{Store: etcdgw.NewClient(cfg.Store, 0)}
+	reg := telemetry.New()
+	limits := budget.AgentLimits
+	if role == membership.RoleEntry {
+		limits = budget.EntryLimits
+	}
+	creds, err := etcdgw.LoadCredentials(cfg.StoreCredentials)
+	if err != nil {
+		return nil, err
+	}
 	sec, err := loadSecurity(cfg, log)
 	if err != nil {
 		return nil, err
 	}
+	st := &cutStore{Store: budget.New(etcdgw.NewClient(cfg.Store, 0).WithCredentials(creds), limits, reg, log)}
 	pool := peer.NewPool(cfg.ID, log, sec.dialer())
 	self := membership.Member{
 		ID: cfg.ID, Role: role, Region: cfg.Region, Domain: cfg.Domain, Rack: cfg.Rack,
@@ -86,12 +99,33 @@
 	}
 	b := &base{
 		cfg: cfg, log: log, sec: sec, st: st, pool: pool, server: peer.NewServer(cfg.ID, log),
-		table: membership.NewTable(membership.Config{Self: self, Seeds: cfg.Seeds}, pool, log),
-		live:  settings.NewLive(), dir: partition.NewDirectory(st, pool, cfg.Partitions), reg: telemetry.New(),
+		live: settings.NewLive(), dir: partition.NewDirectory(st, pool, cfg.Partitions), reg: reg,
 	}
+	b.sync = dissemination.NewSyncer(b.live, pool, func() { b.table.Kick() }, log)
+	b.table = membership.NewTable(membership.Config{
+		Self: self, Seeds: cfg.Seeds, Revision: b.sync.Revision, OnRevision: b.sync.OnRevision, Hubs: b.hubs,
+	}, pool, log)
 	b.api = &operatorapi.API{Table: b.table, Live: b.live, Metrics: b.reg}
-	err = b.server.Register("Member", b.table.Service())
-	return b, eris.Wrap(err, "register membership service")
+	err = errors.Join(b.server.Register("Member", b.table.Service()), b.server.Register("Settings", b.sync.Service()))
+	return b, eris.Wrap(err, "register membership and settings services")
+}
+
+// hubs lists the registered hubs; none while the store does not answer.
+func (b *base) hubs(ctx context.Context) []string {
+	addrs, err := dissemination.ListHubs(ctx, b.st)
+	if err != nil {
+		events.StoreUnavailable.Log(&b.log).Err(err).Msg("hubs not listed")
+	}
+	return addrs
+}
+
+// hub returns the duty of a hub, which this process takes while it represents its failure domain.
+func (b *base) hub() *dissemination.Hub {
+	repo := settings.NewRepository(b.st, b.cfg.ID)
+	return dissemination.NewHub(dissemination.HubConfig{
+		ID: b.cfg.ID, Addr: b.cfg.ControlAddr(), Domain: b.cfg.Domain, LeaseTTL: b.cfg.LeaseTTL, Rank: b.table.HubRank,
+		Watch: dissemination.NewWatcher(repo, watchLog(b.st, repo), b.sync).Run,
+	}, b.st, b.log)
 }
 
 // NewEntry assembles an entry and opens its listeners.
@@ -100,7 +134,13 @@
 	if err != nil {
 		return nil, err
 	}
-	e := entry.New(cfg.ID, cfg.Domain, b.live, b.table, b.dir, b.pool, b.reg, b.log)
+	b.table.SetInterest(func() bool { return true })
+	trusted, err := callers.ParseTrusted(cfg.TrustedProxies)
+	if err != nil {
+		return nil, eris.Wrap(err, "trusted_proxies")
+	}
+	opts := entry.Options{Domain: cfg.Domain, Policy: cfg.Routing, Trusted: trusted}
+	e := entry.New(cfg.ID, opts, b.live, b.table, b.dir, b.pool, b.reg, b.log)
 	n := b.node()
 	n.Entry = e
 	callers := newEcho()
@@ -132,9 +172,11 @@
 	keeper := lease.NewKeeper(b.st, cfg.LeaseTTL, b.log)
 	unique := fmt.Sprintf("%s-%d", cfg.ID, b.table.Self().Incarnation)
 	manager := partition.NewManager(partition.Config{
-		ID: unique, Addr: cfg.ControlAddr(), Partitions: cfg.Partitions, Max: cfg.MaxPartitions, Outage: cfg.OutageHold,
+		Self: cfg.ID, ID: unique, Addr: cfg.ControlAddr(), Partitions: cfg.Partitions, Max: cfg.MaxPartitions, Outage: cfg.OutageHold,
+		Share: partition.Shares(b.live),
 	}, b.st, keeper, b.table, b.pool, b.log)
 	b.api.Owned = manager.Owned
+	b.table.SetInterest(func() bool { return len(manager.Owned()) > 0 })
 	a := agent.New(agent.Config{
 		ID: cfg.ID, BackendName: cfg.Backend.Name, BackendAddr: cfg.Backend.Addr, Drain: cfg.Drain,
 		Gate: gate.Config{Slots: cfg.Backend.Slots, Conns: forRequests(cfg.Backend), MaxQueue: cfg.Backend.MaxQueue, Room: room},
@@ -204,10 +246,9 @@
 		return err
 	}
 	l = secureListener(l, b.sec.peers)
-	repo := settings.NewRepository(b.st, b.cfg.ID)
-	watcher := dissemination.NewWatcher(repo, watchLog(b.st, repo), b.live, b.log)
+	hub := b.hub()
 	n.stages = append(n.stages,
-		[]app.Part{{Name: "membership", Run: b.table.Run}, {Name: "settings", Run: watcher.Run}},
+		[]app.Part{{Name: "membership", Run: b.table.Run}, {Name: "settings", Run: b.sync.Run}, {Name: "hub", Run: hub.Run}},
 		[]app.Part{{Name: "control", Run: func(ctx context.Context) error { return b.server.Serve(ctx, l) }}})
 	n.closers = append(n.closers, b.pool.Close)
 	b.api.Ready.Store(true)
@@ -221,21 +262,7 @@
 		if err != nil {
 			return nil, err
 		}
-		changed := make(chan struct{})
-		go func() {
-			defer close(changed)
-			for batch := range batches {
-				if batch.Err != nil {
-					return
-				}
-				select {
-				case changed <- struct{}{}:
-				case <-ctx.Done():
-					return
-				}
-			}
-		}()
-		return changed, nil
+		return dissemination.Signals(ctx, batches), nil
 	}
 }
 
--- a/internal/partition/claims.go
+++ b/internal/partition/claims.go
@@ -8,10 +8,8 @@
 	"bamboofork/internal/wire"
 )
 
-// Times and bounds of claims. Times are by the owner's clock.
+// Times and bounds of claims. Times are by the owner's clock. A recorded outcome expires after Config.Retention.
 const (
-	// DefaultClaimTTL is how long a recorded outcome is kept; after it the key may be used anew.
-	DefaultClaimTTL = 24 * time.Hour
 	// settleYoung is the age below which an open claim is not questioned: its dispatch is on the way.
 	settleYoung = 250 * time.Millisecond
 	// settleAfter is the age from which the owner asks for open claims on its own.
--- a/internal/partition/placing.go
+++ b/internal/partition/placing.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sort"
 	"sync"
 	"time"
 
@@ -20,7 +19,8 @@
 const (
 	placeInterval = 50 * time.Millisecond
 	placeTimeout  = 2 * time.Second
-	placeBatch    = 256 // tasks per cycle
+	placeBatch    = 256                    // tasks per cycle
+	refusedDelay  = 200 * time.Millisecond // doubles with each refusal in a row; lets the agent's next load report arrive before the task is offered again
 	WorkerLease   = 5 * time.Second
 )
 
@@ -30,18 +30,60 @@
 	Lookup(id string) (membership.Status, bool)
 }
 
-// placer assigns the pending tasks of one partition.
+// placer assigns the pending tasks of one partition. Only its own goroutine uses its fields, but for those that mu
+// guards; sends are concurrent.
 type placer struct {
-	owner *Owner
-	nodes Nodes
-	pool  *peer.Pool
-	sched *scheduler.Scheduler
+	owner   *Owner
+	nodes   Nodes
+	pool    Caller
+	planner *planner
+	self    string // id of this process, which its own membership view leaves out
+	sends   sync.WaitGroup
+
+	reportsAt   time.Time
+	effectsAt   time.Time
+	reconcileAt time.Time
+	asked       map[string]time.Time // when each agent was last asked about silent attempts
+
+	mu    sync.Mutex
+	avoid map[string]time.Time // agents that could not be reached, until when they get no placement
 }
 
-// run places tasks and finds lost ones until ctx ends.
+func newPlacer(m *Manager, o *Owner) *placer {
+	o.planner.setShare(m.cfg.Share)
+	return &placer{
+		owner: o, nodes: m.nodes, pool: m.pool, planner: o.planner, self: m.cfg.Self,
+		asked: map[string]time.Time{}, avoid: map[string]time.Time{},
+	}
+}
+
+// unreachableFor is how long an agent that could not be reached gets no placement; the membership view takes as long
+// to suspect it.
+const unreachableFor = 2 * time.Second
+
+func (p *placer) avoidAgent(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.avoid[id] = time.Now().Add(unreachableFor)
+}
+
+func (p *placer) avoided(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	until, ok := p.avoid[id]
+	if ok && time.Now().After(until) {
+		delete(p.avoid, id)
+		return false
+	}
+	return ok
+}
+
+// run places tasks and finds lost ones until ctx ends, then waits for the offers that are on their way.
 func (p *placer) run(ctx context.Context) {
+	defer p.sends.Wait()
 	ticker := time.NewTicker(placeInterval)
 	defer ticker.Stop()
+	pruned := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -49,115 +91,266 @@
 		case <-ticker.C:
 		}
 		if p.owner.valid() {
+			p.querySilent(ctx)
 			p.expireHolds(ctx)
+			p.refresh(time.Now())
 			p.placePending(ctx)
+			if time.Since(pruned) >= pruneEvery {
+				pruned = time.Now()
+				p.owner.prune(ctx, pruned)
+			}
 		}
 	}
 }
 
+// refresh takes in reports, interference and the ledger's placed tasks, each at its own interval.
+func (p *placer) refresh(now time.Time) {
+	if now.Sub(p.reportsAt) >= reportsEvery {
+		p.reportsAt = now
+		members := p.members()
+		p.planner.update(members)
+		if now.Sub(p.effectsAt) >= effectsEvery {
+			p.effectsAt = now
+			p.planner.learnEffects(members)
+		}
+	}
+	if now.Sub(p.reconcileAt) >= reconcileEvery {
+		p.reconcileAt = now
+		p.planner.sched.Reconcile(p.owner.placedTasks())
+	}
+}
+
 type placement struct {
 	job  ledger.Job
 	op   ledger.Op
+	info *scheduler.TaskInfo
+	// node is as known before the placement became durable, its clock included. A successor counts its wait from a
+	// later moment, so a placement that this owner sends late, after a pause, arrives after its hold and is refused.
 	node scheduler.NodeInfo
 	cp   string
+	gang *gangStart // nil for a single task
 }
 
+// placePending places what the queue lets go first, makes the placements durable and offers them to the agents.
 func (p *placer) placePending(ctx context.Context) {
-	tasks := p.owner.pendingTasks(time.Now())
-	if len(tasks) == 0 {
-		return
-	}
-	nodes := p.snapshot()
-	ops := []ledger.Op{}
+	waiting := p.owner.pendingUnits(p.planner, time.Now())
+	p.planner.sched.Sync(waiting.units)
 	chosen := []placement{}
-	for i := range tasks {
-		d := p.sched.Place(nodes, &tasks[i].info)
-		p.owner.explainTask(tasks[i].info.Ref.Task, d.Explain())
-		if d.Node == nil {
-			events.TaskUnplaced.Log(&p.owner.zlog).Str("task", tasks[i].info.Ref.Task).Str("reason", d.Explain()).Send()
-			continue
+	for _, o := range p.planner.sched.Cycle(placeBatch) {
+		p.logOutcome(&o)
+		if o.Preempt != nil {
+			p.preempt(ctx, o)
+		}
+		if o.Placed {
+			chosen = append(chosen, p.placements(waiting, o)...)
 		}
-		ref := tasks[i].info.Ref
-		op := ledger.Op{Kind: ledger.OpPlace, Ref: &ref, Agent: d.Node.ID, AgentInc: d.Node.Incarnation}
-		events.TaskPlaced.Log(&p.owner.zlog).Str("task", ref.Task).Int("attempt", ref.Attempt).Str("decision", d.Explain()).Send()
-		ops = append(ops, op)
-		chosen = append(chosen, placement{job: tasks[i].job, op: op, node: *d.Node, cp: tasks[i].checkpoint})
 	}
-	if len(ops) == 0 || p.owner.Commit(ctx, ops...) != nil {
+	if len(chosen) == 0 {
+		return
+	}
+	ops := make([]ledger.Op, len(chosen))
+	for i := range chosen {
+		ops[i] = chosen[i].op
+	}
+	if p.owner.Commit(ctx, ops...) != nil {
+		for _, pl := range chosen {
+			p.planner.sched.Ended(*pl.op.Ref)
+		}
 		return
 	}
-	var wg sync.WaitGroup
 	for _, pl := range chosen {
-		p.owner.startHold(*pl.op.Ref, pl.job.Hold)
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			p.send(ctx, pl)
-		}()
+		p.sends.Go(func() { p.send(ctx, pl) })
 	}
-	wg.Wait()
 }
 
-// send offers a durable placement to the agent. Without an answer the task stays placed; the hold decides.
-func (p *placer) send(ctx context.Context, pl placement) {
-	member, ok := p.nodes.Lookup(pl.node.ID)
-	if !ok {
+func (p *placer) placements(w pendingWork, o scheduler.Outcome) []placement {
+	out := make([]placement, 0, len(o.Decisions))
+	var gang *gangStart
+	if o.Unit.Gang {
+		gang = &gangStart{open: len(o.Decisions)}
+	}
+	for i, d := range o.Decisions {
+		info := o.Unit.Tasks[i]
+		ref := info.Ref
+		pending := w.tasks[ref.Task]
+		op := ledger.Op{Kind: ledger.OpPlace, Ref: &ref, Agent: d.Node.ID, AgentInc: d.Node.Incarnation}
+		out = append(out, placement{job: pending.job, op: op, info: info, node: *d.Node, cp: pending.checkpoint, gang: gang})
+	}
+	return out
+}
+
+// logOutcome writes the decision lines of a unit and keeps them for explanations.
+func (p *placer) logOutcome(o *scheduler.Outcome) {
+	for i := range o.Decisions {
+		d := &o.Decisions[i]
+		why := d.Explain()
+		if d.Placed() {
+			ref := o.Unit.Tasks[i].Ref
+			events.TaskPlaced.Log(&p.owner.zlog).Str("task", ref.Task).Int("attempt", ref.Attempt).Str("decision", why).Send()
+			p.planner.note(d.Task, "placed", why)
+			continue
+		}
+		ev := events.TaskUnplaced
+		if p.planner.newest(d.Task) != why {
+			ev = events.TaskDeferred
+		}
+		ev.Log(&p.owner.zlog).Str("task", d.Task).Str("reason", why).Send()
+		p.planner.note(d.Task, "not placed", why)
+	}
+}
+
+// preempt asks an agent to checkpoint lower priority work for an urgent task.
+func (p *placer) preempt(ctx context.Context, o scheduler.Outcome) {
+	task := o.Unit.Lead()
+	args := wire.PreemptArgs{Incarnation: o.Preempt.Incarnation, Task: task.Ref.Task, Need: task.Need, Priority: task.Priority}
+	addr := o.Preempt.Addr
+	events.TaskPreempting.Log(&p.owner.zlog).Str("task", task.Ref.Task).Str("worker", o.Preempt.ID).Send()
+	p.sends.Go(func() {
+		callCtx, cancel := context.WithTimeout(ctx, placeTimeout)
+		defer cancel()
+		var reply wire.PreemptReply
+		if err := p.pool.Call(callCtx, addr, "Agent.Preempt", args, &reply); err != nil {
+			reply.Reason = err.Error()
+		}
+		if reply.Evicted == 0 {
+			p.planner.sched.ReleaseRoom(task.Ref.Task)
+			p.planner.note(task.Ref.Task, "not placed", "preemption brought no room: "+reply.Reason)
+		}
+	})
+}
+
+// gangStart follows the answers to the offers of one gang.
+type gangStart struct {
+	mu       sync.Mutex
+	open     int
+	refused  bool
+	accepted []placement
+}
+
+// answered notes an answer. The last one returns the accepted placements to take back if any was refused.
+func (g *gangStart) answered(pl placement, accepted bool) []placement {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.open--
+	if accepted {
+		g.accepted = append(g.accepted, pl)
+	} else {
+		g.refused = true
+	}
+	if g.open > 0 || !g.refused {
+		return nil
+	}
+	return g.accepted
+}
+
+// settleGang checkpoints the started tasks of a gang of which one was refused, so that they wait together again.
+func (p *placer) settleGang(ctx context.Context, pl placement, accepted bool) {
+	if pl.gang == nil {
 		return
 	}
+	for _, other := range pl.gang.answered(pl, accepted) {
+		events.GangIncomplete.Log(&p.owner.zlog).Str("task", other.op.Ref.Task).Str("agent", other.node.ID).Send()
+		callCtx, cancel := context.WithTimeout(ctx, placeTimeout)
+		var reply wire.StopReply
+		err := p.pool.Call(callCtx, other.node.Addr, "Agent.Stop", wire.StopArgs{Ref: *other.op.Ref, Checkpoint: true}, &reply)
+		cancel()
+		if err != nil {
+			p.planner.note(other.op.Ref.Task, "gang incomplete", "agent did not answer: "+err.Error())
+		}
+	}
+}
+
+// send offers a durable placement to the agent. Without an answer the agent is asked about it.
+func (p *placer) send(ctx context.Context, pl placement) {
 	args := wire.PlaceArgs{
-		Partition: p.owner.id, Incarnation: pl.node.Incarnation, HoldUntil: member.Load.Clock + pl.job.Hold,
-		Spec: worker.Spec{Ref: *pl.op.Ref, Kind: pl.job.Kind, Need: pl.job.Need, Run: pl.job.Run, Payload: pl.job.Payload, Checkpoint: pl.cp, Lease: WorkerLease},
+		Partition: p.owner.id, Incarnation: pl.node.Incarnation, HoldUntil: pl.node.Clock + pl.job.Hold,
+		Spec: worker.Spec{
+			Ref: *pl.op.Ref, Kind: pl.job.Kind, Need: pl.info.Need, Run: pl.info.Run, Payload: pl.job.Payload, Checkpoint: pl.cp,
+			Lease: min(WorkerLease, pl.job.Hold/2), Team: pl.job.Team, Priority: pl.job.Priority, Declared: pl.job.Need,
+		},
 	}
 	callCtx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
 	var reply wire.PlaceReply
 	err := p.pool.Call(callCtx, pl.node.Addr, "Agent.Place", args, &reply)
-	if err == nil && reply.Accepted {
-		return
+	switch {
+	case err == nil && reply.Accepted:
+		p.planner.sched.Confirm(*pl.op.Ref, reply.Clock)
+		p.settleGang(ctx, pl, true)
+	case err == nil:
+		p.placementRefused(ctx, pl, reply)
+		p.settleGang(ctx, pl, false)
+	case errors.Is(err, peer.ErrNotSent):
+		p.avoidAgent(pl.node.ID)
+		p.placementRefused(ctx, pl, wire.PlaceReply{Reason: "agent not reachable"})
+		p.settleGang(ctx, pl, false)
+	default:
+		p.queryAgent(ctx, pl.node.ID, []worker.Ref{*pl.op.Ref})
+		p.settleGang(ctx, pl, true)
 	}
-	if err != nil && !errors.Is(err, peer.ErrNotSent) {
-		p.fence(ctx, pl)
-		return
+}
+
+// placementRefused returns a task to the queue after proof that it did not start.
+func (p *placer) placementRefused(ctx context.Context, pl placement, reply wire.PlaceReply) {
+	ref := *pl.op.Ref
+	p.planner.sched.Refuse(ref, freshNode(pl.node, reply))
+	if reply.Kept {
+		p.planner.avoidWorker(ref.Task, pl.node.ID)
 	}
-	p.refused(ctx, pl, reply.Reason)
+	p.planner.note(ref.Task, "refused", pl.node.ID+": "+reply.Reason)
+	p.refused(ctx, pl.op, reply.Reason)
 }
 
-// fence asks the agent to refuse a placement whose answer was lost; if it says that the attempt is not there, it
-// never will be.
-func (p *placer) fence(ctx context.Context, pl placement) {
-	callCtx, cancel := context.WithTimeout(ctx, placeTimeout)
-	defer cancel()
-	var reply wire.StopReply
-	err := p.pool.Call(callCtx, pl.node.Addr, "Agent.Stop", wire.StopArgs{Ref: *pl.op.Ref}, &reply)
-	if err == nil && !reply.Known {
-		p.refused(ctx, pl, "placement lost on the way")
+// refusalCeiling bounds the delay after refusals.
+const refusalCeiling = 10 * time.Second
+
+// refusalDelay returns how long a refused task waits. Each refusal costs two operations, so they back off.
+func (o *Owner) refusalDelay(task string) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n := o.refusals[task]
+	o.refusals[task] = n + 1
+	return min(refusedDelay<<min(n, 10), refusalCeiling)
+}
+
+func (p *placer) refused(ctx context.Context, op ledger.Op, reason string) {
+	refuse := ledger.Op{Kind: ledger.OpRefuse, Ref: op.Ref, Reason: reason, NotBefore: time.Now().Add(p.owner.refusalDelay(op.Ref.Task))}
+	events.TaskRefused.Log(&p.owner.zlog).Str("task", op.Ref.Task).Int("attempt", op.Ref.Attempt).Str("agent", op.Agent).Str("reason", reason).Send()
+	if err := p.owner.Commit(ctx, refuse); err != nil {
+		events.CommitFailed.Log(&p.owner.zlog).Err(err).Str("task", op.Ref.Task).Send()
 	}
 }
 
-func (p *placer) refused(ctx context.Context, pl placement, reason string) {
-	op := ledger.Op{Kind: ledger.OpRefuse, Ref: pl.op.Ref, Reason: reason}
-	events.TaskRefused.Log(&p.owner.zlog).Str("task", pl.op.Ref.Task).Int("attempt", pl.op.Ref.Attempt).Str("agent", pl.node.ID).Str("reason", reason).Send()
-	if err := p.owner.Commit(ctx, op); err != nil {
-		events.CommitFailed.Log(&p.owner.zlog).Err(err).Str("task", pl.op.Ref.Task).Send()
+// freshNode is the worker with the room that its refusal told; nil if it told none.
+func freshNode(n scheduler.NodeInfo, reply wire.PlaceReply) *scheduler.NodeInfo {
+	if reply.Clock == 0 {
+		return nil
 	}
+	n.Clock, n.Free = reply.Clock, reply.Free
+	return &n
 }
 
-// snapshot builds the scheduler's view from the members' load reports.
-func (p *placer) snapshot() []scheduler.NodeInfo {
-	nodes := []scheduler.NodeInfo{}
-	for _, m := range p.nodes.Members() {
-		if m.Role == membership.RoleAgent && !m.Suspect && !m.Leaving {
-			nodes = append(nodes, NodeInfo(m.Member))
+// members lists the agents that may get tasks, this process included.
+func (p *placer) members() []membership.Member {
+	known := p.nodes.Members()
+	if self, ok := p.nodes.Lookup(p.self); ok {
+		known = append(known, self)
+	}
+	out := make([]membership.Member, 0, len(known))
+	for _, m := range known {
+		if m.Role == membership.RoleAgent && !m.Suspect && !m.Leaving && !p.avoided(m.ID) {
+			out = append(out, m.Member)
 		}
 	}
-	return nodes
+	return out
 }
 
 // NodeInfo converts a member's load report for the scheduler.
 func NodeInfo(m membership.Member) scheduler.NodeInfo {
 	n := scheduler.NodeInfo{
 		ID: m.ID, Incarnation: m.Incarnation, Addr: m.Addr, Domain: m.Domain, Rack: m.Rack,
-		Capacity: m.Load.Capacity, Free: m.Load.Free, Quarantined: m.Load.Failing,
+		Capacity: m.Load.Capacity, Free: m.Load.Free, FreeAt: m.Load.FreeAt, Teams: m.Load.Teams, Preemptible: m.Load.Preemptible,
+		QuickKind: m.Load.QuickKind, QuickRatio: m.Load.QuickRatio, BatchCores: m.Load.BatchCores, Failing: m.Load.Failing, Clock: m.Load.Clock,
 	}
 	if m.Load.Slots > 0 {
 		n.QuickLoad = float64(m.Load.SlotsBusy+m.Load.Queued) / float64(m.Load.Slots)
@@ -167,71 +360,70 @@
 
 type pendingTask struct {
 	job        ledger.Job
-	info       scheduler.TaskInfo
 	checkpoint string
 }
 
-func (o *Owner) pendingTasks(now time.Time) []pendingTask {
+// pendingWork is what waits in a partition: units for the queue and their tasks by name.
+type pendingWork struct {
+	units []*scheduler.Unit
+	tasks map[string]pendingTask
+}
+
+// pendingUnits lists the waiting tasks. Those of a gang form one unit, which waits until all of them may start.
+func (o *Owner) pendingUnits(pl *planner, now time.Time) pendingWork {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	out := []pendingTask{}
+	w := pendingWork{tasks: map[string]pendingTask{}}
+	known := pl.known()
 	for _, job := range o.state.Jobs {
+		if job.Finished() || now.Before(o.aside[job.ID].until) || !o.examine(job, known, now) {
+			continue
+		}
+		var gang *scheduler.Unit
+		if job.Gang {
+			gang = &scheduler.Unit{Key: job.ID, Gang: true}
+		}
+		early := false
 		for i := range job.Tasks {
 			t := &job.Tasks[i]
-			if t.State != ledger.TaskPending || now.Before(t.NotBefore) {
+			if t.State != ledger.TaskPending {
 				continue
 			}
-			out = append(out, pendingTask{job: *job, checkpoint: t.Checkpoint, info: scheduler.TaskInfo{
-				Ref: ledger.TaskRef(job.ID, i, t.Attempt+1), JobID: job.ID, Kind: job.Kind, Team: job.Team, Need: job.Need, Priority: job.Priority,
-			}})
-		}
-	}
-	sort.Slice(out, func(i, j int) bool {
-		if out[i].job.Priority != out[j].job.Priority {
-			return out[i].job.Priority > out[j].job.Priority
-		}
-		if !out[i].job.Submitted.Equal(out[j].job.Submitted) {
-			return out[i].job.Submitted.Before(out[j].job.Submitted)
+			if now.Before(t.NotBefore) {
+				early = true
+				continue
+			}
+			info := pl.taskInfo(job, i, t.Attempt+1)
+			w.tasks[info.Ref.Task] = pendingTask{job: copyJob(job), checkpoint: t.Checkpoint}
+			if gang != nil {
+				gang.Tasks = append(gang.Tasks, info)
+				continue
+			}
+			w.units = append(w.units, &scheduler.Unit{Key: info.Ref.Task, Tasks: []*scheduler.TaskInfo{info}})
 		}
-		return out[i].info.Ref.Task < out[j].info.Ref.Task
-	})
-	return out[:min(len(out), placeBatch)]
-}
-
-func (o *Owner) explainTask(task, decision string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.explain[task] = decision
-}
-
-func (o *Owner) startHold(ref worker.Ref, hold time.Duration) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.holds[ref] = time.Now().Add(hold)
-}
-
-// expireHolds returns tasks to the queue whose agents can no longer be running them.
-func (p *placer) expireHolds(ctx context.Context) {
-	for _, op := range p.owner.expired(time.Now(), p.nodes) {
-		if err := p.owner.Commit(ctx, op); err == nil {
-			events.TaskLost.Log(&p.owner.zlog).Str("task", op.Ref.Task).Int("attempt", op.Ref.Attempt).Str("reason", op.Reason).Send()
+		if gang != nil && len(gang.Tasks) > 0 && !early {
+			w.units = append(w.units, gang)
 		}
 	}
+	return w
 }
 
-func (o *Owner) expired(now time.Time, _ Nodes) []ledger.Op {
+// placedTasks lists the tasks that are on workers.
+func (o *Owner) placedTasks() []scheduler.PlacedTask {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	ops := []ledger.Op{}
-	for ref, until := range o.holds {
-		_, task := o.state.Task(ref.Task)
-		if task == nil || task.State != ledger.TaskPlaced || task.Attempt != ref.Attempt {
-			delete(o.holds, ref)
-			continue
-		}
-		if now.After(until) {
-			ops = append(ops, ledger.Op{Kind: ledger.OpLost, Ref: &ref, Reason: "no report before the hold ran out"})
+	out := []scheduler.PlacedTask{}
+	for _, job := range o.state.Jobs {
+		for i := range job.Tasks {
+			t := &job.Tasks[i]
+			if t.State != ledger.TaskPlaced {
+				continue
+			}
+			info := scheduler.TaskInfo{
+				Ref: ledger.TaskRef(job.ID, i, t.Attempt), JobID: job.ID, Kind: job.Kind, Team: job.Team, Need: job.Need, Run: job.Run, Priority: job.Priority,
+			}
+			out = append(out, scheduler.PlacedTask{Task: info, Node: t.Agent})
 		}
 	}
-	return ops
+	return out
 }
--- a/internal/partition/settler.go
+++ b/internal/partition/settler.go
@@ -8,7 +8,6 @@
 
 	"bamboofork/internal/events"
 	"bamboofork/internal/ledger"
-	"bamboofork/internal/peer"
 	"bamboofork/internal/wire"
 )
 
@@ -21,11 +20,10 @@
 func (s *claimStats) full() bool       { return s.count.Load() >= maxClaims }
 func (s *claimStats) bodiesFull() bool { return s.bodies.Load() >= maxClaimBodies }
 
-// settler resolves the open claims of a partition and drops recorded outcomes after their time.
+// settler resolves the open claims of a partition.
 type settler struct {
 	owner *Owner
-	pool  *peer.Pool
-	ttl   time.Duration
+	pool  Caller
 }
 
 // Pace of the sweeps.
@@ -33,7 +31,6 @@
 	sweepInterval  = time.Second
 	settlesAtOnce  = 16
 	settlesPerPass = 128
-	prunesPerPass  = 1000
 )
 
 // run sweeps until ctx ends.
@@ -49,30 +46,25 @@
 		if !s.owner.valid() {
 			continue
 		}
-		open, expired := s.sweep(time.Now())
-		s.settleAll(open)
-		s.prune(ctx, expired)
+		s.settleAll(s.sweep(time.Now()))
 	}
 }
 
 // sweep finds what is due and refreshes the statistics.
-func (s *settler) sweep(now time.Time) (open, expired []ledger.Claim) {
+func (s *settler) sweep(now time.Time) (open []ledger.Claim) {
 	o := s.owner
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	bodies := 0
 	for _, c := range o.state.Claims {
 		bodies += len(c.Body)
-		switch {
-		case c.Done && now.Sub(c.Ended) > s.ttl && len(expired) < prunesPerPass:
-			expired = append(expired, *c)
-		case !c.Done && now.Sub(c.At) > settleAfter && len(open) < settlesPerPass:
+		if !c.Done && now.Sub(c.At) > settleAfter && len(open) < settlesPerPass {
 			open = append(open, *c)
 		}
 	}
 	o.claims.count.Store(int64(len(o.state.Claims)))
 	o.claims.bodies.Store(int64(bodies))
-	return open, expired
+	return open
 }
 
 func (s *settler) settleAll(open []ledger.Claim) {
@@ -90,21 +82,6 @@
 	wg.Wait()
 }
 
-func (s *settler) prune(ctx context.Context, expired []ledger.Claim) {
-	if len(expired) == 0 {
-		return
-	}
-	ops := make([]ledger.Op, len(expired))
-	for i := range expired {
-		ops[i] = ledger.Op{Kind: ledger.OpPrune, Claim: &ledger.Claim{Key: expired[i].Key, RequestID: expired[i].RequestID}}
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if err := s.owner.Commit(ctx, ops...); err != nil {
-		events.CommitFailed.Log(&s.owner.zlog).Err(err).Msg("expired claims not dropped, they are tried again")
-	}
-}
-
 // settle asks the claim's agent how the request ended and records it. A request that has not started is fenced there
 // and its key is released.
 func (s *settler) settle(c ledger.Claim) {
--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -1,10 +1,11 @@
 package peer
 
 import (
+	"bytes"
 	"errors"
+	"io"
 	"net"
 	"testing"
-	"time"
 )
 
 func errorsAs(err error, target any) bool { return errors.As(err, target) }
@@ -18,11 +19,12 @@
 		client, server := net.Pipe()
 		defer client.Close()
 		go func() {
-			client.SetDeadline(time.Now().Add(time.Second)) //nolint:errcheck // a pipe accepts deadlines
-			client.Write(data)                              //nolint:errcheck // the server may close first
-			client.Read(make([]byte, maxHandshake))         //nolint:errcheck // only unblocks the server's answer
-			client.Close()
+			client.Write(data) //nolint:errcheck // the server may refuse before the end
+			if !bytes.Contains(data, []byte("\n")) && len(data) < maxHandshake {
+				client.Close() // the server would wait for the rest until its deadline
+			}
 		}()
+		go io.Copy(io.Discard, client) //nolint:errcheck // ends with the server's side
 		err := acceptHandshake(server)
 		server.Close()
 		exact := len(data) > len(ProtocolVersion) && string(data[:len(ProtocolVersion)+1]) == ProtocolVersion+"\n"
