--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -49,6 +49,12 @@
 	FirstPort    int    // 0: any free ports
 	Routing      string // routing policy of the entries, "": the default
 	MaxQueue     int    // waiting requests of one branch at a gate, 0: the default
+	// Relayed puts a faultnet relay before each process's control and data address; RelaySeed determines their faults.
+	Relayed   bool
+	RelaySeed uint64
+	// TLS protects the connections between processes, CallersTLS the caller API, Credentials the operator endpoints.
+	TLS, CallersTLS config.TLS
+	Credentials     string
 }
 
 // Fleet is a running fleet. mu guards the maps.
@@ -62,6 +68,7 @@
 	Agents  map[string]*Host
 	Entries map[string]*Host
 	stops   []func()
+	zombies []chan error // of aborted nodes
 }
 
 // Host is one host of the fleet.
@@ -71,6 +78,7 @@
 	Worker      *platform.SimWorker
 	Backend     *sample.Server
 	BackendURL  string
+	Links       Links
 	stopBackend func()
 	cancel      context.CancelFunc
 	done        chan error
@@ -178,6 +186,7 @@
 		Listen: config.Listen{Control: control}, Store: f.StoreURL, Seeds: f.seeds(),
 		Partitions: config.DefaultPartitions, MaxPartitions: config.DefaultMaxPartitions,
 		LeaseTTL: p.LeaseTTL, OutageHold: p.OutageHold, Drain: p.Drain, LogLevel: "info",
+		TLS: p.TLS, CallersTLS: p.CallersTLS, Credentials: p.Credentials,
 	}, nil
 }
 
@@ -187,7 +196,7 @@
 	defer f.mu.Unlock()
 	out := []string{}
 	for _, h := range f.Entries {
-		out = append(out, h.Config.Listen.Control)
+		out = append(out, h.Config.ControlAddr())
 	}
 	return out
 }
@@ -204,11 +213,15 @@
 	}
 	cfg.Routing = p.Routing
 	cfg.TrustedProxies = []string{"127.0.0.0/8"} // load runs stand for many callers by X-Forwarded-For
-	n, err := node.NewEntry(cfg, f.log)
+	h := &Host{Config: cfg}
+	if err := f.relay(h); err != nil {
+		return err
+	}
+	n, err := node.NewEntry(h.Config, f.log)
 	if err != nil {
 		return err
 	}
-	h := &Host{Config: cfg, Node: n}
+	h.Node = n
 	h.run()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -255,6 +268,9 @@
 }
 
 func (f *Fleet) addAgent(h *Host) error {
+	if err := f.relay(h); err != nil {
+		return err
+	}
 	n, err := node.NewAgent(h.Config, f.log)
 	if err != nil {
 		return err
@@ -269,14 +285,15 @@
 
 func (h *Host) run() {
 	ctx, cancel := context.WithCancel(context.Background())
-	h.cancel, h.done = cancel, make(chan error, 1)
+	n, done := h.Node, make(chan error, 1)
+	h.cancel, h.done = cancel, done
 	role := "agent"
 	if h.Worker == nil {
 		role = "entry"
 	}
 	// Goroutines inherit the label, so a CPU profile of the fleet can be split by role.
 	pprof.Do(ctx, pprof.Labels("role", role), func(ctx context.Context) {
-		go func() { h.done <- h.Node.Run(ctx) }()
+		go func() { done <- n.Run(ctx) }()
 	})
 }
 
@@ -286,11 +303,21 @@
 	return <-h.done
 }
 
+func (f *Fleet) host(hosts map[string]*Host, kind string, i int) *Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return hosts[fmt.Sprintf("%s-%d", kind, i+1)]
+}
+
 // EntryURL returns the base URL of an entry's caller API.
 func (f *Fleet) EntryURL(i int) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return "http://" + f.Entries[fmt.Sprintf("entry-%d", i+1)].Config.Listen.Callers
+	scheme := "http://"
+	if f.Profile.CallersTLS.On() {
+		scheme = "https://"
+	}
+	return scheme + f.Entries[fmt.Sprintf("entry-%d", i+1)].Config.Listen.Callers
 }
 
 // WaitReady waits until every entry sees every agent and the tree is in force.
@@ -329,6 +356,7 @@
 
 // Stop stops all hosts in order, agents first, then the stand-ins.
 func (f *Fleet) Stop() error {
+	f.awaitZombies()
 	errs := append(stopAll(f.Agents), stopAll(f.Entries)...)
 	for i := len(f.stops) - 1; i >= 0; i-- {
 		f.stops[i]()
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -9,6 +13,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"bamboofork/internal/events"
 	"bamboofork/internal/ledger"
 	"bamboofork/internal/settings"
 	"bamboofork/internal/wire"
@@ -34,6 +39,8 @@
 
 // Register adds the caller API to e.
 func (e *Entry) Register(r *echo.Echo) {
+	r.HTTPErrorHandler = httpError
+	r.Use(e.closeWhenLeaving)
 	r.Any(PathRun+"*", e.handleRun)
 	r.POST(PathJobs, e.handleSubmit)
 	r.GET(PathJobs, e.handleJobs)
@@ -42,16 +49,47 @@
 	r.GET(PathDecisions+":id", e.handleDecisions)
 }
 
-// defaultRetryAfter is the Retry-After of refusals without a better estimate, in seconds.
-const defaultRetryAfter = "1"
+// httpError answers what no handler took with a problem body.
+func httpError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	status, detail := http.StatusInternalServerError, ""
+	var he *echo.HTTPError
+	if errors.As(err, &he) {
+		status = he.Code
+	}
+	if errors.Is(err, echo.ErrNotFound) || errors.Is(err, echo.ErrMethodNotAllowed) {
+		detail = "see " + PathRun + "{branch}" + pathSplit + "{path} and " + PathJobs
+	}
+	outcome := wire.OutcomeNotRun
+	if status >= http.StatusInternalServerError {
+		outcome = wire.OutcomeUnknown
+	}
+	problem(c, status, outcome, "", detail) //nolint:errcheck // the caller is gone if this fails
+}
+
+// closeWhenLeaving closes callers' connections with their next answer once the entry leaves.
+func (e *Entry) closeWhenLeaving(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if e.isLeaving() {
+			c.Response().Header().Set(echo.HeaderConnection, "close")
+		}
+		return next(c)
+	}
+}
+
+// retryAfterSpread is the number of seconds over which refused callers come back, without a better estimate.
+const retryAfterSpread = 4
 
 func problem(c echo.Context, status int, outcome wire.Outcome, id, detail string) error {
 	h := c.Response().Header()
 	h.Set(echo.HeaderContentType, "application/problem+json")
 	h.Set(wire.HeaderOutcome, string(outcome))
 	h.Set(wire.HeaderRequestID, id)
-	if (status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable) && h.Get(echo.HeaderRetryAfter) == "" {
-		h.Set(echo.HeaderRetryAfter, defaultRetryAfter)
+	again := status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusConflict
+	if again && h.Get(echo.HeaderRetryAfter) == "" {
+		h.Set(echo.HeaderRetryAfter, strconv.Itoa(1+rand.IntN(retryAfterSpread)))
 	}
 	return c.JSON(status, Problem{Title: http.StatusText(status), Status: status, Detail: detail, Outcome: outcome, RequestID: id})
 }
@@ -68,17 +106,22 @@
 	if !branch.Idempotent && key == "" {
 		return problem(c, http.StatusBadRequest, wire.OutcomeNotRun, id, "the branch is not idempotent; send an Idempotency-Key")
 	}
+	if len(key) > maxKeyBytes || strings.ContainsFunc(key, notVisible) {
+		return problem(c, http.StatusBadRequest, wire.OutcomeNotRun, id, "an Idempotency-Key has up to 255 visible ASCII characters")
+	}
+	if e.isLeaving() && branch.Class == settings.ClassStream {
+		return problem(c, http.StatusServiceUnavailable, wire.OutcomeNotRun, id, "this entry is leaving; open the stream again")
+	}
 	caller := e.trusted.Address(r)
 	if refusal := e.limiter.Rate(branch, caller, time.Now()); refusal != nil {
 		return e.shed(c, &Request{ID: id, Branch: branch, Caller: caller}, refusal)
 	}
-	body, tooLarge, err := readBody(r.Body, branch.BodyLimit)
+	body, err := e.receive(c, branch)
 	if err != nil {
-		return problem(c, http.StatusBadRequest, wire.OutcomeNotRun, id, "request body: "+err.Error())
-	}
-	if tooLarge {
-		return problem(c, http.StatusRequestEntityTooLarge, wire.OutcomeNotRun, id, "body exceeds "+strconv.FormatInt(branch.BodyLimit, 10)+" bytes")
+		out := bodyAnswer(err)
+		return problem(c, out.Status, out.Outcome, id, out.Reason)
 	}
+	defer body.Release()
 	req := &Request{
 		ID: id, Branch: branch, Method: r.Method, Path: "/" + rest, Query: r.URL.RawQuery,
 		Header: callerHeader(r.Header), Body: body, Deadline: time.Now().Add(branch.Deadline),
@@ -87,6 +130,20 @@
 	return e.answer(c, req, key)
 }
 
+// maxKeyBytes bounds an idempotency key.
+const maxKeyBytes = 255
+
+func notVisible(r rune) bool { return r < 0x20 || r > 0x7e }
+
+// receive reads the head of the body. A caller that sends it slower than the branch's deadline is cut off.
+func (e *Entry) receive(c echo.Context, branch *settings.Effective) (*Body, error) {
+	rc := http.NewResponseController(c.Response().Writer)
+	if branch.Class != settings.ClassStream && rc.SetReadDeadline(time.Now().Add(branch.Deadline)) == nil {
+		defer rc.SetReadDeadline(time.Time{}) //nolint:errcheck // a closed connection fails at its next use
+	}
+	return newBody(c.Request().Body, c.Request().ContentLength, branch.BodyLimit, &e.buffers)
+}
+
 // callerHeader drops what a caller must not set and what belongs to one hop.
 func callerHeader(h http.Header) http.Header {
 	out := http.Header{}
@@ -100,12 +157,8 @@
 }
 
 func (e *Entry) answer(c echo.Context, req *Request, key string) error {
-	ctx := c.Request().Context()
-	if req.Branch.Class != settings.ClassStream {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
-		defer cancel()
-	}
+	ctx, cancel := e.requestContext(c.Request().Context(), req)
+	defer cancel()
 	started := time.Now()
 	permit, refusal := e.limiter.Admit(req.Branch, req.Caller, started)
 	if refusal != nil {
@@ -127,12 +180,41 @@
 	err := passOn(c, req, out)
 	out.Close(err != nil)
 	if err != nil {
+		events.AnswerCut.Log(&e.log).Str("request", req.ID).Err(err).Send()
 		panic(http.ErrAbortHandler) // the caller must see that the answer is cut off
 	}
 	e.metrics.Histogram("entry_latency_us").Update(time.Since(started).Microseconds())
 	return nil
 }
 
+// requestContext ends at the request's deadline. Streams have none; they end when the entry leaves.
+func (e *Entry) requestContext(parent context.Context, req *Request) (context.Context, context.CancelFunc) {
+	if req.Branch.Class == settings.ClassStream {
+		return e.streamContext(parent)
+	}
+	return context.WithDeadline(parent, req.Deadline)
+}
+
+// callerWriteTimeout bounds one write to a caller that does not read.
+const callerWriteTimeout = 30 * time.Second
+
+// deadlineWriter gives each write to a caller its own deadline.
+type deadlineWriter struct {
+	http.ResponseWriter
+	rc *http.ResponseController
+}
+
+// Write implements io.Writer.
+func (w *deadlineWriter) Write(p []byte) (int, error) {
+	if err := w.rc.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return 0, err
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w *deadlineWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 func passOn(c echo.Context, req *Request, out *Answer) error {
 	h := c.Response().Header()
 	for name, values := range out.Response.Header {
@@ -143,7 +225,9 @@
 	h.Set(wire.HeaderRequestID, req.ID)
 	h.Set(wire.HeaderOutcome, string(out.Outcome))
 	c.Response().WriteHeader(out.Response.StatusCode)
-	return wire.CopyBody(c.Response().Writer, out.Response)
+	w := &deadlineWriter{ResponseWriter: c.Response().Writer, rc: http.NewResponseController(c.Response().Writer)}
+	defer w.rc.SetWriteDeadline(time.Time{}) //nolint:errcheck // a closed connection fails at its next use
+	return wire.CopyBody(w, out.Response)
 }
 
 // JobRequest is the body of a job submission. Durations are in milliseconds.
@@ -180,12 +264,28 @@
 	return branch, ""
 }
 
+// DecodeJob reads a submission. On an error the status is 400, or 413 beyond maxJobBody.
+func DecodeJob(r io.Reader) (in JobRequest, status int, err error) {
+	data, err := io.ReadAll(io.LimitReader(r, maxJobBody+1))
+	if err != nil {
+		return in, http.StatusBadRequest, err
+	}
+	if len(data) > maxJobBody {
+		return in, http.StatusRequestEntityTooLarge, errJobTooLarge
+	}
+	if err := json.Unmarshal(data, &in); err != nil {
+		return in, http.StatusBadRequest, err
+	}
+	return in, http.StatusOK, nil
+}
+
+var errJobTooLarge = errors.New("more than " + strconv.Itoa(maxJobBody) + " bytes")
+
 func (e *Entry) handleSubmit(c echo.Context) error {
 	id := NewID()
-	var in JobRequest
-	c.Request().Body = http.MaxBytesReader(c.Response(), c.Request().Body, maxJobBody)
-	if err := c.Bind(&in); err != nil {
-		return problem(c, http.StatusBadRequest, wire.OutcomeNotRun, id, "malformed job: "+err.Error())
+	in, status, err := DecodeJob(c.Request().Body)
+	if err != nil {
+		return problem(c, status, wire.OutcomeNotRun, id, "malformed job: "+err.Error())
 	}
 	branch, fault := in.check(e.live.Current())
 	if fault != "" {
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -1,18 +1,16 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
 	"time"
 
 	"bamboofork/internal/events"
+	"bamboofork/internal/ledger"
 	"bamboofork/internal/membership"
 	"bamboofork/internal/retry"
 	"bamboofork/internal/route"
@@ -28,7 +26,7 @@
 	Path     string // at the backend server
 	Query    string
 	Header   http.Header
-	Body     []byte
+	Body     *Body
 	Deadline time.Time
 	Caller   netip.Addr // zero if unknown
 	Once     bool       // must not run twice
@@ -43,6 +41,7 @@
 	Waited   time.Duration // at the agent's gate; negative if not known
 	Overload bool          // a gate refused the request because of overload
 	done     func(failed bool)
+	final    bool // an unknown outcome that no question can improve
 }
 
 // Close releases the answer. failed says that the body could not be read to its end.
@@ -56,18 +55,32 @@
 	}
 }
 
+// onClose adds a function that runs when the answer is closed, or now if it has no response.
+func (a *Answer) onClose(f func()) {
+	if a.Response == nil {
+		f()
+		return
+	}
+	done := a.done
+	a.done = func(failed bool) {
+		f()
+		if done != nil {
+			done(failed)
+		}
+	}
+}
+
 // Send routes the request and tries again where that is known to be safe and the budget allows it.
 func (e *Entry) Send(ctx context.Context, req *Request) *Answer {
 	e.budget.Deposit(req.Branch.Branch, req.Branch.RetryBudget)
 	var tried [retry.MaxAttempts]string
 	avoid := route.Avoid(tried[:0])
-	pick := e.balancer.Pick(req.Branch.Backend, avoid)
+	pick := e.pick(req, avoid)
 	for attempt := 1; ; attempt++ {
 		if pick.Chosen == nil {
 			return e.unrouted(req, &pick)
 		}
-		e.decisions.add(decisionRecord{id: req.ID, branch: req.Branch.Branch, attempt: attempt, decision: pick})
-		e.logRouted(req, attempt, &pick)
+		e.noteRouted(req, attempt, &pick)
 		avoid = append(avoid, pick.Chosen.ID)
 		answer := e.try(ctx, req, attempt, pick.Chosen)
 		next, again := e.next(ctx, req, attempt, avoid, answer)
@@ -75,8 +88,7 @@
 			return answer
 		}
 		pick = next
-		e.metrics.Counter("entry_retries").Inc(1)
-		events.RequestRetried.Log(&e.log).Str("request", req.ID).Int("attempt", attempt).Str("reason", answer.Reason).Send()
+		e.retried(req, attempt, answer)
 	}
 }
 
@@ -84,10 +96,10 @@
 // slot by this entry's estimate, because other full gates would only be loaded more.
 func (e *Entry) next(ctx context.Context, req *Request, attempt int, avoid route.Avoid, last *Answer) (route.Decision, bool) {
 	a := retry.Attempt{Number: attempt, Outcome: last.Outcome, Once: req.Once, Deadline: req.Deadline}
-	if ctx.Err() != nil || a.Refuse(time.Now()) != "" {
+	if ctx.Err() != nil || !req.Body.replayable() || a.Refuse(time.Now()) != "" {
 		return route.Decision{}, false
 	}
-	pick := e.balancer.Pick(req.Branch.Backend, avoid)
+	pick := e.pick(req, avoid)
 	if pick.Chosen == nil {
 		return pick, false
 	}
@@ -104,6 +116,27 @@
 	return &Answer{Outcome: wire.OutcomeNotRun, Status: http.StatusServiceUnavailable, Reason: "no backend server: " + reason, Waited: -1}
 }
 
+func (e *Entry) retried(req *Request, attempt int, answer *Answer) {
+	e.metrics.Counter("entry_retries").Inc(1)
+	events.RequestRetried.Log(&e.log).Str("request", req.ID).Int("attempt", attempt).Str("reason", answer.Reason).Send()
+}
+
+// pick chooses an agent. Those that leave by their own word are never chosen; those that are unreachable only if there
+// is no other.
+func (e *Entry) pick(req *Request, avoid route.Avoid) route.Decision {
+	avoid = e.leaving.with(avoid, e.table)
+	d := e.balancer.Pick(req.Branch.Backend, e.unreachable.with(avoid))
+	if d.Chosen == nil {
+		d = e.balancer.Pick(req.Branch.Backend, avoid)
+	}
+	return d
+}
+
+func (e *Entry) noteRouted(req *Request, attempt int, d *route.Decision) {
+	e.decisions.add(decisionRecord{id: req.ID, branch: req.Branch.Branch, attempt: attempt, decision: *d})
+	e.logRouted(req, attempt, d)
+}
+
 // logRouted explains a decision for the branch's log_sample share of the requests. Rendering costs more than the
 // decision itself, so it happens only for lines that are written.
 func (e *Entry) logRouted(req *Request, attempt int, d *route.Decision) {
@@ -114,28 +147,56 @@
 		Bool("spilled", d.Spilled).Str("decision", d.Explain()).Send()
 }
 
-// try sends the request to one agent.
+// try sends a request that may run more than once to one agent.
 func (e *Entry) try(ctx context.Context, req *Request, attempt int, s *route.Server) *Answer {
+	out, err := e.exchange(ctx, req, s, &ledger.Claim{Attempt: attempt})
+	switch {
+	case errors.Is(err, errNotSent):
+		return refused(err.Error())
+	case err != nil:
+		return lostAnswer(err)
+	}
+	return out
+}
+
+func refused(reason string) *Answer {
+	return &Answer{Outcome: wire.OutcomeNotRun, Status: http.StatusServiceUnavailable, Reason: reason, Waited: -1}
+}
+
+var errMismatch = errors.New("answer of another request")
+
+// exchange sends one attempt to an agent and reads the head of its answer. errNotSent proves that the request did not
+// leave this process; after other errors its outcome is not known.
+func (e *Entry) exchange(ctx context.Context, req *Request, s *route.Server, claim *ledger.Claim) (*Answer, error) {
 	started := time.Now()
-	resp, err := e.roundTrip(ctx, req, attempt, s.Member)
+	resp, err := e.roundTrip(ctx, req, s.Member, claim)
 	if err != nil {
 		// A server that lets the deadline pass counts as failed: a silent connection shows only in this way until its
 		// probe ends. A caller that hangs up says nothing about the server.
 		e.balancer.Done(s, route.Result{Failed: !errors.Is(ctx.Err(), context.Canceled), Busy: -1})
-		return e.lost(ctx, req, attempt, s.Member, err)
+		if ctx.Err() == nil {
+			e.suspect(s.Member)
+		}
+		return nil, err
 	}
 	result := resultOf(resp, time.Since(started))
 	done := func(failed bool) {
 		result.Failed = failed
 		e.balancer.Done(s, result)
 	}
-	if got := resp.Header.Get(wire.HeaderRequestID); got != req.ID {
+	if resp.Header.Get(wire.HeaderRequestID) != req.ID || resp.Header.Get(wire.HeaderAttempt) != strconv.Itoa(claim.Attempt) {
 		done(true)
 		resp.Body.Close()
-		events.AnswerMismatch.Log(&e.log).Str("request", req.ID).Str("got", got).Str("agent", s.ID).Send()
-		return &Answer{Outcome: wire.OutcomeUnknown, Status: http.StatusBadGateway, Reason: "answer of another request", Waited: -1}
+		events.AnswerMismatch.Log(&e.log).Str("request", req.ID).Str("got", resp.Header.Get(wire.HeaderRequestID)).Str("agent", s.ID).Send()
+		return nil, errMismatch
+	}
+	if resp.Header.Get(wire.HeaderLeaving) != "" && e.leaving.add(s.Member) {
+		events.ServerLeaving.Log(&e.log).Str("agent", s.ID).Send()
 	}
-	return answerOf(resp, result, done)
+	if resp.ContentLength > 0 && req.Method != http.MethodHead {
+		resp.Body = &sizedBody{ReadCloser: resp.Body, left: resp.ContentLength}
+	}
+	return answerOf(resp, result, done), nil
 }
 
 // answerOf reads the agent's verdict. The server is released now unless the caller still reads the body.
@@ -147,7 +208,7 @@
 		return a
 	case wire.OutcomeNotRun:
 		done(resp.Header.Get(wire.HeaderUnhealthy) != "")
-		a.Status = resp.StatusCode
+		a.Status = callerStatus(resp.StatusCode)
 	default:
 		done(true)
 		a.Outcome, a.Status = wire.OutcomeUnknown, http.StatusBadGateway
@@ -178,19 +239,30 @@
 // entry gives up and takes the server for a silent one.
 const hopReserve = 5 * time.Millisecond
 
-func (e *Entry) roundTrip(ctx context.Context, req *Request, attempt int, m membership.Member) (*http.Response, error) {
-	url := "http://" + m.DataAddr + wire.ForwardPath + req.Path
+// callerStatus maps an agent's refusal to what a caller may see: 503 and 429 invite a repeat, 4xx blame the request.
+func callerStatus(status int) int {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusRequestEntityTooLarge, http.StatusBadRequest:
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
+
+// roundTrip sends the attempt. The transport cannot repeat it: the request has no GetBody and its body is never
+// http.NoBody.
+func (e *Entry) roundTrip(ctx context.Context, req *Request, m membership.Member, claim *ledger.Claim) (*http.Response, error) {
+	url := e.scheme + "://" + m.DataAddr + wire.ForwardPath + req.Path
 	if req.Query != "" {
 		url += "?" + req.Query
 	}
-	out, err := http.NewRequestWithContext(ctx, req.Method, url, bytes.NewReader(req.Body))
+	out, err := http.NewRequestWithContext(ctx, req.Method, url, req.Body.reader())
 	if err != nil {
-		return nil, err
+		return nil, errors.Join(errNotSent, err)
 	}
-	if req.Once {
-		out.GetBody = nil // the transport must not repeat the request by itself
-		out.Body = io.NopCloser(bytes.NewReader(req.Body))
-		out.ContentLength = -1
+	out.GetBody = nil
+	out.ContentLength = req.Body.length
+	if req.Body.length == 0 {
+		out.ContentLength = -1 // a length of 0 with a body means "unknown" to net/http as well
 	}
 	for name, values := range req.Header {
 		out.Header[name] = values
@@ -198,46 +270,20 @@
 	out.Header.Set(wire.HeaderRequestID, req.ID)
 	out.Header.Set(wire.HeaderBranch, req.Branch.Branch)
 	out.Header.Set(wire.HeaderCaller, req.Caller.String())
-	out.Header.Set(wire.HeaderAttempt, strconv.Itoa(attempt))
+	out.Header.Set(wire.HeaderAttempt, strconv.Itoa(claim.Attempt))
 	out.Header.Set(wire.HeaderDeadlineMs, strconv.FormatInt(max(1, (time.Until(req.Deadline)-hopReserve).Milliseconds()), 10))
+	if claim.AgentInc != 0 {
+		out.Header.Set(wire.HeaderIncarnation, strconv.FormatInt(claim.AgentInc, 10))
+		out.Header.Set(wire.HeaderUntilMs, strconv.FormatInt(claim.Until.Milliseconds(), 10))
+	}
 	return e.client.RoundTrip(out)
 }
 
-// lost decides what a broken exchange means. Only a failed dial or the agent's fence proves that nothing ran.
-func (e *Entry) lost(ctx context.Context, req *Request, attempt int, m membership.Member, cause error) *Answer {
-	a := &Answer{Outcome: wire.OutcomeUnknown, Status: http.StatusBadGateway, Reason: cause.Error(), Waited: -1}
-	var opErr *net.OpError
-	if errors.As(cause, &opErr) && opErr.Op == "dial" || e.fenced(req, attempt, m) {
-		a.Outcome, a.Status = wire.OutcomeNotRun, http.StatusServiceUnavailable
-		return a
-	}
+// lostAnswer is the answer when the exchange broke after the request may have left.
+func lostAnswer(cause error) *Answer {
+	status := http.StatusBadGateway
 	if errors.Is(cause, context.DeadlineExceeded) {
-		a.Status = http.StatusGatewayTimeout
-	}
-	if req.Once {
-		events.RequestUnknown.Log(&e.log).Str("request", req.ID).Str("agent", m.ID).Err(cause).Send()
+		status = http.StatusGatewayTimeout
 	}
-	return a
-}
-
-// fenceTimeout bounds the question to the agent after a lost answer.
-const fenceTimeout = time.Second
-
-// fenced asks the agent to refuse the attempt if it has not started; true proves that it never will run.
-func (e *Entry) fenced(req *Request, attempt int, m membership.Member) bool {
-	if !req.Once {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), fenceTimeout)
-	defer cancel()
-	var reply wire.FenceReply
-	id := req.ID + "/" + strconv.Itoa(attempt)
-	err := e.pool.Call(ctx, m.Addr, "Agent.FenceRequest", wire.FenceArgs{RequestID: id}, &reply)
-	return err == nil && !reply.Started && reply.Incarnation == m.Incarnation
-}
-
-// readBody reads a caller's body up to the branch's limit.
-func readBody(r io.Reader, limit int64) (body []byte, tooLarge bool, err error) {
-	body, err = io.ReadAll(io.LimitReader(r, limit+1))
-	return body, int64(len(body)) > limit, err
+	return &Answer{Outcome: wire.OutcomeUnknown, Status: status, Reason: cause.Error(), Waited: -1}
 }
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -112,7 +112,7 @@
 	if m.Leaving && !old.Leaving {
 		events.MemberLeaving.Log(&t.log).Str("member", m.ID).Send()
 	}
-	return m.Leaving != old.Leaving || m.Gone != old.Gone || m.Load.Failing != old.Load.Failing || compareLife(m, old) > 0
+	return m.Leaving != old.Leaving || m.Gone != old.Gone || m.Load.Failing != old.Load.Failing || m.Load.BackendDown != old.Load.BackendDown || compareLife(m, old) > 0
 }
 
 // touch makes the whole record known to the links.
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -31,7 +31,9 @@
 	Capacity  worker.Resources // for batch tasks
 	Free      worker.Resources // for batch tasks
 	Failing   bool             // the worker fails what it starts
-	Clock     time.Duration    // the agent's monotonic time since its start, when it wrote the record
+	// BackendDown: the backend server refuses connections or does not answer probes.
+	BackendDown bool
+	Clock       time.Duration // the agent's monotonic time since its start, when it wrote the record
 
 	FreeAt      [4]worker.Resources         // projected free room at scheduler.Horizons
 	Teams       map[string]worker.Resources // batch tasks by team
@@ -180,7 +182,7 @@
 // sameLife reports whether two records agree in what all members must hear of at once.
 func (m Member) sameLife(o Member) bool {
 	return compareLife(m, o) == 0 && m.Leaving == o.Leaving && m.Gone == o.Gone && m.Load.Failing == o.Load.Failing &&
-		m.Load.Backend == o.Load.Backend && m.Load.Slots == o.Load.Slots
+		m.Load.BackendDown == o.Load.BackendDown && m.Load.Backend == o.Load.Backend && m.Load.Slots == o.Load.Slots
 }
 
 // Status is a member as this process sees it.
--- a/internal/partition/claim.go
+++ b/internal/partition/claim.go
@@ -135,9 +135,15 @@
 		defer close(placed)
 		newPlacer(m, o).run(placeCtx)
 	}()
+	settled := make(chan struct{})
+	go func() {
+		defer close(settled)
+		(&settler{owner: o, pool: m.pool}).run(placeCtx)
+	}()
 	err := o.run(ctx)
 	stop()
 	<-placed
+	<-settled
 	m.mu.Lock()
 	delete(m.owners, o.id)
 	delete(m.views, o.id)
--- a/internal/partition/owner.go
+++ b/internal/partition/owner.go
@@ -59,6 +59,7 @@
 	outage time.Duration
 
 	retention time.Duration
+	claims    claimStats
 	pace      *rate.Limiter // appends to the log
 	requests  chan *request
 	ended     chan struct{} // closed when no more requests are taken
--- a/internal/partition/retention.go
+++ b/internal/partition/retention.go
@@ -14,12 +14,12 @@
 
 // Removal of what has ended.
 const (
-	pruneEvery  = time.Minute
-	pruneBatch  = 500 // operations per pass
-	openClaimBy = 7   // claims without an outcome are kept this many times longer: their request may have run
+	pruneEvery = time.Minute
+	pruneBatch = 500 // operations per pass
 )
 
-// prune removes finished jobs and claims whose retention is over. A successor counts a job's retention anew.
+// prune removes finished jobs and recorded claims whose retention is over; an open claim stays until the settler has
+// recorded its end. A successor counts a job's retention anew.
 func (o *Owner) prune(ctx context.Context, now time.Time) {
 	ops := o.prunable(now)
 	if len(ops) == 0 {
@@ -42,12 +42,8 @@
 		}
 	}
 	for _, claim := range o.state.Claims {
-		keep := o.retention
-		if !claim.Done {
-			keep *= openClaimBy
-		}
-		if len(ops) < pruneBatch && now.Sub(claim.At) > keep {
-			ops = append(ops, ledger.Op{Kind: ledger.OpPrune, Claim: &ledger.Claim{Key: claim.Key}})
+		if claim.Done && len(ops) < pruneBatch && now.Sub(claim.Ended) > o.retention {
+			ops = append(ops, ledger.Op{Kind: ledger.OpPrune, Claim: &ledger.Claim{Key: claim.Key, RequestID: claim.RequestID}})
 		}
 	}
 	return ops
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -39,7 +39,7 @@
 		}
 		seen[m.ID] = true
 		state := b.track(m, now)
-		if m.Leaving || m.Suspect {
+		if m.Leaving || m.Suspect || m.Load.BackendDown {
 			continue
 		}
 		p := v.pools[m.Load.Backend]
