Look for partitions without an owner more often

Change: 0.6 s between reads and 0.3 s per rank while an owner is missing. No time of the hand-over was measured after the change.

--- a/internal/partition/candidates.go
+++ b/internal/partition/candidates.go
@@ -15,11 +15,11 @@
 const (
 	candidates   = 3 // per partition; a takeover needs one of them
 	claimTick    = 250 * time.Millisecond
-	rankDelay    = time.Second      // a candidate of rank r waits r times this long for the better ones
-	missingCheck = time.Second      // mean time between reads while the owner is missing
-	presentCheck = 30 * time.Second // mean time between reads while the owner is in the membership view
-	fullCheck    = 10 * time.Second // a candidate whose owner seat is full leaves the partition to others for this long
-	claimRate    = 4                // store calls per second of one process
+	rankDelay    = 300 * time.Millisecond // a candidate of rank r waits r times this long for the better ones
+	missingCheck = 600 * time.Millisecond // mean time between reads while the owner is missing; keyed requests wait 3 s for an owner
+	presentCheck = 30 * time.Second       // mean time between reads while the owner is in the membership view
+	fullCheck    = 10 * time.Second       // a candidate whose owner seat is full leaves the partition to others for this long
+	claimRate    = 4                      // store calls per second of one process
 	claimBurst   = 8
 )
 
