--- a/internal/partition/placing.go
+++ b/internal/partition/placing.go
@@ -280,8 +280,11 @@
 	}
 	ref := *pl.op.Ref
 	p.planner.sched.Refuse(ref, freshNode(pl.node, reply))
-	if callErr != nil || reply.Kept {
-		p.planner.avoidWorker(ref.Task, pl.node.ID)
+	switch {
+	case callErr != nil:
+		p.planner.avoidWorker(ref.Task, pl.node.ID, avoidFor)
+	case reply.Kept:
+		p.planner.avoidWorker(ref.Task, pl.node.ID, avoidKept)
 	}
 	p.planner.note(ref.Task, "refused", pl.node.ID+": "+reason)
 	op := ledger.Op{Kind: ledger.OpRefuse, Ref: &ref, Reason: reason}
--- a/internal/partition/planner.go
+++ b/internal/partition/planner.go
@@ -22,7 +22,8 @@
 	reportsEvery   = 200 * time.Millisecond // the agents' report interval
 	effectsEvery   = time.Second
 	reconcileEvery = time.Second
-	avoidFor       = 30 * time.Second // a task does not return to a worker that failed or refused it for this long
+	avoidFor       = 30 * time.Second // a task does not return to a worker that failed it for this long
+	avoidKept      = 5 * time.Second  // nor to one that keeps its room for an urgent task
 	maxAvoid       = 4096             // tasks with workers to avoid
 )
 
@@ -135,7 +136,7 @@
 }
 
 // avoided returns the workers that a task avoids now; nil if none. mu is held.
-func (p *planner) avoided(task string) map[string]bool {
+func (p *planner) avoided(task string) map[string]time.Time {
 	until := p.avoid[task]
 	if until == nil {
 		return nil
@@ -146,14 +147,10 @@
 		delete(p.avoid, task)
 		return nil
 	}
-	out := make(map[string]bool, len(until))
-	for id := range until {
-		out[id] = true
-	}
-	return out
+	return maps.Clone(until)
 }
 
-func (p *planner) avoidWorker(task, id string) {
+func (p *planner) avoidWorker(task, id string, span time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.avoid[task] == nil {
@@ -162,7 +159,7 @@
 		}
 		p.avoid[task] = map[string]time.Time{}
 	}
-	p.avoid[task][id] = time.Now().Add(avoidFor)
+	p.avoid[task][id] = time.Now().Add(span)
 }
 
 // endedTask is what the planner needs to know of a job when one of its tasks ends.
@@ -184,7 +181,7 @@
 	case worker.StateFailed:
 		atFault := p.sched.JobAtFault(e.job)
 		p.sched.NoteEnd(node, e.job, true)
-		p.avoidWorker(t.Ref.Task, node)
+		p.avoidWorker(t.Ref.Task, node, avoidFor)
 		if !atFault && p.sched.JobAtFault(e.job) {
 			events.JobAtFault.Log(&p.zlog).Str("job", e.job).Str("reason", t.Reason).Send()
 		}
--- a/internal/scheduler/backfill.go
+++ b/internal/scheduler/backfill.go
@@ -84,8 +84,9 @@
 func (s *Scheduler) earliest(task *TaskInfo) (*node, int) {
 	var best *node
 	horizon := len(Horizons)
+	now := s.opts.Now()
 	s.cache.sample(s.opts.MaxLook, s.rnd, func(n *node) {
-		if n.reserved != nil || task.Avoid[n.info.ID] || s.health.State(n.info.ID) != HealthGood {
+		if n.reserved != nil || now.Before(task.Avoid[n.info.ID]) || s.health.State(n.info.ID) != HealthGood {
 			return
 		}
 		if h := firstFit(task.Need, n); h < horizon || h == horizon && best != nil && n.info.ID < best.info.ID {
--- a/internal/scheduler/fairness.go
+++ b/internal/scheduler/fairness.go
@@ -143,7 +143,8 @@
 	if d.onlyRoom() {
 		s.makeRoom(o, d)
 	}
-	if o.Preempt != nil || s.reservations[d.Task] != nil {
+	if o.Preempt != nil || s.reservations[d.Task] != nil || len(o.Unit.Lead().Avoid) > 0 {
+		// These wait for a time and not only for a change of the fleet.
 		s.queue.delay(o.Unit, now)
 		return
 	}
--- a/internal/scheduler/plugin_avoid.go
+++ b/internal/scheduler/plugin_avoid.go
@@ -5,8 +5,8 @@
 
 func (avoidFilter) Name() string { return "avoid" }
 
-func (avoidFilter) Filter(_ *Cycle, task *TaskInfo, n *node) Status {
-	if task.Avoid[n.info.ID] {
+func (avoidFilter) Filter(c *Cycle, task *TaskInfo, n *node) Status {
+	if c.Now.Before(task.Avoid[n.info.ID]) {
 		return Status{Unschedulable, "avoid", "failed or refused there lately"}
 	}
 	return Status{}
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -44,7 +44,7 @@
 	if n.reserved != nil && n.reserved.Task != task.Ref.Task && n.reserved.Priority >= task.Priority {
 		return false
 	}
-	if task.Avoid[n.info.ID] || s.health.State(n.info.ID) != HealthGood {
+	if s.opts.Now().Before(task.Avoid[n.info.ID]) || s.health.State(n.info.ID) != HealthGood {
 		return false
 	}
 	return task.Need.Fits(n.free.Add(lowerPriority(n.info.Preemptible, task.Priority)))
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -191,3 +191,22 @@
 	qt.Assert(t, out, qt.HasLen, 1)
 	qt.Check(t, out[0].Placed, qt.IsTrue)
 }
+
+// Guards against a task that never returns to the only worker with room, because what it avoids was fixed when it joined
+// the queue or because it waits for a change of the fleet.
+func TestAvoidanceEnds(t *testing.T) {
+	s, c := newTest(nil)
+	s.Update(fleetOf(1, size(8)))
+	u := unit(task("a", 8, 50))
+	u.Lead().Avoid = map[string]time.Time{"w00000": c.now.Add(5 * time.Second)}
+	out := cycleOne(t, s, u)
+	qt.Assert(t, out, qt.HasLen, 1)
+	qt.Check(t, out[0].Placed, qt.IsFalse)
+	s.Cycle(10)
+	for c.now.Before(epoch.Add(20*time.Second)) && !out[len(out)-1].Placed {
+		c.now = c.now.Add(100 * time.Millisecond)
+		s.Sync(byKey([]*Unit{u}))
+		out = append(out, s.Cycle(10)...)
+	}
+	qt.Check(t, out[len(out)-1].Placed, qt.IsTrue)
+}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -44,9 +44,9 @@
 	Run       time.Duration    // expected run time, corrected
 	Priority  int              // 0 to 100
 	Submitted time.Time
-	Deadline  time.Time       // zero: none
-	Avoid     map[string]bool // workers that failed or refused it lately
-	Probe     bool            // may be used to probe a quarantined worker
+	Deadline  time.Time            // zero: none
+	Avoid     map[string]time.Time // workers that failed or refused it, and until when to avoid them
+	Probe     bool                 // may be used to probe a quarantined worker
 }
 
 // UrgentPriority is the lowest priority of urgent work: it goes before all shares and may preempt.
