--- a/internal/partition/planner.go
+++ b/internal/partition/planner.go
@@ -22,7 +22,8 @@
 	reportsEvery   = 200 * time.Millisecond // the agents' report interval
 	effectsEvery   = time.Second
 	reconcileEvery = time.Second
-	avoidFor       = 30 * time.Second // a task does not return to a worker that failed or refused it for this long
+	avoidFor       = 30 * time.Second // a task does not return to a worker that failed it for this long
+	avoidKept      = 5 * time.Second  // nor to one that keeps its room for an urgent task
 	maxAvoid       = 4096             // tasks with workers to avoid
 )
 
@@ -145,16 +146,16 @@
 // avoidedBy adds the workers on which a task failed by the ledger, so that its next attempt tells whether the worker or
 // the job is at fault. A task that failed on all known workers avoids none; it would never be placed otherwise. mu is
 // held.
-func (p *planner) avoidedBy(task string, failedOn []string) map[string]bool {
+func (p *planner) avoidedBy(task string, failedOn []string) map[string]time.Time {
 	avoid := p.avoided(task)
 	for _, id := range failedOn {
 		if avoid == nil {
-			avoid = map[string]bool{}
+			avoid = map[string]time.Time{}
 		}
-		avoid[id] = true
+		avoid[id] = time.Now().Add(avoidFor) // renewed with each look at the waiting tasks
 	}
 	for i := range p.nodes {
-		if !avoid[p.nodes[i].ID] {
+		if _, avoided := avoid[p.nodes[i].ID]; !avoided {
 			return avoid
 		}
 	}
@@ -162,7 +163,7 @@
 }
 
 // avoided returns the workers that a task avoids now; nil if none. mu is held.
-func (p *planner) avoided(task string) map[string]bool {
+func (p *planner) avoided(task string) map[string]time.Time {
 	until := p.avoid[task]
 	if until == nil {
 		return nil
@@ -173,14 +174,10 @@
 		delete(p.avoid, task)
 		return nil
 	}
-	out := make(map[string]bool, len(until))
-	for id := range until {
-		out[id] = true
-	}
-	return out
+	return maps.Clone(until)
 }
 
-func (p *planner) avoidWorker(task, id string) {
+func (p *planner) avoidWorker(task, id string, span time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.avoid[task] == nil {
@@ -189,7 +186,7 @@
 		}
 		p.avoid[task] = map[string]time.Time{}
 	}
-	p.avoid[task][id] = time.Now().Add(avoidFor)
+	p.avoid[task][id] = time.Now().Add(span)
 }
 
 // endedTask is what the planner needs to know of a job when one of its tasks ends.
@@ -211,7 +208,7 @@
 	case worker.StateFailed:
 		atFault := p.sched.JobAtFault(e.job)
 		p.sched.NoteEnd(node, e.job, true)
-		p.avoidWorker(t.Ref.Task, node)
+		p.avoidWorker(t.Ref.Task, node, avoidFor)
 		if !atFault && p.sched.JobAtFault(e.job) {
 			events.JobAtFault.Log(&p.zlog).Str("job", e.job).Str("reason", t.Reason).Send()
 		}
--- a/internal/scheduler/avoid_test.go
+++ b/internal/scheduler/avoid_test.go
@@ -14,7 +14,7 @@
 	s, c := newTest(nil)
 	s.Update(fleetOf(1, size(8)))
 	first := task("a", 4, 50)
-	first.Avoid = map[string]bool{"w00000": true}
+	first.Avoid = map[string]time.Time{"w00000": c.now.Add(time.Hour)}
 	for range 3 {
 		out := cycleOne(t, s, unit(first))
 		for _, o := range out {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -13,7 +13,7 @@
 
 func cycleOne(t *testing.T, s *Scheduler, units ...*Unit) []Outcome {
 	t.Helper()
-	s.Sync(units)
+	s.Sync(byKey(units))
 	return s.Cycle(1000)
 }
 
@@ -181,7 +181,7 @@
 	first, second := unit(task("a", 8, 50)), unit(task("b", 8, 50))
 	out := cycleOne(t, s, first, second)
 	qt.Assert(t, len(out), qt.Equals, 2)
-	s.Sync([]*Unit{second})
+	s.Sync(byKey([]*Unit{second}))
 	s.Cycle(10) // uses up the change that the placement itself caused
 	c.now = c.now.Add(time.Second)
 	qt.Check(t, s.Cycle(10), qt.HasLen, 0)
@@ -191,3 +191,22 @@
 	qt.Assert(t, out, qt.HasLen, 1)
 	qt.Check(t, out[0].Placed, qt.IsTrue)
 }
+
+// Guards against a task that never returns to the only worker with room, because what it avoids was fixed when it joined
+// the queue or because it waits for a change of the fleet.
+func TestAvoidanceEnds(t *testing.T) {
+	s, c := newTest(nil)
+	s.Update(fleetOf(1, size(8)))
+	u := unit(task("a", 8, 50))
+	u.Lead().Avoid = map[string]time.Time{"w00000": c.now.Add(5 * time.Second)}
+	out := cycleOne(t, s, u)
+	qt.Assert(t, out, qt.HasLen, 1)
+	qt.Check(t, out[0].Placed, qt.IsFalse)
+	s.Cycle(10)
+	for c.now.Before(epoch.Add(20*time.Second)) && !out[len(out)-1].Placed {
+		c.now = c.now.Add(100 * time.Millisecond)
+		s.Sync(byKey([]*Unit{u}))
+		out = append(out, s.Cycle(10)...)
+	}
+	qt.Check(t, out[len(out)-1].Placed, qt.IsTrue)
+}
