--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -171,7 +171,9 @@
 	started := time.Now()
 	resp, err := e.roundTrip(ctx, req, s.Member, claim)
 	if err != nil {
-		e.balancer.Done(s, route.Result{Failed: ctx.Err() == nil, Busy: -1})
+		// A server that lets the deadline pass counts as failed: a silent connection shows only in this way until its
+		// probe ends. A caller that hangs up says nothing about the server.
+		e.balancer.Done(s, route.Result{Failed: !errors.Is(ctx.Err(), context.Canceled), Busy: -1})
 		if ctx.Err() == nil {
 			e.suspect(s.Member)
 		}
@@ -242,6 +244,10 @@
 	return http.StatusServiceUnavailable
 }
 
+// hopReserve is taken off the deadline that the agent is told, so that its refusal of expired work arrives before this
+// entry gives up and takes the server for a silent one.
+const hopReserve = 5 * time.Millisecond
+
 // roundTrip sends the attempt. The transport cannot repeat it: the request has no GetBody and its body is never
 // http.NoBody.
 func (e *Entry) roundTrip(ctx context.Context, req *Request, m membership.Member, claim *ledger.Claim) (*http.Response, error) {
@@ -265,7 +271,7 @@
 	out.Header.Set(wire.HeaderBranch, req.Branch.Branch)
 	out.Header.Set(wire.HeaderCaller, req.Caller.String())
 	out.Header.Set(wire.HeaderAttempt, strconv.Itoa(claim.Attempt))
-	out.Header.Set(wire.HeaderDeadlineMs, strconv.FormatInt(time.Until(req.Deadline).Milliseconds(), 10))
+	out.Header.Set(wire.HeaderDeadlineMs, strconv.FormatInt(max(1, (time.Until(req.Deadline)-hopReserve).Milliseconds()), 10))
 	if claim.AgentInc != 0 {
 		out.Header.Set(wire.HeaderIncarnation, strconv.FormatInt(claim.AgentInc, 10))
 		out.Header.Set(wire.HeaderUntilMs, strconv.FormatInt(claim.Until.Milliseconds(), 10))
--- a/internal/partition/commit.go
+++ b/internal/partition/commit.go
@@ -106,7 +106,8 @@
 			}
 			continue
 		case r := <-o.requests:
-			if err := o.commitGroup(ctx, o.gather(r)); err != nil {
+			// A planned stop does not cut off a group on its way; the lease bounds its time.
+			if err := o.commitGroup(context.WithoutCancel(ctx), o.gather(r)); err != nil {
 				return err
 			}
 		}
