--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -248,10 +248,6 @@
 	return http.StatusServiceUnavailable
 }
 
-// hopReserve is taken off the deadline that the agent is told, so that its refusal of expired work arrives before this
-// entry gives up and takes the server for a silent one.
-const hopReserve = 5 * time.Millisecond
-
 // roundTrip sends the attempt. The transport cannot repeat it: the request has no GetBody and its body is never
 // http.NoBody.
 func (e *Entry) roundTrip(ctx context.Context, req *Request, m membership.Member, claim *ledger.Claim) (*http.Response, error) {
