--- a/internal/dev/links.go
+++ b/internal/dev/links.go
@@ -1,8 +1,6 @@
 package dev
 
 import (
-	"github.com/rotisserie/eris"
-
 	"bamboofork/internal/faultnet"
 	"bamboofork/internal/node"
 )
@@ -70,15 +68,7 @@
 	if agent {
 		build = node.NewAgent
 	}
-	n, err := build(h.Config, f.log)
-	if err != nil {
-		h.done = make(chan error, 1)
-		h.done <- nil // there is no node to stop any more
-		return eris.Wrapf(err, "restart %s", h.Config.ID)
-	}
-	h.Node = n
-	h.run()
-	return nil
+	return f.startNode(h, build)
 }
 
 // awaitZombies waits for the aborted nodes to end.
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,130 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"bamboofork/internal/dev"
+	"bamboofork/internal/platform"
+	"bamboofork/internal/store/memstore"
+)
+
+// fault is one kind of failure. It runs to its end, recovery included.
+type fault struct {
+	name   string
+	weight int
+	run    func(ctx context.Context, r *Run, rnd *rand.Rand)
+}
+
+var faults = []fault{
+	{"agent_killed", 4, func(ctx context.Context, r *Run, rnd *rand.Rand) { r.replace(ctx, rnd, r.fleet.AgentIDs(), true) }},
+	{"agent_stopped", 3, func(ctx context.Context, r *Run, rnd *rand.Rand) { r.replace(ctx, rnd, r.fleet.AgentIDs(), false) }},
+	{"entry_killed", 2, func(ctx context.Context, r *Run, rnd *rand.Rand) { r.replace(ctx, rnd, r.fleet.EntryIDs(), true) }},
+	{"entry_stopped", 2, func(ctx context.Context, r *Run, rnd *rand.Rand) { r.replace(ctx, rnd, r.fleet.EntryIDs(), false) }},
+	{"store_down", 3, storeFault(func(*rand.Rand) memstore.Faults { return memstore.Faults{Down: true} })},
+	{"store_slow", 2, storeFault(func(rnd *rand.Rand) memstore.Faults {
+		return memstore.Faults{Delay: time.Duration(50+rnd.IntN(400)) * time.Millisecond}
+	})},
+	{"store_answers_lost", 4, storeFault(func(rnd *rand.Rand) memstore.Faults { return memstore.Faults{LoseAnswer: 0.1 + 0.4*rnd.Float64()} })},
+	{"watches_cut", 2, func(_ context.Context, r *Run, _ *rand.Rand) { r.fleet.Store.Faulty.CutWatches() }},
+	{"worker_paused", 2, workerFault(platform.WorkerFaults{Paused: true})},
+	{"worker_answers_lost", 3, workerFault(platform.WorkerFaults{LoseAnswer: 0.3})},
+	{"worker_fails_everything", 2, workerFault(platform.WorkerFaults{FailAll: true})},
+	{"worker_dead", 2, workerFault(platform.WorkerFaults{Dead: true})},
+	{"wrong_run_times", 2, workerFault(platform.WorkerFaults{RunFactor: 4, NeedFactor: 1.5})},
+}
+
+func pickFault(rnd *rand.Rand) fault {
+	total := 0
+	for _, f := range faults {
+		total += f.weight
+	}
+	n := rnd.IntN(total)
+	for _, f := range faults {
+		if n -= f.weight; n < 0 {
+			return f
+		}
+	}
+	return faults[0]
+}
+
+// Lengths of a fault.
+const (
+	minFault    = 300 * time.Millisecond
+	maxFault    = 4 * time.Second
+	maxFaultGap = 1500 * time.Millisecond
+)
+
+func length(rnd *rand.Rand) time.Duration {
+	return minFault + time.Duration(rnd.Int64N(int64(maxFault-minFault)))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// injectFaults runs faults one after another until ctx ends. Several injectors run side by side, so that faults meet.
+func (r *Run) injectFaults(ctx context.Context, stream uint64) {
+	rnd := rand.New(rand.NewPCG(r.cfg.Seed, stream))
+	for ctx.Err() == nil {
+		sleep(ctx, time.Duration(rnd.Int64N(int64(maxFaultGap))))
+		f := pickFault(rnd)
+		r.count("fault " + f.name)
+		f.run(ctx, r, rnd)
+	}
+}
+
+func storeFault(make func(*rand.Rand) memstore.Faults) func(context.Context, *Run, *rand.Rand) {
+	return func(ctx context.Context, r *Run, rnd *rand.Rand) {
+		if !r.storeFaulty.TryLock() {
+			return // another injector has a store fault running
+		}
+		defer r.storeFaulty.Unlock()
+		r.fleet.Store.Faulty.Set(make(rnd))
+		sleep(ctx, length(rnd))
+		r.fleet.Store.Faulty.Set(memstore.Faults{})
+	}
+}
+
+func workerFault(f platform.WorkerFaults) func(context.Context, *Run, *rand.Rand) {
+	return func(ctx context.Context, r *Run, rnd *rand.Rand) {
+		ids := r.fleet.AgentIDs()
+		sort.Strings(ids)
+		id := ids[rnd.IntN(len(ids))]
+		w := r.fleet.Worker(id)
+		w.SetFaults(f)
+		sleep(ctx, length(rnd))
+		w.SetFaults(platform.WorkerFaults{})
+	}
+}
+
+// replace ends one host's process and starts a new one in its place. At most one host of a role is missing at a time,
+// so that callers always find an entry.
+func (r *Run) replace(ctx context.Context, rnd *rand.Rand, ids []string, kill bool) {
+	sort.Strings(ids)
+	id := ids[rnd.IntN(len(ids))]
+	lock := &r.replacing[0]
+	if r.fleet.IsEntry(id) {
+		lock = &r.replacing[1]
+	}
+	if !lock.TryLock() {
+		return
+	}
+	defer lock.Unlock()
+	end := dev.EndByDrain
+	if kill {
+		end = dev.EndByAbort
+	}
+	if err := r.fleet.End(id, end); err != nil {
+		r.fail("end of %s: %v", id, err)
+	}
+	sleep(ctx, length(rnd)/2)
+	if err := r.fleet.StartAgain(id); err != nil {
+		r.fail("restart of %s: %v", id, err)
+	}
+}
--- /dev/null
+++ b/internal/soak/observer.go
@@ -0,0 +1,49 @@
+package soak
+
+import (
+	"sync"
+
+	"bamboofork/internal/invariant"
+	"bamboofork/internal/worker"
+)
+
+// observer watches all workers of the fleet from the platform's side. mu guards the maps.
+type observer struct {
+	mu      sync.Mutex
+	running map[string]string // task -> worker
+	starts  int
+	ends    map[worker.State]int
+}
+
+func newObserver() *observer {
+	return &observer{running: map[string]string{}, ends: map[worker.State]int{}}
+}
+
+// TaskStarted implements platform.RunObserver.
+func (o *observer) TaskStarted(ref worker.Ref, workerID string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	where, twice := o.running[ref.Task]
+	invariant.Check(!twice, "one_running_instance", "task %s attempt %d starts on %s while it runs on %s", ref.Task, ref.Attempt, workerID, where)
+	o.running[ref.Task] = workerID
+	o.starts++
+}
+
+// TaskEnded implements platform.RunObserver.
+func (o *observer) TaskEnded(ref worker.Ref, _ string, state worker.State) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.running, ref.Task)
+	o.ends[state]++
+}
+
+// totals returns the number of starts and of ends by state.
+func (o *observer) totals() (int, map[worker.State]int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	ends := make(map[worker.State]int, len(o.ends))
+	for s, n := range o.ends {
+		ends[s] = n
+	}
+	return o.starts, ends
+}
--- /dev/null
+++ b/internal/soak/work.go
@@ -0,0 +1,181 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"bamboofork/internal/entry"
+	"bamboofork/internal/settings"
+	"bamboofork/internal/store/etcdgw"
+	"bamboofork/internal/wire"
+	"bamboofork/internal/worker"
+)
+
+// reply is an answer to a caller.
+type reply struct {
+	status  int
+	outcome wire.Outcome
+	body    string
+}
+
+// send sends one request to an entry. An error means that no whole answer arrived.
+func (r *Run) send(ctx context.Context, method, path, key, body string, entryIndex int) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, r.fleet.EntryURL(entryIndex)+path, strings.NewReader(body))
+	if err != nil {
+		return reply{}, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set(wire.HeaderKey, key)
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return reply{}, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, wire.Outcome(resp.Header.Get(wire.HeaderOutcome)), string(data)}, err
+}
+
+const requestTimeout = 12 * time.Second
+
+func (r *Run) quickWork(ctx context.Context, caller int) {
+	rnd := rand.New(rand.NewPCG(r.cfg.Seed, 100+uint64(caller)))
+	for i := 0; ctx.Err() == nil; i++ {
+		body := fmt.Sprintf("scan-%d-%d", caller, i)
+		got, err := r.send(ctx, http.MethodPost, "/v1/run/workshop/foot-scan/fitting-desk/-/scan", "", body, rnd.IntN(r.entries))
+		switch {
+		case ctx.Err() != nil:
+		case err != nil:
+			r.count("quick no answer")
+		case got.status == http.StatusOK && strings.HasSuffix(got.body, " /scan "+body+"\n"):
+			r.count("quick answered")
+		case got.status == http.StatusOK:
+			r.fail("answer %q to %q", got.body, body)
+		default:
+			r.count("quick " + string(got.outcome))
+		}
+		sleep(ctx, time.Duration(rnd.IntN(40))*time.Millisecond)
+	}
+}
+
+// order is a keyed request and what its caller was told.
+type order struct {
+	key     string
+	notRun  bool // sent once and told that it was not run
+	success bool
+}
+
+// orderWork sends keyed requests. Every third is sent only once, so that "not run" can be checked; the others are
+// repeated with the same key at other entries.
+func (r *Run) orderWork(ctx context.Context, caller int) {
+	rnd := rand.New(rand.NewPCG(r.cfg.Seed, 200+uint64(caller)))
+	for i := 0; ctx.Err() == nil; i++ {
+		o := order{key: fmt.Sprintf("order-%d-%d-%d", r.cfg.Seed, caller, i)}
+		attempts := 4
+		if i%3 == 0 {
+			attempts = 1
+		}
+		for range attempts {
+			got, err := r.send(context.WithoutCancel(ctx), http.MethodPost, "/v1/run/workshop/moulding-orders/-/order", o.key, o.key, rnd.IntN(r.entries))
+			if err == nil && got.status == http.StatusOK {
+				o.success = true
+				if !strings.HasSuffix(got.body, " /order "+o.key+"\n") {
+					r.fail("answer %q to %q", got.body, o.key)
+				}
+				break
+			}
+			o.notRun = attempts == 1 && err == nil && got.outcome == wire.OutcomeNotRun
+			sleep(ctx, 100*time.Millisecond)
+		}
+		r.addOrder(o)
+		sleep(ctx, time.Duration(rnd.IntN(80))*time.Millisecond)
+	}
+}
+
+// jobRecord is an accepted job.
+type jobRecord struct {
+	id        string
+	cancelled bool // the cancellation may have been accepted
+}
+
+func (r *Run) jobWork(ctx context.Context, caller int) {
+	rnd := rand.New(rand.NewPCG(r.cfg.Seed, 300+uint64(caller)))
+	for i := 0; ctx.Err() == nil; i++ {
+		id, ok := r.submit(ctx, rnd, fmt.Sprintf("job-%d-%d-%d", r.cfg.Seed, caller, i))
+		if ok {
+			rec := jobRecord{id: id}
+			if rnd.IntN(8) == 0 {
+				sleep(ctx, time.Duration(rnd.IntN(1500))*time.Millisecond)
+				rec.cancelled = true
+				if _, err := r.send(context.WithoutCancel(ctx), http.MethodDelete, entry.PathJobs+"/"+id, "", "", rnd.IntN(r.entries)); err != nil {
+					r.count("cancel no answer")
+				}
+			}
+			r.addJob(rec)
+		}
+		sleep(ctx, time.Duration(200+rnd.IntN(600))*time.Millisecond)
+	}
+}
+
+// submit repeats a submission with one key until it is accepted or ctx ends.
+func (r *Run) submit(ctx context.Context, rnd *rand.Rand, key string) (string, bool) {
+	body, err := json.Marshal(entry.JobRequest{
+		Branch: "workshop/moulding-plans", Tasks: 1 + rnd.IntN(4), RunMs: int64(100 + rnd.IntN(3000)),
+		Need: worker.Resources{Cores: float64(1 + rnd.IntN(24)), MemoryMB: int64(100 + rnd.IntN(20_000))},
+	})
+	if err != nil {
+		r.fail("encode job: %v", err)
+		return "", false
+	}
+	for ctx.Err() == nil {
+		got, err := r.send(ctx, http.MethodPost, entry.PathJobs, key, string(body), rnd.IntN(r.entries))
+		if err == nil && got.status == http.StatusAccepted {
+			var out struct{ ID string }
+			if err := json.Unmarshal([]byte(got.body), &out); err != nil {
+				r.fail("decode %q: %v", got.body, err)
+				return "", false
+			}
+			r.count("job accepted")
+			return out.ID, true
+		}
+		r.count("job submission repeated")
+		sleep(ctx, 300*time.Millisecond)
+	}
+	return "", false
+}
+
+// editWork edits the tree; accepted revisions must be in force everywhere at the end.
+func (r *Run) editWork(ctx context.Context) {
+	st := etcdgw.NewClient(r.fleet.StoreURL, time.Second)
+	defer st.Close()
+	repo := settings.NewRepository(st, "soak")
+	rnd := rand.New(rand.NewPCG(r.cfg.Seed, 400))
+	for ctx.Err() == nil {
+		weight := fmt.Sprint(20 + rnd.IntN(60))
+		callCtx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		_, base, err := repo.Load(callCtx)
+		if err == nil {
+			var rev int64
+			rev, err = repo.Commit(callCtx, base, settings.Edit{Author: "soak", Changes: []settings.Change{
+				{Branch: "workshop/foot-scan/fitting-desk", Set: map[string]*string{"weight": &weight}}}})
+			if err == nil {
+				r.count("edit accepted")
+				r.newestRevision.Store(max(rev, r.newestRevision.Load()))
+			}
+		}
+		cancel()
+		if err != nil {
+			r.count("edit not accepted or uncertain")
+		}
+		sleep(ctx, 500*time.Millisecond)
+	}
+}
