--- a/internal/command/jobs.go
+++ b/internal/command/jobs.go
@@ -11,6 +11,7 @@
 
 	"bamboofork/internal/entry"
 	"bamboofork/internal/ledger"
+	"bamboofork/internal/scheduler"
 )
 
 // jobFlags are the arguments of the job subcommands.
@@ -22,10 +23,11 @@
 	run      time.Duration
 	deadline time.Duration
 	wait     time.Duration
+	task     int // -1: all tasks
 }
 
 func (c *cli) addJobs(p *flaggy.Parser, actions map[*flaggy.Subcommand]action) {
-	f := &jobFlags{request: entry.JobRequest{Tasks: 1}, run: time.Minute, wait: time.Hour}
+	f := &jobFlags{request: entry.JobRequest{Tasks: 1}, run: time.Minute, wait: time.Hour, task: -1}
 	f.request.Need.Cores = 1
 	jobs := flaggy.NewSubcommand("jobs")
 	jobs.Description = "Submit and follow batch jobs."
@@ -53,6 +55,9 @@
 	} {
 		sub := subcommand(jobs, actions, def.name, def.text, func(ctx context.Context) error { return def.run(ctx, f) })
 		sub.AddPositionalValue(&f.id, "job", 1, true, "Job id.")
+		if def.name == "explain" {
+			sub.Int(&f.task, "t", "task", "Show the history of one task, a number from 0.")
+		}
 		if def.name == "wait" {
 			sub.Duration(&f.wait, "w", "timeout", "Longest wait.")
 		}
@@ -127,7 +132,24 @@
 	return c.print(view, t)
 }
 
+// taskExplain shows the newest decisions of the owner and the agent about one task.
+func (c *cli) taskExplain(ctx context.Context, f *jobFlags) error {
+	var records []scheduler.Record
+	path := fmt.Sprintf("%s/%s/tasks/%d/decisions", entry.PathJobs, f.id, f.task)
+	if _, err := c.call(ctx, http.MethodGet, path, "", nil, &records); err != nil {
+		return err
+	}
+	t := table{header: []any{"TIME", "WHAT", "WHY"}}
+	for _, r := range records {
+		t.add(r.At.Format(time.RFC3339Nano), r.What, orDash(r.Why))
+	}
+	return c.print(records, t)
+}
+
 func (c *cli) jobExplain(ctx context.Context, f *jobFlags) error {
+	if f.task >= 0 {
+		return c.taskExplain(ctx, f)
+	}
 	view, err := c.job(ctx, f.id)
 	if err != nil {
 		return err
--- a/internal/dissemination/watcher.go
+++ b/internal/dissemination/watcher.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"bamboofork/internal/events"
 	"bamboofork/internal/settings"
 	"bamboofork/internal/store"
 )
@@ -36,6 +37,7 @@
 		if err == nil {
 			w.read(ctx)
 			w.follow(ctx, changed)
+			events.WatchRestarted.Log(&w.sync.log).Send()
 		}
 		cancel()
 		sleep(ctx, jitter(pollInterval/10))
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -47,6 +47,7 @@
 	r.GET(PathJobs+"/:id", e.handleJob)
 	r.DELETE(PathJobs+"/:id", e.handleCancel)
 	r.GET(PathDecisions+":id", e.handleDecisions)
+	r.GET(PathJobs+"/:id/tasks/:index/decisions", e.handleTaskDecisions)
 }
 
 // httpError answers what no handler took with a problem body.
--- a/internal/entry/decisions.go
+++ b/internal/entry/decisions.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -84,3 +85,15 @@
 	}
 	return c.JSON(http.StatusOK, steps)
 }
+
+func (e *Entry) handleTaskDecisions(c echo.Context) error {
+	index, err := strconv.Atoi(c.Param("index"))
+	if err != nil {
+		return problem(c, http.StatusBadRequest, "", "", "the task is a number from 0")
+	}
+	records, res := e.TaskDecisions(c.Request().Context(), c.Param("id"), index)
+	if res.Code != wire.CodeOK {
+		return jobProblem(c, res)
+	}
+	return c.JSON(http.StatusOK, records)
+}
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -11,6 +11,7 @@
 	"bamboofork/internal/ledger"
 	"bamboofork/internal/partition"
 	"bamboofork/internal/peer"
+	"bamboofork/internal/scheduler"
 	"bamboofork/internal/store"
 	"bamboofork/internal/wire"
 )
@@ -140,3 +141,31 @@
 	}
 	return time.Now().Add(within)
 }
+
+// TaskDecisions returns the newest decisions about a task, oldest first: those of the partition's owner, and those of
+// the agent that has the task now. Of a part that does not answer, nothing is returned.
+func (e *Entry) TaskDecisions(ctx context.Context, jobID string, index int) ([]scheduler.Record, JobResult) {
+	res := e.Job(ctx, jobID)
+	if res.Code != wire.CodeOK {
+		return nil, res
+	}
+	if index < 0 || index >= len(res.Job.Tasks) {
+		return nil, JobResult{Code: wire.CodeUnknown, Reason: "no such task"}
+	}
+	p, _ := partition.OfJob(jobID)
+	args := wire.ExplainArgs{Partition: p, Task: ledger.TaskRef(jobID, index, 0).Task}
+	var owner, agent wire.ExplainReply
+	if err := e.callOwner(ctx, p, "Partition.Explain", args, &owner, func() wire.Code { return owner.Code }); err != nil {
+		return nil, JobResult{Code: failureCode(err), Reason: err.Error()}
+	}
+	records := owner.Records
+	if m, ok := e.table.Lookup(res.Job.Tasks[index].Agent); ok {
+		callCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
+		defer cancel()
+		if e.pool.Call(callCtx, m.Addr, "Agent.Explain", args, &agent) == nil {
+			records = append(records, agent.Records...)
+		}
+	}
+	sort.SliceStable(records, func(i, j int) bool { return records[i].At.Before(records[j].At) })
+	return records, res
+}
--- a/internal/events/batch.go
+++ b/internal/events/batch.go
@@ -21,15 +21,13 @@
 
 // Agent events.
 var (
-	TaskStarted    = register(2001, "task_started", zerolog.InfoLevel, "The agent started an attempt on its worker.")
-	TaskStopped    = register(2002, "task_stopped", zerolog.InfoLevel, "The agent stopped an attempt.")
-	TaskAdopted    = register(2003, "task_adopted", zerolog.InfoLevel, "A restarted agent found an attempt on its worker and asks the owner about it.")
-	HoldExpired    = register(2004, "hold_expired", zerolog.WarnLevel, "The hold of an attempt ran out; the agent stops it.")
-	TaskThrottled  = register(2101, "task_throttled", zerolog.InfoLevel, "The colocation controller changed a task's speed.")
-	EvictionChosen = register(2102, "eviction_chosen", zerolog.InfoLevel, "The colocation controller evicts a task; the line has the reason.")
-	GateRefused    = register(2201, "gate_refused", zerolog.DebugLevel, "The gate refused a request; it was not run.")
-	ForwardFailed  = register(2202, "forward_failed", zerolog.InfoLevel, "A request failed at or before the backend server.")
-	AgentDraining  = register(2301, "agent_draining", zerolog.InfoLevel, "The agent takes no new work and waits for what runs.")
+	TaskStarted   = register(2001, "task_started", zerolog.InfoLevel, "The agent started an attempt on its worker.")
+	TaskStopped   = register(2002, "task_stopped", zerolog.InfoLevel, "The agent stopped an attempt.")
+	TaskAdopted   = register(2003, "task_adopted", zerolog.InfoLevel, "A restarted agent found an attempt on its worker and asks the owner about it.")
+	HoldExpired   = register(2004, "hold_expired", zerolog.WarnLevel, "The hold of an attempt ran out; the agent stops it.")
+	GateRefused   = register(2201, "gate_refused", zerolog.DebugLevel, "The gate refused a request; it was not run.")
+	ForwardFailed = register(2202, "forward_failed", zerolog.InfoLevel, "A request failed at or before the backend server.")
+	AgentDraining = register(2301, "agent_draining", zerolog.InfoLevel, "The agent takes no new work and waits for what runs.")
 )
 
 // Entry events.
--- a/internal/events/events_test.go
+++ b/internal/events/events_test.go
@@ -1,7 +1,11 @@
 package events_test
 
 import (
+	"io/fs"
 	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -16,3 +20,40 @@
 	qt.Assert(t, string(doc), qt.Equals, events.Catalogue(),
 		qt.Commentf("run: go run ./internal/events/gencatalogue"))
 }
+
+// Guards against an event in the catalogue that no program logs any more.
+func TestEveryEventIsLogged(t *testing.T) {
+	var source strings.Builder
+	for _, root := range []string{"../../internal", "../../cmd"} {
+		err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			data, err := os.ReadFile(path)
+			source.Write(data)
+			return err
+		})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	for _, name := range registered(t) {
+		used := regexp.MustCompile(`events\.` + name + `\b`).MatchString(source.String())
+		qt.Check(t, used, qt.IsTrue, qt.Commentf("event %s is never logged", name))
+	}
+}
+
+// registered returns the Go names of the catalogue's events.
+func registered(t *testing.T) []string {
+	files, err := filepath.Glob("*.go")
+	qt.Assert(t, err, qt.IsNil)
+	declaration := regexp.MustCompile(`(?m)^\s+(\w+)\s+= register\(`)
+	names := []string{}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		qt.Assert(t, err, qt.IsNil)
+		for _, m := range declaration.FindAllStringSubmatch(string(data), -1) {
+			names = append(names, m[1])
+		}
+	}
+	qt.Assert(t, len(names), qt.Equals, len(events.All()))
+	return names
+}
