Offer a placement again when the agent's clock was known too long ago

Ruled out: full workers. Change: a late refusal tells the agent's clock; the owner checks its lease, renews the hold in its own table and offers once more with that clock. A lost lease is logged once instead of at each failed renewal. Conclusion: short holds work with old views; the bound of the successor's wait is unchanged.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -138,6 +138,7 @@
 func (s *Service) Place(args wire.PlaceArgs, reply *wire.PlaceReply) error {
 	reply.Accepted, reply.Reason = s.a.tasks.place(args)
 	reply.Kept = reply.Reason == reasonKept
+	reply.Late = reply.Reason == lateReason
 	reply.Clock, reply.Free = s.a.clock(), s.a.gate.Usage().Free
 	return nil
 }
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -65,6 +65,9 @@
 	return r
 }
 
+// lateReason refuses a placement whose hold has passed.
+const lateReason = "placement arrived after its hold"
+
 // place admits a task and starts it. A refusal proves that it did not and will not start.
 func (r *taskRunner) place(args wire.PlaceArgs) (bool, string) {
 	ref := args.Spec.Ref
@@ -73,7 +76,7 @@
 	}
 	left := args.HoldUntil - r.a.clock()
 	if left <= 0 {
-		return false, "placement arrived after its hold"
+		return false, lateReason
 	}
 	hold := time.Now().Add(left)
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -21,15 +21,16 @@
 // safetyMargin is the share of the time to live that the holder gives up to cover clock drift.
 const safetyMargin = 0.1
 
-// Keeper holds a lease and renews it. mu guards id and until.
+// Keeper holds a lease and renews it. mu guards the fields below it.
 type Keeper struct {
 	st  store.Store
 	ttl time.Duration
 	log zerolog.Logger
 
-	mu    sync.Mutex
-	id    store.LeaseID
-	until time.Time
+	mu     sync.Mutex
+	id     store.LeaseID
+	until  time.Time
+	logged time.Time // end of the lease whose loss was logged
 }
 
 // NewKeeper returns a keeper without a lease; Run obtains one.
@@ -80,11 +81,20 @@
 	case errors.Is(err, store.ErrLeaseNotFound):
 		events.LeaseLost.Log(&k.log).Int64("lease", int64(id)).Msg("the store ended the lease")
 		k.set(0, time.Time{})
-	case time.Now().After(until):
+	case time.Now().After(until) && k.firstLoss(until):
 		events.LeaseLost.Log(&k.log).Int64("lease", int64(id)).Err(err).Msg("renewal failed for too long")
 	}
 }
 
+// firstLoss reports whether the loss of the lease that was valid until then is not logged yet.
+func (k *Keeper) firstLoss(until time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	first := !k.logged.Equal(until)
+	k.logged = until
+	return first
+}
+
 func (k *Keeper) grant(ctx context.Context, sent time.Time) {
 	id, err := k.st.GrantLease(ctx, k.ttl)
 	if err == nil {
--- a/internal/partition/evidence.go
+++ b/internal/partition/evidence.go
@@ -129,3 +129,20 @@
 	}
 	return refs
 }
+
+// extendHold renews the hold of an attempt that is offered again, and reports whether it may be offered. The lease is
+// checked after the agent told its clock: a successor that exists only later waits at least one hold from its takeover,
+// so the hold that counts from that clock is over before the successor places the task again.
+func (o *Owner) extendHold(ref worker.Ref, hold time.Duration) bool {
+	if !o.valid() {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	_, task := o.state.Task(ref.Task)
+	if o.lost || task == nil || task.State != ledger.TaskPlaced || task.Attempt != ref.Attempt {
+		return false
+	}
+	o.holds[ref] = time.Now().Add(hold)
+	return true
+}
--- a/internal/partition/fleet_test.go
+++ b/internal/partition/fleet_test.go
@@ -136,6 +136,8 @@
 	log     zerolog.Logger
 	workers map[string]*platform.SimWorker
 
+	clockLag time.Duration // how much older than in truth the agents' clocks are in the views
+
 	mu    sync.Mutex
 	procs map[string]*process
 	wg    sync.WaitGroup
@@ -253,7 +255,9 @@
 	records := []membership.Member{}
 	for _, p := range f.all() {
 		if p.running() {
-			records = append(records, p.table.Self())
+			record := p.table.Self()
+			record.Load.Clock -= f.clockLag
+			records = append(records, record)
 		}
 	}
 	for _, p := range f.all() {
--- a/internal/partition/placing.go
+++ b/internal/partition/placing.go
@@ -273,19 +273,13 @@
 	}
 }
 
-// send offers a durable placement to the agent. Without an answer the agent is asked about it.
+// send offers a durable placement to the agent. Without an answer the agent is asked about it. If the agent's clock
+// was known too long ago for the hold, the offer is repeated with the clock of the refusal.
 func (p *placer) send(ctx context.Context, pl placement) {
-	args := wire.PlaceArgs{
-		Partition: p.owner.id, Incarnation: pl.node.Incarnation, HoldUntil: pl.node.Clock + pl.job.Hold,
-		Spec: worker.Spec{
-			Ref: *pl.op.Ref, Kind: pl.job.Kind, Need: pl.info.Need, Run: pl.info.Run, Payload: pl.job.Payload, Checkpoint: pl.cp,
-			Lease: min(WorkerLease, pl.job.Hold/2), Team: pl.job.Team, Priority: pl.job.Priority, Declared: pl.job.Need,
-		},
+	reply, err := p.offer(ctx, pl, pl.node.Clock)
+	if err == nil && reply.Late && p.owner.extendHold(*pl.op.Ref, pl.job.Hold) {
+		reply, err = p.offer(ctx, pl, reply.Clock)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, placeTimeout)
-	defer cancel()
-	var reply wire.PlaceReply
-	err := p.pool.Call(callCtx, pl.node.Addr, "Agent.Place", args, &reply)
 	switch {
 	case err == nil && reply.Accepted:
 		p.planner.sched.Confirm(*pl.op.Ref, reply.Clock)
@@ -303,6 +297,22 @@
 	}
 }
 
+// offer sends a placement whose hold counts from the agent's clock.
+func (p *placer) offer(ctx context.Context, pl placement, clock time.Duration) (wire.PlaceReply, error) {
+	args := wire.PlaceArgs{
+		Partition: p.owner.id, Incarnation: pl.node.Incarnation, HoldUntil: clock + pl.job.Hold,
+		Spec: worker.Spec{
+			Ref: *pl.op.Ref, Kind: pl.job.Kind, Need: pl.info.Need, Run: pl.info.Run, Payload: pl.job.Payload, Checkpoint: pl.cp,
+			Lease: min(WorkerLease, pl.job.Hold/2), Team: pl.job.Team, Priority: pl.job.Priority, Declared: pl.job.Need,
+		},
+	}
+	callCtx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	var reply wire.PlaceReply
+	err := p.pool.Call(callCtx, pl.node.Addr, "Agent.Place", args, &reply)
+	return reply, err
+}
+
 // placementRefused returns a task to the queue after proof that it did not start.
 func (p *placer) placementRefused(ctx context.Context, pl placement, reply wire.PlaceReply) {
 	ref := *pl.op.Ref
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -173,6 +173,7 @@
 		Clock    time.Duration    // the agent's clock at its decision
 		Free     worker.Resources // the agent's free room at that clock
 		Kept     bool             // refused because the room is kept for an urgent task
+		Late     bool             // refused because HoldUntil had passed
 	}
 	// PreemptArgs asks an agent to checkpoint lower priority work until Need is free.
 	PreemptArgs struct {
