End the connections of a control server whose listener is closed

Ruled out: an old record in the membership view, an old record in the scheduler's cache. Change: Serve closes its connections in that case too; the refusal names both incarnations. Figures: TestClosedListenerEndsConnections fails without the change and passes with it. Conclusion: an ended process answers nobody.

--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -71,8 +72,8 @@
 // place admits a task and starts it. A refusal proves that it did not and will not start.
 func (r *taskRunner) place(args wire.PlaceArgs) (bool, string) {
 	ref := args.Spec.Ref
-	if args.Incarnation != r.a.table.Self().Incarnation {
-		return false, "placement is for an earlier incarnation of this agent"
+	if own := r.a.table.Self().Incarnation; args.Incarnation != own {
+		return false, fmt.Sprintf("placement is for incarnation %d of this agent, which is %d", args.Incarnation, own)
 	}
 	left := args.HoldUntil - r.a.clock()
 	if left <= 0 {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -113,3 +113,24 @@
 	var reply int
 	qt.Assert(t, pool.Call(context.Background(), addr, "Echo.Now", 4, &reply), qt.IsNil)
 }
+
+// Guards against a server that goes on answering old connections after its listener was closed: others would take the
+// ended process for the one that was started in its place (found by bf-soak, seed 2).
+func TestClosedListenerEndsConnections(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	s := NewServer("server", zerolog.Nop())
+	qt.Assert(t, s.Register("Echo", &echoService{}), qt.IsNil)
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(context.Background(), l) }()
+	pool := NewPool("client", zerolog.Nop(), nil)
+	defer pool.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var reply int
+	qt.Assert(t, pool.Call(ctx, l.Addr().String(), "Echo.Now", 1, &reply), qt.IsNil)
+	l.Close()
+	qt.Assert(t, <-done, qt.IsNotNil)
+	err = pool.Call(ctx, l.Addr().String(), "Echo.Now", 2, &reply)
+	qt.Assert(t, err, qt.IsNotNil)
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -57,6 +57,7 @@
 			s.finish()
 			return nil
 		case errors.Is(err, net.ErrClosed):
+			s.closeAll() // without a listener the process is gone for others, so it must not answer old connections
 			return err
 		case err != nil:
 			time.Sleep(acceptPause)
