--- a/internal/colocation/controller.go
+++ b/internal/colocation/controller.go
@@ -1,6 +1,7 @@
 package colocation
 
 import (
+	"cmp"
 	"time"
 
 	"bamboofork/internal/invariant"
@@ -22,26 +23,19 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Violations, 2)
-	setDefault(&c.Recoveries, 6)
-	setDefault(&c.Aim, 0.97)
-	setDefault(&c.Settle, time.Second)
-	setDefault(&c.MinShare, 0.25)
-	setDefault(&c.MinRun, 30*time.Second)
-	setDefault(&c.EvictBurst, 2)
-	setDefault(&c.EvictEvery, time.Minute)
-	setDefault(&c.MaxActions, 16)
-	setDefault(&c.StuckAfter, 5*time.Minute)
+	c.Violations = cmp.Or(c.Violations, 2)
+	c.Recoveries = cmp.Or(c.Recoveries, 6)
+	c.Aim = cmp.Or(c.Aim, 0.97)
+	c.Settle = cmp.Or(c.Settle, time.Second)
+	c.MinShare = cmp.Or(c.MinShare, 0.25)
+	c.MinRun = cmp.Or(c.MinRun, 30*time.Second)
+	c.EvictBurst = cmp.Or(c.EvictBurst, 2)
+	c.EvictEvery = cmp.Or(c.EvictEvery, time.Minute)
+	c.MaxActions = cmp.Or(c.MaxActions, 16)
+	c.StuckAfter = cmp.Or(c.StuckAfter, 5*time.Minute)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Task is a running batch task of the host.
 type Task struct {
 	Ref      worker.Ref
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -139,21 +140,14 @@
 }
 
 func (p *Process) setDefaults() {
-	setDefault(&p.Partitions, DefaultPartitions)
-	setDefault(&p.MaxPartitions, DefaultMaxPartitions)
-	setDefault(&p.LeaseTTL, DefaultLeaseTTL)
-	setDefault(&p.OutageHold, DefaultOutageHold)
-	setDefault(&p.Drain, DefaultDrain)
-	setDefault(&p.LogLevel, "info")
-	setDefault(&p.Routing, route.DefaultPolicy)
-	setDefault(&p.Backend.MaxQueue, DefaultMaxQueue)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	p.Partitions = cmp.Or(p.Partitions, DefaultPartitions)
+	p.MaxPartitions = cmp.Or(p.MaxPartitions, DefaultMaxPartitions)
+	p.LeaseTTL = cmp.Or(p.LeaseTTL, DefaultLeaseTTL)
+	p.OutageHold = cmp.Or(p.OutageHold, DefaultOutageHold)
+	p.Drain = cmp.Or(p.Drain, DefaultDrain)
+	p.LogLevel = cmp.Or(p.LogLevel, "info")
+	p.Routing = cmp.Or(p.Routing, route.DefaultPolicy)
+	p.Backend.MaxQueue = cmp.Or(p.Backend.MaxQueue, DefaultMaxQueue)
 }
 
 // maxPartitions keeps a partition number within the two hex digits of a job id.
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -165,7 +165,7 @@
 	if refusal != nil {
 		return e.shed(c, req, refusal)
 	}
-	out := &Answer{Waited: -1}
+	out := &Answer{Waited: waitUnknown}
 	defer func() { permit.Done(out.Waited, out.Overload, time.Now()) }()
 	if req.Branch.Idempotent {
 		out = e.Send(ctx, req)
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -151,5 +151,5 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		status = http.StatusRequestTimeout
 	}
-	return &Answer{Outcome: wire.OutcomeNotRun, Status: status, Reason: "request body: " + err.Error(), Waited: -1}
+	return &Answer{Outcome: wire.OutcomeNotRun, Status: status, Reason: "request body: " + err.Error(), Waited: waitUnknown}
 }
--- a/internal/entry/keep.go
+++ b/internal/entry/keep.go
@@ -13,7 +13,7 @@
 // recorded is the answer to a request whose end is on record.
 func recorded(r wire.Result) *Answer {
 	if r.Outcome != wire.OutcomeDone {
-		return &Answer{Outcome: r.Outcome, Status: http.StatusBadGateway, Reason: "recorded outcome of the request", final: true, Waited: -1}
+		return &Answer{Outcome: r.Outcome, Status: http.StatusBadGateway, Reason: "recorded outcome of the request", final: true, Waited: waitUnknown}
 	}
 	header := http.Header{}
 	for name, value := range r.Header {
@@ -24,7 +24,7 @@
 		header.Set("Bf-Body", "not kept")
 	}
 	resp := &http.Response{StatusCode: r.Status, Header: header, Body: io.NopCloser(bytes.NewReader(r.Body))}
-	return &Answer{Outcome: wire.OutcomeDone, Response: resp, Waited: -1}
+	return &Answer{Outcome: wire.OutcomeDone, Response: resp, Waited: waitUnknown}
 }
 
 // keepBody records an answer with its body if that is small, before the caller sees it. A larger body is passed on
@@ -35,7 +35,7 @@
 		out.Close(true)
 		claim.Outcome, claim.Truncated = string(wire.OutcomeFailed), true
 		k.complete(claim, false)
-		return &Answer{Outcome: wire.OutcomeFailed, Status: http.StatusBadGateway, Reason: "the request ran, its answer was cut off: " + err.Error(), Waited: -1}
+		return &Answer{Outcome: wire.OutcomeFailed, Status: http.StatusBadGateway, Reason: "the request ran, its answer was cut off: " + err.Error(), Waited: waitUnknown}
 	}
 	if len(head) <= wire.KeptBody {
 		claim.Body = head
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -131,9 +131,9 @@
 	switch {
 	case c.Digest != k.claim.Digest:
 		events.KeyReused.Log(&k.e.log).Str("request", k.req.ID).Str("earlier", c.RequestID).Str("branch", c.Branch).Send()
-		return &Answer{Outcome: wire.OutcomeNotRun, Status: http.StatusUnprocessableEntity, Reason: "the key was used for a different request", Waited: -1}
+		return &Answer{Outcome: wire.OutcomeNotRun, Status: http.StatusUnprocessableEntity, Reason: "the key was used for a different request", Waited: waitUnknown}
 	case !c.Done:
-		return &Answer{Outcome: wire.OutcomeUnknown, Status: http.StatusConflict, Reason: "a request with this key is open", Waited: -1}
+		return &Answer{Outcome: wire.OutcomeUnknown, Status: http.StatusConflict, Reason: "a request with this key is open", Waited: waitUnknown}
 	}
 	return recorded(wire.Result{Outcome: wire.Outcome(c.Outcome), Status: c.Status, Header: c.Header, Body: c.Body, Truncated: c.Truncated})
 }
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -32,13 +32,16 @@
 	Once     bool       // must not run twice
 }
 
+// waitUnknown is the Waited of an answer that does not tell the time at the gate.
+const waitUnknown time.Duration = -1
+
 // Answer is the outcome of a request. Response is nil unless the request ran; its body must be closed.
 type Answer struct {
 	Outcome  wire.Outcome
 	Status   int // HTTP status for the caller when Response is nil
 	Reason   string
 	Response *http.Response
-	Waited   time.Duration // at the agent's gate; negative if not known
+	Waited   time.Duration // at the agent's gate, or waitUnknown
 	Overload bool          // a gate refused the request because of overload
 	done     func(failed bool)
 	final    bool // an unknown outcome that no question can improve
@@ -113,7 +116,7 @@
 func (e *Entry) unrouted(req *Request, d *route.Decision) *Answer {
 	reason := d.Explain()
 	events.RequestUnrouted.Log(&e.log).Str("request", req.ID).Str("decision", reason).Send()
-	return &Answer{Outcome: wire.OutcomeNotRun, Status: http.StatusServiceUnavailable, Reason: "no backend server: " + reason, Waited: -1}
+	return &Answer{Outcome: wire.OutcomeNotRun, Status: http.StatusServiceUnavailable, Reason: "no backend server: " + reason, Waited: waitUnknown}
 }
 
 func (e *Entry) retried(req *Request, attempt int, answer *Answer) {
@@ -160,7 +163,7 @@
 }
 
 func refused(reason string) *Answer {
-	return &Answer{Outcome: wire.OutcomeNotRun, Status: http.StatusServiceUnavailable, Reason: reason, Waited: -1}
+	return &Answer{Outcome: wire.OutcomeNotRun, Status: http.StatusServiceUnavailable, Reason: reason, Waited: waitUnknown}
 }
 
 var errMismatch = errors.New("answer of another request")
@@ -285,5 +288,5 @@
 	if errors.Is(cause, context.DeadlineExceeded) {
 		status = http.StatusGatewayTimeout
 	}
-	return &Answer{Outcome: wire.OutcomeUnknown, Status: status, Reason: cause.Error(), Waited: -1}
+	return &Answer{Outcome: wire.OutcomeUnknown, Status: status, Reason: cause.Error(), Waited: waitUnknown}
 }
