Share the set of avoided agents and the periodic loop

Cause: the sets of leaving and of unreachable agents were the same code, and several places had the same ticker loop. Change: entry.agentSet and app.Every. Conclusion: behaviour is unchanged; an unreachable agent that is gone is now forgotten at the next pick as well.

--- a/cmd/bf-platform/main.go
+++ b/cmd/bf-platform/main.go
@@ -112,25 +112,12 @@
 	}
 	run := part.Run
 	part.Run = func(ctx context.Context) error {
-		go tick(ctx, s)
+		go app.Every(ctx, leaseTick, s.Engine.Tick)
 		return run(ctx)
 	}
 	return part, nil
 }
 
-func tick(ctx context.Context, s *platform.StoreServer) {
-	ticker := time.NewTicker(leaseTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.Engine.Tick()
-		}
-	}
-}
-
 func workerPart(spec string, seed uint64) (app.Part, error) {
 	fields := strings.Split(spec, "/")
 	if len(fields) != 4 {
--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"bamboofork/internal/app"
 	"bamboofork/internal/config"
 	"bamboofork/internal/node"
 	"bamboofork/internal/platform"
@@ -142,18 +143,7 @@
 func (f *Fleet) every(d time.Duration, do func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stops = append(f.stops, cancel)
-	go func() {
-		ticker := time.NewTicker(d)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-				do()
-			}
-		}
-	}()
+	go app.Every(ctx, d, do)
 }
 
 func (f *Fleet) seedSettings() error {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -35,13 +35,13 @@
 	client   *http.Transport
 	scheme   string // of agents' data addresses
 	buffers  bufferBudget
-	leaving  leavingSet  // agents that said so in an answer
+	leaving  agentSet    // agents that said so in an answer; it reaches an entry cut off from the membership exchange
 	stop     *stopSignal // of this entry
 	trusted  callers.Trusted
 	limiter  *limit.Limiter
 
 	decisions   decisionLog
-	unreachable unreachable
+	unreachable agentSet // agents whose last exchange broke; membership cannot tell, because control connections may work while data connections do not
 }
 
 // Options are the parts of an entry's process configuration that concern routing.
--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -3,55 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"bamboofork/internal/events"
 	"bamboofork/internal/membership"
-	"bamboofork/internal/route"
 )
 
-// leavingSet holds the agents that announced their leaving in an answer, by incarnation. It reaches an entry that is
-// cut off from the exchange of membership records. mu guards agents.
-type leavingSet struct {
-	mu     sync.Mutex
-	agents map[string]int64
-}
-
-// add reports whether the agent was not known to leave.
-func (s *leavingSet) add(m membership.Member) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.agents == nil {
-		s.agents = map[string]int64{}
-	}
-	if s.agents[m.ID] == m.Incarnation {
-		return false
-	}
-	s.agents[m.ID] = m.Incarnation
-	return true
-}
-
-// with returns avoid and the leaving agents; it forgets those that are gone or started anew.
-func (s *leavingSet) with(avoid route.Avoid, table *membership.Table) route.Avoid {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.agents) == 0 {
-		return avoid
-	}
-	out := slices.Clone(avoid)
-	for id, incarnation := range s.agents {
-		m, ok := table.Lookup(id)
-		if !ok || m.Incarnation != incarnation {
-			delete(s.agents, id)
-			continue
-		}
-		out = append(out, id)
-	}
-	return out
-}
-
 // Times of a planned stop.
 const (
 	// announceTime is how long an entry serves after it announced its leaving: load balancers read /readyz, other
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -128,7 +128,7 @@
 // is no other.
 func (e *Entry) pick(req *Request, avoid route.Avoid) route.Decision {
 	avoid = e.leaving.with(avoid, e.table)
-	d := e.balancer.Pick(req.Branch.Backend, e.unreachable.with(avoid))
+	d := e.balancer.Pick(req.Branch.Backend, e.unreachable.with(avoid, e.table))
 	if d.Chosen == nil {
 		d = e.balancer.Pick(req.Branch.Backend, avoid)
 	}
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"bamboofork/internal/app"
 	"bamboofork/internal/colocation"
 	"bamboofork/internal/membership"
 	"bamboofork/internal/settings"
@@ -61,7 +62,7 @@
 	engine := memstore.New()
 	f := &Fleet{cfg: cfg, net: NewNet(cfg.Seed), Store: memstore.NewFaulty(engine, cfg.Seed), stop: stop}
 	f.net.SetLink(f.link)
-	f.wg.Go(func() { every(ctx, 100*time.Millisecond, engine.Tick) })
+	f.wg.Go(func() { app.Every(ctx, 100*time.Millisecond, engine.Tick) })
 	if err := f.seed(ctx); err != nil {
 		return f, err
 	}
@@ -78,19 +79,6 @@
 	return f, f.ready(ctx)
 }
 
-func every(ctx context.Context, d time.Duration, do func()) {
-	ticker := time.NewTicker(d)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			do()
-		}
-	}
-}
-
 func (f *Fleet) link(a, b *Endpoint) Link {
 	if a.Domain == b.Domain {
 		return Link{Delay: f.cfg.Delay / 10}
@@ -108,7 +96,7 @@
 func (n *Node) report(ctx context.Context, seed uint64) {
 	rnd := rand.New(rand.NewPCG(seed, uint64(len(n.Spec.ID))+uint64(n.Spec.ID[len(n.Spec.ID)-1])))
 	started := n.began
-	every(ctx, loadInterval, func() {
+	app.Every(ctx, loadInterval, func() {
 		busy := rnd.IntN(9)
 		rev, _ := n.Sync.Revision()
 		n.Table.Update(func(m *membership.Member) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"bamboofork/internal/app"
 	"bamboofork/internal/dev"
 	"bamboofork/internal/entry"
 	"bamboofork/internal/invariant"
@@ -131,21 +132,14 @@
 }
 
 func (r *Run) showProgress(ctx context.Context, progress func(string)) {
-	ticker := time.NewTicker(progressTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			starts, _ := r.watch.totals()
-			r.mu.Lock()
-			line := fmt.Sprintf("%d quick answers, %d orders, %d jobs, %d task starts, %d failures",
-				r.counts["quick answered"], len(r.orders), len(r.jobs), starts, len(r.failures))
-			r.mu.Unlock()
-			progress(line)
-		}
-	}
+	app.Every(ctx, progressTick, func() {
+		starts, _ := r.watch.totals()
+		r.mu.Lock()
+		line := fmt.Sprintf("%d quick answers, %d orders, %d jobs, %d task starts, %d failures",
+			r.counts["quick answered"], len(r.orders), len(r.jobs), starts, len(r.failures))
+		r.mu.Unlock()
+		progress(line)
+	})
 }
 
 // settle ends all faults and waits until every accepted job has ended and the newest revision is in force.
