Answer callers that stop in the middle of their body

Ruled out: the header's bound, which closes after 5 s. Change: the deadline stays and the connection closes with the answer. The flag of a test's fake is read atomically (the race detector had failed TestLateOfferIsRepeated). Conclusion: half-open callers are cut off in both places.

--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -3,6 +3,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"syscall"
@@ -27,6 +29,7 @@
 	t.Run("PlannedStopCutsOffNothing", f.plannedStop)
 	t.Run("EntryStopCutsOffNothing", f.entryStop)
 	t.Run("EveryAgentReplaced", f.everyAgentReplaced)
+	t.Run("SlowAndHalfOpenCallers", f.slowCallers)
 	t.Run("KeyedRequestsRunOnce", f.keyedOnce)
 	for _, p := range append(append([]*process{f.platform}, f.agents...), f.entries...) {
 		qt.Check(t, strings.Contains(p.logged(), `"event":9100`), qt.IsFalse, qt.Commentf("broken invariant in %s:\n%s", p.name, p.logged()))
@@ -151,6 +154,37 @@
 	}
 }
 
+// slowCallers guards against callers that hold a connection without sending their request: one stops in its header, one
+// in its body. Both are cut off, the second is told that its request was not run, and others are served meanwhile.
+func (f *fleet) slowCallers(t *testing.T) {
+	header := f.halfOpen(t, "POST /v1/run/workshop/foot-scan/-/scan HTTP/1.1\r\nHost: entry\r\n")
+	body := f.halfOpen(t, "POST /v1/run/workshop/foot-scan/-/scan HTTP/1.1\r\nHost: entry\r\nContent-Length: 10\r\n\r\nabc")
+	_, err := f.quick(1, "meanwhile")
+	qt.Check(t, err, qt.IsNil)
+	closed := make(chan error, 1)
+	go func() {
+		_, err := io.ReadAll(header)
+		closed <- err
+	}()
+	answer, err := io.ReadAll(body)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, string(answer), qt.Contains, "HTTP/1.1 408 ")
+	qt.Check(t, string(answer), qt.Contains, `"outcome":"not_run"`)
+	qt.Check(t, <-closed, qt.IsNil, qt.Commentf("the connection must be closed before its deadline"))
+}
+
+// halfOpen sends the start of a request to an entry. Reads end with an error after 15 s, longer than any bound of the
+// entry on a slow caller.
+func (f *fleet) halfOpen(t *testing.T, text string) net.Conn {
+	conn, err := net.Dial("tcp", f.callers[1])
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { conn.Close() })
+	qt.Assert(t, conn.SetDeadline(time.Now().Add(15*time.Second)), qt.IsNil)
+	_, err = io.WriteString(conn, text)
+	qt.Assert(t, err, qt.IsNil)
+	return conn
+}
+
 // keyedOnce guards against a non-idempotent request that runs twice when an entry is killed and the caller repeats it
 // at the other one.
 func (f *fleet) keyedOnce(t *testing.T) {
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -119,6 +119,7 @@
 	}
 	body, err := e.receive(c, branch)
 	if err != nil {
+		closeAfterReply(c)
 		out := bodyAnswer(err)
 		return problem(c, out.Status, out.Outcome, id, out.Reason)
 	}
@@ -139,10 +140,20 @@
 // receive reads the head of the body. A caller that sends it slower than the branch's deadline is cut off.
 func (e *Entry) receive(c echo.Context, branch *settings.Effective) (*Body, error) {
 	rc := http.NewResponseController(c.Response().Writer)
-	if branch.Class != settings.ClassStream && rc.SetReadDeadline(time.Now().Add(branch.Deadline)) == nil {
-		defer rc.SetReadDeadline(time.Time{}) //nolint:errcheck // a closed connection fails at its next use
+	bounded := branch.Class != settings.ClassStream && rc.SetReadDeadline(time.Now().Add(branch.Deadline)) == nil
+	body, err := newBody(c.Request().Body, c.Request().ContentLength, branch.BodyLimit, &e.buffers)
+	if bounded && err == nil {
+		rc.SetReadDeadline(time.Time{}) //nolint:errcheck // a closed connection fails at its next use
+	}
+	return body, err
+}
+
+// closeAfterReply closes the connection with the answer. Otherwise net/http reads the rest of the body before it answers,
+// and a caller that sends nothing more would hold the connection and never see the answer.
+func closeAfterReply(c echo.Context) {
+	if c.Request().ProtoMajor == 1 {
+		c.Response().Header().Set(echo.HeaderConnection, "close")
 	}
-	return newBody(c.Request().Body, c.Request().ContentLength, branch.BodyLimit, &e.buffers)
 }
 
 // callerHeader drops what a caller must not set and what belongs to one hop.
--- a/internal/partition/fleet_test.go
+++ b/internal/partition/fleet_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -136,7 +137,7 @@
 	log     zerolog.Logger
 	workers map[string]*platform.SimWorker
 
-	clockLag time.Duration // how much older than in truth the agents' clocks are in the views
+	clockLag atomic.Int64 // how much older than in truth the agents' clocks are in the views, in nanoseconds
 
 	mu    sync.Mutex
 	procs map[string]*process
@@ -256,7 +257,7 @@
 	for _, p := range f.all() {
 		if p.running() {
 			record := p.table.Self()
-			record.Load.Clock -= f.clockLag
+			record.Load.Clock -= time.Duration(f.clockLag.Load())
 			records = append(records, record)
 		}
 	}
--- a/internal/partition/late_test.go
+++ b/internal/partition/late_test.go
@@ -16,7 +16,7 @@
 // older than a hold lasts (found by bf-soak, seed 2, with holds of 2 s).
 func TestLateOfferIsRepeated(t *testing.T) {
 	withFleet(t, 3, func(c *qt.C, f *fleet) {
-		f.clockLag = 2 * runHold
+		f.clockLag.Store(int64(2 * runHold))
 		time.Sleep(5 * time.Second) // the views take over the old clocks
 		owner, _ := f.awaitOwner(0, nil)
 		c.Assert(owner, qt.IsNotNil)
@@ -34,6 +34,6 @@
 		var got wire.GetReply
 		c.Assert(owner.manager.Service().Get(wire.GetArgs{Partition: 0, JobID: job.ID}, &got), qt.IsNil)
 		c.Assert(got.Job.Finished(), qt.IsTrue, qt.Commentf("%+v", got.Job.Tasks))
-		f.clockLag = 0
+		f.clockLag.Store(0)
 	})
 }
