Give each test process an address of its own

Cause: TestFootprint failed once, because the port that FreeAddr had found free was taken by another process before its owner listened: the callers' port answered as a control port. Change: each address that FreeAddr returns has its own loopback IP. Conclusion: addresses cannot be taken in between any more.

--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -10,8 +10,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"runtime/pprof"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -155,9 +157,16 @@
 	return eris.Wrap(err, "seed settings")
 }
 
-// FreeAddr returns a loopback address that was free a moment ago.
+// addrs numbers the addresses that FreeAddr has returned.
+var addrs atomic.Uint32
+
+// FreeAddr returns an address to listen on later. Each has a loopback IP of its own, so that neither another call nor the
+// source port of an outgoing connection, which comes from 127.0.0.1, can take the port in between.
 func FreeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	const numbers = 250
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 1+pid/numbers%numbers, 1+pid%numbers, 1+addrs.Add(1)%numbers)
+	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		return "", eris.Wrap(err, "free port")
 	}
