Run the whole path on the operators' platform: entries, owner of the jobs, agents

Cause: the product had no jobs of steps, no adapter for the operators' platform and no programs to deploy there.

Change: package jobs (state machine of jobs with steps), placement (pure planning), jobowner (recovery from the log, group commit, sessions to members), hostagent (room, holds, ends of one worker), follow and session (connections to the owner), election (owner's key with a lease), jobfront (callers), platform (adapter) and the programs bf-front and bf-host with deploy/system.toml.

--- /dev/null
+++ b/cmd/bf-host/main.go
@@ -0,0 +1,10 @@
+// Command bf-host runs the agent beside one worker on the operators' platform.
+package main
+
+import (
+	"os"
+
+	"bamboofork/internal/deployed"
+)
+
+func main() { os.Exit(deployed.Host()) }
--- /dev/null
+++ b/internal/deployed/host.go
@@ -0,0 +1,59 @@
+package deployed
+
+import (
+	"context"
+
+	"bamboofork/internal/app"
+	"bamboofork/internal/boottime"
+	"bamboofork/internal/election"
+	"bamboofork/internal/follow"
+	"bamboofork/internal/hostagent"
+	"bamboofork/internal/jobowner"
+	"bamboofork/internal/queues"
+	"bamboofork/platform"
+)
+
+const (
+	hostMetricsPort = "9465" // as in the deploy file
+	ownerKey        = "owner"
+	logPrefix       = "jobs"
+)
+
+// Host is the main function of an agent.
+func Host() int {
+	return Main("bf-host", "Give orders to the worker of this host; own the jobs when elected.", true, hostParts)
+}
+
+func hostParts(p *process) ([]app.Part, error) {
+	st := platform.NewStore(p.cfg.Store)
+	follower := &follow.Follower{Name: p.cfg.Name, Incarnation: p.incarnation, Log: p.log}
+	agent := hostagent.New(hostagent.Config{
+		Log: p.log, Metrics: p.metrics, Runner: platform.NewRunner(p.cfg.Worker), Follower: follower,
+		Hold: p.cfg.Bounds.Hold(), StopTime: p.cfg.Bounds.StopTimeout(),
+	})
+	follower.Adopted, follower.Message = agent.Adopted, agent.Message
+	candidate := &jobowner.Candidate{
+		Config: jobowner.Config{
+			Name: p.cfg.Name, Prefix: logPrefix, Log: p.log, Metrics: p.metrics, Store: st, Manifest: &queues.Current{},
+			Retention: p.cfg.Bounds.Retention(), Hold: p.cfg.Bounds.Hold(),
+		},
+		Key:      election.NewKey(st, ownerKey, boottime.Now),
+		Me:       election.Owner{Name: p.cfg.Name, Addr: p.cfg.Listen.Peers, Incarnation: p.incarnation},
+		Follower: follower,
+	}
+	member := jobowner.Member{Name: p.cfg.Name, Addr: p.cfg.Listen.Peers, Agent: true}
+	return []app.Part{
+		{Name: "owner", Run: func(ctx context.Context) error { return follower.Listen(ctx, p.cfg.Listen.Peers) }},
+		{Name: "agent", Run: agent.Run},
+		{Name: "registrations", Run: func(ctx context.Context) error {
+			return serve(ctx, p.cfg.Listen.Registrations, platform.RegistrationHandler(p.cfg.Worker, agent), 0)
+		}},
+		{Name: "candidate", Run: func(ctx context.Context) error {
+			if err := follow.Announce(ctx, st, &p.log, jobowner.MemberPrefix+p.cfg.Name, member); err != nil {
+				return err
+			}
+			return candidate.Run(ctx)
+		}},
+		p.metricsPart(hostMetricsPort),
+	}, nil
+}
--- /dev/null
+++ b/internal/jobowner/plan.go
@@ -0,0 +1,189 @@
+package jobowner
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"bamboofork/internal/boottime"
+	"bamboofork/internal/events"
+	"bamboofork/internal/jobs"
+	"bamboofork/internal/placement"
+	"bamboofork/internal/session"
+)
+
+// clockDrift is how much slower than ours a worker's clock may run.
+const clockDrift = 0.02
+
+// takeoverSlack covers a former owner that still confirmed reports when this term began.
+const takeoverSlack = 2500 * time.Millisecond
+
+// holdSlack covers timers and messages that are late.
+const holdSlack = 300 * time.Millisecond
+
+// maintain notices what only time brings about.
+func (o *Owner) maintain() {
+	for name, on := range o.placed {
+		if len(on) > 0 {
+			o.giveUpWorker(name, on)
+		}
+	}
+	wall := wallMs()
+	for id, j := range o.state.Jobs {
+		if j.Ended() && j.Durable && wall-j.EndedMs > o.cfg.Retention.Milliseconds() && !o.holdsRoom(j) {
+			o.apply(jobs.Change{JobID: id, Forget: &struct{}{}})
+		}
+	}
+	for name, on := range o.placed {
+		for _, p := range on {
+			if m := o.members[name]; m != nil && m.live() && !p.task.Stopping && placement.StandsStill(p.step, p.task, nowMs()) {
+				o.health.Record(name, p.job.ID, jobs.EndFailed, nowMs())
+				o.stopRun(name, p, "no progress")
+			}
+		}
+	}
+}
+
+func (o *Owner) holdsRoom(j *jobs.Job) bool {
+	for _, on := range o.placed {
+		for _, p := range on {
+			if p.job == j {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// giveUpWorker returns the tasks of a worker out of reach once its runs must have lapsed on its own clock.
+func (o *Owner) giveUpWorker(name string, on map[string]*placedTask) {
+	m := o.members[name]
+	heard := o.began + takeoverSlack
+	if m != nil {
+		if m.conn != nil {
+			return
+		}
+		if m.lastHeard > o.began {
+			heard = m.lastHeard
+		}
+	}
+	lapse := o.cfg.Hold + time.Duration(float64(o.cfg.Hold)*clockDrift) + holdSlack
+	if boottime.Now() < heard+lapse {
+		return
+	}
+	for _, p := range on {
+		o.end(p, jobs.EndLost, "", "the worker is out of reach and its hold has lapsed")
+	}
+}
+
+// plan starts what fits. It does nothing while the lease is in doubt, because a start needs a durable record anyway.
+func (o *Owner) plan() {
+	if !o.tenure.Confirmed() || len(o.active) == 0 {
+		return
+	}
+	snap := o.snapshotOf()
+	if len(snap.Jobs) == 0 || len(snap.Workers) == 0 {
+		return
+	}
+	for _, a := range placement.Plan(snap) {
+		o.place(a)
+	}
+}
+
+func (o *Owner) snapshotOf() *placement.Snapshot {
+	s := &placement.Snapshot{SteadyMs: nowMs(), WallMs: wallMs()}
+	for _, j := range o.active {
+		if hasWaiting(j) {
+			s.Jobs = append(s.Jobs, j)
+		}
+	}
+	if len(s.Jobs) == 0 {
+		return s
+	}
+	now := boottime.Now()
+	for _, m := range o.members {
+		w := m.worker
+		if !m.Agent || !m.live() || w == nil || w.Draining || w.Gone || now < m.blocked {
+			continue
+		}
+		max := o.health.Allowed(m.Name, nowMs(), len(o.placed[m.Name]))
+		if max == 0 {
+			continue
+		}
+		s.Workers = append(s.Workers, o.workerView(m, w, max))
+	}
+	slices.SortFunc(s.Workers, func(a, b *placement.Worker) int { return strings.Compare(a.Name, b.Name) })
+	return s
+}
+
+func (o *Owner) workerView(m *member, w *session.Worker, maxNew int) *placement.Worker {
+	v := &placement.Worker{
+		Name: m.Name, Life: w.Life, Service: w.Service, Zone: w.Zone, Rack: rackOf(w.Labels), Labels: w.Labels,
+		Capacity: capacityOf(w), Free: capacityOf(w), MaxNew: maxNew,
+	}
+	for _, p := range o.placed[m.Name] {
+		v.Free = v.Free.Sub(placement.Need(p.step))
+		if p.step.Fills {
+			v.Filling += p.step.CPU
+		}
+		if p.step.TargetMs > 0 {
+			v.Serving++
+		}
+	}
+	return v
+}
+
+func hasWaiting(j *jobs.Job) bool {
+	for k := range j.Occ {
+		for i := range j.Occ[k].Steps {
+			if j.Occ[k].Steps[i].Waiting > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// place records an assignment; the order leaves when the record is durable.
+func (o *Owner) place(a placement.Assignment) {
+	p := a.Place
+	id := jobs.TaskID{Job: a.Job.ID, Occ: p.Occ, Step: p.Step, Index: p.Index}
+	o.apply(jobs.Change{JobID: a.Job.ID, Place: &p})
+	t := a.Job.Task(id)
+	t.PlacedMs, t.ProgressMs = nowMs(), nowMs()
+	o.hold(a.Job, id, t)
+	held := o.placed[p.Worker][id.String()]
+	events.RunPlaced.Log(&o.cfg.Log).Str("job", a.Job.ID).Str("task", id.String()).Int("run", p.Run).Str("agent", p.Worker).
+		Int64("waited_ms", wallMs()-a.Job.AcceptedMs).Send()
+	o.effects = append(o.effects, func() { o.queueStart(held, p.Run) })
+}
+
+func (o *Owner) queueStart(p *placedTask, run int) {
+	if p.task.State != jobs.TaskPlaced || p.task.Run != run || o.placed[p.task.Worker][p.id.String()] != p {
+		return
+	}
+	m := o.members[p.task.Worker]
+	if m == nil {
+		return
+	}
+	m.starts = append(m.starts, startOf(p, run))
+	m.order = append(m.order, p)
+}
+
+// unsent returns the tasks of orders that never left this process.
+func (o *Owner) unsent(m *member, order []*placedTask) {
+	for _, p := range order {
+		if o.placed[m.Name][p.id.String()] == p && !p.task.Sent {
+			o.end(p, jobs.EndLost, "", "the agent was lost before the order left")
+		}
+	}
+}
+
+// startOf describes a run of the task to the agent.
+func startOf(p *placedTask, run int) session.Start {
+	step := p.step
+	return session.Start{
+		Task: p.id.String(), Run: run, Payload: p.job.Spec.Payload, Checkpoint: p.task.Checkpoint, Life: p.task.Life,
+		CPU: step.CPU, MemMB: step.MemMB, GPU: step.GPU, Image: step.Image, TargetMs: step.TargetMs, Fills: step.Fills, Label: step.Label,
+	}
+}
--- /dev/null
+++ b/internal/jobowner/report.go
@@ -0,0 +1,158 @@
+package jobowner
+
+import (
+	"time"
+
+	"bamboofork/internal/boottime"
+	"bamboofork/internal/events"
+	"bamboofork/internal/jobs"
+	"bamboofork/internal/session"
+)
+
+// refusalPause keeps a worker that refused a start for want of room out of the plans until its next report.
+const refusalPause = 300 * time.Millisecond
+
+// report takes in what an agent says about its worker and its runs.
+func (o *Owner) report(m *member, msg *session.FromMember) {
+	if msg.Worker != nil {
+		o.workerSeen(m, msg.Worker)
+	}
+	for i := range msg.Ends {
+		o.runEnded(m, &msg.Ends[i])
+	}
+	for _, r := range msg.Refused {
+		o.refused(m, r)
+	}
+	if msg.Full {
+		o.reconcile(m, msg)
+	}
+	o.signal()
+}
+
+// workerSeen notes the worker's state; a new lifetime proves that the runs of the former one are over.
+func (o *Owner) workerSeen(m *member, w *session.Worker) {
+	old := m.worker
+	m.worker = w
+	if old == nil || old.Life != w.Life || old.Draining != w.Draining || old.Gone != w.Gone {
+		events.WorkerSeen.Log(&o.cfg.Log).Str("agent", m.Name).Str("worker", w.ID).Int64("life", w.Life).
+			Bool("draining", w.Draining).Bool("gone", w.Gone).Int("cpu", w.CPU).Int("mem_mb", w.MemMB).Send()
+	}
+	if m.ackLife != w.Life {
+		m.ackLife, m.ackEnds, m.ackSent = w.Life, 0, 0
+	}
+	for _, p := range o.placed[m.Name] {
+		if p.task.Life < w.Life || (w.Gone && p.task.Life <= w.Life) {
+			o.end(p, jobs.EndLost, "", "the worker's lifetime is over")
+		}
+	}
+}
+
+// runEnded takes in a listed end and acknowledges it once it is durable.
+func (o *Owner) runEnded(m *member, e *session.RunEnd) {
+	if p := o.placed[m.Name][e.Task]; p != nil && p.task.Run == e.Run && p.task.Life == e.Life {
+		if p.job.Ended() {
+			o.end(p, jobs.EndStopped, e.Saved, string(e.How))
+		} else {
+			o.health.Record(m.Name, p.job.ID, e.How, nowMs())
+			o.end(p, e.How, e.Saved, "listed by the worker")
+		}
+	}
+	life, seq := e.Life, e.Seq
+	o.effects = append(o.effects, func() {
+		if m.ackLife == life && seq > m.ackEnds {
+			m.ackEnds = seq
+		}
+	})
+}
+
+// end records the end of a placed run and frees its room.
+func (o *Owner) end(p *placedTask, how jobs.Outcome, saved, why string) {
+	delete(o.placed[p.task.Worker], p.id.String())
+	events.RunEnded.Log(&o.cfg.Log).Str("job", p.job.ID).Str("task", p.id.String()).Int("run", p.task.Run).
+		Str("agent", p.task.Worker).Str("how", string(how)).Int64("ran_ms", nowMs()-p.task.PlacedMs).Str("why", why).Send()
+	o.apply(jobs.Change{JobID: p.job.ID, End: &jobs.End{
+		Occ: p.id.Occ, Step: p.id.Step, Index: p.id.Index, Run: p.task.Run, How: how, Checkpoint: saved, AtMs: wallMs(),
+	}})
+	if p.job.Ended() {
+		o.jobEnded(p.job)
+	}
+}
+
+// jobEnded stops what still runs of an ended job.
+func (o *Owner) jobEnded(j *jobs.Job) {
+	if _, ok := o.active[j.ID]; !ok {
+		return
+	}
+	delete(o.active, j.ID)
+	events.JobEnded.Log(&o.cfg.Log).Str("job", j.ID).Str("state", string(j.State())).Int64("after_ms", wallMs()-j.AcceptedMs).Send()
+	for name, on := range o.placed {
+		for _, p := range on {
+			if p.job == j {
+				o.stopRun(name, p, "the job has ended")
+			}
+		}
+	}
+}
+
+// stopRun orders the end of a run once the pending changes are durable. The room stays taken until the end is listed.
+func (o *Owner) stopRun(agent string, p *placedTask, why string) {
+	p.task.Stopping = true
+	stop := session.Stop{Task: p.id.String(), Run: p.task.Run}
+	events.RunStopped.Log(&o.cfg.Log).Str("job", p.job.ID).Str("task", stop.Task).Int("run", stop.Run).Str("agent", agent).Str("why", why).Send()
+	o.effects = append(o.effects, func() {
+		if m := o.members[agent]; m != nil {
+			m.stops = append(m.stops, stop)
+		}
+	})
+	o.signal()
+}
+
+// refused returns a task whose start was not and will not be carried out.
+func (o *Owner) refused(m *member, r session.Refusal) {
+	p := o.placed[m.Name][r.Task]
+	if p == nil || p.task.Run != r.Run {
+		return
+	}
+	o.cfg.Metrics.Counter("owner_starts_refused").Inc(1)
+	m.blocked = boottime.Now() + refusalPause
+	o.end(p, jobs.EndLost, "", "refused: "+r.Reason)
+}
+
+// reconcile compares a complete list of runs with the tasks placed on the worker.
+func (o *Owner) reconcile(m *member, msg *session.FromMember) {
+	on := o.placed[m.Name]
+	listed := make(map[string]int, len(msg.Runs))
+	for _, r := range msg.Runs {
+		listed[r.Task] = r.Run
+		p := on[r.Task]
+		if p == nil || p.task.Run != r.Run {
+			m.stops = append(m.stops, session.Stop{Task: r.Task, Run: r.Run}) // an older run, or a task of a forgotten job
+			continue
+		}
+		o.progress(p, &r)
+		if r.Unsized {
+			m.sizes = append(m.sizes, startOf(p, r.Run))
+		}
+		if p.job.Ended() || p.task.Stopping {
+			m.stops = append(m.stops, session.Stop{Task: r.Task, Run: r.Run}) // the earlier order may have been lost
+		}
+	}
+	for id, p := range on {
+		if run, ok := listed[id]; (!ok || run < p.task.Run) && p.task.Sent && p.task.OrderSeq <= msg.SeenSeq {
+			o.end(p, jobs.EndLost, "", "not known to the agent")
+		}
+	}
+	if !m.reported {
+		m.reported = true
+		o.signal()
+	}
+}
+
+func (o *Owner) progress(p *placedTask, r *session.Run) {
+	if r.Saved != "" {
+		p.task.Checkpoint = r.Saved
+	}
+	if r.Percent != p.task.Percent || p.task.ProgressMs == 0 {
+		p.task.Percent, p.task.ProgressMs = r.Percent, nowMs()
+	}
+}
--- /dev/null
+++ b/internal/placement/health.go
@@ -0,0 +1,65 @@
+package placement
+
+import "bamboofork/internal/jobs"
+
+// Bounds of the quarantine of a worker.
+const (
+	// suspectAfter distinct jobs that fail in a row make a worker suspect; one job may fail by its own fault.
+	suspectAfter = 2
+	// firstPause and maxPause bound how long a suspect worker gets no work; it doubles with each further failure.
+	firstPauseMs = 1000
+	maxPauseMs   = 4000
+)
+
+// Health judges workers by how their runs end. It answers workers that fail all that they start: they end tasks faster
+// than sound ones and would attract the work of the whole fleet.
+type Health struct{ workers map[string]*record }
+
+type record struct {
+	row     int // failures of distinct jobs without a success between them
+	lastJob string
+	pauseMs int64
+	untilMs int64
+}
+
+// NewHealth returns a Health without evidence.
+func NewHealth() *Health { return &Health{workers: map[string]*record{}} }
+
+// Record takes in the end of a run.
+func (h *Health) Record(worker, job string, how jobs.Outcome, nowMs int64) {
+	switch how {
+	case jobs.EndDone:
+		delete(h.workers, worker)
+	case jobs.EndFailed:
+		h.failed(worker, job, nowMs)
+	}
+}
+
+func (h *Health) failed(worker, job string, nowMs int64) {
+	r := h.workers[worker]
+	if r == nil {
+		r = &record{}
+		h.workers[worker] = r
+	}
+	if r.lastJob != job || r.row == 0 {
+		r.row++
+		r.lastJob = job
+	}
+	if r.row >= suspectAfter {
+		r.pauseMs = min(max(2*r.pauseMs, firstPauseMs), maxPauseMs)
+		r.untilMs = nowMs + r.pauseMs
+	}
+}
+
+// Allowed returns how many tasks may start on the worker now: -1 for no bound, 0 during a pause, and one at a time on
+// probation until a run succeeds.
+func (h *Health) Allowed(worker string, nowMs int64, running int) int {
+	r := h.workers[worker]
+	switch {
+	case r == nil || r.row < suspectAfter:
+		return -1
+	case nowMs < r.untilMs || running > 0:
+		return 0
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,87 @@
+package placement
+
+import "bamboofork/internal/jobs"
+
+// Plan returns the tasks that start now, in the order in which they were chosen.
+func Plan(s *Snapshot) []Assignment {
+	var plan []Assignment
+	for _, c := range order(s) {
+		for i := range c.job.Spec.Steps {
+			if c.job.Occ[c.occ].Steps[i].Waiting > 0 && c.job.StepReady(c.occ, i) {
+				plan = append(plan, planStep(s, c, i)...)
+			}
+		}
+	}
+	return plan
+}
+
+// planStep assigns the waiting tasks of one step that fit; a gang is assigned whole or not at all.
+func planStep(s *Snapshot, c candidate, i int) []Assignment {
+	step := &c.job.Spec.Steps[i]
+	st := &c.job.Occ[c.occ].Steps[i]
+	perWorker := map[string]int{}
+	racks := map[string]int{}
+	run := 0
+	for t := range st.Tasks {
+		task := &st.Tasks[t]
+		run = max(run, task.Run)
+		if task.State == jobs.TaskPlaced {
+			perWorker[task.Worker]++
+		}
+	}
+	for _, w := range s.Workers {
+		if n := perWorker[w.Name]; n > 0 {
+			racks[w.Rack] += n
+		}
+	}
+	if step.Gang && st.Waiting < len(st.Tasks) {
+		return nil // members of the former run are still ending
+	}
+	var plan []Assignment
+	for t := range st.Tasks {
+		task := &st.Tasks[t]
+		if task.State != jobs.TaskWaiting {
+			continue
+		}
+		w := choose(s, c.job, step, task, perWorker, racks)
+		if w == nil {
+			if step.Gang {
+				undo(plan, s, step)
+				return nil
+			}
+			break // the tasks of a step ask for the same room
+		}
+		take(w, step)
+		perWorker[w.Name]++
+		racks[w.Rack]++
+		number := task.Run + 1
+		if step.Gang {
+			number = run + 1
+		}
+		plan = append(plan, Assignment{Job: c.job, Place: jobs.Place{Occ: c.occ, Step: i, Index: t, Run: number, Worker: w.Name, Life: w.Life}})
+	}
+	return plan
+}
+
+func take(w *Worker, step *jobs.Step) {
+	w.Free = w.Free.Sub(Need(step))
+	if w.MaxNew > 0 {
+		w.MaxNew--
+	}
+	if step.Fills {
+		w.Filling += step.CPU
+	}
+	if step.TargetMs > 0 {
+		w.Serving++
+	}
+}
+
+func undo(plan []Assignment, s *Snapshot, step *jobs.Step) {
+	for _, a := range plan {
+		for _, w := range s.Workers {
+			if w.Name == a.Place.Worker {
+				w.Free = w.Free.Add(Need(step))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/types.go
@@ -0,0 +1,70 @@
+// Package placement decides which waiting tasks start now and on which workers. It is pure: a snapshot goes in, a plan
+// comes out, and nothing is read from a clock or a connection. Each file holds one decision and names the load that it
+// answers.
+package placement
+
+import "bamboofork/internal/jobs"
+
+// Room is an amount of a worker's resources.
+type Room struct {
+	CPU   int // thousandths of a core
+	MemMB int
+	GPU   int
+}
+
+// Need returns the room that a task of the step takes.
+func Need(s *jobs.Step) Room { return Room{CPU: s.CPU, MemMB: s.MemMB, GPU: s.GPU} }
+
+// Add returns the sum.
+func (r Room) Add(o Room) Room { return Room{r.CPU + o.CPU, r.MemMB + o.MemMB, r.GPU + o.GPU} }
+
+// Sub returns the difference; it may be negative.
+func (r Room) Sub(o Room) Room { return Room{r.CPU - o.CPU, r.MemMB - o.MemMB, r.GPU - o.GPU} }
+
+// Fits reports whether the need fits into the room.
+func (r Room) Fits(need Room) bool {
+	return need.CPU <= r.CPU && need.MemMB <= r.MemMB && need.GPU <= r.GPU
+}
+
+// Worker is the owner's view of one worker that may take tasks.
+type Worker struct {
+	Name     string
+	Life     int64
+	Service  string
+	Zone     string
+	Rack     string
+	Labels   []string
+	Capacity Room
+	Free     Room
+	Serving  int // tasks with a latency target
+	Filling  int // processor demand of tasks that fill, in thousandths of a core
+	// MaxNew bounds the tasks that may start now; negative: no bound. A worker on probation gets one task at a time.
+	MaxNew int
+}
+
+// HasLabel reports whether the worker has the label; an empty label fits every worker.
+func (w *Worker) HasLabel(label string) bool {
+	if label == "" {
+		return true
+	}
+	for _, l := range w.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// Snapshot is the input of one planning pass. Workers are changed by the pass.
+type Snapshot struct {
+	SteadyMs int64 // the owner's steady clock
+	WallMs   int64 // Unix milliseconds
+	Jobs     []*jobs.Job
+	Workers  []*Worker
+}
+
+// Assignment places one task.
+type Assignment struct {
+	Job   *jobs.Job
+	Place jobs.Place
+}
