Let filling tasks use idle time and keep them away from serving tasks they disturb

Cause: filling steps were charged against the room that lasting tasks declare, so large jobs waited for room that was idle; and a filling task beside a serving one of a bad pair was slowed with all others beside it.

--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -69,6 +69,21 @@
 	percent int
 	recent  int
 	pace    int
+	begun   time.Duration // boot time at which the worker confirmed it
+}
+
+func (r *run) begin() {
+	if !r.started {
+		r.started, r.begun = true, boottime.Now()
+	}
+}
+
+// age returns the milliseconds since the worker confirmed the run.
+func (r *run) age() int64 {
+	if !r.started {
+		return 0
+	}
+	return (boottime.Now() - r.begun).Milliseconds()
 }
 
 // New returns an agent without a worker.
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -82,7 +82,7 @@
 		return true
 	case err != nil:
 	case reason == Accepted:
-		r.started = true
+		r.begin()
 		a.cfg.Metrics.Histogram("agent_start_us").Update((boottime.Now() - began).Microseconds())
 		events.RunStarted.Log(log).Str("task", r.start.Task).Int("run", r.start.Run).Int("tries", try).
 			Int64("took_ms", (boottime.Now() - began).Milliseconds()).Send()
@@ -151,8 +151,9 @@
 }
 
 const (
-	// holdWait is how long the worker may wait for an end before it answers; runs are held anew with each call.
-	holdWait = 1000
+	// holdWait is how long the worker may wait for an end before it answers. Runs are held anew with each call, and the
+	// latencies of serving runs, which average half a second, come with each answer.
+	holdWait = 400
 	// holdTimeout bounds a call that waits.
 	holdTimeout = holdWait*time.Millisecond + 400*time.Millisecond
 	// ackWait is how long the agent waits for the owner's acknowledgement of listed ends before it asks again; the
@@ -290,7 +291,7 @@
 	if r.start.Run != row.Run {
 		return
 	}
-	r.started = true
+	r.begin()
 	if r.recheck != 0 && !r.stopping {
 		r.recheck = 0
 	}
@@ -388,7 +389,7 @@
 func (a *Agent) list() []session.Run {
 	list := make([]session.Run, 0, len(a.runs))
 	for task, r := range a.runs {
-		list = append(list, session.Run{Task: task, Run: r.start.Run, Started: r.started, Saved: r.saved, Percent: r.percent, Unsized: !r.sized})
+		list = append(list, session.Run{Task: task, Run: r.start.Run, Started: r.started, Saved: r.saved, Percent: r.percent, Recent: r.recent, Pace: r.pace, AgeMs: r.age(), Unsized: !r.sized})
 	}
 	return list
 }
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -55,6 +55,8 @@
 	members   map[string]*member   // by name
 	placed    map[string]map[string]*placedTask
 	health    *placement.Health
+	// interference is relearned by a new owner.
+	interference *placement.Interference
 	lastSeq   int64 // newest record of the log
 	snapAt    int64 // record of the newest snapshot
 	stuckFrom time.Duration
@@ -86,7 +88,7 @@
 		cfg: cfg, tenure: tenure, log: caslog.New(cfg.Store, cfg.Prefix, writer),
 		began: boottime.Now(), wake: make(chan struct{}, 1),
 		active: map[string]*jobs.Job{}, members: map[string]*member{}, placed: map[string]map[string]*placedTask{},
-		health: placement.NewHealth(),
+		health: placement.NewHealth(), interference: placement.NewInterference(),
 	}
 	for {
 		err := o.recoverOnce(ctx)
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -91,7 +91,7 @@
 }
 
 func (o *Owner) snapshotOf() *placement.Snapshot {
-	s := &placement.Snapshot{SteadyMs: nowMs(), WallMs: wallMs()}
+	s := &placement.Snapshot{SteadyMs: nowMs(), WallMs: wallMs(), Interference: o.interference}
 	for _, j := range o.active {
 		if hasWaiting(j) {
 			s.Jobs = append(s.Jobs, j)
@@ -119,16 +119,13 @@
 func (o *Owner) workerView(m *member, w *session.Worker, maxNew int) *placement.Worker {
 	v := &placement.Worker{
 		Name: m.Name, Life: w.Life, Service: w.Service, Zone: w.Zone, Rack: rackOf(w.Labels), Labels: w.Labels,
-		Capacity: capacityOf(w), Free: capacityOf(w), MaxNew: maxNew,
+		Capacity: capacityOf(w), Free: capacityOf(w), Idle: w.CPU, MaxNew: maxNew,
+		Serving: map[string]int{}, Filling: map[string]int{},
 	}
 	for _, p := range o.placed[m.Name] {
 		v.Free = v.Free.Sub(placement.Need(p.step))
-		if p.step.Fills {
-			v.Filling += p.step.CPU
-		}
-		if p.step.TargetMs > 0 {
-			v.Serving++
-		}
+		v.Idle -= placement.Use(p.step)
+		v.Note(p.step, 1)
 	}
 	return v
 }
--- a/internal/jobowner/report.go
+++ b/internal/jobowner/report.go
@@ -142,6 +142,7 @@
 			o.end(p, jobs.EndLost, "", "not known to the agent")
 		}
 	}
+	o.observe(m, msg.Runs)
 	if !m.reported {
 		m.reported = true
 		o.signal()
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -65,14 +65,20 @@
 
 func take(w *Worker, step *jobs.Step) {
 	w.Free = w.Free.Sub(Need(step))
+	w.Idle -= Use(step)
 	if w.MaxNew > 0 {
 		w.MaxNew--
 	}
-	if step.Fills {
-		w.Filling += step.CPU
-	}
-	if step.TargetMs > 0 {
-		w.Serving++
+	w.Note(step, 1)
+}
+
+// Note counts n tasks of the step among the worker's serving or filling tasks.
+func (w *Worker) Note(step *jobs.Step, n int) {
+	switch {
+	case step.Fills:
+		w.Filling[step.Image] += n
+	case step.TargetMs > 0:
+		w.Serving[step.Image] += n
 	}
 }
 
@@ -81,6 +87,8 @@
 		for _, w := range s.Workers {
 			if w.Name == a.Place.Worker {
 				w.Free = w.Free.Add(Need(step))
+				w.Idle += Use(step)
+				w.Note(step, -1)
 			}
 		}
 	}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -13,7 +13,24 @@
 }
 
 // Need returns the room that a task of the step takes.
-func Need(s *jobs.Step) Room { return Room{CPU: s.CPU, MemMB: s.MemMB, GPU: s.GPU} }
+func Need(s *jobs.Step) Room {
+	if s.Fills {
+		return Room{MemMB: s.MemMB, GPU: s.GPU}
+	}
+	return Room{CPU: s.CPU, MemMB: s.MemMB, GPU: s.GPU}
+}
+
+// ServingLoad is the share of its declared processor time that a serving task is taken to use; its users leave the rest
+// idle on average, and the estimate keeps a margin above that.
+const ServingLoad = 0.6
+
+// Use returns the processor time that a task of the step is taken to use, in thousandths of a core.
+func Use(s *jobs.Step) int {
+	if s.TargetMs > 0 {
+		return int(ServingLoad * float64(s.CPU))
+	}
+	return s.CPU
+}
 
 // Add returns the sum.
 func (r Room) Add(o Room) Room { return Room{r.CPU + o.CPU, r.MemMB + o.MemMB, r.GPU + o.GPU} }
@@ -36,8 +53,11 @@
 	Labels   []string
 	Capacity Room
 	Free     Room
-	Serving  int // tasks with a latency target
-	Filling  int // processor demand of tasks that fill, in thousandths of a core
+	// Idle is the estimate of the processor time that filling tasks can still use, in thousandths of a core. Filling
+	// tasks do not take Free; they get what the others leave.
+	Idle    int
+	Serving map[string]int // tasks with a latency target, by image
+	Filling map[string]int // tasks that fill, by image
 	// MaxNew bounds the tasks that may start now; negative: no bound. A worker on probation gets one task at a time.
 	MaxNew int
 }
@@ -61,6 +81,8 @@
 	WallMs   int64 // Unix milliseconds
 	Jobs     []*jobs.Job
 	Workers  []*Worker
+	// Interference is the evidence about pairs of images; nil: none.
+	Interference *Interference
 }
 
 // Assignment places one task.
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -80,6 +80,9 @@
 	Started bool   `json:"s,omitempty"` // false: the order is not answered yet
 	Saved   string `json:"k,omitempty"` // newest checkpoint
 	Percent int    `json:"p,omitempty"`
+	Recent  int    `json:"u5,omitempty"` // tail latency in milliseconds of a serving task, else processor use in thousandths of a core
+	Pace    int    `json:"pc,omitempty"` // share of full speed, in percent
+	AgeMs   int64  `json:"ag,omitempty"` // since the worker confirmed it
 	Unsized bool   `json:"u,omitempty"` // the agent does not know what the run takes
 }
 
