Write submissions to the log without the placements that follow them

Change: State.submit builds a job of its own from the request. TestRecordOfSubmissionAndPlacementReplays fails without.

--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -47,20 +47,20 @@
 	began  time.Duration // boot time at the start of the term
 	wake   chan struct{}
 
-	mu        sync.Mutex
-	state     *jobs.State
-	active    map[string]*jobs.Job // jobs that have not ended, by id
-	pending   []jobs.Change        // applied, not yet in a record
-	effects   []func()             // run under mu when the pending changes are durable
-	members   map[string]*member   // by name
-	placed    map[string]map[string]*placedTask
-	health    *placement.Health
+	mu      sync.Mutex
+	state   *jobs.State
+	active  map[string]*jobs.Job // jobs that have not ended, by id
+	pending []jobs.Change        // applied, not yet in a record
+	effects []func()             // run under mu when the pending changes are durable
+	members map[string]*member   // by name
+	placed  map[string]map[string]*placedTask
+	health  *placement.Health
 	// interference is relearned by a new owner.
 	interference *placement.Interference
-	lastSeq   int64 // newest record of the log
-	snapAt    int64 // record of the newest snapshot
-	stuckFrom time.Duration
-	lost      error
+	lastSeq      int64 // newest record of the log
+	snapAt       int64 // record of the newest snapshot
+	stuckFrom    time.Duration
+	lost         error
 }
 
 // placedTask is a task that holds room on a worker.
--- a/internal/jobowner/requests.go
+++ b/internal/jobowner/requests.go
@@ -42,8 +42,8 @@
 		answer(session.Answer{Code: session.CodeRejected, RetryMs: retryStoreMs, Reason: "store unavailable"})
 		return
 	}
-	j := &jobs.Job{ID: r.JobID, Queue: *r.Queue, Spec: *r.Spec, AcceptedMs: wallMs()}
-	o.apply(jobs.Change{Submit: j})
+	o.apply(jobs.Change{Submit: &jobs.Job{ID: r.JobID, Queue: *r.Queue, Spec: *r.Spec, AcceptedMs: wallMs()}})
+	j := o.state.Jobs[r.JobID]
 	o.active[j.ID] = j
 	o.effects = append(o.effects, func() {
 		events.JobAccepted.Log(&o.cfg.Log).Str("job", j.ID).Str("queue", j.Queue.Name).Int("steps", len(j.Spec.Steps)).
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -206,13 +206,13 @@
 	}
 }
 
-func (s *State) submit(j *Job) {
-	if s.Jobs[j.ID] != nil {
+// submit adds a job of its own: the change is written to the log later and must not show what happens to the job first.
+func (s *State) submit(c *Job) {
+	if s.Jobs[c.ID] != nil {
 		return
 	}
-	if len(j.Occ) == 0 {
-		j.expand()
-	}
+	j := &Job{ID: c.ID, Queue: c.Queue, Spec: c.Spec, AcceptedMs: c.AcceptedMs}
+	j.expand()
 	s.Jobs[j.ID] = j
 }
 
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -83,7 +83,7 @@
 	Recent  int    `json:"u5,omitempty"` // tail latency in milliseconds of a serving task, else processor use in thousandths of a core
 	Pace    int    `json:"pc,omitempty"` // share of full speed, in percent
 	AgeMs   int64  `json:"ag,omitempty"` // since the worker confirmed it
-	Unsized bool   `json:"u,omitempty"` // the agent does not know what the run takes
+	Unsized bool   `json:"u,omitempty"`  // the agent does not know what the run takes
 }
 
 // RunEnd is an end that the worker has listed.
