Learn pressures between images in a model of utilisation

Cause: guilt by pair was spread over every image present, so sound pairs were kept apart for good and guilty ones stayed.

Change: one Gaussian coefficient for each pair, learned from all workers; placement keeps each serving task below its limit, and moves as few runs as it takes. The agent slows filling runs only after 1.5 s over target.

--- a/internal/hostagent/pace.go
+++ b/internal/hostagent/pace.go
@@ -4,52 +4,50 @@
 	"context"
 	"time"
 
+	"bamboofork/internal/boottime"
 	"bamboofork/internal/events"
 )
 
 const (
 	// paceEvery matches the half second over which a worker averages what it reports.
 	paceEvery = 500 * time.Millisecond
+	// paceAfter is how long a serving run may miss its target before the filling runs beside it are slowed. The owner
+	// moves the run that disturbs within about a second; this is for runs that it does not move, and for its absence.
+	paceAfter = 1500 * time.Millisecond
 	// paceFloor is the least share, in percent, at which a filling run goes on.
 	paceFloor = 10
-	// paceRaise is added per step while the serving runs have headroom; slower than the cut, so that it does not swing.
-	paceRaise = 10
-	// headroom is the share of the target, in percent, below which filling runs are released again.
-	headroom = 70
+	// paceFactor is the change of the share per step, in either direction.
+	paceFactor = 2
 )
 
-// pressure is how far the serving runs of a worker are from their targets: the highest tail latency in percent of its
-// target. It is 0 without serving runs.
-func pressure(runs map[string]*run) (int, string) {
-	worst, task := 0, ""
+// overTarget returns a serving run whose tail latency is over its target, or nothing.
+func overTarget(runs map[string]*run) string {
 	for id, r := range runs {
-		if r.start.TargetMs <= 0 || !r.started {
-			continue
-		}
-		if p := int(int64(r.recent) * 100 / r.start.TargetMs); p > worst {
-			worst, task = p, id
+		if r.start.TargetMs > 0 && r.started && int64(r.recent) > r.start.TargetMs {
+			return id
 		}
 	}
-	return worst, task
+	return ""
 }
 
-// nextPace returns the share at which filling runs go on. It answers filling work that presses on serving work: above
-// the target the share is cut in proportion, with headroom it rises slowly, between them it stays.
-func nextPace(now, pressure int) int {
+// nextPace returns the share of full speed, in percent, of the filling runs. It answers filling work that presses on
+// serving work: the share falls while a serving run misses its target for long, and recovers when none does.
+func nextPace(share int, over time.Duration) int {
 	switch {
-	case pressure > 100:
-		return max(paceFloor, now*100/(pressure+20))
-	case pressure < headroom:
-		return min(100, now+paceRaise)
+	case over > paceAfter:
+		return max(paceFloor, share/paceFactor/paceFactor)
+	case over == 0:
+		return min(100, share*paceFactor)
 	}
-	return now
+	return share
 }
 
-// paceLoop slows the filling runs beside serving runs that miss their target.
+// paceLoop slows the filling runs beside serving runs that miss their target for long.
 func (a *Agent) paceLoop(ctx context.Context) {
 	ticker := time.NewTicker(paceEvery)
 	defer ticker.Stop()
 	share := 100
+	var since time.Duration // boot time from which a serving run misses its target; 0: none does
 	for {
 		select {
 		case <-ctx.Done():
@@ -57,33 +55,51 @@
 		case <-ticker.C:
 		}
 		a.mu.Lock()
-		p, task := pressure(a.runs)
-		next := nextPace(share, p)
+		task := overTarget(a.runs)
+		over := time.Duration(0)
+		switch {
+		case task == "":
+			since = 0
+		case since == 0:
+			since = boottime.Now()
+			over = 1
+		default:
+			over = boottime.Now() - since
+		}
+		next := nextPace(share, over)
 		if next != share {
-			events.PaceChanged.Log(&a.cfg.Log).Str("serving", task).Int("pressure_percent", p).Int("from", share).Int("to", next).Send()
+			events.PaceChanged.Log(&a.cfg.Log).Str("serving", task).Int64("over_ms", over.Milliseconds()).Int("from", share).Int("to", next).Send()
 		}
 		share = next
-		var change []*run
-		for _, r := range a.runs {
-			if r.start.Fills && r.started && !r.stopping && r.pace != share {
-				change = append(change, r)
-			}
+		a.mu.Unlock()
+		a.setPace(ctx, share)
+	}
+}
+
+// setPace brings the filling runs to the share.
+func (a *Agent) setPace(ctx context.Context, share int) {
+	a.mu.Lock()
+	if a.worker == nil {
+		a.mu.Unlock()
+		return
+	}
+	who, token := a.identity(), a.token
+	var change []*run
+	for _, r := range a.runs {
+		if r.start.Fills && r.started && !r.stopping && r.pace != share {
+			change = append(change, r)
 		}
-		if a.worker == nil {
-			a.mu.Unlock()
-			continue
+	}
+	a.mu.Unlock()
+	for _, r := range change {
+		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		err := a.cfg.Runner.Pace(callCtx, who, token, r.start.Task, r.start.Run, share)
+		cancel()
+		if err != nil {
+			continue // tried again with the next step
 		}
-		who, token := a.identity(), a.token
+		a.mu.Lock()
+		r.pace = share
 		a.mu.Unlock()
-		for _, r := range change {
-			callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-			err := a.cfg.Runner.Pace(callCtx, who, token, r.start.Task, r.start.Run, share)
-			cancel()
-			if err == nil {
-				a.mu.Lock()
-				r.pace = share
-				a.mu.Unlock()
-			}
-		}
 	}
 }
--- a/internal/jobowner/colocate.go
+++ b/internal/jobowner/colocate.go
@@ -9,8 +9,6 @@
 	// moveMaxPercent is the progress beyond which a run without checkpoints stays: finishing it disturbs for less time
 	// than doing it again elsewhere.
 	moveMaxPercent = 50
-	// moveMinAgeMs keeps a run from being moved before its own effect can have been seen.
-	moveMinAgeMs = 900
 )
 
 // observe learns from the latencies of a worker's serving runs and moves filling runs away from those they disturb.
@@ -26,39 +24,24 @@
 		}
 		switch {
 		case p.step.Fills && !p.task.Stopping:
-			filling = append(filling, placement.FillingSample{Image: p.step.Image, AgeMs: r.AgeMs, Pace: r.Pace})
+			filling = append(filling, placement.FillingSample{
+				Task: r.Task, Image: p.step.Image, AgeMs: r.AgeMs, Share: float64(r.Recent) / float64(max(1, m.worker.CPU)),
+			})
 		case p.step.TargetMs > 0 && r.Percent == 100:
-			serving = append(serving, placement.ServingSample{Image: p.step.Image, Ratio: float64(r.Recent) / float64(p.step.TargetMs)})
+			serving = append(serving, placement.ServingSample{
+				Task: r.Task, Image: p.step.Image, LatencyMs: float64(r.Recent), TargetMs: float64(p.step.TargetMs),
+			})
 		}
 	}
-	o.interference.Observe(serving, filling)
-	over := map[string]bool{}
-	for _, s := range serving {
-		if s.Ratio > 1 {
-			over[s.Image] = true
-		}
-	}
-	if len(over) > 0 {
-		o.moveAway(m, runs, over)
-	}
-}
-
-// moveAway stops the filling runs that are known to disturb a serving run that misses its target; they go on elsewhere.
-func (o *Owner) moveAway(m *member, runs []session.Run, over map[string]bool) {
+	leave := o.interference.Observe(serving, filling)
 	for i := range runs {
 		r := &runs[i]
-		p := o.placed[m.Name][r.Task]
-		if p == nil || p.task.Run != r.Run || !p.step.Fills || p.task.Stopping || r.AgeMs < moveMinAgeMs {
-			continue
-		}
-		if !p.step.Checkpointing && r.Percent > moveMaxPercent {
+		p := on[r.Task]
+		if p == nil || !leave[r.Task] || p.task.Stopping {
 			continue
 		}
-		for image := range over {
-			if o.interference.Guilt(image, p.step.Image) >= placement.Guilty {
-				o.stopRun(m.Name, p, "disturbs "+image)
-				break
-			}
+		if p.step.Checkpointing || r.Percent <= moveMaxPercent {
+			o.stopRun(m.Name, p, "disturbs serving runs")
 		}
 	}
 }
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -110,23 +110,29 @@
 		if max == 0 {
 			continue
 		}
-		s.Workers = append(s.Workers, o.workerView(m, w, max))
+		s.Workers = append(s.Workers, o.workerView(s, m, w, max))
 	}
 	slices.SortFunc(s.Workers, func(a, b *placement.Worker) int { return strings.Compare(a.Name, b.Name) })
 	return s
 }
 
-func (o *Owner) workerView(m *member, w *session.Worker, maxNew int) *placement.Worker {
+func (o *Owner) workerView(s *placement.Snapshot, m *member, w *session.Worker, maxNew int) *placement.Worker {
 	v := &placement.Worker{
 		Name: m.Name, Life: w.Life, Service: w.Service, Zone: w.Zone, Rack: rackOf(w.Labels), Labels: w.Labels,
-		Capacity: capacityOf(w), Free: capacityOf(w), Idle: w.CPU, MaxNew: maxNew,
-		Serving: map[string]int{}, Filling: map[string]int{},
+		Capacity: capacityOf(w), Free: capacityOf(w), Idle: w.CPU,
 	}
-	for _, p := range o.placed[m.Name] {
-		v.Free = v.Free.Sub(placement.Need(p.step))
-		v.Idle -= placement.Use(p.step)
-		v.Note(p.step, 1)
+	on := o.placed[m.Name]
+	for id, p := range on { // serving tasks first: the others press on them
+		if !p.step.Fills {
+			s.Take(v, p.step, id)
+		}
+	}
+	for id, p := range on {
+		if p.step.Fills {
+			s.Take(v, p.step, id)
+		}
 	}
+	v.MaxNew = maxNew
 	return v
 }
 
--- a/internal/jobowner/report.go
+++ b/internal/jobowner/report.go
@@ -68,6 +68,7 @@
 // end records the end of a placed run and frees its room.
 func (o *Owner) end(p *placedTask, how jobs.Outcome, saved, why string) {
 	delete(o.placed[p.task.Worker], p.id.String())
+	o.interference.Forget(p.id.String())
 	events.RunEnded.Log(&o.cfg.Log).Str("job", p.job.ID).Str("task", p.id.String()).Int("run", p.task.Run).
 		Str("agent", p.task.Worker).Str("how", string(how)).Int64("ran_ms", nowMs()-p.task.PlacedMs).Str("why", why).Send()
 	o.apply(jobs.Change{JobID: p.job.ID, End: &jobs.End{
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -8,7 +8,7 @@
 	weightDataRack = 4.0
 	weightSameRack = 4.0
 	weightFailed   = 8.0
-	weightUnknown  = 0.3 // for each serving task beside a filling one of which nothing is known
+	weightPress    = 5.0 // for the utilisation that a filling task adds to a serving one
 	weightAlike    = 0.5 // for serving tasks beside others of their image, which leaves other workers to other pairs
 	weightSpread   = 0.1 // for each task of the same step on the worker, so that one loss takes fewer of them
 )
@@ -40,11 +40,10 @@
 		w.Service == j.Queue.Service &&
 		w.HasLabel(step.Label) &&
 		(step.MaxPerWorker == 0 || same < step.MaxPerWorker) &&
-		fits(w, step) &&
-		!Conflicts(s.Interference, w, step)
+		fits(s, w, step)
 }
 
-func fits(w *Worker, step *jobs.Step) bool {
+func fits(s *Snapshot, w *Worker, step *jobs.Step) bool {
 	free := w.Free
 	if step.Perpetual {
 		free.CPU -= int(shortReserve * float64(w.Capacity.CPU))
@@ -52,31 +51,23 @@
 	if !free.Fits(Need(step)) {
 		return false
 	}
-	// A filling task starts where most of what it can use is idle, or on a worker that has no other one.
-	return !step.Fills || w.Idle >= step.CPU || len(w.Filling) == 0
-}
-
-// Conflicts reports whether a filling task of the step is known to push a serving task on the worker over its target, or
-// a serving task would be pushed by a filling one.
-func Conflicts(f *Interference, w *Worker, step *jobs.Step) bool {
-	if f == nil {
-		return false
+	if !step.Fills {
+		return true
 	}
-	if step.Fills {
-		for image, n := range w.Serving {
-			if n > 0 && f.Guilt(image, step.Image) >= Guilty {
-				return true
-			}
-		}
+	// A filling task starts where what it can use is idle, or on a worker that has no other one.
+	if w.Idle < step.CPU && w.Filling > 0 {
+		return false
 	}
-	return false
+	_, over := worstPress(s, w, step.Image, step.CPU)
+	return !over
 }
 
 func score(s *Snapshot, w *Worker, step *jobs.Step, task *jobs.Task, same int, racks map[string]int) float64 {
 	capacity := float64(max(1, w.Capacity.CPU))
 	score := float64(w.Free.CPU) / capacity
 	if step.Fills {
-		score = float64(w.Idle) / capacity
+		press, _ := worstPress(s, w, step.Image, step.CPU)
+		score = float64(w.Idle)/capacity - weightPress*press
 	}
 	if step.DataRack != "" && w.HasLabel(step.DataRack) {
 		score += weightDataRack
@@ -87,23 +78,17 @@
 	if task.Fails > 0 && task.Worker == w.Name {
 		score -= weightFailed
 	}
-	score -= doubt(s.Interference, w, step)
-	if step.TargetMs > 0 && w.Serving[step.Image] > 0 {
+	if step.TargetMs > 0 && hasImage(w, step.Image) {
 		score += weightAlike
 	}
 	return score - weightSpread*float64(same)
 }
 
-// doubt is the penalty of a filling task for serving neighbours, between nothing for cleared pairs and the full weight.
-func doubt(f *Interference, w *Worker, step *jobs.Step) float64 {
-	if f == nil || !step.Fills {
-		return 0
-	}
-	sum := 0.0
-	for image, n := range w.Serving {
-		if n > 0 {
-			sum += weightUnknown * max(0, 1+f.Guilt(image, step.Image))
+func hasImage(w *Worker, image string) bool {
+	for i := range w.Serving {
+		if w.Serving[i].Image == image {
+			return true
 		}
 	}
-	return sum
+	return false
 }
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -46,12 +46,12 @@
 		w := choose(s, c.job, step, task, perWorker, racks)
 		if w == nil {
 			if step.Gang {
-				undo(plan, s, step)
+				giveBack(plan, s, step)
 				return nil
 			}
 			break // the tasks of a step ask for the same room
 		}
-		take(w, step)
+		s.Take(w, step, "")
 		perWorker[w.Name]++
 		racks[w.Rack]++
 		number := task.Run + 1
@@ -63,32 +63,45 @@
 	return plan
 }
 
-func take(w *Worker, step *jobs.Step) {
+// Take counts a task of the step as running on the worker; the id is that of a task whose load is known, or empty.
+func (s *Snapshot) Take(w *Worker, step *jobs.Step, id string) {
 	w.Free = w.Free.Sub(Need(step))
 	w.Idle -= Use(step)
 	if w.MaxNew > 0 {
 		w.MaxNew--
 	}
-	w.Note(step, 1)
-}
-
-// Note counts n tasks of the step among the worker's serving or filling tasks.
-func (w *Worker) Note(step *jobs.Step, n int) {
 	switch {
 	case step.Fills:
-		w.Filling[step.Image] += n
+		w.Filling++
+		s.press(w, step)
 	case step.TargetMs > 0:
-		w.Serving[step.Image] += n
+		t := Serving{Image: step.Image, TargetMs: step.TargetMs, Load: priorLoad}
+		if s.Interference != nil && id != "" {
+			t.Load = s.Interference.Load(id)
+		}
+		w.Serving = append(w.Serving, t)
+	}
+}
+
+// press adds the effect of a filling task to the worker's serving tasks.
+func (s *Snapshot) press(w *Worker, step *jobs.Step) {
+	if s.Interference == nil {
+		return
+	}
+	share := float64(step.CPU) / float64(max(1, w.Capacity.CPU))
+	for i := range w.Serving {
+		w.Serving[i].Pressed += s.Interference.Pressure(w.Serving[i].Image, step.Image) * share
 	}
 }
 
-func undo(plan []Assignment, s *Snapshot, step *jobs.Step) {
+// giveBack returns the room of a gang that does not fit as a whole. Pressures stay counted for the rest of the pass,
+// which only makes it more careful.
+func giveBack(plan []Assignment, s *Snapshot, step *jobs.Step) {
 	for _, a := range plan {
 		for _, w := range s.Workers {
 			if w.Name == a.Place.Worker {
 				w.Free = w.Free.Add(Need(step))
 				w.Idle += Use(step)
-				w.Note(step, -1)
 			}
 		}
 	}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -56,12 +56,20 @@
 	// Idle is the estimate of the processor time that filling tasks can still use, in thousandths of a core. Filling
 	// tasks do not take Free; they get what the others leave.
 	Idle    int
-	Serving map[string]int // tasks with a latency target, by image
-	Filling map[string]int // tasks that fill, by image
+	Serving []Serving // tasks with a latency target
+	Filling int       // number of tasks that fill
 	// MaxNew bounds the tasks that may start now; negative: no bound. A worker on probation gets one task at a time.
 	MaxNew int
 }
 
+// Serving is a task with a latency target on a worker.
+type Serving struct {
+	Image    string
+	TargetMs int64
+	Load     float64 // utilisation by its own users
+	Pressed  float64 // utilisation by the filling tasks on the worker
+}
+
 // HasLabel reports whether the worker has the label; an empty label fits every worker.
 func (w *Worker) HasLabel(label string) bool {
 	if label == "" {
