Start one task of a job that nothing runs of, plan unknown pairs with caution

Change: a job of which nothing has run for 1 s starts one task wherever there is room; the agent then slows it if it disturbs. Unknown pairs are planned with half a standard deviation of caution, a worker moves at most once per 0.9 s.

TestStarvedJobStartsOneTask fails without.

--- a/internal/events/events_test.go
+++ b/internal/events/events_test.go
@@ -24,7 +24,7 @@
 // Guards against an event in the catalogue that no program logs any more.
 func TestEveryEventIsLogged(t *testing.T) {
 	var source strings.Builder
-	for _, root := range []string{"../../internal", "../../cmd"} {
+	for _, root := range []string{"../../internal", "../../cmd", "../../platform"} {
 		err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
 			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -70,6 +70,7 @@
 	recent  int
 	pace    int
 	begun   time.Duration // boot time at which the worker confirmed it
+	looked  time.Duration // boot time at which the newest list of the worker arrived
 }
 
 func (r *run) begin() {
@@ -78,12 +79,12 @@
 	}
 }
 
-// age returns the milliseconds since the worker confirmed the run.
+// age returns how long the run had worked at the last look, in milliseconds.
 func (r *run) age() int64 {
-	if !r.started {
+	if !r.started || r.looked < r.begun {
 		return 0
 	}
-	return (boottime.Now() - r.begun).Milliseconds()
+	return (r.looked - r.begun).Milliseconds()
 }
 
 // New returns an agent without a worker.
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -295,7 +295,7 @@
 	if r.recheck != 0 && !r.stopping {
 		r.recheck = 0
 	}
-	r.saved, r.percent, r.recent = row.Saved, row.Percent, row.Recent
+	r.saved, r.percent, r.recent, r.looked = row.Saved, row.Percent, row.Recent, boottime.Now()
 }
 
 func (a *Agent) workerLost(err error) {
--- a/internal/hostagent/pace.go
+++ b/internal/hostagent/pace.go
@@ -13,10 +13,12 @@
 	paceEvery = 500 * time.Millisecond
 	// paceAfter is how long a serving run may miss its target before the filling runs beside it are slowed. The owner
 	// moves the run that disturbs within about a second; this is for runs that it does not move, and for its absence.
-	paceAfter = 1500 * time.Millisecond
-	// paceFloor is the least share, in percent, at which a filling run goes on.
-	paceFloor = 10
-	// paceFactor is the change of the share per step, in either direction.
+	paceAfter = 1200 * time.Millisecond
+	// paceStop is how long it may miss its target before they stand still.
+	paceStop = 2200 * time.Millisecond
+	// paceFirst is the share, in percent, between the two, and the first share after a standstill.
+	paceFirst = 20
+	// paceFactor is by how much the share recovers per step.
 	paceFactor = 2
 )
 
@@ -34,8 +36,12 @@
 // serving work: the share falls while a serving run misses its target for long, and recovers when none does.
 func nextPace(share int, over time.Duration) int {
 	switch {
+	case over > paceStop:
+		return 0
 	case over > paceAfter:
-		return max(paceFloor, share/paceFactor/paceFactor)
+		return min(share, paceFirst)
+	case over == 0 && share < paceFirst:
+		return paceFirst
 	case over == 0:
 		return min(100, share*paceFactor)
 	}
--- a/internal/jobowner/colocate.go
+++ b/internal/jobowner/colocate.go
@@ -6,6 +6,9 @@
 )
 
 const (
+	// moveGapMs is the least time between two moves on a worker: latencies show the effect of a move only after the half
+	// second that they average and the way of a report.
+	moveGapMs = 900
 	// moveMaxPercent is the progress beyond which a run without checkpoints stays: finishing it disturbs for less time
 	// than doing it again elsewhere.
 	moveMaxPercent = 50
@@ -34,6 +37,9 @@
 		}
 	}
 	leave := o.interference.Observe(serving, filling)
+	if len(leave) == 0 || nowMs() < m.movedMs+moveGapMs {
+		return
+	}
 	for i := range runs {
 		r := &runs[i]
 		p := on[r.Task]
@@ -42,6 +48,7 @@
 		}
 		if p.step.Checkpointing || r.Percent <= moveMaxPercent {
 			o.stopRun(m.Name, p, "disturbs serving runs")
+			m.movedMs = nowMs()
 		}
 	}
 }
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -41,6 +41,7 @@
 	ackLife   int64
 	ackEnds   int64
 	ackSent   int64
+	movedMs   int64         // when a filling run was last moved away
 	blocked   time.Duration // no starts before this boot time, after a refusal for want of room
 
 	starts []session.Start
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -34,6 +34,7 @@
 			o.apply(jobs.Change{JobID: id, Forget: &struct{}{}})
 		}
 	}
+	o.noteIdle()
 	for name, on := range o.placed {
 		for _, p := range on {
 			if m := o.members[name]; m != nil && m.live() && !p.task.Stopping && placement.StandsStill(p.step, p.task, nowMs()) {
@@ -44,6 +45,24 @@
 	}
 }
 
+// noteIdle keeps since when nothing of a job is placed although a task's turn has come.
+func (o *Owner) noteIdle() {
+	busy := map[*jobs.Job]bool{}
+	for _, on := range o.placed {
+		for _, p := range on {
+			busy[p.job] = true
+		}
+	}
+	for _, j := range o.active {
+		switch {
+		case busy[j]:
+			j.IdleMs = 0
+		case j.IdleMs == 0:
+			j.IdleMs = nowMs()
+		}
+	}
+}
+
 func (o *Owner) holdsRoom(j *jobs.Job) bool {
 	for _, on := range o.placed {
 		for _, p := range on {
@@ -157,7 +176,7 @@
 	o.hold(a.Job, id, t)
 	held := o.placed[p.Worker][id.String()]
 	events.RunPlaced.Log(&o.cfg.Log).Str("job", a.Job.ID).Str("task", id.String()).Int("run", p.Run).Str("agent", p.Worker).
-		Int64("waited_ms", wallMs()-a.Job.AcceptedMs).Send()
+		Str("image", a.Job.Spec.Steps[p.Step].Image).Int64("waited_ms", wallMs()-a.Job.AcceptedMs).Send()
 	o.effects = append(o.effects, func() { o.queueStart(held, p.Run) })
 }
 
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -84,8 +84,10 @@
 	EndedMs     int64        `json:"em,omitempty"` // Unix milliseconds of the final state
 	Occ         []Occurrence `json:"oc"`
 
-	Started bool     `json:"-"` // a task has been placed at least once
-	doneOcc int      // finished occurrences
+	Started bool `json:"-"` // a task has been placed at least once
+	doneOcc int  // finished occurrences
+	// IdleMs is the owner's steady clock since when no task of the job is placed although one could be; 0: one is.
+	IdleMs  int64    `json:"-"`
 	Shown   JobState `json:"-"` // newest durable state; what callers are told
 	Durable bool     `json:"-"` // the acceptance is in the store
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -20,10 +20,22 @@
 // choose returns the worker for a task, or nil if none fits. It answers waves of failing workers and of harmful
 // neighbours: a task moves away from where it failed, and filling work away from the serving work that it disturbs.
 func choose(s *Snapshot, j *jobs.Job, step *jobs.Step, task *jobs.Task, perWorker, racks map[string]int) *Worker {
+	return best(s, step, task, perWorker, racks, func(w *Worker) bool {
+		return admits(w, j, step, perWorker[w.Name]) && leavesReserve(w, step) && !disturbs(s, w, step)
+	})
+}
+
+// chooseStarved returns the worker for a task of a job of which nothing has run for a while. It answers neighbours that
+// would keep a job waiting for good: only the worker's room decides.
+func chooseStarved(s *Snapshot, j *jobs.Job, step *jobs.Step, task *jobs.Task, perWorker, racks map[string]int) *Worker {
+	return best(s, step, task, perWorker, racks, func(w *Worker) bool { return admits(w, j, step, perWorker[w.Name]) })
+}
+
+func best(s *Snapshot, step *jobs.Step, task *jobs.Task, perWorker, racks map[string]int, may func(w *Worker) bool) *Worker {
 	var best *Worker
 	bestScore := 0.0
 	for _, w := range s.Workers {
-		if !admits(s, w, j, step, perWorker[w.Name]) {
+		if !may(w) {
 			continue
 		}
 		score := score(s, w, step, task, perWorker[w.Name], racks)
@@ -34,32 +46,31 @@
 	return best
 }
 
-// admits reports whether a task of the step may run on the worker at all.
-func admits(s *Snapshot, w *Worker, j *jobs.Job, step *jobs.Step, same int) bool {
+// admits reports whether the worker is one for the task and has room for it.
+func admits(w *Worker, j *jobs.Job, step *jobs.Step, same int) bool {
 	return w.MaxNew != 0 &&
 		w.Service == j.Queue.Service &&
 		w.HasLabel(step.Label) &&
 		(step.MaxPerWorker == 0 || same < step.MaxPerWorker) &&
-		fits(s, w, step)
+		w.Free.Fits(Need(step))
 }
 
-func fits(s *Snapshot, w *Worker, step *jobs.Step) bool {
-	free := w.Free
-	if step.Perpetual {
-		free.CPU -= int(shortReserve * float64(w.Capacity.CPU))
-	}
-	if !free.Fits(Need(step)) {
-		return false
-	}
+// leavesReserve reports whether a lasting task leaves room for short ones.
+func leavesReserve(w *Worker, step *jobs.Step) bool {
+	return !step.Perpetual || w.Free.CPU-step.CPU >= int(shortReserve*float64(w.Capacity.CPU))
+}
+
+// disturbs reports whether a filling task has too little idle time on the worker or would push a serving task over its
+// target.
+func disturbs(s *Snapshot, w *Worker, step *jobs.Step) bool {
 	if !step.Fills {
-		return true
+		return false
 	}
-	// A filling task starts where what it can use is idle, or on a worker that has no other one.
 	if w.Idle < step.CPU && w.Filling > 0 {
-		return false
+		return true
 	}
 	_, over := worstPress(s, w, step.Image, step.CPU)
-	return !over
+	return over
 }
 
 func score(s *Snapshot, w *Worker, step *jobs.Step, task *jobs.Task, same int, racks map[string]int) float64 {
--- a/internal/placement/interference.go
+++ b/internal/placement/interference.go
@@ -29,6 +29,10 @@
 	// several times as much.
 	priorPressure = 1.0
 	priorVariance = 2.0
+	// caution is the number of standard deviations that are added to an estimate for planning.
+	caution = 0.5
+	// knownVariance is the variance below which a pair counts as known.
+	knownVariance = 0.5
 	// driftVariance is added per observation, so that estimates follow effects that change.
 	driftVariance = 0.002
 	// loadVariance is the variance of one utilisation: the users' load swings by half of itself.
@@ -46,7 +50,7 @@
 	// targetMargin is kept between the planned utilisation and the one at which the target is missed.
 	targetMargin = 0.07
 	// minAgeMs is how long a run must have worked before the half-second averages of its neighbours show its effect.
-	minAgeMs = 900
+	minAgeMs = 600
 	// maxLoads bounds the loads that are remembered; a deployment has far fewer serving tasks for each owner.
 	maxLoads = 20_000
 )
@@ -90,14 +94,16 @@
 	return c
 }
 
-// Pressure returns the utilisation that a whole worker of the filling image adds to the serving image.
+// Pressure returns a cautious estimate of the utilisation that a whole worker of the filling image adds to the serving
+// image. Caution keeps a burst of unknown work from pressing on every worker before the first effects are seen.
 func (f *Interference) Pressure(serving, filling string) float64 {
+	c := &coefficient{mean: priorPressure, variance: priorVariance}
 	if m := f.serving[serving]; m != nil {
-		if c := m.pressure[filling]; c != nil {
-			return c.mean
+		if known := m.pressure[filling]; known != nil {
+			c = known
 		}
 	}
-	return priorPressure
+	return c.mean + caution*math.Sqrt(c.variance)
 }
 
 // Load returns the utilisation of a serving task by its own users.
@@ -184,6 +190,9 @@
 		}
 		leave[filling[worst].Task] = true
 		excess -= most
+		if m.coefficient(filling[worst].Image).variance > knownVariance {
+			return // the next look tells whether it was the cause
+		}
 	}
 }
 
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -39,6 +39,10 @@
 	return longest
 }
 
+// starvedMs is how long a job with a task whose turn has come may have nothing running before one task of it starts in
+// spite of what it does to its neighbours. Nothing may wait for good while there is room.
+const starvedMs = 1000
+
 // candidate is an occurrence of a job that may have tasks to start.
 type candidate struct {
 	job     *jobs.Job
@@ -46,6 +50,7 @@
 	late    bool  // it cannot end within its objective any more
 	slackMs int64 // time that may pass before it becomes late
 	perm    bool  // it lasts until it is cancelled
+	starved bool  // nothing of it has run for a while
 }
 
 // order sorts the candidates. It answers bursts of large jobs: with more work than room, jobs that can still end within
@@ -84,7 +89,8 @@
 	for i := range j.Spec.Steps {
 		perm = perm || j.Spec.Steps[i].Perpetual
 	}
-	return candidate{job: j, occ: occ, late: slack < 0 && !perm, slackMs: slack, perm: perm}
+	starved := j.IdleMs > 0 && s.SteadyMs-j.IdleMs > starvedMs
+	return candidate{job: j, occ: occ, late: slack < 0 && !perm, slackMs: slack, perm: perm, starved: starved}
 }
 
 func compareBool(a, b bool) int {
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,137 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"bamboofork/internal/jobs"
+	"bamboofork/internal/placement"
+)
+
+func newJob(id string, q jobs.Queue, acceptedMs int64, steps ...jobs.Step) *jobs.Job {
+	s := jobs.NewState()
+	q.Service = "pool"
+	s.Apply(jobs.Change{Submit: &jobs.Job{ID: id, Queue: q, AcceptedMs: acceptedMs, Spec: jobs.Spec{Steps: steps}}})
+	return s.Jobs[id]
+}
+
+func newWorker(name string, cpu int) *placement.Worker {
+	room := placement.Room{CPU: cpu, MemMB: 250_000}
+	return &placement.Worker{Name: name, Service: "pool", Capacity: room, Free: room, Idle: cpu, MaxNew: -1}
+}
+
+func workersOf(plan []placement.Assignment) map[string]int {
+	n := map[string]int{}
+	for _, a := range plan {
+		n[a.Place.Worker]++
+	}
+	return n
+}
+
+// learned returns evidence that "heavy" presses on "serving" and "light" does not.
+func learned() *placement.Interference {
+	f := placement.NewInterference()
+	for range 40 {
+		f.Observe([]placement.ServingSample{{Task: "a", Image: "serving", LatencyMs: 18, TargetMs: 50}}, nil)
+		f.Observe([]placement.ServingSample{{Task: "a", Image: "serving", LatencyMs: 45, TargetMs: 50}},
+			[]placement.FillingSample{{Task: "h", Image: "heavy", AgeMs: 2000, Share: 0.08}})
+		f.Observe([]placement.ServingSample{{Task: "a", Image: "serving", LatencyMs: 19, TargetMs: 50}},
+			[]placement.FillingSample{{Task: "l", Image: "light", AgeMs: 2000, Share: 0.08}})
+	}
+	return f
+}
+
+// Guards against filling work beside the serving work that it disturbs, and against keeping apart what gets on well.
+func TestHeavyPairsAreKeptApart(t *testing.T) {
+	f := learned()
+	qt.Assert(t, f.Pressure("serving", "heavy") > 3*f.Pressure("serving", "light"), qt.IsTrue,
+		qt.Commentf("heavy %.2f, light %.2f", f.Pressure("serving", "heavy"), f.Pressure("serving", "light")))
+	for image, want := range map[string]int{"heavy": 0, "light": 4} {
+		busy, empty := newWorker("busy", 64_000), newWorker("empty", 64_000)
+		s := &placement.Snapshot{Interference: f, Workers: []*placement.Worker{busy, empty}}
+		s.Take(busy, &jobs.Step{CPU: 10_000, TargetMs: 50, Image: "serving", Perpetual: true}, "a")
+		empty.Idle = 0
+		empty.Filling = 1
+		s.Jobs = []*jobs.Job{newJob("j", jobs.Queue{}, 0, jobs.Step{Count: 4, CPU: 14_000, Fills: true, Image: image, EstimateMs: 2000})}
+		got := workersOf(placement.Plan(s))["busy"]
+		if image == "heavy" {
+			qt.Check(t, got <= want, qt.IsTrue, qt.Commentf("%s: %d tasks beside the serving one", image, got))
+		} else {
+			qt.Check(t, got > want-2, qt.IsTrue, qt.Commentf("%s: %d tasks beside the serving one", image, got))
+		}
+	}
+}
+
+// Guards against a job that waits for good because every worker has a serving task that it would disturb.
+func TestStarvedJobStartsOneTask(t *testing.T) {
+	s := &placement.Snapshot{Interference: learned(), SteadyMs: 10_000}
+	for i := range 3 {
+		w := newWorker(fmt.Sprint("w", i), 64_000)
+		s.Take(w, &jobs.Step{CPU: 10_000, TargetMs: 50, Image: "serving", Perpetual: true}, "a")
+		s.Workers = append(s.Workers, w)
+	}
+	j := newJob("j", jobs.Queue{}, 0, jobs.Step{Count: 4, CPU: 14_000, Fills: true, Image: "heavy", EstimateMs: 2000})
+	s.Jobs = []*jobs.Job{j}
+	qt.Assert(t, placement.Plan(s), qt.HasLen, 0)
+	j.IdleMs = s.SteadyMs - 1500
+	qt.Check(t, placement.Plan(s), qt.HasLen, 1)
+}
+
+// Guards against large jobs that all progress a little and all end late: with room for one, the job that can still end
+// in time goes first, and the one that cannot any more last.
+func TestJobsThatCanStillEndInTimeGoFirst(t *testing.T) {
+	q := jobs.Queue{Stretch: 2, TargetMs: 1000, Priority: 2}
+	step := jobs.Step{Count: 1, CPU: 60_000, EstimateMs: 3000}
+	s := &placement.Snapshot{WallMs: 20_000, Workers: []*placement.Worker{newWorker("w", 64_000)}, Jobs: []*jobs.Job{
+		newJob("too-late", q, 1000, step), newJob("fresh", q, 19_000, step), newJob("tight", q, 16_500, step),
+	}}
+	plan := placement.Plan(s)
+	qt.Assert(t, plan, qt.HasLen, 1)
+	qt.Check(t, plan[0].Job.ID, qt.Equals, "tight")
+}
+
+// Guards against quick work that waits behind lasting work: lasting tasks leave a share of each worker.
+func TestLastingTasksLeaveRoomForShortOnes(t *testing.T) {
+	s := &placement.Snapshot{Workers: []*placement.Worker{newWorker("w", 64_000)}, Jobs: []*jobs.Job{
+		newJob("lasting", jobs.Queue{}, 0, jobs.Step{Count: 8, CPU: 16_000, Perpetual: true, TargetMs: 50, Image: "i"}),
+		newJob("short", jobs.Queue{}, 0, jobs.Step{Count: 2, CPU: 2_000, EstimateMs: 500}),
+	}}
+	n := map[string]int{}
+	for _, a := range placement.Plan(s) {
+		n[a.Job.ID]++
+	}
+	qt.Check(t, n, qt.DeepEquals, map[string]int{"lasting": 3, "short": 2})
+}
+
+// Guards against a worker that fails all that it starts and so attracts the work of the fleet.
+func TestFailingWorkerIsPaused(t *testing.T) {
+	h := placement.NewHealth()
+	h.Record("w", "j1", jobs.EndFailed, 1000)
+	h.Record("w", "j1", jobs.EndFailed, 1010)
+	qt.Check(t, h.Allowed("w", 1020, 0), qt.Equals, -1, qt.Commentf("one bad job does not condemn a worker"))
+	h.Record("w", "j2", jobs.EndFailed, 1030)
+	qt.Check(t, h.Allowed("w", 1040, 0), qt.Equals, 0)
+	qt.Check(t, h.Allowed("w", 2100, 0), qt.Equals, 1, qt.Commentf("probation takes one task"))
+	qt.Check(t, h.Allowed("w", 2100, 1), qt.Equals, 0)
+	h.Record("w", "j3", jobs.EndDone, 2200)
+	qt.Check(t, h.Allowed("w", 2210, 5), qt.Equals, -1)
+}
+
+// Guards against a gang of which only a part starts.
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	gang := jobs.Step{Count: 3, CPU: 30_000, Gang: true, EstimateMs: 100}
+	for workers, want := range map[int]int{1: 0, 2: 3} {
+		s := &placement.Snapshot{Jobs: []*jobs.Job{newJob("g", jobs.Queue{}, 0, gang)}}
+		for i := range workers {
+			s.Workers = append(s.Workers, newWorker(fmt.Sprint("w", i), 64_000))
+		}
+		qt.Check(t, placement.Plan(s), qt.HasLen, want)
+		free := 0
+		for _, w := range s.Workers {
+			free += w.Free.CPU
+		}
+		qt.Check(t, free, qt.Equals, workers*64_000-want*30_000)
+	}
+}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -44,6 +44,10 @@
 			continue
 		}
 		w := choose(s, c.job, step, task, perWorker, racks)
+		if w == nil && c.starved {
+			w = chooseStarved(s, c.job, step, task, perWorker, racks)
+			c.starved = false
+		}
 		if w == nil {
 			if step.Gang {
 				giveBack(plan, s, step)
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -82,7 +82,7 @@
 	Percent int    `json:"p,omitempty"`
 	Recent  int    `json:"u5,omitempty"` // tail latency in milliseconds of a serving task, else processor use in thousandths of a core
 	Pace    int    `json:"pc,omitempty"` // share of full speed, in percent
-	AgeMs   int64  `json:"ag,omitempty"` // since the worker confirmed it
+	AgeMs   int64  `json:"ag,omitempty"` // that it had worked at the last look
 	Unsized bool   `json:"u,omitempty"`  // the agent does not know what the run takes
 }
 
