Take idle time from learned loads and keep serving images together

Cause: a debug trace of waiting filling tasks shows half of the workers refused for want of idle time at 0.6 of the declared use of serving tasks, while their learned loads are 0.3 to 0.5; and workers with several serving images, which refuse most filling images.

Change: idle time uses the learned load of each serving task; lasting jobs are placed image by image, next to their like.

--- a/internal/jobowner/requests.go
+++ b/internal/jobowner/requests.go
@@ -47,6 +47,7 @@
 	o.active[j.ID] = j
 	o.effects = append(o.effects, func() {
 		events.JobAccepted.Log(&o.cfg.Log).Str("job", j.ID).Str("queue", j.Queue.Name).Int("steps", len(j.Spec.Steps)).
+			Int("tasks", j.Tasks()).Bool("lasting", j.Spec.Steps[0].Perpetual).
 			Int64("after_ms", wallMs()-j.AcceptedMs).Send()
 		answer(session.Answer{Code: session.CodeOK, State: j.Shown})
 	})
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -118,6 +118,15 @@
 	return &j.Occ[id.Occ].Steps[id.Step].Tasks[id.Index]
 }
 
+// Tasks returns the number of tasks over all occurrences.
+func (j *Job) Tasks() int {
+	n := 0
+	for i := range j.Spec.Steps {
+		n += j.Spec.Steps[i].Count
+	}
+	return n * len(j.Occ)
+}
+
 // StepReady reports whether all steps that the step waits for are done.
 func (j *Job) StepReady(occ, step int) bool {
 	for _, a := range j.Spec.Steps[step].After {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -9,7 +9,7 @@
 	weightSameRack = 4.0
 	weightFailed   = 8.0
 	weightPress    = 5.0 // for the utilisation that a filling task adds to a serving one
-	weightAlike    = 0.5 // for serving tasks beside others of their image, which leaves other workers to other pairs
+	weightAlike    = 1.5 // for serving tasks beside others of their image, which leaves other workers to other pairs
 	weightSpread   = 0.1 // for each task of the same step on the worker, so that one loss takes fewer of them
 )
 
@@ -89,17 +89,22 @@
 	if task.Fails > 0 && task.Worker == w.Name {
 		score -= weightFailed
 	}
-	if step.TargetMs > 0 && hasImage(w, step.Image) {
-		score += weightAlike
+	if step.TargetMs > 0 {
+		score += weightAlike * alike(w, step.Image)
 	}
 	return score - weightSpread*float64(same)
 }
 
-func hasImage(w *Worker, image string) bool {
+// alike returns how much the worker's serving tasks are of the image: 1 all, 0 none is there, -1 all are others.
+func alike(w *Worker, image string) float64 {
+	if len(w.Serving) == 0 {
+		return 0
+	}
+	n := 0
 	for i := range w.Serving {
 		if w.Serving[i].Image == image {
-			return true
+			n++
 		}
 	}
-	return false
+	return float64(2*n-len(w.Serving)) / float64(len(w.Serving))
 }
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -47,10 +47,11 @@
 type candidate struct {
 	job     *jobs.Job
 	occ     int
-	late    bool  // it cannot end within its objective any more
-	slackMs int64 // time that may pass before it becomes late
-	perm    bool  // it lasts until it is cancelled
-	starved bool  // nothing of it has run for a while
+	late    bool   // it cannot end within its objective any more
+	slackMs int64  // time that may pass before it becomes late
+	perm    bool   // it lasts until it is cancelled
+	image   string // of its first lasting step; tasks of one image are placed together
+	starved bool   // nothing of it has run for a while
 }
 
 // order sorts the candidates. It answers bursts of large jobs: with more work than room, jobs that can still end within
@@ -74,6 +75,7 @@
 		return cmp.Or(
 			cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority),
 			compareBool(b.perm, a.perm),
+			cmp.Compare(a.image, b.image),
 			compareBool(a.late, b.late),
 			cmp.Compare(a.slackMs, b.slackMs),
 			cmp.Compare(a.job.ID, b.job.ID),
@@ -85,12 +87,14 @@
 func newCandidate(s *Snapshot, j *jobs.Job, occ int, fromMs int64) candidate {
 	objective := int64(float64(totalChainMs(j))*max(1, j.Queue.Stretch)) + j.Queue.TargetMs
 	slack := fromMs + objective - s.WallMs - remainingChainMs(j, occ)
-	perm := false
+	perm, image := false, ""
 	for i := range j.Spec.Steps {
-		perm = perm || j.Spec.Steps[i].Perpetual
+		if j.Spec.Steps[i].Perpetual && !perm {
+			perm, image = true, j.Spec.Steps[i].Image
+		}
 	}
 	starved := j.IdleMs > 0 && s.SteadyMs-j.IdleMs > starvedMs
-	return candidate{job: j, occ: occ, late: slack < 0 && !perm, slackMs: slack, perm: perm, starved: starved}
+	return candidate{job: j, occ: occ, late: slack < 0 && !perm, slackMs: slack, perm: perm, image: image, starved: starved}
 }
 
 func compareBool(a, b bool) int {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -70,10 +70,10 @@
 // Take counts a task of the step as running on the worker; the id is that of a task whose load is known, or empty.
 func (s *Snapshot) Take(w *Worker, step *jobs.Step, id string) {
 	w.Free = w.Free.Sub(Need(step))
-	w.Idle -= Use(step)
 	if w.MaxNew > 0 {
 		w.MaxNew--
 	}
+	used := step.CPU
 	switch {
 	case step.Fills:
 		w.Filling++
@@ -84,7 +84,9 @@
 			t.Load = s.Interference.Load(id)
 		}
 		w.Serving = append(w.Serving, t)
+		used = int(t.Load * float64(step.CPU)) // its users leave the rest idle
 	}
+	w.Idle -= used
 }
 
 // press adds the effect of a filling task to the worker's serving tasks.
@@ -105,7 +107,7 @@
 		for _, w := range s.Workers {
 			if w.Name == a.Place.Worker {
 				w.Free = w.Free.Add(Need(step))
-				w.Idle += Use(step)
+				w.Idle += step.CPU
 			}
 		}
 	}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -20,18 +20,6 @@
 	return Room{CPU: s.CPU, MemMB: s.MemMB, GPU: s.GPU}
 }
 
-// ServingLoad is the share of its declared processor time that a serving task is taken to use; its users leave the rest
-// idle on average, and the estimate keeps a margin above that.
-const ServingLoad = 0.6
-
-// Use returns the processor time that a task of the step is taken to use, in thousandths of a core.
-func Use(s *jobs.Step) int {
-	if s.TargetMs > 0 {
-		return int(ServingLoad * float64(s.CPU))
-	}
-	return s.CPU
-}
-
 // Add returns the sum.
 func (r Room) Add(o Room) Room { return Room{r.CPU + o.CPU, r.MemMB + o.MemMB, r.GPU + o.GPU} }
 
