Let overdue lasting tasks use the room that is kept for short ones

Change: a lasting task that has waited 1.2 s may use the reserve if there are two places for it. TestOverdueLastingTaskUsesTheReserve fails without.

--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -60,6 +60,23 @@
 		case j.IdleMs == 0:
 			j.IdleMs = nowMs()
 		}
+		noteWaiting(j)
+	}
+}
+
+// noteWaiting keeps since when lasting tasks wait.
+func noteWaiting(j *jobs.Job) {
+	for k := range j.Occ {
+		for i := range j.Spec.Steps {
+			if !j.Spec.Steps[i].Perpetual || j.Occ[k].Steps[i].Waiting == 0 {
+				continue
+			}
+			for t := range j.Occ[k].Steps[i].Tasks {
+				if task := &j.Occ[k].Steps[i].Tasks[t]; task.State == jobs.TaskWaiting && task.WaitingMs == 0 {
+					task.WaitingMs = nowMs()
+				}
+			}
+		}
 	}
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -31,6 +31,24 @@
 	return best(s, step, task, perWorker, racks, func(w *Worker) bool { return admits(w, j, step, perWorker[w.Name]) })
 }
 
+// overdueMs is how long a lasting task may wait while there is room for it twice over.
+const overdueMs = 1200
+
+// overdue reports whether a lasting task may use the room that is kept for short ones. It answers a fleet that lost
+// workers: the reserve would keep lasting tasks away for good while more room than they need stays free.
+func overdue(s *Snapshot, j *jobs.Job, step *jobs.Step, task *jobs.Task, perWorker map[string]int) bool {
+	if !step.Perpetual || task.WaitingMs == 0 || s.SteadyMs-task.WaitingMs < overdueMs {
+		return false
+	}
+	slots := 0
+	for _, w := range s.Workers {
+		if admits(w, j, step, perWorker[w.Name]) {
+			slots += max(1, w.Free.CPU/max(1, step.CPU))
+		}
+	}
+	return slots >= 2
+}
+
 func best(s *Snapshot, step *jobs.Step, task *jobs.Task, perWorker, racks map[string]int, may func(w *Worker) bool) *Worker {
 	var best *Worker
 	bestScore := 0.0
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -135,3 +135,17 @@
 		qt.Check(t, free, qt.Equals, workers*64_000-want*30_000)
 	}
 }
+
+// Guards against lasting tasks that wait for good after workers have left: the reserve for short tasks gives way while
+// there is room for the task twice over.
+func TestOverdueLastingTaskUsesTheReserve(t *testing.T) {
+	s := &placement.Snapshot{SteadyMs: 10_000, Workers: []*placement.Worker{newWorker("a", 64_000), newWorker("b", 64_000)}}
+	for _, w := range s.Workers {
+		w.Free.CPU = 7_000
+	}
+	j := newJob("lasting", jobs.Queue{}, 0, jobs.Step{Count: 1, CPU: 6_000, Perpetual: true, TargetMs: 50, Image: "i"})
+	s.Jobs = []*jobs.Job{j}
+	qt.Assert(t, placement.Plan(s), qt.HasLen, 0)
+	j.Occ[0].Steps[0].Tasks[0].WaitingMs = 8_000
+	qt.Check(t, placement.Plan(s), qt.HasLen, 1)
+}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -48,6 +48,9 @@
 			w = chooseStarved(s, c.job, step, task, perWorker, racks)
 			c.starved = false
 		}
+		if w == nil && overdue(s, c.job, step, task, perWorker) {
+			w = chooseStarved(s, c.job, step, task, perWorker, racks)
+		}
 		if w == nil {
 			if step.Gang {
 				giveBack(plan, s, step)
