--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -41,7 +41,7 @@
 
 // starvedMs is how long a job with a task whose turn has come may have nothing running before one task of it starts in
 // spite of what it does to its neighbours. Nothing may wait for good while there is room.
-const starvedMs = 1000
+const starvedMs = 1800
 
 // candidate is an occurrence of a job that may have tasks to start.
 type candidate struct {
