Test the deployed programs against stand-ins of the operators' platform

Change: platform/standin, a store and a worker by the published protocol with its faults (down, busy, lost and late answers, revoked keys, forgotten history; orders carried out late, crashes, failing workers), and tests of whole fleets: owner stopped, refused by the store, outage, lost and late writes, late orders, crashes, restarts, cancels. The former stand-ins move from internal/platform to internal/standin.

--- a/cmd/bf-platform/main.go
+++ b/cmd/bf-platform/main.go
@@ -16,7 +16,7 @@
 
 	"bamboofork/internal/app"
 	"bamboofork/internal/node"
-	"bamboofork/internal/platform"
+	"bamboofork/internal/standin"
 	"bamboofork/internal/worker"
 )
 
@@ -85,14 +85,14 @@
 // leaseTick is how often expired leases are ended without other traffic.
 const leaseTick = 100 * time.Millisecond
 
-func parseUsers(specs []string) (map[string]platform.User, error) {
-	users := map[string]platform.User{}
+func parseUsers(specs []string) (map[string]standin.User, error) {
+	users := map[string]standin.User{}
 	for _, spec := range specs {
 		fields := strings.Split(spec, ":")
 		if len(fields) < 2 || len(fields) > 3 || fields[0] == "" || len(fields) == 3 && fields[2] != "operator" {
 			return nil, fmt.Errorf("user %q: accepted form: name:password or name:password:operator", spec)
 		}
-		users[fields[0]] = platform.User{Password: fields[1], Operator: len(fields) == 3}
+		users[fields[0]] = standin.User{Password: fields[1], Operator: len(fields) == 3}
 	}
 	return users, nil
 }
@@ -102,8 +102,8 @@
 	if err != nil {
 		return app.Part{}, err
 	}
-	s := platform.NewStoreServer(seed)
-	s.Auth = platform.NewAuth(users)
+	s := standin.NewStoreServer(seed)
+	s.Auth = standin.NewAuth(users)
 	e := quietEcho()
 	s.Register(e)
 	part, err := serve("store", addr, e)
@@ -131,6 +131,6 @@
 	}
 	e := quietEcho()
 	capacity := worker.Resources{Cores: cores, MemoryMB: memory, Accelerators: accelerators}
-	platform.RegisterWorker(e, platform.NewSimWorker("worker-"+fields[0], capacity, nil, seed))
+	standin.RegisterWorker(e, standin.NewSimWorker("worker-"+fields[0], capacity, nil, seed))
 	return serve("worker "+fields[0], fields[0], e)
 }
--- /dev/null
+++ b/internal/deployed/deployed_test.go
@@ -0,0 +1,200 @@
+package deployed
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bamboofork/platform/standin"
+)
+
+// Guards against a path that loses or doubles work when nothing fails.
+func TestJobsRunToTheEnd(t *testing.T) {
+	f := newFleet(t, 3)
+	ids := f.submit("aa", 12, twoSteps)
+	qt.Assert(t, ids, qt.HasLen, 12)
+	f.finish(ids, 10*time.Second)
+	qt.Check(t, f.judge.Starts(), qt.Equals, 12*7)
+	code, _ := f.do(http.MethodGet, "00000000000000ff", "")
+	qt.Check(t, code, qt.Equals, http.StatusGone)
+	code, body := f.do(http.MethodGet, "", "")
+	qt.Check(t, code, qt.Equals, http.StatusOK)
+	qt.Check(t, body, qt.Equals, `{"pending":0}`)
+}
+
+// Guards against accepted jobs that are lost, or tasks that run twice, when the owner stops on purpose, and against a
+// takeover that waits for a lease although the owner has resigned.
+func TestOwnerStopsInTheMiddle(t *testing.T) {
+	f := newFleet(t, 3)
+	ids := f.submit("bb", 6, twoSteps)
+	first := f.owner()
+	qt.Assert(t, first >= 0, qt.IsTrue)
+	f.hosts[first].stop()
+	began := time.Now()
+	f.eventually("a successor", 5*time.Second, func() bool { o := f.owner(); return o >= 0 && o != first })
+	qt.Check(t, time.Since(began) < 1500*time.Millisecond, qt.IsTrue, qt.Commentf("took %s", time.Since(began)))
+	ids = append(ids, f.submit("bc", 6, twoSteps)...)
+	qt.Assert(t, ids, qt.HasLen, 12)
+	f.finish(ids, 15*time.Second)
+}
+
+// Guards against two owners in effect: the store refuses the owner's host only, the lease ends, and another host takes
+// over while the former owner still has its connections.
+func TestStoreRefusesTheOwner(t *testing.T) {
+	f := newFleet(t, 3)
+	ids := f.submit("cc", 6, twoSteps)
+	first := f.owner()
+	f.hosts[first].store.Set(standin.StoreFaults{Busy: true})
+	f.eventually("a successor", 8*time.Second, func() bool { o := f.owner(); return o >= 0 && o != first })
+	ids = append(ids, f.submit("cd", 6, twoSteps)...)
+	f.hosts[first].store.Set(standin.StoreFaults{})
+	qt.Assert(t, ids, qt.HasLen, 12)
+	f.finish(ids, 15*time.Second)
+}
+
+// Guards against promises that a store outage breaks: what was accepted before it runs after it, and nothing is accepted
+// or called not run without certainty meanwhile.
+func TestStoreOutage(t *testing.T) {
+	f := newFleet(t, 3)
+	ids := f.submit("dd", 4, twoSteps)
+	all := append([]*testProcess{f.front}, f.hosts...)
+	for _, p := range all {
+		p.store.Set(standin.StoreFaults{Silent: true})
+	}
+	code, _ := f.do(http.MethodPost, "dddddddd00000001", twoSteps)
+	qt.Check(t, code == http.StatusGatewayTimeout || code == http.StatusServiceUnavailable, qt.IsTrue, qt.Commentf("answer %d", code))
+	time.Sleep(3 * time.Second)
+	for _, p := range all {
+		p.store.Set(standin.StoreFaults{})
+	}
+	ids = append(ids, f.submit("de", 4, twoSteps)...)
+	qt.Assert(t, ids, qt.HasLen, 8)
+	f.finish(ids, 20*time.Second)
+}
+
+// Guards against doubled or lost transitions when answers of the store are lost and its writes are done later.
+func TestLostAndLateWrites(t *testing.T) {
+	f := newFleet(t, 3)
+	for _, p := range append([]*testProcess{f.front}, f.hosts...) {
+		p.store.Set(standin.StoreFaults{LoseShare: 0.3})
+	}
+	ids := f.submit("ee", 5, twoSteps)
+	for _, p := range f.hosts {
+		p.store.Set(standin.StoreFaults{LoseShare: 0.3, LateBy: 400 * time.Millisecond})
+	}
+	ids = append(ids, f.submit("ef", 5, twoSteps)...)
+	for _, p := range f.hosts {
+		p.store.Set(standin.StoreFaults{})
+	}
+	qt.Assert(t, ids, qt.HasLen, 10)
+	f.finish(ids, 20*time.Second)
+}
+
+// Guards against tasks that start twice when orders are not answered and are carried out after newer ones, and against
+// starts that exceed the worker's room because they were not counted while unanswered.
+func TestOrdersCarriedOutLate(t *testing.T) {
+	f := newFleet(t, 3)
+	for _, w := range f.workers {
+		w.Set(standin.WorkerFaults{LateShare: 0.3, LateBy: 700 * time.Millisecond})
+	}
+	ids := f.submit("ff", 10, twoSteps)
+	qt.Assert(t, ids, qt.HasLen, 10)
+	f.finish(ids, 20*time.Second)
+}
+
+// Guards against work that stays lost with a worker that crashed, and against a new lifetime that is not noticed.
+func TestWorkerCrash(t *testing.T) {
+	f := newFleet(t, 3)
+	ids := f.submit("ab", 10, twoSteps)
+	for _, w := range f.workers {
+		w.Crash()
+		time.Sleep(150 * time.Millisecond)
+	}
+	qt.Assert(t, ids, qt.HasLen, 10)
+	for _, id := range ids {
+		f.eventually("job "+id+" is completed", 15*time.Second, func() bool { return f.state(id) == "completed" })
+	}
+}
+
+// Guards against an agent that starts anew and doubles the runs that its former life began.
+func TestAgentRestarts(t *testing.T) {
+	f := newFleet(t, 3)
+	slow := `{"spec":"x","steps":[{"count":12,"cpu":2000,"mem_mb":100,"estimate_ms":40}]}`
+	ids := f.submit("ac", 6, slow)
+	for i := range f.hosts {
+		if i == f.owner() {
+			continue
+		}
+		old := f.hosts[i]
+		old.stop()
+		next := &testProcess{process: &process{cfg: old.cfg, agent: true, log: old.log, metrics: old.metrics, incarnation: old.incarnation + "-2"}, store: old.store}
+		f.restart(next)
+		break
+	}
+	f.finish(ids, 15*time.Second)
+}
+
+// Guards against a cancelled job that starts further tasks, and against a cancellation that is forgotten.
+func TestCancel(t *testing.T) {
+	f := newFleet(t, 2)
+	wide := `{"spec":"x","steps":[{"count":16,"cpu":2000,"mem_mb":1,"estimate_ms":40},{"count":500,"cpu":2000,"mem_mb":1,"estimate_ms":40,"after":[0]}]}`
+	ids := f.submit("ad", 1, wide)
+	code, _ := f.do(http.MethodDelete, ids[0], "")
+	qt.Assert(t, code, qt.Equals, http.StatusOK)
+	time.Sleep(500 * time.Millisecond)
+	before := f.judge.Starts()
+	time.Sleep(500 * time.Millisecond)
+	qt.Check(t, f.judge.Starts(), qt.Equals, before)
+	qt.Check(t, f.state(ids[0]), qt.Equals, "cancelled")
+}
+
+// Guards against keys that the store takes away while the lease goes on: the owner notices it and stays the only one.
+func TestRevokedOwnerKey(t *testing.T) {
+	f := newFleet(t, 3)
+	ids := f.submit("ae", 4, twoSteps)
+	f.store.RevokeLeases()
+	f.store.Compact()
+	ids = append(ids, f.submit("af", 4, twoSteps)...)
+	qt.Assert(t, ids, qt.HasLen, 8)
+	f.finish(ids, 15*time.Second)
+}
+
+// Guards against answers that callers would misread: unknown queues, malformed jobs and too many tasks.
+func TestCallersAnswers(t *testing.T) {
+	f := newFleet(t, 1)
+	for _, c := range []struct {
+		method, id, body string
+		want             int
+	}{
+		{http.MethodPost, "zz", twoSteps, http.StatusBadRequest},
+		{http.MethodPost, "0000000000000001", `{"spec":1}`, http.StatusBadRequest},
+		{http.MethodPost, "0000000000000002", `{"spec":"x","steps":[]}`, http.StatusBadRequest},
+		{http.MethodPost, "0000000000000003", `{"spec":"x","steps":[{"count":1,"cpu":1,"after":[0]}]}`, http.StatusBadRequest},
+		{http.MethodPut, "0000000000000004", twoSteps, http.StatusMethodNotAllowed},
+		{http.MethodDelete, "0000000000000005", "", http.StatusGone},
+		{http.MethodPost, "0000000000000006", twoSteps, http.StatusOK},
+		{http.MethodPost, "0000000000000006", twoSteps, http.StatusOK},
+	} {
+		code, body := f.do(c.method, c.id, c.body)
+		qt.Check(t, code, qt.Equals, c.want, qt.Commentf("%s %s: %s", c.method, c.id, body))
+	}
+	req, err := http.NewRequest(http.MethodGet, f.url+"/other/0000000000000001", nil)
+	qt.Assert(t, err, qt.IsNil)
+	resp, err := f.client.Do(req)
+	qt.Assert(t, err, qt.IsNil)
+	resp.Body.Close()
+	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusNotFound)
+	f.finish([]string{"0000000000000006"}, 5*time.Second)
+	qt.Check(t, f.judge.Starts(), qt.Equals, 7)
+}
+
+// Guards against a worker that fails all that it starts: the jobs still complete, on the others.
+func TestWorkerThatFailsEverything(t *testing.T) {
+	f := newFleet(t, 3)
+	f.workers[0].Set(standin.WorkerFaults{FailAll: true})
+	ids := f.submit("ba", 12, twoSteps)
+	qt.Assert(t, ids, qt.HasLen, 12)
+	f.finish(ids, 15*time.Second)
+}
--- /dev/null
+++ b/internal/deployed/fleet_test.go
@@ -0,0 +1,233 @@
+package deployed
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"bamboofork/internal/app"
+	"bamboofork/internal/hostconfig"
+	"bamboofork/internal/telemetry"
+	"bamboofork/platform/standin"
+)
+
+// fleet is the deployed programs on loopback addresses with stand-ins of the store and of the workers. Every process has
+// an address of the store of its own, so that faults can hit one of them.
+type fleet struct {
+	t       *testing.T
+	store   *standin.Store
+	judge   *standin.Judge
+	workers []*standin.Worker
+	hosts   []*testProcess
+	front   *testProcess
+	url     string
+	client  *http.Client
+}
+
+type testProcess struct {
+	*process
+	store *standin.Address
+	stop  func()
+}
+
+const (
+	taskWork = 40 * time.Millisecond
+	taskCPU  = 2000
+)
+
+func listen(t *testing.T) (net.Listener, string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	return l, l.Addr().String()
+}
+
+// free returns an address that nobody listens on.
+func free(t *testing.T) string {
+	l, addr := listen(t)
+	qt.Assert(t, l.Close(), qt.IsNil)
+	return addr
+}
+
+func serveOn(t *testing.T, h http.Handler) string {
+	l, addr := listen(t)
+	srv := &http.Server{Handler: h}
+	go srv.Serve(l)
+	t.Cleanup(func() { srv.Close() })
+	return addr
+}
+
+const manifest = `{"version":7,"routes":[{"name":"plans","host":"shop.example","prefix":"/plans/","kind":"unsafe","timeout_ms":8000,
+"target_latency_ms":300,"priority":0,"service":"pool","max_attempts":3,"stretch":1.5}],"services":[{"name":"pool"}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+
+func newFleet(t *testing.T, hosts int) *fleet {
+	f := &fleet{t: t, store: standin.NewStore(1), judge: standin.NewJudge(), client: &http.Client{Timeout: 10 * time.Second}}
+	f.store.Put("op/config", []byte(manifest))
+	for i := range hosts {
+		f.addHost(fmt.Sprintf("host-%d", i))
+	}
+	f.front = f.start("front-0", false, "", frontParts)
+	f.url = "http://" + f.front.cfg.Listen.Callers
+	f.eventually("the entry is ready", 10*time.Second, func() bool {
+		resp, err := f.client.Get("http://" + f.front.cfg.Listen.Readiness + "/api/readyz")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	return f
+}
+
+func (f *fleet) addHost(name string) {
+	w := standin.NewWorker(name, 16_000, f.judge, uint64(len(f.workers)), func(string) (time.Duration, standin.Need) {
+		return taskWork, standin.Need{CPU: taskCPU}
+	})
+	addr := serveOn(f.t, w)
+	p := f.start(name, true, addr, hostParts)
+	f.workers, f.hosts = append(f.workers, w), append(f.hosts, p)
+	ctx, cancel := context.WithCancel(context.Background())
+	f.t.Cleanup(cancel)
+	go app.Every(ctx, 100*time.Millisecond, func() {
+		req, err := http.NewRequest(http.MethodPut, "http://"+p.cfg.Listen.Registrations+"/api/instances/"+w.ID, bytes.NewReader(w.Registration("pool", addr)))
+		if err != nil {
+			return
+		}
+		if resp, err := f.client.Do(req); err == nil {
+			resp.Body.Close()
+		}
+	})
+}
+
+func (f *fleet) start(name string, agent bool, worker string, parts func(p *process) ([]app.Part, error)) *testProcess {
+	address := f.store.NewAddress()
+	cfg := hostconfig.Process{
+		Name: name, Zone: "z", MemoryMB: 200, Worker: worker, Store: serveOn(f.t, address),
+		Listen: hostconfig.Listen{Peers: free(f.t), Callers: free(f.t), Readiness: free(f.t), Registrations: free(f.t), Metrics: "127.0.0.1"},
+		Bounds: hostconfig.Bounds{MaxHoldMs: 3000, StopTimeoutMs: 200, GraceS: 6, StatusS: 120},
+	}
+	qt.Assert(f.t, cfg.Validate(agent), qt.IsNil)
+	p := &testProcess{store: address, process: &process{cfg: cfg, agent: agent, log: zerolog.New(io.Discard), metrics: telemetry.New(),
+		incarnation: fmt.Sprintf("%s-%d", name, time.Now().UnixNano())}}
+	f.launch(p, parts)
+	return p
+}
+
+func (f *fleet) eventually(what string, within time.Duration, ok func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	f.t.Fatalf("not within %s: %s", within, what)
+}
+
+func (f *fleet) do(method, id, body string) (int, string) {
+	req, err := http.NewRequest(method, f.url+"/plans/"+id, strings.NewReader(body))
+	qt.Assert(f.t, err, qt.IsNil)
+	req.Host = "shop.example"
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	qt.Assert(f.t, err, qt.IsNil)
+	return resp.StatusCode, string(b)
+}
+
+const twoSteps = `{"spec":"x","steps":[{"count":4,"cpu":2000,"mem_mb":100,"estimate_ms":40},{"count":3,"cpu":2000,"mem_mb":100,"estimate_ms":40,"after":[0]}]}`
+
+// submit hands jobs in, repeating unclear answers as callers do, and returns the accepted ids.
+func (f *fleet) submit(prefix string, n int, body string) []string {
+	var ids []string
+	for i := range n {
+		id := fmt.Sprintf("%08s%08x", prefix, i)
+		for range 20 {
+			code, answer := f.do(http.MethodPost, id, body)
+			if code == http.StatusOK {
+				ids = append(ids, id)
+				break
+			}
+			if code == http.StatusBadRequest {
+				f.t.Fatalf("job %s: %s", id, answer)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return ids
+}
+
+func (f *fleet) state(id string) string {
+	code, body := f.do(http.MethodGet, id, "")
+	if code != http.StatusOK {
+		return fmt.Sprint(code)
+	}
+	var s struct {
+		State string `json:"state"`
+	}
+	qt.Assert(f.t, json.Unmarshal([]byte(body), &s), qt.IsNil)
+	return s.State
+}
+
+// finish waits until all jobs are completed and checks that nothing happened that must not.
+func (f *fleet) finish(ids []string, within time.Duration) {
+	f.t.Helper()
+	for _, id := range ids {
+		f.eventually("job "+id+" is completed", within, func() bool { return f.state(id) == "completed" })
+	}
+	qt.Check(f.t, f.judge.Violations(), qt.HasLen, 0)
+}
+
+// owner returns the index of the host that the owner's key names, or -1.
+func (f *fleet) owner() int {
+	var o struct {
+		Name string `json:"name"`
+	}
+	if v := f.store.Value(ownerKey); v == nil || json.Unmarshal(v, &o) != nil {
+		return -1
+	}
+	for i, h := range f.hosts {
+		if h.cfg.Name == o.Name {
+			return i
+		}
+	}
+	return -1
+}
+
+// restart begins another life of a host's process at the same addresses.
+func (f *fleet) restart(p *testProcess) { f.launch(p, hostParts) }
+
+func (f *fleet) launch(p *testProcess, parts func(p *process) ([]app.Part, error)) {
+	list, err := parts(p.process)
+	qt.Assert(f.t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, part := range list {
+		if part.Name == "metrics" {
+			continue // its port is fixed
+		}
+		wg.Go(func() {
+			if err := part.Run(ctx); err != nil && ctx.Err() == nil {
+				f.t.Errorf("%s of %s: %v", part.Name, p.cfg.Name, err)
+			}
+		})
+	}
+	p.stop = sync.OnceFunc(func() {
+		cancel()
+		wg.Wait()
+	})
+	f.t.Cleanup(p.stop)
+}
--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -23,7 +23,7 @@
 	"bamboofork/internal/app"
 	"bamboofork/internal/config"
 	"bamboofork/internal/node"
-	"bamboofork/internal/platform"
+	"bamboofork/internal/standin"
 	"bamboofork/internal/sample"
 	"bamboofork/internal/settings"
 	"bamboofork/internal/store/etcdgw"
@@ -45,7 +45,7 @@
 	Service      time.Duration
 	Interference map[string]float64 // by kind, see sample.Config
 	Tree         settings.Tree
-	Observer     platform.RunObserver // of all workers; nil: none
+	Observer     standin.RunObserver // of all workers; nil: none
 	LeaseTTL     time.Duration
 	OutageHold   time.Duration
 	Drain        time.Duration
@@ -63,7 +63,7 @@
 // Fleet is a running fleet. mu guards the maps.
 type Fleet struct {
 	Profile  Profile
-	Store    *platform.StoreServer
+	Store    *standin.StoreServer
 	StoreURL string
 	log      zerolog.Logger
 
@@ -78,7 +78,7 @@
 type Host struct {
 	Config      config.Process
 	Node        *node.Node
-	Worker      *platform.SimWorker
+	Worker      *standin.SimWorker
 	Backend     *sample.Server
 	BackendURL  string
 	Links       Links
@@ -89,7 +89,7 @@
 
 // Start starts everything and returns when the processes serve.
 func Start(p Profile, log zerolog.Logger) (*Fleet, error) {
-	f := &Fleet{Profile: p, log: log, Agents: map[string]*Host{}, Entries: map[string]*Host{}, Store: platform.NewStoreServer(1)}
+	f := &Fleet{Profile: p, log: log, Agents: map[string]*Host{}, Entries: map[string]*Host{}, Store: standin.NewStoreServer(1)}
 	storeEcho := quietEcho()
 	f.Store.Register(storeEcho)
 	url, err := f.serve(storeEcho, f.port(0))
@@ -238,10 +238,10 @@
 func (f *Fleet) startAgent(i int) error {
 	p := f.Profile
 	id := fmt.Sprintf("agent-%d", i+1)
-	w := platform.NewSimWorker(fmt.Sprintf("worker-%d", i+1), p.Capacity, p.Observer, uint64(i))
+	w := standin.NewSimWorker(fmt.Sprintf("worker-%d", i+1), p.Capacity, p.Observer, uint64(i))
 	b := sample.New(sample.Config{Name: fmt.Sprintf("runner-%d", i+1), Slots: p.Slots, Service: p.Service, Load: w.Load, Interference: p.Interference})
 	workerEcho := quietEcho()
-	platform.RegisterWorker(workerEcho, w)
+	standin.RegisterWorker(workerEcho, w)
 	workerURL, err := f.serve(workerEcho, "127.0.0.1:0")
 	if err != nil {
 		return err
--- a/internal/dev/hosts.go
+++ b/internal/dev/hosts.go
@@ -8,7 +8,7 @@
 
 	"bamboofork/internal/config"
 	"bamboofork/internal/node"
-	"bamboofork/internal/platform"
+	"bamboofork/internal/standin"
 )
 
 // EndKind says how a host's process ends.
@@ -45,7 +45,7 @@
 }
 
 // Worker returns the stand-in worker on an agent's host.
-func (f *Fleet) Worker(id string) *platform.SimWorker {
+func (f *Fleet) Worker(id string) *standin.SimWorker {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.Agents[id].Worker
--- a/internal/partition/fleet_test.go
+++ b/internal/partition/fleet_test.go
@@ -18,7 +18,7 @@
 	"bamboofork/internal/membership"
 	"bamboofork/internal/partition"
 	"bamboofork/internal/peer"
-	"bamboofork/internal/platform"
+	"bamboofork/internal/standin"
 	"bamboofork/internal/settings"
 	"bamboofork/internal/store/memstore"
 	"bamboofork/internal/telemetry"
@@ -135,7 +135,7 @@
 	net     *network
 	watch   *observer
 	log     zerolog.Logger
-	workers map[string]*platform.SimWorker
+	workers map[string]*standin.SimWorker
 
 	clockLag atomic.Int64 // how much older than in truth the agents' clocks are in the views, in nanoseconds
 
@@ -146,14 +146,14 @@
 
 func newFleet(hosts int, seed uint64, log zerolog.Logger) *fleet {
 	f := &fleet{
-		engine: memstore.New(), log: log, workers: map[string]*platform.SimWorker{}, procs: map[string]*process{},
+		engine: memstore.New(), log: log, workers: map[string]*standin.SimWorker{}, procs: map[string]*process{},
 		net: &network{rnd: rand.New(rand.NewPCG(seed, 2)), hosts: map[string]*process{}},
 	}
 	f.store = memstore.NewFaulty(f.engine, seed)
 	f.watch = newObserver()
 	for i := range hosts {
 		id := fmt.Sprintf("agent-%d", i+1)
-		f.workers[id] = platform.NewSimWorker("worker-of-"+id, runCapacity, f.watch, seed+uint64(i))
+		f.workers[id] = standin.NewSimWorker("worker-of-"+id, runCapacity, f.watch, seed+uint64(i))
 		f.start(id)
 	}
 	return f
@@ -300,7 +300,7 @@
 	o.violations = append(o.violations, fmt.Sprintf(format, args...))
 }
 
-// TaskStarted implements platform.RunObserver.
+// TaskStarted implements standin.RunObserver.
 func (o *observer) TaskStarted(ref worker.Ref, workerID string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -319,7 +319,7 @@
 	}
 }
 
-// TaskEnded implements platform.RunObserver.
+// TaskEnded implements standin.RunObserver.
 func (o *observer) TaskEnded(ref worker.Ref, workerID string, state worker.State) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/partition/random_test.go
+++ b/internal/partition/random_test.go
@@ -20,7 +20,7 @@
 	"bamboofork/internal/invariant"
 	"bamboofork/internal/ledger"
 	"bamboofork/internal/partition"
-	"bamboofork/internal/platform"
+	"bamboofork/internal/standin"
 	"bamboofork/internal/store/memstore"
 	"bamboofork/internal/wire"
 	"bamboofork/internal/worker"
@@ -148,11 +148,11 @@
 		case 5:
 			r.netFault(netFaults{dropRequest: 0.3, dropReply: 0.3, maxDelay: 3 * time.Second}, last)
 		case 6:
-			r.workerFault(host, platform.WorkerFaults{LoseAnswer: 0.4, RunFactor: 2.5}, last)
+			r.workerFault(host, standin.WorkerFaults{LoseAnswer: 0.4, RunFactor: 2.5}, last)
 		case 7:
-			r.workerFault(host, platform.WorkerFaults{Paused: true}, last)
+			r.workerFault(host, standin.WorkerFaults{Paused: true}, last)
 		case 8:
-			r.workerFault(host, platform.WorkerFaults{FailAll: true}, last)
+			r.workerFault(host, standin.WorkerFaults{FailAll: true}, last)
 		case 9:
 			r.plannedStop(host, last)
 		case 10:
@@ -182,12 +182,12 @@
 	}
 	p.kill()
 	if withHost {
-		r.fleet.workers[host].SetFaults(platform.WorkerFaults{Dead: true})
+		r.fleet.workers[host].SetFaults(standin.WorkerFaults{Dead: true})
 	}
 	r.later(after, func() {
 		<-p.done
 		if withHost {
-			r.fleet.workers[host].SetFaults(platform.WorkerFaults{})
+			r.fleet.workers[host].SetFaults(standin.WorkerFaults{})
 		}
 		p.next.Do(func() { r.fleet.start(host) })
 	})
@@ -234,7 +234,7 @@
 	r.later(d, func() { set(netFaults{}) })
 }
 
-func (r *run) workerFault(host string, f platform.WorkerFaults, d time.Duration) {
+func (r *run) workerFault(host string, f standin.WorkerFaults, d time.Duration) {
 	w := r.fleet.workers[host]
 	if w.Faults().Dead {
 		return
@@ -242,7 +242,7 @@
 	w.SetFaults(f)
 	r.later(d, func() {
 		if !w.Faults().Dead {
-			w.SetFaults(platform.WorkerFaults{})
+			w.SetFaults(standin.WorkerFaults{})
 		}
 	})
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"bamboofork/internal/dev"
-	"bamboofork/internal/platform"
+	"bamboofork/internal/standin"
 	"bamboofork/internal/store/memstore"
 )
 
@@ -29,11 +29,11 @@
 	})},
 	{"store_answers_lost", 4, storeFault(func(rnd *rand.Rand) memstore.Faults { return memstore.Faults{LoseAnswer: 0.1 + 0.4*rnd.Float64()} })},
 	{"watches_cut", 2, func(_ context.Context, r *Run, _ *rand.Rand) { r.fleet.Store.Faulty.CutWatches() }},
-	{"worker_paused", 2, workerFault(platform.WorkerFaults{Paused: true})},
-	{"worker_answers_lost", 3, workerFault(platform.WorkerFaults{LoseAnswer: 0.3})},
-	{"worker_fails_everything", 2, workerFault(platform.WorkerFaults{FailAll: true})},
-	{"worker_dead", 2, workerFault(platform.WorkerFaults{Dead: true})},
-	{"wrong_run_times", 2, workerFault(platform.WorkerFaults{RunFactor: 4, NeedFactor: 1.5})},
+	{"worker_paused", 2, workerFault(standin.WorkerFaults{Paused: true})},
+	{"worker_answers_lost", 3, workerFault(standin.WorkerFaults{LoseAnswer: 0.3})},
+	{"worker_fails_everything", 2, workerFault(standin.WorkerFaults{FailAll: true})},
+	{"worker_dead", 2, workerFault(standin.WorkerFaults{Dead: true})},
+	{"wrong_run_times", 2, workerFault(standin.WorkerFaults{RunFactor: 4, NeedFactor: 1.5})},
 }
 
 func pickFault(rnd *rand.Rand) fault {
@@ -91,7 +91,7 @@
 	}
 }
 
-func workerFault(f platform.WorkerFaults) func(context.Context, *Run, *rand.Rand) {
+func workerFault(f standin.WorkerFaults) func(context.Context, *Run, *rand.Rand) {
 	return func(ctx context.Context, r *Run, rnd *rand.Rand) {
 		ids := r.fleet.AgentIDs()
 		sort.Strings(ids)
@@ -99,7 +99,7 @@
 		w := r.fleet.Worker(id)
 		w.SetFaults(f)
 		sleep(ctx, length(rnd))
-		w.SetFaults(platform.WorkerFaults{})
+		w.SetFaults(standin.WorkerFaults{})
 	}
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -21,7 +21,7 @@
 	"bamboofork/internal/entry"
 	"bamboofork/internal/invariant"
 	"bamboofork/internal/ledger"
-	"bamboofork/internal/platform"
+	"bamboofork/internal/standin"
 	"bamboofork/internal/store/memstore"
 )
 
@@ -146,7 +146,7 @@
 func (r *Run) settle(ctx context.Context, progress func(string)) {
 	r.fleet.Store.Faulty.Set(memstore.Faults{})
 	for _, id := range r.fleet.AgentIDs() {
-		r.fleet.Worker(id).SetFaults(platform.WorkerFaults{})
+		r.fleet.Worker(id).SetFaults(standin.WorkerFaults{})
 	}
 	progress("faults ended, waiting for the accepted work")
 	deadline := time.Now().Add(r.cfg.Settle)
--- a/internal/platform/storeauth.go
+++ b/internal/standin/storeauth.go
@@ -1,4 +1,4 @@
-package platform
+package standin
 
 import (
 	"crypto/rand"
--- a/internal/platform/storeserver.go
+++ b/internal/standin/storeserver.go
@@ -1,6 +1,6 @@
-// Package platform holds the stand-ins for the platform: the key-value store over
+// Package standin holds the stand-ins for the platform: the key-value store over
 // the etcd v3 HTTP/JSON gateway and workers over HTTP, both with fault settings.
-package platform
+package standin
 
 import (
 	"errors"
--- a/internal/platform/storeserver_test.go
+++ b/internal/standin/storeserver_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package standin_test
 
 import (
 	"context"
@@ -10,16 +10,16 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/labstack/echo/v4"
 
-	"bamboofork/internal/platform"
+	"bamboofork/internal/standin"
 	"bamboofork/internal/settings"
 	"bamboofork/internal/store"
 	"bamboofork/internal/store/etcdgw"
 	"bamboofork/internal/store/memstore"
 )
 
-func startStore(t *testing.T, users map[string]platform.User) (*platform.StoreServer, string) {
-	s := platform.NewStoreServer(1)
-	s.Auth = platform.NewAuth(users)
+func startStore(t *testing.T, users map[string]standin.User) (*standin.StoreServer, string) {
+	s := standin.NewStoreServer(1)
+	s.Auth = standin.NewAuth(users)
 	e := echo.New()
 	s.Register(e)
 	srv := httptest.NewServer(e)
@@ -106,7 +106,7 @@
 // forgot its tokens.
 func TestOperatorCredentials(t *testing.T) {
 	ctx := context.Background()
-	s, url := startStore(t, map[string]platform.User{"node": {Password: "n"}, "op": {Password: "o", Operator: true}})
+	s, url := startStore(t, map[string]standin.User{"node": {Password: "n"}, "op": {Password: "o", Operator: true}})
 	weight := "5"
 	edit := settings.Edit{Author: "x", Changes: []settings.Change{{Branch: "shop", Set: map[string]*string{"weight": &weight}}}}
 	for _, creds := range []etcdgw.Credentials{{}, {User: "op", Password: "wrong"}, {User: "node", Password: "n"}} {
