Let a process that reaches the store take over from an owner that does not

Change: an owner whose record is unanswered for 0.9 s says so, and candidates replace its key at once; attempts begin at 250 ms and grow with the store's answers; the lease is 1.6 s.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -17,9 +17,9 @@
 
 const (
 	// LeaseTTL bounds how long a silent owner keeps the key. Shorter leases end during short stalls of the store.
-	LeaseTTL = 2 * time.Second
+	LeaseTTL = 1600 * time.Millisecond
 	// renewEvery gives four attempts within a lease.
-	renewEvery = 450 * time.Millisecond
+	renewEvery = 350 * time.Millisecond
 	// callTimeout bounds one call to the store; its answers take 4 ms, and up to 250 ms when it is slow.
 	callTimeout = 600 * time.Millisecond
 	// driftMargin is the share of the lease that the holder gives up, so that it stops before the store's clock does.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -35,6 +35,8 @@
 	conn      *Conn
 	confirmed time.Duration // boot time of the last message from an owner that was sure of its lease
 	resigned  bool
+	unsure    bool   // the store does not answer the owner
+	owner     string // name of the owner's process
 }
 
 // Listen accepts owners on the address until ctx ends.
@@ -89,7 +91,7 @@
 		return false
 	}
 	old := f.conn
-	f.conn, f.epoch, f.resigned = c, m.Epoch, false
+	f.conn, f.epoch, f.owner, f.resigned, f.unsure = c, m.Epoch, m.Owner, false, false
 	f.mu.Unlock()
 	if old != nil {
 		old.Close()
@@ -107,9 +109,8 @@
 	if m.Confirmed {
 		f.confirmed = boottime.Now()
 	}
-	if m.Resigned {
-		f.resigned = true
-	}
+	f.resigned = f.resigned || m.Resigned
+	f.unsure = m.Unsure
 }
 
 func (f *Follower) gone(c *Conn, cause error) {
@@ -137,7 +138,14 @@
 func (f *Follower) Served(within time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.conn != nil && !f.resigned && boottime.Now()-f.confirmed < within
+	return f.conn != nil && !f.resigned && !f.unsure && boottime.Now()-f.confirmed < within
+}
+
+// Unsure reports whether the process is the present owner and has said that the store does not answer it.
+func (f *Follower) Unsure(owner string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.unsure && f.owner == owner
 }
 
 // announceRetry is the pause between attempts to announce; the process is of no use before.
--- a/internal/jobowner/candidate.go
+++ b/internal/jobowner/candidate.go
@@ -66,6 +66,8 @@
 		return 0, "no owner in the store", true
 	case owner.Name == c.Me.Name:
 		return revision, "own former life", true
+	case c.Follower.Unsure(owner.Name):
+		return revision, "the store answers this process and not the owner", true
 	}
 	if why, dead := isDead(ctx, owner); dead {
 		return revision, why, true
--- a/internal/jobowner/colocate.go
+++ b/internal/jobowner/colocate.go
@@ -8,7 +8,7 @@
 const (
 	// moveGapMs is the least time between two moves on a worker: latencies show the effect of a move only after the half
 	// second that they average and the way of a report.
-	moveGapMs = 900
+	moveGapMs = 1500
 	// moveMaxPercent is the progress beyond which a run without checkpoints stays: finishing it disturbs for less time
 	// than doing it again elsewhere.
 	moveMaxPercent = 50
--- a/internal/jobowner/commit.go
+++ b/internal/jobowner/commit.go
@@ -12,6 +12,7 @@
 	"bamboofork/internal/caslog"
 	"bamboofork/internal/events"
 	"bamboofork/internal/jobs"
+	"bamboofork/internal/store"
 )
 
 const (
@@ -20,12 +21,17 @@
 	commitGap = 12 * time.Millisecond
 	// idleWake bounds how late due times, stragglers and lost workers are noticed.
 	idleWake = 100 * time.Millisecond
-	// appendTimeout bounds one attempt to write a record.
-	appendTimeout = 800 * time.Millisecond
+	// appendTimeout and appendTimeoutMax bound one attempt to write a record. A lost answer is only found by the time that
+	// it takes, so attempts begin short and grow while the store is slow; a healthy store answers in 4 ms.
+	appendTimeout    = 250 * time.Millisecond
+	appendTimeoutMax = 2 * time.Second
+	// appendSlack is the multiple of the last answer's time that the next attempt may take.
+	appendSlack = 4
 	// snapshotEvery is the number of records after which a snapshot replaces them; it bounds the reads of a recovery.
 	snapshotEvery = 400
-	// stuckAfter is how long a record may be unanswered before requests are refused instead of queued behind it.
-	stuckAfter = 500 * time.Millisecond
+	// stuckAfter is how long a record may be unanswered before requests are refused instead of queued behind it, and before
+	// a process that reaches the store may take over. Two lost answers in a row take less.
+	stuckAfter = 900 * time.Millisecond
 )
 
 func decodeRecord(r caslog.Record) ([]jobs.Change, error) {
@@ -132,10 +138,12 @@
 	defer o.setStuck(0)
 	reported := false
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, o.appendWait)
 		var err error
+		asked := boottime.Now()
 		rec, err = o.log.Append(callCtx, rec)
 		cancel()
+		o.adaptWait(err, boottime.Now()-asked)
 		if err == nil && !o.tenure.Confirmed() {
 			err = o.confirm(ctx, rec)
 		}
@@ -160,6 +168,16 @@
 	}
 }
 
+// adaptWait sets how long the next attempt may take.
+func (o *Owner) adaptWait(err error, took time.Duration) {
+	switch {
+	case err == nil:
+		o.appendWait = min(appendTimeoutMax, max(appendTimeout, appendSlack*took))
+	case errors.Is(err, store.ErrUncertain):
+		o.appendWait = min(appendTimeoutMax, 2*o.appendWait)
+	}
+}
+
 func (o *Owner) setStuck(from time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -182,7 +200,7 @@
 
 // confirm checks a record that was written while the lease was in doubt: a successor may have compacted the log past it.
 func (o *Owner) confirm(ctx context.Context, rec caslog.Record) error {
-	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, appendTimeoutMax)
 	defer cancel()
 	return o.log.Confirm(callCtx, rec)
 }
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -245,7 +245,7 @@
 	if len(starts) == 0 && len(m.sizes) == 0 && len(stops) == 0 && !newAcks && !always {
 		return
 	}
-	msg := session.ToMember{Confirmed: confirmed, Starts: starts, Stops: stops, Sizes: m.sizes, AckLife: m.ackLife, AckEnds: m.ackEnds}
+	msg := session.ToMember{Confirmed: confirmed, Unsure: o.stuck(), Starts: starts, Stops: stops, Sizes: m.sizes, AckLife: m.ackLife, AckEnds: m.ackEnds}
 	if confirmed {
 		msg.Echo = m.echo
 	}
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -46,6 +46,8 @@
 	epoch  int64
 	began  time.Duration // boot time at the start of the term
 	wake   chan struct{}
+	// appendWait bounds the next attempt to write a record; used by the commit loop only.
+	appendWait time.Duration
 
 	mu      sync.Mutex
 	state   *jobs.State
@@ -86,7 +88,7 @@
 func Recover(ctx context.Context, cfg Config, tenure *election.Tenure, writer string) (*Owner, error) {
 	o := &Owner{
 		cfg: cfg, tenure: tenure, log: caslog.New(cfg.Store, cfg.Prefix, writer),
-		began: boottime.Now(), wake: make(chan struct{}, 1),
+		began: boottime.Now(), wake: make(chan struct{}, 1), appendWait: appendTimeout,
 		active: map[string]*jobs.Job{}, members: map[string]*member{}, placed: map[string]map[string]*placedTask{},
 		health: placement.NewHealth(), interference: placement.NewInterference(),
 	}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -84,7 +84,7 @@
 	if !step.Fills {
 		return false
 	}
-	if w.Idle < step.CPU && w.Filling > 0 {
+	if w.Idle < step.CPU/2 && w.Filling > 0 {
 		return true
 	}
 	_, over := worstPress(s, w, step.Image, step.CPU)
--- a/internal/placement/interference.go
+++ b/internal/placement/interference.go
@@ -30,7 +30,7 @@
 	priorPressure = 1.0
 	priorVariance = 2.0
 	// caution is the number of standard deviations that are added to an estimate for planning.
-	caution = 0.5
+	caution = 0.0
 	// knownVariance is the variance below which a pair counts as known.
 	knownVariance = 0.5
 	// driftVariance is added per observation, so that estimates follow effects that change.
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -7,6 +7,7 @@
 	Epoch     int64    `json:"e,omitempty"`  // log position of the owner's fence; higher owners replace lower ones
 	Owner     string   `json:"o,omitempty"`  // name of the owner's process, in the first message only
 	Confirmed bool     `json:"c,omitempty"`  // the owner's lease was valid when this was sent
+	Unsure    bool     `json:"u,omitempty"`  // the store does not answer the owner; a process that reaches it may take over
 	Resigned  bool     `json:"z,omitempty"`  // the owner gives up; a successor is wanted at once
 	Echo      int64    `json:"b,omitempty"`  // newest report of the agent that the owner has seen
 	Seq       int64    `json:"n,omitempty"`  // number of this message when it carries orders
