Make the first report to a new owner complete, whoever sends it

The report loop could send a full report on the new connection before the agent had greeted the new owner: without the ends that the former owner was told and had not made durable, and with the former owner's order numbers. The new owner took the missing runs for lost. Ruled out: acknowledgements before the record is durable (they are effects of the same record).

Change: what was reported and which orders were seen belong to a connection; the first report on it is full. TestFirstReportToANewOwnerIsComplete fails without.

--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -23,9 +23,9 @@
 	"bamboofork/internal/app"
 	"bamboofork/internal/config"
 	"bamboofork/internal/node"
-	"bamboofork/internal/standin"
 	"bamboofork/internal/sample"
 	"bamboofork/internal/settings"
+	"bamboofork/internal/standin"
 	"bamboofork/internal/store/etcdgw"
 	"bamboofork/internal/worker"
 )
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -41,6 +41,8 @@
 	ends    []session.RunEnd // listed by the worker, not yet acknowledged
 	ackEnds int64
 
+	// owner is the connection that reported and seenSeq belong to.
+	owner    *follow.Conn
 	reported int64 // newest end that the present owner was told
 	refused  []session.Refusal
 	seenSeq  int64
@@ -197,10 +199,18 @@
 func (a *Agent) Adopted(c *follow.Conn) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.reported, a.seenSeq = 0, 0
 	a.report(c, true)
 }
 
+// bind begins a connection to an owner, which knows nothing yet. It reports whether the connection is new.
+func (a *Agent) bind(c *follow.Conn) bool {
+	if a.owner == c {
+		return false
+	}
+	a.owner, a.reported, a.seenSeq = c, 0, 0
+	return true
+}
+
 // Message takes in orders of the owner.
 func (a *Agent) Message(c *follow.Conn, m *session.ToMember) {
 	a.mu.Lock()
@@ -208,6 +218,7 @@
 	if a.cfg.Follower.Conn() != c {
 		return // replaced by a newer owner
 	}
+	a.bind(c)
 	if at, ok := a.stamps[m.Echo]; ok && m.Echo != 0 {
 		a.grantMs = max(a.grantMs, at+a.cfg.Hold.Milliseconds())
 		for s := range a.stamps {
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -364,8 +364,10 @@
 	}
 }
 
-// report sends what the owner does not know yet; a full report also lists all runs.
+// report sends what the owner does not know yet; a full report also lists all runs. The first report on a connection is
+// full and repeats all unacknowledged ends.
 func (a *Agent) report(c *follow.Conn, full bool) {
+	full = a.bind(c) || full
 	m := session.FromMember{Worker: a.worker, SeenSeq: a.seenSeq, Refused: a.refused}
 	a.refused = nil
 	for _, e := range a.ends {
--- /dev/null
+++ b/internal/hostagent/report_test.go
@@ -0,0 +1,56 @@
+package hostagent
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"bamboofork/internal/follow"
+	"bamboofork/internal/session"
+	"bamboofork/internal/telemetry"
+)
+
+func newTestAgent(runner Runner) *Agent {
+	a := New(Config{
+		Log: zerolog.Nop(), Metrics: telemetry.New(), Runner: runner, Follower: &follow.Follower{Log: zerolog.Nop()},
+		Hold: 8 * time.Second, StopTime: 200 * time.Millisecond,
+	})
+	a.Register(session.Worker{ID: "i-1", Life: 7, Service: "s", CPU: 16_000, MemMB: 1000})
+	a.listed, a.token, a.clockMs = true, 1000, 1000
+	return a
+}
+
+// pipe returns the agent's end of a connection and the owner's.
+func pipe(t *testing.T) (*follow.Conn, *session.Conn[session.ToMember, session.FromMember]) {
+	x, y := net.Pipe()
+	agent, owner := session.New[session.FromMember, session.ToMember](x), session.New[session.ToMember, session.FromMember](y)
+	t.Cleanup(agent.Close)
+	t.Cleanup(owner.Close)
+	return agent, owner
+}
+
+// Guards against a task that runs twice after a takeover: a report that went to the new owner before the agent had
+// greeted it left out the ends that the former owner was told and had not made durable, so the task counted as lost.
+func TestFirstReportToANewOwnerIsComplete(t *testing.T) {
+	a := newTestAgent(nil)
+	a.ends = []session.RunEnd{{Life: 7, Seq: 1, Task: "j.0.0.0", Run: 1, How: "done"}}
+	former, formerOwner := pipe(t)
+	next, nextOwner := pipe(t)
+	a.seenSeq = 500
+	for _, c := range []struct {
+		agent *follow.Conn
+		owner *session.Conn[session.ToMember, session.FromMember]
+	}{{former, formerOwner}, {next, nextOwner}} {
+		a.mu.Lock()
+		a.report(c.agent, false)
+		a.mu.Unlock()
+		m, err := c.owner.Receive()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, m.Ends, qt.HasLen, 1)
+		qt.Check(t, m.Full, qt.IsTrue)
+		qt.Check(t, m.SeenSeq, qt.Equals, int64(0), qt.Commentf("orders of another connection do not count"))
+	}
+}
--- a/internal/standin/storeserver_test.go
+++ b/internal/standin/storeserver_test.go
@@ -10,8 +10,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/labstack/echo/v4"
 
-	"bamboofork/internal/standin"
 	"bamboofork/internal/settings"
+	"bamboofork/internal/standin"
 	"bamboofork/internal/store"
 	"bamboofork/internal/store/etcdgw"
 	"bamboofork/internal/store/memstore"
