End the suspicion of workers that only run lasting tasks, wait for the runs of a new lifetime

Change: on probation one start per 0.7 s whatever runs, and suspicion ends 5 s after the last failure; a new lifetime is not planned before its first complete list.

--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -142,7 +142,7 @@
 		if !m.Agent || !m.live() || w == nil || w.Draining || w.Gone || now < m.blocked {
 			continue
 		}
-		max := o.health.Allowed(m.Name, nowMs(), len(o.placed[m.Name]))
+		max := o.health.Allowed(m.Name, nowMs())
 		if max == 0 {
 			continue
 		}
@@ -191,6 +191,7 @@
 	t := a.Job.Task(id)
 	t.PlacedMs, t.ProgressMs = nowMs(), nowMs()
 	o.hold(a.Job, id, t)
+	o.health.Started(p.Worker, nowMs())
 	held := o.placed[p.Worker][id.String()]
 	events.RunPlaced.Log(&o.cfg.Log).Str("job", a.Job.ID).Str("task", id.String()).Int("run", p.Run).Str("agent", p.Worker).
 		Str("image", a.Job.Spec.Steps[p.Step].Image).Int64("waited_ms", wallMs()-a.Job.AcceptedMs).Send()
--- a/internal/jobowner/report.go
+++ b/internal/jobowner/report.go
@@ -37,6 +37,9 @@
 		events.WorkerSeen.Log(&o.cfg.Log).Str("agent", m.Name).Str("worker", w.ID).Int64("life", w.Life).
 			Bool("draining", w.Draining).Bool("gone", w.Gone).Int("cpu", w.CPU).Int("mem_mb", w.MemMB).Send()
 	}
+	if old == nil || old.Life != w.Life {
+		m.reported = false // its runs are not known until the next complete list
+	}
 	if m.ackLife != w.Life {
 		m.ackLife, m.ackEnds, m.ackSent = w.Life, 0, 0
 	}
--- a/internal/jobs/state_test.go
+++ b/internal/jobs/state_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"bamboofork/internal/jobs"
 )
@@ -43,3 +44,100 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, string(got), qt.Equals, string(want))
 }
+
+func apply(t *testing.T, changes ...jobs.Change) *jobs.Job {
+	s := jobs.NewState()
+	for _, c := range changes {
+		s.Apply(c)
+	}
+	qt.Assert(t, s.Jobs["j"], qt.IsNotNil)
+	return s.Jobs["j"]
+}
+
+// Guards against a second end of one run, or an end of an older run, that counts again.
+func TestEndsCountOnce(t *testing.T) {
+	j := apply(t, jobs.Change{Submit: oneStep("j", 2)}, place("j", 0, 1), end("j", 0, 1, jobs.EndFailed), end("j", 0, 1, jobs.EndFailed),
+		place("j", 0, 2), end("j", 0, 1, jobs.EndDone))
+	task := j.Task(jobs.TaskID{})
+	qt.Check(t, task.Fails, qt.Equals, 1)
+	qt.Check(t, task.State, qt.Equals, jobs.TaskPlaced)
+	qt.Check(t, j.State(), qt.Equals, jobs.Running)
+}
+
+// Guards against attempts beyond the queue's limit, and against lost or stopped runs that count as attempts.
+func TestAttempts(t *testing.T) {
+	j := apply(t, jobs.Change{Submit: oneStep("j", 1)},
+		place("j", 0, 1), end("j", 0, 1, jobs.EndLost), place("j", 0, 2), end("j", 0, 2, jobs.EndStopped),
+		place("j", 0, 3), end("j", 0, 3, jobs.EndFailed))
+	qt.Check(t, j.State(), qt.Equals, jobs.Running)
+	j = apply(t, jobs.Change{Submit: oneStep("j", 1)},
+		place("j", 0, 1), end("j", 0, 1, jobs.EndFailed), place("j", 0, 2), end("j", 0, 2, jobs.EndFailed))
+	qt.Check(t, j.State(), qt.Equals, jobs.Failed)
+	qt.Check(t, j.Ended(), qt.IsTrue)
+}
+
+// Guards against a step that starts before the steps that it waits for are done, and a job that is completed too early.
+func TestStepsInOrder(t *testing.T) {
+	spec := oneStep("j", 2)
+	spec.Spec.Steps = append(spec.Spec.Steps, jobs.Step{Count: 1, After: []int{0}})
+	j := apply(t, jobs.Change{Submit: spec}, place("j", 0, 1), place("j", 1, 1), end("j", 0, 1, jobs.EndDone))
+	qt.Check(t, j.StepReady(0, 1), qt.IsFalse)
+	j = apply(t, jobs.Change{Submit: spec}, place("j", 0, 1), place("j", 1, 1), end("j", 0, 1, jobs.EndDone), end("j", 1, 1, jobs.EndDone))
+	qt.Check(t, j.StepReady(0, 1), qt.IsTrue)
+	qt.Check(t, j.State(), qt.Equals, jobs.Running)
+}
+
+// Guards against a gang whose members outlive it: one end stands for all of them.
+func TestGangEndsTogether(t *testing.T) {
+	spec := oneStep("j", 3)
+	spec.Spec.Steps[0].Gang = true
+	j := apply(t, jobs.Change{Submit: spec}, place("j", 0, 1), place("j", 1, 1), place("j", 2, 1), end("j", 1, 1, jobs.EndDone))
+	qt.Check(t, j.State(), qt.Equals, jobs.Completed)
+}
+
+// Guards against a lasting task that counts as done, and a cancellation that a later end undoes.
+func TestLastingTasksRestartUntilCancelled(t *testing.T) {
+	spec := oneStep("j", 1)
+	spec.Spec.Steps[0].Perpetual = true
+	changes := []jobs.Change{{Submit: spec}, place("j", 0, 1), end("j", 0, 1, jobs.EndDone), place("j", 0, 2), end("j", 0, 2, jobs.EndFailed)}
+	j := apply(t, changes...)
+	qt.Check(t, j.Task(jobs.TaskID{}).State, qt.Equals, jobs.TaskWaiting)
+	qt.Check(t, j.State(), qt.Equals, jobs.Running)
+	j = apply(t, append(changes, jobs.Change{JobID: "j", Cancel: &jobs.Cancel{AtMs: 9}})...)
+	qt.Check(t, j.State(), qt.Equals, jobs.Cancelled)
+}
+
+// Guards against a snapshot that loses what the records said: encoding and decoding changes nothing that decides.
+func TestSnapshotKeepsTheState(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := jobs.NewState()
+		spec := oneStep("j", 3)
+		spec.Queue.MaxAttempts = 3
+		spec.Spec.Steps = append(spec.Spec.Steps, jobs.Step{Count: 2, After: []int{0}})
+		s.Apply(jobs.Change{Submit: spec})
+		j := s.Jobs["j"]
+		for range rapid.IntRange(0, 40).Draw(rt, "changes") {
+			step := rapid.IntRange(0, 1).Draw(rt, "step")
+			index := rapid.IntRange(0, len(j.Occ[0].Steps[step].Tasks)-1).Draw(rt, "index")
+			task := j.Task(jobs.TaskID{Step: step, Index: index})
+			how := rapid.SampledFrom([]jobs.Outcome{jobs.EndDone, jobs.EndFailed, jobs.EndLost}).Draw(rt, "how")
+			switch {
+			case task.State == jobs.TaskWaiting && j.StepReady(0, step) && !j.Ended():
+				s.Apply(jobs.Change{JobID: "j", Place: &jobs.Place{Step: step, Index: index, Run: task.Run + 1, Worker: "w", Life: 1}})
+			case task.State == jobs.TaskPlaced:
+				s.Apply(jobs.Change{JobID: "j", End: &jobs.End{Step: step, Index: index, Run: task.Run, How: how, AtMs: 4}})
+			}
+		}
+		data, err := s.Encode()
+		qt.Assert(t, err, qt.IsNil)
+		back, err := jobs.Decode(data)
+		qt.Assert(t, err, qt.IsNil)
+		again, err := back.Encode()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, string(again), qt.Equals, string(data))
+		qt.Check(t, back.Jobs["j"].State(), qt.Equals, j.State())
+		for step := range 2 {
+			qt.Check(t, back.Jobs["j"].Occ[0].Steps[step].Waiting, qt.Equals, j.Occ[0].Steps[step].Waiting)
+		}
+	})
+}
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -9,6 +9,11 @@
 	// firstPause and maxPause bound how long a suspect worker gets no work; it doubles with each further failure.
 	firstPauseMs = 1000
 	maxPauseMs   = 4000
+	// probeMs is the time that a start on probation gets to fail; failing workers fail within it.
+	probeMs = 700
+	// forgetMs without a further failure ends the suspicion: lasting tasks never end well, so a worker that only runs
+	// those would stay suspect for good.
+	forgetMs = 5000
 )
 
 // Health judges workers by how their runs end. It answers workers that fail all that they start: they end tasks faster
@@ -52,14 +57,24 @@
 }
 
 // Allowed returns how many tasks may start on the worker now: -1 for no bound, 0 during a pause, and one at a time on
-// probation until a run succeeds.
-func (h *Health) Allowed(worker string, nowMs int64, running int) int {
+// probation until a run succeeds or nothing has failed for a while.
+func (h *Health) Allowed(worker string, nowMs int64) int {
 	r := h.workers[worker]
 	switch {
 	case r == nil || r.row < suspectAfter:
 		return -1
-	case nowMs < r.untilMs || running > 0:
+	case nowMs > r.untilMs+forgetMs:
+		delete(h.workers, worker)
+		return -1
+	case nowMs < r.untilMs:
 		return 0
 	}
 	return 1
 }
+
+// Started notes a start on the worker; on probation the next one waits until this one has had time to fail.
+func (h *Health) Started(worker string, nowMs int64) {
+	if r := h.workers[worker]; r != nil && r.row >= suspectAfter {
+		r.untilMs = max(r.untilMs, nowMs+probeMs)
+	}
+}
