Decide callers' requests in jobfront and log each of them

Cause: the adapter chose the answers to unknown queues and malformed jobs by itself and no log line told of them.

Change: jobfront.Serve decides and logs, with the manifest's version; the adapter maps methods, bodies and outcomes. Outcomes are words in the log.

--- /dev/null
+++ b/internal/jobfront/call.go
@@ -0,0 +1,117 @@
+package jobfront
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"bamboofork/internal/events"
+	"bamboofork/internal/jobs"
+	"bamboofork/internal/session"
+)
+
+// Action is what a caller wants to do with a job or a queue.
+type Action string
+
+// Actions of a Call.
+const (
+	Read   Action = "read"
+	Submit Action = "submit"
+	Cancel Action = "cancel"
+	Other  Action = "other"
+)
+
+// ErrTooLarge is returned by Call.Body for a body over the limit.
+var ErrTooLarge = errors.New("the body is too large")
+
+// Call is a caller's request.
+type Call struct {
+	Host   string
+	Path   string
+	Action Action
+	Wait   time.Duration // how long the caller waits; 0: the queue's timeout
+	// Body reads the submitted job, of at most limit bytes. Tasks of an advised queue need tickets.
+	Body func(limit int64, advised bool) (*jobs.Spec, error)
+}
+
+const (
+	// defaultWait is how long a caller is taken to wait if neither it nor its queue says.
+	defaultWait = 3 * time.Second
+	idDigits    = 16
+)
+
+// Serve answers a caller.
+func (f *Front) Serve(ctx context.Context, c Call) Result {
+	m := f.Manifest.Get()
+	if m == nil {
+		return f.refuse(c, "", Result{Outcome: NotRun, RetryAfter: retryAfterOwner, Reason: "no manifest yet"})
+	}
+	route := m.Match(c.Host, c.Path)
+	if route == nil {
+		return f.refuse(c, "", Result{Outcome: NoQueue, Reason: "no such queue"})
+	}
+	req := session.Request{JobID: strings.TrimPrefix(c.Path, route.Prefix), Queue: &route.Queue}
+	switch {
+	case c.Action == Read && req.JobID == "":
+		req.Verb = session.VerbPending
+	case !validID(req.JobID):
+		return f.refuse(c, req.JobID, Result{Outcome: Malformed, Reason: "the job id is not 16 hexadecimal digits"})
+	case c.Action == Read:
+		req.Verb = session.VerbGet
+	case c.Action == Cancel:
+		req.Verb = session.VerbCancel
+	case c.Action == Submit:
+		req.Verb = session.VerbSubmit
+		limit := m.Limits.BodyBytes
+		if limit <= 0 {
+			limit = defaultBody
+		}
+		spec, err := c.Body(limit, route.Queue.AdviceMs > 0)
+		if errors.Is(err, ErrTooLarge) {
+			return f.refuse(c, req.JobID, Result{Outcome: TooLarge, Reason: err.Error()})
+		}
+		if err == nil {
+			err = spec.Validate()
+		}
+		if err != nil {
+			return f.refuse(c, req.JobID, Result{Outcome: Malformed, Reason: err.Error()})
+		}
+		req.Spec = spec
+	default:
+		return f.refuse(c, req.JobID, Result{Outcome: NotAllowed, Reason: "method not allowed"})
+	}
+	return f.pass(ctx, req, waitOf(c.Wait, route.Timeout))
+}
+
+// refuse logs an answer that the entry gives by itself.
+func (f *Front) refuse(c Call, id string, res Result) Result {
+	f.Metrics.Counter("entry_refused_" + string(res.Outcome)).Inc(1)
+	events.JobRequest.Log(&f.Log).Str("verb", string(c.Action)).Str("job", id).Str("host", c.Host).Str("path", c.Path).
+		Str("outcome", string(res.Outcome)).Int64("manifest", f.version()).Str("why", res.Reason).Send()
+	return res
+}
+
+func waitOf(wait, timeout time.Duration) time.Duration {
+	switch {
+	case wait <= 0 && timeout <= 0:
+		return defaultWait
+	case wait <= 0:
+		return timeout
+	case timeout <= 0:
+		return wait
+	}
+	return min(wait, timeout)
+}
+
+func validID(id string) bool {
+	if len(id) != idDigits {
+		return false
+	}
+	for _, c := range id {
+		if !strings.ContainsRune("0123456789abcdefABCDEF", c) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -20,17 +20,19 @@
 )
 
 // Outcome is what a caller is told.
-type Outcome int
+type Outcome string
 
 // Outcomes of a request. NotRun is a promise that the job was not accepted and never runs; Unclear makes the caller ask
 // again, because the job may have been accepted.
 const (
-	Done Outcome = iota
-	NoQueue
-	NoSuchJob
-	Malformed
-	NotRun
-	Unclear
+	Done       Outcome = "done"
+	NoQueue    Outcome = "no_queue"
+	NoSuchJob  Outcome = "no_such_job"
+	Malformed  Outcome = "malformed"
+	TooLarge   Outcome = "too_large"
+	NotAllowed Outcome = "not_allowed"
+	NotRun     Outcome = "not_run"
+	Unclear    Outcome = "unclear"
 )
 
 // Result is the outcome with its details.
@@ -45,6 +47,8 @@
 const (
 	// maxWait bounds how long a request waits for an owner; callers give up after 3 s.
 	maxWait = 2600 * time.Millisecond
+	// defaultBody bounds a body if the manifest does not, in bytes.
+	defaultBody = 256 << 10
 	// reserve is kept back from the caller's time for the way of the answer.
 	reserve = 250 * time.Millisecond
 	// pollOwner is how often a waiting request looks for a new connection to an owner.
@@ -117,17 +121,8 @@
 // Stopping reports whether the process drains.
 func (f *Front) Stopping() bool { return f.stopping.Load() }
 
-// Route returns the queue of a request, or nil.
-func (f *Front) Route(host, path string) *queues.Route {
-	m := f.Manifest.Get()
-	if m == nil {
-		return nil
-	}
-	return m.Match(host, path)
-}
-
-// Do passes a request to the owner and returns what the caller is told.
-func (f *Front) Do(ctx context.Context, r session.Request, left time.Duration) Result {
+// pass sends a request to the owner and returns what the caller is told.
+func (f *Front) pass(ctx context.Context, r session.Request, left time.Duration) Result {
 	began := boottime.Now()
 	res, tries := f.do(ctx, &r, min(left-reserve, maxWait))
 	took := boottime.Now() - began
@@ -138,12 +133,20 @@
 		queue = r.Queue.Name
 	}
 	if r.Verb != session.VerbGet || res.Outcome != Done {
-		events.JobRequest.Log(&f.Log).Str("verb", string(r.Verb)).Str("job", r.JobID).Str("queue", queue).Int("outcome", int(res.Outcome)).
-			Str("state", string(res.State)).Int("tries", tries).Int64("took_ms", took.Milliseconds()).Str("why", res.Reason).Send()
+		events.JobRequest.Log(&f.Log).Str("verb", string(r.Verb)).Str("job", r.JobID).Str("queue", queue).Str("outcome", string(res.Outcome)).
+			Str("state", string(res.State)).Int("tries", tries).Int64("took_ms", took.Milliseconds()).Int64("manifest", f.version()).
+			Str("why", res.Reason).Send()
 	}
 	return res
 }
 
+func (f *Front) version() int64 {
+	if m := f.Manifest.Get(); m != nil {
+		return m.Version
+	}
+	return 0
+}
+
 func (f *Front) do(ctx context.Context, r *session.Request, wait time.Duration) (Result, int) {
 	r.N = f.number.Add(1)
 	ch := make(chan session.Answer, 1)
