Place no filling work where it is slowed already

Change: the agent tells the owner while it slows filling runs, such workers take no more of them, and a run that begins meanwhile is slowed at once. TestSlowedWorkerTakesNoFillingTasks and TestPaceFallsAndRecovers.

--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -32,6 +32,7 @@
 	stops  chan *run
 	wake   chan struct{} // a report is due
 	acked  chan struct{} // the owner has acknowledged ends
+	paced  chan struct{} // a filling run has begun while they are slowed
 
 	mu      sync.Mutex
 	worker  *session.Worker // newest registration
@@ -54,7 +55,9 @@
 	clockAt time.Duration // ... at this boot time
 	heldMs  int64         // worker's clock until which it may hold runs, by the calls made so far
 	lost    bool          // the worker does not answer
-	closed  int           // calls in a row that its port refused
+	// paceLimit is the share of full speed, in percent, that filling runs may have.
+	paceLimit int
+	closed    int // calls in a row that its port refused
 }
 
 // run is a run that this agent is responsible for.
@@ -93,7 +96,7 @@
 func New(cfg Config) *Agent {
 	return &Agent{
 		cfg: cfg, orders: make(chan *run, 4096), stops: make(chan *run, 4096),
-		wake: make(chan struct{}, 1), acked: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), acked: make(chan struct{}, 1), paced: make(chan struct{}, 1), paceLimit: 100,
 		runs: map[string]*run{}, stamps: map[int64]int64{},
 	}
 }
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -83,6 +83,12 @@
 	case err != nil:
 	case reason == Accepted:
 		r.begin()
+		if r.start.Fills && a.paceLimit < 100 {
+			select {
+			case a.paced <- struct{}{}:
+			default:
+			}
+		}
 		a.cfg.Metrics.Histogram("agent_start_us").Update((boottime.Now() - began).Microseconds())
 		events.RunStarted.Log(log).Str("task", r.start.Task).Int("run", r.start.Run).Int("tries", try).
 			Int64("took_ms", (boottime.Now() - began).Milliseconds()).Send()
@@ -368,7 +374,7 @@
 // full and repeats all unacknowledged ends.
 func (a *Agent) report(c *follow.Conn, full bool) {
 	full = a.bind(c) || full
-	m := session.FromMember{Worker: a.worker, SeenSeq: a.seenSeq, Refused: a.refused}
+	m := session.FromMember{Worker: a.worker, SeenSeq: a.seenSeq, Refused: a.refused, Slowed: a.paceLimit < 100}
 	a.refused = nil
 	for _, e := range a.ends {
 		if e.Seq > a.reported {
--- a/internal/hostagent/pace.go
+++ b/internal/hostagent/pace.go
@@ -52,12 +52,14 @@
 func (a *Agent) paceLoop(ctx context.Context) {
 	ticker := time.NewTicker(paceEvery)
 	defer ticker.Stop()
-	share := 100
 	var since time.Duration // boot time from which a serving run misses its target; 0: none does
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-a.paced:
+			a.setPace(ctx)
+			continue
 		case <-ticker.C:
 		}
 		a.mu.Lock()
@@ -72,19 +74,21 @@
 		default:
 			over = boottime.Now() - since
 		}
+		share := a.paceLimit
 		next := nextPace(share, over)
 		if next != share {
 			events.PaceChanged.Log(&a.cfg.Log).Str("serving", task).Int64("over_ms", over.Milliseconds()).Int("from", share).Int("to", next).Send()
 		}
-		share = next
+		a.paceLimit = next
 		a.mu.Unlock()
-		a.setPace(ctx, share)
+		a.setPace(ctx)
 	}
 }
 
-// setPace brings the filling runs to the share.
-func (a *Agent) setPace(ctx context.Context, share int) {
+// setPace brings the filling runs to the limit.
+func (a *Agent) setPace(ctx context.Context) {
 	a.mu.Lock()
+	share := a.paceLimit
 	if a.worker == nil {
 		a.mu.Unlock()
 		return
--- /dev/null
+++ b/internal/hostagent/pace_test.go
@@ -0,0 +1,26 @@
+package hostagent
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against filling work that presses on a serving task for longer than its users bear: it stands still before the
+// task has missed its target for 4 s, and recovers when the task is well.
+func TestPaceFallsAndRecovers(t *testing.T) {
+	share := 100
+	for over := time.Duration(0); over < 3*time.Second; over += paceEvery {
+		share = nextPace(share, max(over, 1))
+		if over <= paceAfter {
+			qt.Check(t, share, qt.Equals, 100)
+		}
+	}
+	qt.Check(t, share, qt.Equals, 0)
+	steps := 0
+	for ; share < 100; steps++ {
+		share = nextPace(share, 0)
+	}
+	qt.Check(t, steps <= 5, qt.IsTrue, qt.Commentf("%d steps", steps))
+}
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -41,7 +41,8 @@
 	ackLife   int64
 	ackEnds   int64
 	ackSent   int64
-	movedMs   int64         // when a filling run was last moved away
+	movedMs   int64         // owner's steady clock when a filling run was last moved away
+	slowed    bool          // the agent slows filling runs, so no more of them are placed there
 	blocked   time.Duration // no starts before this boot time, after a refusal for want of room
 
 	starts []session.Start
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -155,7 +155,7 @@
 func (o *Owner) workerView(s *placement.Snapshot, m *member, w *session.Worker, maxNew int) *placement.Worker {
 	v := &placement.Worker{
 		Name: m.Name, Life: w.Life, Service: w.Service, Zone: w.Zone, Rack: rackOf(w.Labels), Labels: w.Labels,
-		Capacity: capacityOf(w), Free: capacityOf(w), Idle: w.CPU,
+		Capacity: capacityOf(w), Free: capacityOf(w), Idle: w.CPU, Slowed: m.slowed,
 	}
 	on := o.placed[m.Name]
 	for id, p := range on { // serving tasks first: the others press on them
--- a/internal/jobowner/report.go
+++ b/internal/jobowner/report.go
@@ -14,6 +14,7 @@
 
 // report takes in what an agent says about its worker and its runs.
 func (o *Owner) report(m *member, msg *session.FromMember) {
+	m.slowed = msg.Slowed
 	if msg.Worker != nil {
 		o.workerSeen(m, msg.Worker)
 	}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -67,6 +67,7 @@
 // admits reports whether the worker is one for the task and has room for it.
 func admits(w *Worker, j *jobs.Job, step *jobs.Step, same int) bool {
 	return w.MaxNew != 0 &&
+		!(step.Fills && w.Slowed) &&
 		w.Service == j.Queue.Service &&
 		w.HasLabel(step.Label) &&
 		(step.MaxPerWorker == 0 || same < step.MaxPerWorker) &&
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -166,3 +166,16 @@
 	j.Occ[0].Steps[0].Tasks[0].WaitingMs = 8_000
 	qt.Check(t, placement.Plan(s), qt.HasLen, 1)
 }
+
+// Guards against filling work that keeps arriving where it is slowed already: each new run presses at full speed until it
+// is slowed too, and the serving task stays over its target.
+func TestSlowedWorkerTakesNoFillingTasks(t *testing.T) {
+	w := newWorker("w", 64_000)
+	w.Slowed = true
+	j := newJob("j", jobs.Queue{}, 0, jobs.Step{Count: 2, CPU: 4_000, Fills: true, Image: "i", EstimateMs: 1000})
+	j.IdleMs = 1
+	s := &placement.Snapshot{SteadyMs: 10_000, Workers: []*placement.Worker{w}, Jobs: []*jobs.Job{j}}
+	qt.Check(t, placement.Plan(s), qt.HasLen, 0)
+	w.Slowed = false
+	qt.Check(t, placement.Plan(s), qt.HasLen, 2)
+}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -46,6 +46,8 @@
 	Idle    int
 	Serving []Serving // tasks with a latency target
 	Filling int       // number of tasks that fill
+	// Slowed workers take no more filling tasks: a serving task misses its target for long.
+	Slowed bool
 	// MaxNew bounds the tasks that may start now; negative: no bound. A worker on probation gets one task at a time.
 	MaxNew int
 }
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -49,10 +49,11 @@
 	Incarnation string `json:"ic,omitempty"`
 
 	Agent    bool      `json:"ag,omitempty"`
-	Stamp    int64     `json:"b,omitempty"` // number of this report
-	SeenSeq  int64     `json:"n,omitempty"` // newest order message that the agent has taken in
-	Worker   *Worker   `json:"w,omitempty"` // nil: no worker known yet
-	Full     bool      `json:"f,omitempty"` // Runs is the complete list
+	Stamp    int64     `json:"b,omitempty"`  // number of this report
+	SeenSeq  int64     `json:"n,omitempty"`  // newest order message that the agent has taken in
+	Worker   *Worker   `json:"w,omitempty"`  // nil: no worker known yet
+	Slowed   bool      `json:"sl,omitempty"` // filling runs are slowed for a serving run; no more of them are wanted
+	Full     bool      `json:"f,omitempty"`  // Runs is the complete list
 	Runs     []Run     `json:"rs,omitempty"`
 	Ends     []RunEnd  `json:"en,omitempty"`
 	Refused  []Refusal `json:"rf,omitempty"`
