--- a/internal/jobowner/candidate.go
+++ b/internal/jobowner/candidate.go
@@ -20,6 +20,8 @@
 	Key      *election.Key
 	Me       election.Owner
 	Follower *follow.Follower
+
+	storeLost bool // the last read of the key failed; used by Run only
 }
 
 const (
@@ -59,6 +61,14 @@
 func (c *Candidate) vacant(ctx context.Context) (int64, string, bool) {
 	sleep(ctx, c.delay())
 	owner, revision, err := c.Key.Read(ctx)
+	if (err != nil) != c.storeLost {
+		c.storeLost = err != nil
+		if err != nil {
+			events.StoreUnavailable.Log(&c.Config.Log).Str("for", "owner's key").Err(err).Send()
+		} else {
+			events.StoreRecovered.Log(&c.Config.Log).Str("for", "owner's key").Int64("revision", revision).Send()
+		}
+	}
 	switch {
 	case err != nil || c.Follower.Served(patience):
 		return 0, "", false
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -72,16 +72,31 @@
 
 // membersLoop follows the announcements in the store and keeps a connection to each member.
 func (o *Owner) membersLoop(ctx context.Context, wg *sync.WaitGroup) {
+	lost := false
 	for ctx.Err() == nil {
 		rev, err := o.listMembers(ctx, wg)
 		if err != nil {
+			if !lost {
+				lost = true
+				events.StoreUnavailable.Log(&o.cfg.Log).Str("for", "members").Int("known", o.knownMembers()).Err(err).Send()
+			}
 			sleep(ctx, retryPause)
 			continue
 		}
+		if lost {
+			lost = false
+			events.StoreRecovered.Log(&o.cfg.Log).Str("for", "members").Int64("revision", rev).Send()
+		}
 		o.watchMembers(ctx, wg, rev)
 	}
 }
 
+func (o *Owner) knownMembers() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.members)
+}
+
 func (o *Owner) listMembers(ctx context.Context, wg *sync.WaitGroup) (int64, error) {
 	callCtx, cancel := context.WithTimeout(ctx, recoverTimeout)
 	defer cancel()
@@ -138,7 +153,7 @@
 
 // reach keeps a connection to the member until its address is replaced or ctx ends.
 func (o *Owner) reach(ctx context.Context, m *member, addr string, known <-chan struct{}) {
-	pause := redialMin
+	pause, reported := redialMin, false
 	for ctx.Err() == nil {
 		select {
 		case <-known:
@@ -147,8 +162,11 @@
 		}
 		c, err := session.Dial[session.ToMember, session.FromMember](ctx, addr)
 		if err == nil {
-			pause = redialMin
+			pause, reported = redialMin, false
 			o.serveMember(ctx, m, c)
+		} else if !reported && ctx.Err() == nil {
+			reported = true
+			events.MemberLost.Log(&o.cfg.Log).Str("member", m.Name).Str("addr", addr).Err(err).Msg("no connection")
 		}
 		sleep(ctx, pause)
 		pause = min(2*pause, redialMax)
