Refuse unwritten jobs when the store is away, leave the owner its turn when it returns

Change: jobs that wait behind an unanswered record are refused when the owner calls itself unsure; the refusal is certain. A candidate takes over from an unsure owner only if the store has answered it all along, or for 0.8 s after its return. TestOutageRefusesWhatWasNotWritten.

Least remaining work would starve the largest jobs, so the order stays.

--- a/internal/deployed/deployed_test.go
+++ b/internal/deployed/deployed_test.go
@@ -198,3 +198,25 @@
 	qt.Assert(t, ids, qt.HasLen, 12)
 	f.finish(ids, 15*time.Second)
 }
+
+// Guards against callers that wait out their time for a store that is away: a job that is in no record yet is refused at
+// once, and the refusal is true.
+func TestOutageRefusesWhatWasNotWritten(t *testing.T) {
+	f := newFleet(t, 2)
+	all := append([]*testProcess{f.front}, f.hosts...)
+	for _, p := range all {
+		p.store.Set(standin.StoreFaults{Silent: true})
+	}
+	go f.do(http.MethodPost, "abababababababa1", twoSteps) // its record is on the way
+	time.Sleep(200 * time.Millisecond)
+	began := time.Now()
+	code, _ := f.do(http.MethodPost, "abababababababa2", twoSteps)
+	qt.Check(t, code, qt.Equals, http.StatusServiceUnavailable)
+	qt.Check(t, time.Since(began) < 1600*time.Millisecond, qt.IsTrue, qt.Commentf("took %s", time.Since(began)))
+	for _, p := range all {
+		p.store.Set(standin.StoreFaults{})
+	}
+	f.finish([]string{"abababababababa1"}, 10*time.Second)
+	qt.Check(t, f.state("abababababababa2"), qt.Equals, "410")
+	qt.Check(t, f.judge.Starts(), qt.Equals, 7)
+}
--- a/internal/jobowner/candidate.go
+++ b/internal/jobowner/candidate.go
@@ -21,7 +21,9 @@
 	Me       election.Owner
 	Follower *follow.Follower
 
-	storeLost bool // the last read of the key failed; used by Run only
+	// Used by Run only: the last read of the key failed, and when reads began to succeed again.
+	storeLost bool
+	storeBack time.Duration
 }
 
 const (
@@ -31,6 +33,9 @@
 	patience = 1200 * time.Millisecond
 	// spread is the longest delay by which candidates let each other go first, so that few of them write at once.
 	spread = 200 * time.Millisecond
+	// returnGrace is how long an owner without the store keeps its turn after the store answers this process again: it was
+	// away for both, and a takeover takes longer than the owner's next attempt.
+	returnGrace = 800 * time.Millisecond
 	// probeTimeout bounds the question to the process that the key names.
 	probeTimeout = 400 * time.Millisecond
 )
@@ -66,6 +71,7 @@
 		if err != nil {
 			events.StoreUnavailable.Log(&c.Config.Log).Str("for", "owner's key").Err(err).Send()
 		} else {
+			c.storeBack = boottime.Now()
 			events.StoreRecovered.Log(&c.Config.Log).Str("for", "owner's key").Int64("revision", revision).Send()
 		}
 	}
@@ -76,7 +82,7 @@
 		return 0, "no owner in the store", true
 	case owner.Name == c.Me.Name:
 		return revision, "own former life", true
-	case c.Follower.Unsure(owner.Name):
+	case c.Follower.Unsure(owner.Name) && (c.storeBack == 0 || boottime.Now()-c.storeBack > returnGrace):
 		return revision, "the store answers this process and not the owner", true
 	}
 	if why, dead := isDead(ctx, owner); dead {
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -234,6 +234,9 @@
 		case <-ticker.C:
 		}
 		o.mu.Lock()
+		if o.stuck() {
+			o.refuseUnwritten()
+		}
 		for _, m := range o.members {
 			o.sendOrders(m, true)
 		}
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -55,8 +55,10 @@
 	pending []jobs.Change        // applied, not yet in a record
 	effects []func()             // run under mu when the pending changes are durable
 	members map[string]*member   // by name
-	placed  map[string]map[string]*placedTask
-	health  *placement.Health
+	// submitted holds the answers that wait for the record of a job, by job id.
+	submitted map[string][]func(session.Answer)
+	placed    map[string]map[string]*placedTask
+	health    *placement.Health
 	// interference is relearned by a new owner.
 	interference *placement.Interference
 	lastSeq      int64 // newest record of the log
@@ -89,7 +91,7 @@
 	o := &Owner{
 		cfg: cfg, tenure: tenure, log: caslog.New(cfg.Store, cfg.Prefix, writer),
 		began: boottime.Now(), wake: make(chan struct{}, 1), appendWait: appendTimeout,
-		active: map[string]*jobs.Job{}, members: map[string]*member{}, placed: map[string]map[string]*placedTask{},
+		active: map[string]*jobs.Job{}, submitted: map[string][]func(session.Answer){}, members: map[string]*member{}, placed: map[string]map[string]*placedTask{},
 		health: placement.NewHealth(), interference: placement.NewInterference(),
 	}
 	for {
--- a/internal/jobowner/requests.go
+++ b/internal/jobowner/requests.go
@@ -9,6 +9,9 @@
 // retryStoreMs is the Retry-After of a job that is refused because the store does not answer; its outages last seconds.
 const retryStoreMs = 1000
 
+// storeAway is the reason of such refusals.
+const storeAway = "store unavailable"
+
 // request takes in a caller's request. Every request gets one answer, unless the connection ends first.
 func (o *Owner) request(m *member, r *session.Request) {
 	c := m.conn
@@ -34,23 +37,54 @@
 			answer(session.Answer{Code: session.CodeOK, State: j.Shown})
 			return
 		}
-		o.effects = append(o.effects, func() { answer(session.Answer{Code: session.CodeOK, State: j.Shown}) })
+		o.submitted[j.ID] = append(o.submitted[j.ID], answer)
 		return
 	}
 	if o.stuck() {
-		events.JobRejected.Log(&o.cfg.Log).Str("job", r.JobID).Str("why", "the store does not answer").Send()
-		answer(session.Answer{Code: session.CodeRejected, RetryMs: retryStoreMs, Reason: "store unavailable"})
+		events.JobRejected.Log(&o.cfg.Log).Str("job", r.JobID).Str("why", storeAway).Send()
+		answer(session.Answer{Code: session.CodeRejected, RetryMs: retryStoreMs, Reason: storeAway})
 		return
 	}
 	o.apply(jobs.Change{Submit: &jobs.Job{ID: r.JobID, Queue: *r.Queue, Spec: *r.Spec, AcceptedMs: wallMs()}})
 	j := o.state.Jobs[r.JobID]
 	o.active[j.ID] = j
-	o.effects = append(o.effects, func() {
-		events.JobAccepted.Log(&o.cfg.Log).Str("job", j.ID).Str("queue", j.Queue.Name).Int("steps", len(j.Spec.Steps)).
-			Int("tasks", j.Tasks()).Bool("lasting", j.Spec.Steps[0].Perpetual).
-			Int64("after_ms", wallMs()-j.AcceptedMs).Send()
+	o.submitted[j.ID] = append(o.submitted[j.ID], answer)
+	o.effects = append(o.effects, func() { o.accepted(j) })
+}
+
+// accepted answers the callers of a job whose record is durable.
+func (o *Owner) accepted(j *jobs.Job) {
+	answers := o.submitted[j.ID]
+	delete(o.submitted, j.ID)
+	if len(answers) == 0 {
+		return // refused meanwhile
+	}
+	events.JobAccepted.Log(&o.cfg.Log).Str("job", j.ID).Str("queue", j.Queue.Name).Int("steps", len(j.Spec.Steps)).
+		Int("tasks", j.Tasks()).Bool("lasting", j.Spec.Steps[0].Perpetual).Int64("after_ms", wallMs()-j.AcceptedMs).Send()
+	for _, answer := range answers {
 		answer(session.Answer{Code: session.CodeOK, State: j.Shown})
-	})
+	}
+}
+
+// refuseUnwritten refuses the jobs that wait behind a record which the store does not answer. They are in no record, so
+// it is certain that they never run, and their callers need not wait for the end of their time.
+func (o *Owner) refuseUnwritten() {
+	kept := o.pending[:0]
+	for _, c := range o.pending {
+		if c.Submit == nil {
+			kept = append(kept, c)
+			continue
+		}
+		id := c.Submit.ID
+		delete(o.state.Jobs, id)
+		delete(o.active, id)
+		events.JobRejected.Log(&o.cfg.Log).Str("job", id).Str("why", storeAway).Send()
+		for _, answer := range o.submitted[id] {
+			answer(session.Answer{Code: session.CodeRejected, RetryMs: retryStoreMs, Reason: storeAway})
+		}
+		delete(o.submitted, id)
+	}
+	o.pending = kept
 }
 
 func (o *Owner) cancel(r *session.Request, answer func(session.Answer)) {
