Leave workers on which nothing progresses

Cause: workers whose tasks hang keep reporting, so quick jobs with a task there waited until the 4 s of a single run were over, and their objective with them.

Change: when all runs of a worker (two or more) stand still for 1.2 s, the worker is put on probation and its runs go on elsewhere, from their checkpoints or where little is lost. Fixtures with the platform's names move from the fleet tests to platform/standin.

--- a/internal/deployed/deployed_test.go
+++ b/internal/deployed/deployed_test.go
@@ -13,7 +13,7 @@
 // Guards against a path that loses or doubles work when nothing fails.
 func TestJobsRunToTheEnd(t *testing.T) {
 	f := newFleet(t, 3)
-	ids := f.submit("aa", 12, twoSteps)
+	ids := f.submit("aa", 12, standin.TwoSteps)
 	qt.Assert(t, ids, qt.HasLen, 12)
 	f.finish(ids, 10*time.Second)
 	qt.Check(t, f.judge.Starts(), qt.Equals, 12*7)
@@ -28,14 +28,14 @@
 // takeover that waits for a lease although the owner has resigned.
 func TestOwnerStopsInTheMiddle(t *testing.T) {
 	f := newFleet(t, 3)
-	ids := f.submit("bb", 6, twoSteps)
+	ids := f.submit("bb", 6, standin.TwoSteps)
 	first := f.owner()
 	qt.Assert(t, first >= 0, qt.IsTrue)
 	f.hosts[first].stop()
 	began := time.Now()
 	f.eventually("a successor", 5*time.Second, func() bool { o := f.owner(); return o >= 0 && o != first })
 	qt.Check(t, time.Since(began) < 1500*time.Millisecond, qt.IsTrue, qt.Commentf("took %s", time.Since(began)))
-	ids = append(ids, f.submit("bc", 6, twoSteps)...)
+	ids = append(ids, f.submit("bc", 6, standin.TwoSteps)...)
 	qt.Assert(t, ids, qt.HasLen, 12)
 	f.finish(ids, 15*time.Second)
 }
@@ -44,11 +44,11 @@
 // over while the former owner still has its connections.
 func TestStoreRefusesTheOwner(t *testing.T) {
 	f := newFleet(t, 3)
-	ids := f.submit("cc", 6, twoSteps)
+	ids := f.submit("cc", 6, standin.TwoSteps)
 	first := f.owner()
 	f.hosts[first].store.Set(standin.StoreFaults{Busy: true})
 	f.eventually("a successor", 8*time.Second, func() bool { o := f.owner(); return o >= 0 && o != first })
-	ids = append(ids, f.submit("cd", 6, twoSteps)...)
+	ids = append(ids, f.submit("cd", 6, standin.TwoSteps)...)
 	f.hosts[first].store.Set(standin.StoreFaults{})
 	qt.Assert(t, ids, qt.HasLen, 12)
 	f.finish(ids, 15*time.Second)
@@ -58,18 +58,18 @@
 // or called not run without certainty meanwhile.
 func TestStoreOutage(t *testing.T) {
 	f := newFleet(t, 3)
-	ids := f.submit("dd", 4, twoSteps)
+	ids := f.submit("dd", 4, standin.TwoSteps)
 	all := append([]*testProcess{f.front}, f.hosts...)
 	for _, p := range all {
 		p.store.Set(standin.StoreFaults{Silent: true})
 	}
-	code, _ := f.do(http.MethodPost, "dddddddd00000001", twoSteps)
+	code, _ := f.do(http.MethodPost, "dddddddd00000001", standin.TwoSteps)
 	qt.Check(t, code == http.StatusGatewayTimeout || code == http.StatusServiceUnavailable, qt.IsTrue, qt.Commentf("answer %d", code))
 	time.Sleep(3 * time.Second)
 	for _, p := range all {
 		p.store.Set(standin.StoreFaults{})
 	}
-	ids = append(ids, f.submit("de", 4, twoSteps)...)
+	ids = append(ids, f.submit("de", 4, standin.TwoSteps)...)
 	qt.Assert(t, ids, qt.HasLen, 8)
 	f.finish(ids, 20*time.Second)
 }
@@ -80,11 +80,11 @@
 	for _, p := range append([]*testProcess{f.front}, f.hosts...) {
 		p.store.Set(standin.StoreFaults{LoseShare: 0.3})
 	}
-	ids := f.submit("ee", 5, twoSteps)
+	ids := f.submit("ee", 5, standin.TwoSteps)
 	for _, p := range f.hosts {
 		p.store.Set(standin.StoreFaults{LoseShare: 0.3, LateBy: 400 * time.Millisecond})
 	}
-	ids = append(ids, f.submit("ef", 5, twoSteps)...)
+	ids = append(ids, f.submit("ef", 5, standin.TwoSteps)...)
 	for _, p := range f.hosts {
 		p.store.Set(standin.StoreFaults{})
 	}
@@ -99,7 +99,7 @@
 	for _, w := range f.workers {
 		w.Set(standin.WorkerFaults{LateShare: 0.3, LateBy: 700 * time.Millisecond})
 	}
-	ids := f.submit("ff", 10, twoSteps)
+	ids := f.submit("ff", 10, standin.TwoSteps)
 	qt.Assert(t, ids, qt.HasLen, 10)
 	f.finish(ids, 20*time.Second)
 }
@@ -107,7 +107,7 @@
 // Guards against work that stays lost with a worker that crashed, and against a new lifetime that is not noticed.
 func TestWorkerCrash(t *testing.T) {
 	f := newFleet(t, 3)
-	ids := f.submit("ab", 10, twoSteps)
+	ids := f.submit("ab", 10, standin.TwoSteps)
 	for _, w := range f.workers {
 		w.Crash()
 		time.Sleep(150 * time.Millisecond)
@@ -121,8 +121,7 @@
 // Guards against an agent that starts anew and doubles the runs that its former life began.
 func TestAgentRestarts(t *testing.T) {
 	f := newFleet(t, 3)
-	slow := `{"spec":"x","steps":[{"count":12,"cpu":2000,"mem_mb":100,"estimate_ms":40}]}`
-	ids := f.submit("ac", 6, slow)
+	ids := f.submit("ac", 6, standin.OneStep)
 	for i := range f.hosts {
 		if i == f.owner() {
 			continue
@@ -139,8 +138,7 @@
 // Guards against a cancelled job that starts further tasks, and against a cancellation that is forgotten.
 func TestCancel(t *testing.T) {
 	f := newFleet(t, 2)
-	wide := `{"spec":"x","steps":[{"count":16,"cpu":2000,"mem_mb":1,"estimate_ms":40},{"count":500,"cpu":2000,"mem_mb":1,"estimate_ms":40,"after":[0]}]}`
-	ids := f.submit("ad", 1, wide)
+	ids := f.submit("ad", 1, standin.Wide)
 	code, _ := f.do(http.MethodDelete, ids[0], "")
 	qt.Assert(t, code, qt.Equals, http.StatusOK)
 	time.Sleep(500 * time.Millisecond)
@@ -153,10 +151,10 @@
 // Guards against keys that the store takes away while the lease goes on: the owner notices it and stays the only one.
 func TestRevokedOwnerKey(t *testing.T) {
 	f := newFleet(t, 3)
-	ids := f.submit("ae", 4, twoSteps)
+	ids := f.submit("ae", 4, standin.TwoSteps)
 	f.store.RevokeLeases()
 	f.store.Compact()
-	ids = append(ids, f.submit("af", 4, twoSteps)...)
+	ids = append(ids, f.submit("af", 4, standin.TwoSteps)...)
 	qt.Assert(t, ids, qt.HasLen, 8)
 	f.finish(ids, 15*time.Second)
 }
@@ -168,14 +166,14 @@
 		method, id, body string
 		want             int
 	}{
-		{http.MethodPost, "zz", twoSteps, http.StatusBadRequest},
+		{http.MethodPost, "zz", standin.TwoSteps, http.StatusBadRequest},
 		{http.MethodPost, "0000000000000001", `{"spec":1}`, http.StatusBadRequest},
 		{http.MethodPost, "0000000000000002", `{"spec":"x","steps":[]}`, http.StatusBadRequest},
 		{http.MethodPost, "0000000000000003", `{"spec":"x","steps":[{"count":1,"cpu":1,"after":[0]}]}`, http.StatusBadRequest},
-		{http.MethodPut, "0000000000000004", twoSteps, http.StatusMethodNotAllowed},
+		{http.MethodPut, "0000000000000004", standin.TwoSteps, http.StatusMethodNotAllowed},
 		{http.MethodDelete, "0000000000000005", "", http.StatusGone},
-		{http.MethodPost, "0000000000000006", twoSteps, http.StatusOK},
-		{http.MethodPost, "0000000000000006", twoSteps, http.StatusOK},
+		{http.MethodPost, "0000000000000006", standin.TwoSteps, http.StatusOK},
+		{http.MethodPost, "0000000000000006", standin.TwoSteps, http.StatusOK},
 	} {
 		code, body := f.do(c.method, c.id, c.body)
 		qt.Check(t, code, qt.Equals, c.want, qt.Commentf("%s %s: %s", c.method, c.id, body))
@@ -194,7 +192,7 @@
 func TestWorkerThatFailsEverything(t *testing.T) {
 	f := newFleet(t, 3)
 	f.workers[0].Set(standin.WorkerFaults{FailAll: true})
-	ids := f.submit("ba", 12, twoSteps)
+	ids := f.submit("ba", 12, standin.TwoSteps)
 	qt.Assert(t, ids, qt.HasLen, 12)
 	f.finish(ids, 15*time.Second)
 }
@@ -207,10 +205,10 @@
 	for _, p := range all {
 		p.store.Set(standin.StoreFaults{Silent: true})
 	}
-	go f.do(http.MethodPost, "abababababababa1", twoSteps) // its record is on the way
+	go f.do(http.MethodPost, "abababababababa1", standin.TwoSteps) // its record is on the way
 	time.Sleep(200 * time.Millisecond)
 	began := time.Now()
-	code, _ := f.do(http.MethodPost, "abababababababa2", twoSteps)
+	code, _ := f.do(http.MethodPost, "abababababababa2", standin.TwoSteps)
 	qt.Check(t, code, qt.Equals, http.StatusServiceUnavailable)
 	qt.Check(t, time.Since(began) < 1600*time.Millisecond, qt.IsTrue, qt.Commentf("took %s", time.Since(began)))
 	for _, p := range all {
--- a/internal/deployed/fleet_test.go
+++ b/internal/deployed/fleet_test.go
@@ -1,7 +1,6 @@
 package deployed
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -67,25 +66,16 @@
 	return addr
 }
 
-const manifest = `{"version":7,"routes":[{"name":"plans","host":"shop.example","prefix":"/plans/","kind":"unsafe","timeout_ms":8000,
-"target_latency_ms":300,"priority":0,"service":"pool","max_attempts":3,"stretch":1.5}],"services":[{"name":"pool"}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
-
 func newFleet(t *testing.T, hosts int) *fleet {
 	f := &fleet{t: t, store: standin.NewStore(1), judge: standin.NewJudge(), client: &http.Client{Timeout: 10 * time.Second}}
-	f.store.Put("op/config", []byte(manifest))
+	f.store.PutManifest()
 	for i := range hosts {
 		f.addHost(fmt.Sprintf("host-%d", i))
 	}
 	f.front = f.start("front-0", false, "", frontParts)
 	f.url = "http://" + f.front.cfg.Listen.Callers
 	f.eventually("the entry is ready", 10*time.Second, func() bool {
-		resp, err := f.client.Get("http://" + f.front.cfg.Listen.Readiness + "/api/readyz")
-		if err != nil {
-			return false
-		}
-		resp.Body.Close()
-		return resp.StatusCode == http.StatusOK
+		return standin.Ready(f.client, f.front.cfg.Listen.Readiness)
 	})
 	return f
 }
@@ -100,13 +90,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f.t.Cleanup(cancel)
 	go app.Every(ctx, 100*time.Millisecond, func() {
-		req, err := http.NewRequest(http.MethodPut, "http://"+p.cfg.Listen.Registrations+"/api/instances/"+w.ID, bytes.NewReader(w.Registration("pool", addr)))
-		if err != nil {
-			return
-		}
-		if resp, err := f.client.Do(req); err == nil {
-			resp.Body.Close()
-		}
+		w.Register(f.client, p.cfg.Listen.Registrations, addr)
 	})
 }
 
@@ -135,9 +119,9 @@
 }
 
 func (f *fleet) do(method, id, body string) (int, string) {
-	req, err := http.NewRequest(method, f.url+"/plans/"+id, strings.NewReader(body))
+	req, err := http.NewRequest(method, f.url+standin.QueuePrefix+id, strings.NewReader(body))
 	qt.Assert(f.t, err, qt.IsNil)
-	req.Host = "shop.example"
+	req.Host = standin.QueueHost
 	resp, err := f.client.Do(req)
 	if err != nil {
 		return 0, err.Error()
@@ -148,8 +132,6 @@
 	return resp.StatusCode, string(b)
 }
 
-const twoSteps = `{"spec":"x","steps":[{"count":4,"cpu":2000,"mem_mb":100,"estimate_ms":40},{"count":3,"cpu":2000,"mem_mb":100,"estimate_ms":40,"after":[0]}]}`
-
 // submit hands jobs in, repeating unclear answers as callers do, and returns the accepted ids.
 func (f *fleet) submit(prefix string, n int, body string) []string {
 	var ids []string
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -36,6 +36,9 @@
 	}
 	o.noteIdle()
 	for name, on := range o.placed {
+		if m := o.members[name]; m != nil && m.live() && !m.slowed {
+			o.leaveStalled(m, on)
+		}
 		for _, p := range on {
 			if m := o.members[name]; m != nil && m.live() && !p.task.Stopping && placement.StandsStill(p.step, p.task, nowMs()) {
 				o.health.Record(name, p.job.ID, jobs.EndFailed, nowMs())
@@ -45,6 +48,29 @@
 	}
 }
 
+// leaveStalled moves the runs of a worker on which nothing progresses, as far as little work is lost by it.
+func (o *Owner) leaveStalled(m *member, on map[string]*placedTask) {
+	now := nowMs()
+	var runs []placement.Progress
+	for _, p := range on {
+		if !p.step.Perpetual && p.task.Seen && !p.task.Stopping {
+			runs = append(runs, placement.Progress{EstimateMs: p.step.EstimateMs, StillMs: now - p.task.ProgressMs})
+		}
+	}
+	if !placement.Stalled(runs) {
+		return
+	}
+	o.health.Suspect(m.Name, now)
+	for _, p := range on {
+		if !p.step.Perpetual && !p.task.Stopping && (p.step.Checkpointing || p.task.Percent <= stalledMaxPercent) {
+			o.stopRun(m.Name, p, "nothing progresses on the worker")
+		}
+	}
+}
+
+// stalledMaxPercent is the progress beyond which a run without checkpoints waits for its worker.
+const stalledMaxPercent = 60
+
 // noteIdle keeps since when nothing of a job is placed although a task's turn has come.
 func (o *Owner) noteIdle() {
 	busy := map[*jobs.Job]bool{}
--- a/internal/jobowner/report.go
+++ b/internal/jobowner/report.go
@@ -158,7 +158,8 @@
 	if r.Saved != "" {
 		p.task.Checkpoint = r.Saved
 	}
-	if r.Percent != p.task.Percent || p.task.ProgressMs == 0 {
+	if r.Percent != p.task.Percent || p.task.ProgressMs == 0 || (r.Started && !p.task.Seen) {
+		p.task.Seen = p.task.Seen || r.Started
 		p.task.Percent, p.task.ProgressMs = r.Percent, nowMs()
 	}
 }
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -44,6 +44,7 @@
 	OrderSeq   int64 `json:"-"` // number of the frame that carried the order
 	WaitingMs  int64 `json:"-"` // owner's steady clock since when a lasting task waits; 0: not noted
 	PlacedMs   int64 `json:"-"` // owner's steady clock
+	Seen       bool  `json:"-"` // the agent has reported it as begun
 	Percent    int   `json:"-"` // last reported progress
 	ProgressMs int64 `json:"-"` // owner's steady clock at the last change of Percent
 }
@@ -286,7 +287,7 @@
 	invariant.Check(!j.Ended() && j.StepReady(p.Occ, p.Step), "step_order", "job %s step %d.%d placed too early", j.ID, p.Occ, p.Step)
 	j.Started = true
 	t.State, t.Run, t.Worker, t.Life = TaskPlaced, p.Run, p.Worker, p.Life
-	t.Stopping, t.Sent, t.Percent, t.ProgressMs, t.WaitingMs = false, false, 0, 0, 0
+	t.Stopping, t.Sent, t.Seen, t.Percent, t.ProgressMs, t.WaitingMs = false, false, false, 0, 0, 0
 	j.Occ[p.Occ].Steps[p.Step].Waiting--
 }
 
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -56,6 +56,11 @@
 	}
 }
 
+// Suspect puts a worker on probation whose runs stand still.
+func (h *Health) Suspect(worker string, nowMs int64) {
+	h.workers[worker] = &record{row: suspectAfter, pauseMs: firstPauseMs, untilMs: nowMs + firstPauseMs}
+}
+
 // Allowed returns how many tasks may start on the worker now: -1 for no bound, 0 during a pause, and one at a time on
 // probation until a run succeeds or nothing has failed for a while.
 func (h *Health) Allowed(worker string, nowMs int64) int {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -179,3 +179,26 @@
 	w.Slowed = false
 	qt.Check(t, placement.Plan(s), qt.HasLen, 2)
 }
+
+// Guards against work that waits on a worker where nothing progresses, and against leaving sound workers: long runs change
+// their progress rarely, and one run may stand still by its own fault.
+func TestStalledWorkers(t *testing.T) {
+	still := placement.Progress{EstimateMs: 600, StillMs: 1500}
+	for _, c := range []struct {
+		name string
+		runs []placement.Progress
+		want bool
+	}{
+		{"all stand still", []placement.Progress{still, still, {EstimateMs: 2700, StillMs: 1300}}, true},
+		{"one progresses", []placement.Progress{still, still, {EstimateMs: 600, StillMs: 200}}, false},
+		{"a single run", []placement.Progress{still}, false},
+		{"a long run is between two percent", []placement.Progress{still, {EstimateMs: 60_000, StillMs: 1500}}, false},
+		{"nothing runs", nil, false},
+	} {
+		qt.Check(t, placement.Stalled(c.runs), qt.Equals, c.want, qt.Commentf("%s", c.name))
+	}
+	h := placement.NewHealth()
+	h.Suspect("w", 1000)
+	qt.Check(t, h.Allowed("w", 1500), qt.Equals, 0)
+	qt.Check(t, h.Allowed("w", 2100), qt.Equals, 1)
+}
