Start the steps of advised queues with tickets

Cause: the contract for advice is in force on both sites, and without a ticket every start of such a queue is refused.

TestAdvisedQueue: 8 jobs of 48 tasks with tickets of 0.9 s, one of three workers allowed.

--- a/internal/deployed/deployed_test.go
+++ b/internal/deployed/deployed_test.go
@@ -218,3 +218,13 @@
 	qt.Check(t, f.state("abababababababa2"), qt.Equals, "410")
 	qt.Check(t, f.judge.Starts(), qt.Equals, 7)
 }
+
+// Guards against steps of advised queues that wait for good, run where they may not, or start with a ticket that has
+// ended; the tickets last for less than the jobs.
+func TestAdvisedQueue(t *testing.T) {
+	f := newAdvisedFleet(t, 3, standin.NewAdviser(900*time.Millisecond, "i-host-1"))
+	ids := f.submit("ca", 8, standin.Wider)
+	qt.Assert(t, ids, qt.HasLen, 8)
+	f.finish(ids, 20*time.Second)
+	qt.Check(t, f.workers[0].Started()+f.workers[2].Started(), qt.Equals, 0)
+}
--- a/internal/deployed/fleet_test.go
+++ b/internal/deployed/fleet_test.go
@@ -27,6 +27,8 @@
 	t       *testing.T
 	store   *standin.Store
 	judge   *standin.Judge
+	adviser *standin.Adviser // nil: no tickets are needed
+	advice  string           // its address
 	workers []*standin.Worker
 	hosts   []*testProcess
 	front   *testProcess
@@ -66,9 +68,16 @@
 	return addr
 }
 
-func newFleet(t *testing.T, hosts int) *fleet {
-	f := &fleet{t: t, store: standin.NewStore(1), judge: standin.NewJudge(), client: &http.Client{Timeout: 10 * time.Second}}
+func newFleet(t *testing.T, hosts int) *fleet { return newAdvisedFleet(t, hosts, nil) }
+
+// newAdvisedFleet starts a fleet whose workers demand tickets of the adviser.
+func newAdvisedFleet(t *testing.T, hosts int, adviser *standin.Adviser) *fleet {
+	f := &fleet{t: t, store: standin.NewStore(1), judge: standin.NewJudge(), adviser: adviser, client: &http.Client{Timeout: 10 * time.Second}}
 	f.store.PutManifest()
+	if adviser != nil {
+		f.store.PutAdvisedManifest()
+		f.advice = serveOn(t, adviser)
+	}
 	for i := range hosts {
 		f.addHost(fmt.Sprintf("host-%d", i))
 	}
@@ -84,6 +93,7 @@
 	w := standin.NewWorker(name, 16_000, f.judge, uint64(len(f.workers)), func(string) (time.Duration, standin.Need) {
 		return taskWork, standin.Need{CPU: taskCPU}
 	})
+	w.Tickets = f.adviser
 	addr := serveOn(f.t, w)
 	p := f.start(name, true, addr, hostParts)
 	f.workers, f.hosts = append(f.workers, w), append(f.hosts, p)
@@ -97,7 +107,7 @@
 func (f *fleet) start(name string, agent bool, worker string, parts func(p *process) ([]app.Part, error)) *testProcess {
 	address := f.store.NewAddress()
 	cfg := hostconfig.Process{
-		Name: name, Zone: "z", MemoryMB: 200, Worker: worker, Store: serveOn(f.t, address),
+		Name: name, Zone: "z", MemoryMB: 200, Worker: worker, Store: serveOn(f.t, address), Advice: f.advice,
 		Listen: hostconfig.Listen{Peers: free(f.t), Callers: free(f.t), Readiness: free(f.t), Registrations: free(f.t), Metrics: "127.0.0.1"},
 		Bounds: hostconfig.Bounds{MaxHoldMs: 3000, StopTimeoutMs: 200, GraceS: 6, StatusS: 120},
 	}
--- a/internal/deployed/host.go
+++ b/internal/deployed/host.go
@@ -41,6 +41,9 @@
 		Me:       election.Owner{Name: p.cfg.Name, Addr: p.cfg.Listen.Peers, Incarnation: p.incarnation},
 		Follower: follower,
 	}
+	if p.cfg.Advice != "" {
+		candidate.Config.Adviser = platform.NewAdviser(p.cfg.Advice)
+	}
 	member := jobowner.Member{Name: p.cfg.Name, Addr: p.cfg.Listen.Peers, Agent: true}
 	return []app.Part{
 		{Name: "owner", Run: func(ctx context.Context) error { return follower.Listen(ctx, p.cfg.Listen.Peers) }},
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -34,6 +34,7 @@
 	Metrics   *telemetry.Registry
 	Store     store.Store
 	Manifest  *queues.Current
+	Adviser   Adviser       // nil: no queue needs advice
 	Retention time.Duration // how long an ended job is known
 	Hold      time.Duration // longest time that a worker keeps runs without a report reaching the owner
 }
@@ -48,6 +49,7 @@
 	wake   chan struct{}
 	// appendWait bounds the next attempt to write a record; used by the commit loop only.
 	appendWait time.Duration
+	questions  chan question
 
 	mu      sync.Mutex
 	state   *jobs.State
@@ -57,6 +59,7 @@
 	members map[string]*member   // by name
 	// submitted holds the answers that wait for the record of a job, by job id.
 	submitted map[string][]func(session.Answer)
+	advice    map[string]*advice // by step
 	placed    map[string]map[string]*placedTask
 	health    *placement.Health
 	// interference is relearned by a new owner.
@@ -91,7 +94,7 @@
 	o := &Owner{
 		cfg: cfg, tenure: tenure, log: caslog.New(cfg.Store, cfg.Prefix, writer),
 		began: boottime.Now(), wake: make(chan struct{}, 1), appendWait: appendTimeout,
-		active: map[string]*jobs.Job{}, submitted: map[string][]func(session.Answer){}, members: map[string]*member{}, placed: map[string]map[string]*placedTask{},
+		active: map[string]*jobs.Job{}, submitted: map[string][]func(session.Answer){}, advice: map[string]*advice{}, questions: make(chan question, adviceQueue), members: map[string]*member{}, placed: map[string]map[string]*placedTask{},
 		health: placement.NewHealth(), interference: placement.NewInterference(),
 	}
 	for {
@@ -217,6 +220,7 @@
 		}
 	})
 	wg.Go(func() { o.tickLoop(ctx) })
+	wg.Go(func() { o.adviceLoop(ctx) })
 	wg.Go(func() { o.membersLoop(ctx, &wg) })
 	<-ctx.Done()
 	wg.Wait()
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -153,7 +153,7 @@
 }
 
 func (o *Owner) snapshotOf() *placement.Snapshot {
-	s := &placement.Snapshot{SteadyMs: nowMs(), WallMs: wallMs(), Interference: o.interference}
+	s := &placement.Snapshot{SteadyMs: nowMs(), WallMs: wallMs(), Interference: o.interference, Advised: map[placement.StepOf]map[string]bool{}}
 	for _, j := range o.active {
 		if hasWaiting(j) {
 			s.Jobs = append(s.Jobs, j)
@@ -175,9 +175,29 @@
 		s.Workers = append(s.Workers, o.workerView(s, m, w, max))
 	}
 	slices.SortFunc(s.Workers, func(a, b *placement.Worker) int { return strings.Compare(a.Name, b.Name) })
+	for _, j := range s.Jobs {
+		o.addAdvice(s, j)
+	}
 	return s
 }
 
+// addAdvice notes which workers may run the waiting steps of a job whose queue needs advice.
+func (o *Owner) addAdvice(s *placement.Snapshot, j *jobs.Job) {
+	if j.Queue.AdviceMs == 0 {
+		return
+	}
+	for k := range j.Occ {
+		if j.Spec.DueMs(k) > s.WallMs {
+			continue
+		}
+		for i := range j.Spec.Steps {
+			if j.Occ[k].Steps[i].Waiting > 0 && j.StepReady(k, i) {
+				s.Advised[placement.StepOf{Job: j.ID, Occ: k, Step: i}] = o.adviseFor(j, k, i)
+			}
+		}
+	}
+}
+
 func (o *Owner) workerView(s *placement.Snapshot, m *member, w *session.Worker, maxNew int) *placement.Worker {
 	v := &placement.Worker{
 		Name: m.Name, Life: w.Life, Service: w.Service, Zone: w.Zone, Rack: rackOf(w.Labels), Labels: w.Labels,
@@ -232,7 +252,9 @@
 	if m == nil {
 		return
 	}
-	m.starts = append(m.starts, startOf(p, run))
+	start := startOf(p, run)
+	start.Ticket = o.ticketFor(p, m.worker)
+	m.starts = append(m.starts, start)
 	m.order = append(m.order, p)
 }
 
--- a/internal/jobowner/report.go
+++ b/internal/jobowner/report.go
@@ -89,6 +89,7 @@
 		return
 	}
 	delete(o.active, j.ID)
+	o.forgetAdvice(j)
 	events.JobEnded.Log(&o.cfg.Log).Str("job", j.ID).Str("state", string(j.State())).Int64("after_ms", wallMs()-j.AcceptedMs).Send()
 	for name, on := range o.placed {
 		for _, p := range on {
@@ -119,6 +120,9 @@
 		return
 	}
 	o.cfg.Metrics.Counter("owner_starts_refused").Inc(1)
+	if a := o.advice[stepKey(p.job.ID, p.id.Occ, p.id.Step)]; a != nil {
+		a.tickets = nil // the tickets may have ended early, as with a lifetime of the worker
+	}
 	m.blocked = boottime.Now() + refusalPause
 	o.end(p, jobs.EndLost, "", "refused: "+r.Reason)
 }
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -19,6 +19,9 @@
 func planStep(s *Snapshot, c candidate, i int) []Assignment {
 	step := &c.job.Spec.Steps[i]
 	st := &c.job.Occ[c.occ].Steps[i]
+	if step.Advised {
+		s = s.among(s.Advised[StepOf{Job: c.job.ID, Occ: c.occ, Step: i}])
+	}
 	perWorker := map[string]int{}
 	racks := map[string]int{}
 	run := 0
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -81,6 +81,26 @@
 	Workers  []*Worker
 	// Interference is the evidence about pairs of images; nil: none.
 	Interference *Interference
+	// Advised holds the workers that may run a step of a queue that needs advice; a missing step waits.
+	Advised map[StepOf]map[string]bool
+}
+
+// StepOf names a step of one occurrence of a job.
+type StepOf struct {
+	Job       string
+	Occ, Step int
+}
+
+// among returns the snapshot with only the named workers. Workers are shared, so room taken there is taken here.
+func (s *Snapshot) among(names map[string]bool) *Snapshot {
+	only := *s
+	only.Workers = nil
+	for _, w := range s.Workers {
+		if names[w.Name] {
+			only.Workers = append(only.Workers, w)
+		}
+	}
+	return &only
 }
 
 // Assignment places one task.
