Hand what was learned about interference to the next owner

It is advice: it is not fenced, and a failure costs no more than before. TestLearnedStateSurvivesATakeover.

--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -111,6 +111,7 @@
 		events.RecoveryRetried.Log(&cfg.Log).Err(err).Send()
 		sleep(ctx, retryPause)
 	}
+	o.loadLearned(ctx)
 	events.JobsOwned.Log(&cfg.Log).Int64("epoch", o.epoch).Int("jobs", len(o.state.Jobs)).Int("active", len(o.active)).
 		Dur("took_ms", boottime.Now()-o.began).Send()
 	return o, nil
@@ -221,6 +222,7 @@
 	})
 	wg.Go(func() { o.tickLoop(ctx) })
 	wg.Go(func() { o.adviceLoop(ctx) })
+	wg.Go(func() { o.storeLearned(ctx) })
 	wg.Go(func() { o.membersLoop(ctx, &wg) })
 	<-ctx.Done()
 	wg.Wait()
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -202,3 +202,19 @@
 	qt.Check(t, h.Allowed("w", 1500), qt.Equals, 0)
 	qt.Check(t, h.Allowed("w", 2100), qt.Equals, 1)
 }
+
+// Guards against a successor that learns the interference of all pairs again, at the cost of the serving tasks.
+func TestLearnedStateSurvivesATakeover(t *testing.T) {
+	f := learned()
+	data, err := f.Encode()
+	qt.Assert(t, err, qt.IsNil)
+	back, err := placement.DecodeInterference(data)
+	qt.Assert(t, err, qt.IsNil)
+	for _, image := range []string{"heavy", "light", "unknown"} {
+		qt.Check(t, back.Pressure("serving", image), qt.Equals, f.Pressure("serving", image))
+	}
+	qt.Check(t, back.Load("a"), qt.Equals, f.Load("a"))
+	qt.Check(t, back.Limit("serving", 50), qt.Equals, f.Limit("serving", 50))
+	_, err = placement.DecodeInterference([]byte("{"))
+	qt.Check(t, err, qt.IsNotNil)
+}
