Read a log in few answers during a takeover

Load read the log in batches of 64, and a store that answers in pages of 500 items sent, and the new owner decoded, most of the log seven times.

--- a/internal/caslog/caslog.go
+++ b/internal/caslog/caslog.go
@@ -125,8 +125,9 @@
 	return ErrConflict
 }
 
-// readBatch is the number of records per List call, so that an answer stays small.
-const readBatch = 64
+// readBatch is the number of records per List call: a whole log between two snapshots in one or two answers. Smaller
+// batches make a store that answers in pages send the rest of each page again and again.
+const readBatch = 400
 
 // Read returns the records from the position on, in order and without gaps.
 func (l *Log) Read(ctx context.Context, from int64) ([]Record, error) {
