Remove unused settings and fields, check labels where a task is admitted, share the periodic loop

Cause: reading the change as a newcomer: the owner carried a manifest that it never read, the settings had two unused fields, the agent did not check the label of a start, and a failure to store what was learned had no line.

--- a/internal/deployed/fleet_test.go
+++ b/internal/deployed/fleet_test.go
@@ -107,7 +107,7 @@
 func (f *fleet) start(name string, agent bool, worker string, parts func(p *process) ([]app.Part, error)) *testProcess {
 	address := f.store.NewAddress()
 	cfg := hostconfig.Process{
-		Name: name, Zone: "z", MemoryMB: 200, Worker: worker, Store: serveOn(f.t, address), Advice: f.advice,
+		Name: name, MemoryMB: 200, Worker: worker, Store: serveOn(f.t, address), Advice: f.advice,
 		Listen: hostconfig.Listen{Peers: free(f.t), Callers: free(f.t), Readiness: free(f.t), Registrations: free(f.t), Metrics: "127.0.0.1"},
 		Bounds: hostconfig.Bounds{MaxHoldMs: 3000, StopTimeoutMs: 200, GraceS: 6, StatusS: 120},
 	}
--- a/internal/deployed/host.go
+++ b/internal/deployed/host.go
@@ -9,7 +9,6 @@
 	"bamboofork/internal/follow"
 	"bamboofork/internal/hostagent"
 	"bamboofork/internal/jobowner"
-	"bamboofork/internal/queues"
 	"bamboofork/platform"
 )
 
@@ -34,7 +33,7 @@
 	follower.Adopted, follower.Message = agent.Adopted, agent.Message
 	candidate := &jobowner.Candidate{
 		Config: jobowner.Config{
-			Name: p.cfg.Name, Prefix: logPrefix, Log: p.log, Metrics: p.metrics, Store: st, Manifest: &queues.Current{},
+			Name: p.cfg.Name, Prefix: logPrefix, Log: p.log, Metrics: p.metrics, Store: st,
 			Retention: p.cfg.Bounds.Retention(), Hold: p.cfg.Bounds.Hold(),
 		},
 		Key:      election.NewKey(st, ownerKey, boottime.Now),
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -304,6 +305,8 @@
 		return "another lifetime of the worker"
 	case w.Draining:
 		return "the worker drains"
+	case s.Label != "" && !slices.Contains(w.Labels, s.Label):
+		return "the worker lacks the label"
 	case !a.listed:
 		return "the worker's runs are not known yet"
 	case a.runs[s.Task] != nil:
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -14,11 +14,9 @@
 // Process is the settings of one process.
 type Process struct {
 	Name     string `yaml:"name"`
-	Zone     string `yaml:"zone"`
 	MemoryMB int64  `yaml:"memory_mb"` // the process is killed above this
 	Listen   Listen `yaml:"listen"`
 	Worker   string `yaml:"worker"` // address of the worker on the same host; agents only
-	Service  string `yaml:"service"`
 	Store    string `yaml:"store"`  // address of the platform's store
 	Advice   string `yaml:"advice"` // address of the advice service; empty: none
 	Bounds   Bounds `yaml:"bounds"`
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -60,7 +60,7 @@
 func Checked() int64 { return checked.Load() }
 
 func exitProcess(v Violation) {
-	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	log := zerolog.New(os.Stdout).With().Timestamp().Logger()
 	events.InvariantBroken.Log(&log).Str("invariant", v.Name).Msg(v.Detail)
 	os.Exit(ExitCode)
 }
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"bamboofork/internal/app"
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/events"
 	"bamboofork/internal/follow"
@@ -93,18 +94,12 @@
 
 // Heartbeat keeps the connection to the owner alive until ctx ends.
 func (f *Front) Heartbeat(ctx context.Context) error {
-	ticker := time.NewTicker(heartbeat)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			if c := f.Follower.Conn(); c != nil {
-				c.Send(session.FromMember{})
-			}
+	app.Every(ctx, heartbeat, func() {
+		if c := f.Follower.Conn(); c != nil {
+			c.Send(session.FromMember{})
 		}
-	}
+	})
+	return nil
 }
 
 // heartbeat is how often the owner hears from an entry; several fit into session.Silence.
--- a/internal/jobowner/learned.go
+++ b/internal/jobowner/learned.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"bamboofork/internal/app"
 	"bamboofork/internal/events"
 	"bamboofork/internal/placement"
 	"bamboofork/internal/store"
@@ -41,28 +42,23 @@
 // attempt; a former owner stops with its term.
 func (o *Owner) storeLearned(ctx context.Context) {
 	var kv store.KV
-	ticker := time.NewTicker(learnedEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	app.Every(ctx, learnedEvery, func() {
 		o.mu.Lock()
 		data, err := o.interference.Encode()
 		idle := o.stuck() || !o.tenure.Confirmed()
 		o.mu.Unlock()
-		if err != nil || idle {
-			continue // encoding plain numbers does not fail; without the store the next time will do
+		if idle {
+			return // without the store the next time will do
+		}
+		if err == nil {
+			var res store.CASResult
+			callCtx, cancel := context.WithTimeout(ctx, learnedTimeout)
+			res, err = o.cfg.Store.CompareAndSwap(callCtx, o.learnedKey(), kv.ModRevision, data, 0)
+			cancel()
+			kv = res.Current
 		}
-		callCtx, cancel := context.WithTimeout(ctx, learnedTimeout)
-		res, err := o.cfg.Store.CompareAndSwap(callCtx, o.learnedKey(), kv.ModRevision, data, 0)
-		cancel()
 		if err != nil {
-			o.cfg.Metrics.Counter("owner_learned_failed").Inc(1)
-			continue
+			events.LearnedFailed.Log(&o.cfg.Log).Int("bytes", len(data)).Err(err).Send()
 		}
-		kv = res.Current
-	}
+	})
 }
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"bamboofork/internal/app"
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/events"
 	"bamboofork/internal/placement"
@@ -225,23 +226,16 @@
 
 // tickLoop lets every member hear from the owner.
 func (o *Owner) tickLoop(ctx context.Context) {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	app.Every(ctx, tick, func() {
 		o.mu.Lock()
+		defer o.mu.Unlock()
 		if o.stuck() {
 			o.refuseUnwritten()
 		}
 		for _, m := range o.members {
 			o.sendOrders(m, true)
 		}
-		o.mu.Unlock()
-	}
+	})
 }
 
 // flush sends the orders that the last record made durable.
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -20,7 +20,6 @@
 	"bamboofork/internal/events"
 	"bamboofork/internal/jobs"
 	"bamboofork/internal/placement"
-	"bamboofork/internal/queues"
 	"bamboofork/internal/session"
 	"bamboofork/internal/store"
 	"bamboofork/internal/telemetry"
@@ -33,7 +32,6 @@
 	Log       zerolog.Logger
 	Metrics   *telemetry.Registry
 	Store     store.Store
-	Manifest  *queues.Current
 	Adviser   Adviser       // nil: no queue needs advice
 	Retention time.Duration // how long an ended job is known
 	Hold      time.Duration // longest time that a worker keeps runs without a report reaching the owner
--- a/internal/queues/queues.go
+++ b/internal/queues/queues.go
@@ -33,16 +33,14 @@
 	Limits  Limits
 
 	byHost map[string][]*Route
-	byName map[string]*Route
 }
 
 // Index prepares a manifest for look-ups. It must be called before the manifest is shared.
 func (m *Manifest) Index() *Manifest {
-	m.byHost, m.byName = map[string][]*Route{}, map[string]*Route{}
+	m.byHost = map[string][]*Route{}
 	for i := range m.Routes {
 		r := &m.Routes[i]
 		m.byHost[r.Host] = append(m.byHost[r.Host], r)
-		m.byName[r.Queue.Name] = r
 	}
 	return m
 }
@@ -61,9 +59,6 @@
 	return best
 }
 
-// ByName returns the route of the queue, or nil.
-func (m *Manifest) ByName(name string) *Route { return m.byName[name] }
-
 // Current holds the newest manifest. Safe for concurrent use.
 type Current struct{ p atomic.Pointer[Manifest] }
 
