--- /dev/null
+++ b/internal/hostconfig/hostconfig_test.go
@@ -0,0 +1,52 @@
+package hostconfig_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"bamboofork/internal/hostconfig"
+)
+
+const good = `
+name: host-1
+memory_mb: 152
+listen: {peers: "10.0.0.1:7720", callers: "", readiness: "", registrations: "10.0.0.1:8166", metrics: "10.0.0.1"}
+worker: "10.0.0.1:8165"
+store: "10.0.0.9:8169"
+bounds: {max_hold_ms: 10000, stop_timeout_ms: 200, grace_s: 6, status_s: 120}
+`
+
+// Guards against a process that starts with settings it cannot work with, and against errors that do not name the field.
+func TestLoad(t *testing.T) {
+	for _, c := range []struct {
+		name, old, new string
+		agent          bool
+		want           string // part of the error; empty: none
+	}{
+		{"good", "", "", true, ""},
+		{"an entry needs other addresses", "", "", false, "listen."},
+		{"no name", "name: host-1", "name: ''", true, "name"},
+		{"a host name as address", "10.0.0.9:8169", "store.example:8169", true, "store"},
+		{"no memory", "memory_mb: 152", "memory_mb: 0", true, "memory_mb"},
+		{"a bound is missing", "max_hold_ms: 10000, ", "", true, "bounds.max_hold_ms"},
+		{"not YAML", "name:", "name", true, "settings file"},
+	} {
+		path := filepath.Join(t.TempDir(), "process.yaml")
+		qt.Assert(t, os.WriteFile(path, []byte(strings.Replace(good, c.old, c.new, 1)), 0o600), qt.IsNil)
+		p, err := hostconfig.Load(path, c.agent)
+		if c.want == "" {
+			qt.Check(t, err, qt.IsNil, qt.Commentf("%s", c.name))
+			qt.Check(t, p.Bounds.Hold().Milliseconds(), qt.Equals, int64(8000))
+			continue
+		}
+		qt.Assert(t, err, qt.IsNotNil, qt.Commentf("%s", c.name))
+		qt.Check(t, strings.Contains(err.Error(), c.want), qt.IsTrue, qt.Commentf("%s: %v", c.name, err))
+		qt.Check(t, strings.Contains(err.Error(), path), qt.IsTrue, qt.Commentf("%s: %v", c.name, err))
+	}
+	_, err := hostconfig.Load(filepath.Join(t.TempDir(), "missing.yaml"), true)
+	qt.Check(t, err, qt.IsNotNil)
+}
