--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -262,7 +262,9 @@
 		return
 	}
 	msg := session.ToMember{Confirmed: confirmed, Unsure: o.stuck(), Starts: starts, Stops: stops, Sizes: m.sizes, AckLife: m.ackLife, AckEnds: m.ackEnds}
-	if confirmed {
+	if confirmed && !msg.Unsure {
+		// A successor may be in office already while the former lease is still renewed; holds must not grow past what
+		// the successor counts on.
 		msg.Echo = m.echo
 	}
 	m.sizes = nil
