Stop a run before it is given up after an unanswered attempt

Cause: read in the code: a start whose first attempt was not answered and whose repeat was rejected was given up after a look at the worker's list; the first attempt could still be carried out afterwards, beside the run that replaces it.

Change: such a run is stopped, so that the worker rejects the attempt whenever it comes; its room stays taken until a list shows that it is gone. TestRejectedRepeatIsStopped fails without; two more tests of unanswered and rejected starts.

--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -99,7 +99,8 @@
 		return true
 	default:
 		if try > 1 && reason != RejectedFence {
-			r.why, r.recheck = string(reason), boottime.Now()+a.cfg.StopTime
+			// An earlier attempt may still be carried out; a stop makes the worker reject it.
+			a.stop(&session.Stop{Task: r.start.Task, Run: r.start.Run})
 			return true
 		}
 		a.remove(r)
