--- a/internal/placement/interference.go
+++ b/internal/placement/interference.go
@@ -29,8 +29,6 @@
 	// several times as much.
 	priorPressure = 1.0
 	priorVariance = 2.0
-	// caution is the number of standard deviations that are added to an estimate for planning.
-	caution = 0.0
 	// knownVariance is the variance below which a pair counts as known.
 	knownVariance = 0.5
 	// driftVariance is added per observation, so that estimates follow effects that change.
@@ -94,16 +92,14 @@
 	return c
 }
 
-// Pressure returns a cautious estimate of the utilisation that a whole worker of the filling image adds to the serving
-// image. Caution keeps a burst of unknown work from pressing on every worker before the first effects are seen.
+// Pressure returns the estimate of the utilisation that a whole worker of the filling image adds to the serving image.
 func (f *Interference) Pressure(serving, filling string) float64 {
-	c := &coefficient{mean: priorPressure, variance: priorVariance}
 	if m := f.serving[serving]; m != nil {
 		if known := m.pressure[filling]; known != nil {
-			c = known
+			return known.mean
 		}
 	}
-	return c.mean + caution*math.Sqrt(c.variance)
+	return priorPressure
 }
 
 // Load returns the utilisation of a serving task by its own users.
