Share the interruptible sleep and the clock drift, drop message fields that nobody reads

Cause: reading the whole change once more. The wait that ends with a context stood six times, three of them new; the drift of a worker's clock stood in the owner and in the agent, which must agree on it; the image of a start and the pace of a run were sent and never read.

Change: app.Sleep and app.Wait next to app.Every, also for the older copies in soak, membership and dissemination; session.WorkerClockDrift; the two fields are gone.

--- a/internal/dissemination/hub.go
+++ b/internal/dissemination/hub.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"bamboofork/internal/app"
 	"bamboofork/internal/events"
 	"bamboofork/internal/lease"
 	"bamboofork/internal/store"
@@ -94,12 +95,12 @@
 // stays waits until the rank has (or has not) named this process for d without a break; false if ctx ends or the rank
 // changes first.
 func (h *Hub) stays(ctx context.Context, chosen bool, d time.Duration) bool {
-	for since := time.Now(); time.Since(since) < d; sleep(ctx, jitter(hubTick)) {
+	for since := time.Now(); time.Since(since) < d; app.Sleep(ctx, jitter(hubTick)) {
 		if ctx.Err() != nil {
 			return false
 		}
 		if (h.cfg.Rank() >= 0) != chosen {
-			sleep(ctx, jitter(hubTick))
+			app.Sleep(ctx, jitter(hubTick))
 			return false
 		}
 	}
@@ -125,7 +126,7 @@
 	for ctx.Err() == nil {
 		place, ok := h.register(ctx, keeper)
 		if !ok {
-			sleep(ctx, jitter(hubRetry))
+			app.Sleep(ctx, jitter(hubRetry))
 			continue
 		}
 		events.HubTaken.Log(&h.log).Str("key", place).Send()
@@ -172,7 +173,7 @@
 		if id, _, ok := keeper.Current(); ok && id != held || id == 0 {
 			break
 		}
-		sleep(ctx, jitter(hubTick))
+		app.Sleep(ctx, jitter(hubTick))
 	}
 	cancel()
 	<-done
--- a/internal/dissemination/pull.go
+++ b/internal/dissemination/pull.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"bamboofork/internal/app"
 	"bamboofork/internal/caslog"
 	"bamboofork/internal/events"
 	"bamboofork/internal/settings"
@@ -183,7 +184,7 @@
 		if len(part.Chunk) == 0 {
 			return errGap
 		}
-		sleep(ctx, time.Duration(len(part.Chunk))*time.Second/bytesPerSec)
+		app.Sleep(ctx, time.Duration(len(part.Chunk))*time.Second/bytesPerSec)
 		next, err := s.ask(ctx, addr, PullArgs{Rev: s.current.Load().rev, Tree: rev, Offset: len(data)})
 		for err != nil && ctx.Err() == nil && failed < chunkRetries {
 			failed++
@@ -219,12 +220,5 @@
 	return err
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // jitter returns a time between half of d and one and a half d.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
--- a/internal/dissemination/watcher.go
+++ b/internal/dissemination/watcher.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"bamboofork/internal/app"
 	"bamboofork/internal/events"
 	"bamboofork/internal/settings"
 	"bamboofork/internal/store"
@@ -40,7 +41,7 @@
 			events.WatchRestarted.Log(&w.sync.log).Send()
 		}
 		cancel()
-		sleep(ctx, jitter(pollInterval/10))
+		app.Sleep(ctx, jitter(pollInterval/10))
 	}
 	return nil
 }
@@ -64,7 +65,7 @@
 // the store or another process has a newer one.
 func (w *Watcher) read(ctx context.Context) {
 	for ctx.Err() == nil && errors.Is(w.readOnce(ctx), errHeld) {
-		sleep(ctx, jitter(heldRetry))
+		app.Sleep(ctx, jitter(heldRetry))
 	}
 }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"bamboofork/internal/app"
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/events"
 	"bamboofork/internal/session"
@@ -166,10 +167,7 @@
 		} else {
 			events.AnnouncementTried.Log(log).Str("key", key).Err(err).Send()
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(announceRetry):
-		}
+		app.Sleep(ctx, announceRetry)
 	}
 	return nil
 }
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"bamboofork/internal/app"
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/events"
 	"bamboofork/internal/follow"
@@ -17,8 +18,6 @@
 	orderTimeout = 250 * time.Millisecond
 	// orderRetry is the pause before an order is repeated.
 	orderRetry = 60 * time.Millisecond
-	// workerDrift is how much slower than ours a worker's clock may run.
-	workerDrift = 0.02
 	// lapseSlack covers calls that are on their way when a hold ends.
 	lapseSlack = 300
 	// closedLimit is the number of refused connections in a row after which the worker's process has ended.
@@ -55,7 +54,7 @@
 		if a.started(r, who, reason, clock, err, asked, began, try) {
 			return
 		}
-		sleep(ctx, orderRetry)
+		app.Sleep(ctx, orderRetry)
 	}
 }
 
@@ -153,7 +152,7 @@
 			a.mu.Unlock()
 			return
 		}
-		sleep(ctx, orderRetry)
+		app.Sleep(ctx, orderRetry)
 	}
 }
 
@@ -175,14 +174,14 @@
 	for ctx.Err() == nil {
 		if err := a.holdOnce(ctx); err != nil {
 			a.workerLost(err)
-			sleep(ctx, lostRetry)
+			app.Sleep(ctx, lostRetry)
 			continue
 		}
 		a.mu.Lock()
 		unacked := len(a.ends) > 0
 		a.mu.Unlock()
 		if unacked {
-			wait(ctx, a.acked, ackWait)
+			app.Wait(ctx, a.acked, ackWait)
 		}
 	}
 }
@@ -337,7 +336,7 @@
 	if a.heldMs == 0 || a.clockMs == 0 {
 		return false
 	}
-	passed := float64((boottime.Now() - a.clockAt).Milliseconds()) * (1 - workerDrift)
+	passed := float64((boottime.Now() - a.clockAt).Milliseconds()) * (1 - session.WorkerClockDrift)
 	return a.clockMs+int64(passed) > a.heldMs+lapseSlack
 }
 
@@ -398,20 +397,7 @@
 func (a *Agent) list() []session.Run {
 	list := make([]session.Run, 0, len(a.runs))
 	for task, r := range a.runs {
-		list = append(list, session.Run{Task: task, Run: r.start.Run, Started: r.started, Saved: r.saved, Percent: r.percent, Recent: r.recent, Pace: r.pace, AgeMs: r.age(), Unsized: !r.sized})
+		list = append(list, session.Run{Task: task, Run: r.start.Run, Started: r.started, Saved: r.saved, Percent: r.percent, Recent: r.recent, AgeMs: r.age(), Unsized: !r.sized})
 	}
 	return list
 }
-
-func sleep(ctx context.Context, d time.Duration) { wait(ctx, nil, d) }
-
-// wait returns when the channel is ready, the time is over or ctx ends.
-func wait(ctx context.Context, ch <-chan struct{}, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-ch:
-	case <-t.C:
-	}
-}
--- a/internal/jobowner/candidate.go
+++ b/internal/jobowner/candidate.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"bamboofork/internal/app"
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/election"
 	"bamboofork/internal/events"
@@ -44,13 +45,13 @@
 func (c *Candidate) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if c.Follower.Served(patience) {
-			sleep(ctx, lookEvery)
+			app.Sleep(ctx, lookEvery)
 			continue
 		}
 		if revision, evidence, ok := c.vacant(ctx); ok {
 			c.stand(ctx, revision, evidence)
 		}
-		sleep(ctx, lookEvery)
+		app.Sleep(ctx, lookEvery)
 	}
 	return nil
 }
@@ -64,7 +65,7 @@
 
 // vacant reports whether the owner's key may be replaced at the revision, and why.
 func (c *Candidate) vacant(ctx context.Context) (int64, string, bool) {
-	sleep(ctx, c.delay())
+	app.Sleep(ctx, c.delay())
 	owner, revision, err := c.Key.Read(ctx)
 	if (err != nil) != c.storeLost {
 		c.storeLost = err != nil
@@ -135,6 +136,6 @@
 	})
 	defer stop()
 	if err := owner.Run(termCtx); err != nil {
-		sleep(ctx, patience) // the successor introduces itself
+		app.Sleep(ctx, patience) // the successor introduces itself
 	}
 }
--- a/internal/jobowner/commit.go
+++ b/internal/jobowner/commit.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"bamboofork/internal/app"
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/caslog"
 	"bamboofork/internal/events"
@@ -60,7 +61,7 @@
 			return err
 		}
 		if committed {
-			sleep(ctx, commitGap)
+			app.Sleep(ctx, commitGap)
 		}
 	}
 	return nil
@@ -164,7 +165,7 @@
 			reported = true
 			events.CommitFailed.Log(&o.cfg.Log).Int64("record", rec.Seq).Err(err).Msg("retrying the same record")
 		}
-		sleep(ctx, retryPause)
+		app.Sleep(ctx, retryPause)
 	}
 }
 
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -81,7 +81,7 @@
 				lost = true
 				events.StoreUnavailable.Log(&o.cfg.Log).Str("for", "members").Int("known", o.knownMembers()).Err(err).Send()
 			}
-			sleep(ctx, retryPause)
+			app.Sleep(ctx, retryPause)
 			continue
 		}
 		if lost {
@@ -113,7 +113,7 @@
 	defer cancel()
 	ch, err := o.cfg.Store.Watch(watchCtx, MemberPrefix, rev+1)
 	if err != nil {
-		sleep(ctx, retryPause)
+		app.Sleep(ctx, retryPause)
 		return
 	}
 	for batch := range ch {
@@ -169,7 +169,7 @@
 			reported = true
 			events.MemberLost.Log(&o.cfg.Log).Str("member", m.Name).Str("addr", addr).Err(err).Msg("no connection")
 		}
-		sleep(ctx, pause)
+		app.Sleep(ctx, pause)
 		pause = min(2*pause, redialMax)
 	}
 }
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 
+	"bamboofork/internal/app"
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/caslog"
 	"bamboofork/internal/election"
@@ -107,7 +108,7 @@
 			return nil, election.ErrTaken
 		}
 		events.RecoveryRetried.Log(&cfg.Log).Err(err).Send()
-		sleep(ctx, retryPause)
+		app.Sleep(ctx, retryPause)
 	}
 	o.loadLearned(ctx)
 	events.JobsOwned.Log(&cfg.Log).Int64("epoch", o.epoch).Int("jobs", len(o.state.Jobs)).Int("active", len(o.active)).
@@ -141,7 +142,7 @@
 		if !errors.Is(err, store.ErrUncertain) || callCtx.Err() != nil {
 			break
 		}
-		sleep(callCtx, retryPause)
+		app.Sleep(callCtx, retryPause)
 	}
 	if err != nil {
 		return err
@@ -253,12 +254,3 @@
 		c.Flush(100 * time.Millisecond)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -12,9 +12,6 @@
 	"bamboofork/internal/session"
 )
 
-// clockDrift is how much slower than ours a worker's clock may run.
-const clockDrift = 0.02
-
 // takeoverSlack covers a former owner that still confirmed reports when this term began.
 const takeoverSlack = 2500 * time.Millisecond
 
@@ -129,7 +126,7 @@
 			heard = m.lastHeard
 		}
 	}
-	lapse := o.cfg.Hold + time.Duration(float64(o.cfg.Hold)*clockDrift) + holdSlack
+	lapse := o.cfg.Hold + time.Duration(float64(o.cfg.Hold)*session.WorkerClockDrift) + holdSlack
 	if boottime.Now() < heard+lapse {
 		return
 	}
@@ -272,6 +269,6 @@
 	step := p.step
 	return session.Start{
 		Task: p.id.String(), Run: run, Payload: p.job.Spec.Payload, Checkpoint: p.task.Checkpoint, Life: p.task.Life,
-		CPU: step.CPU, MemMB: step.MemMB, GPU: step.GPU, Image: step.Image, TargetMs: step.TargetMs, Fills: step.Fills, Label: step.Label,
+		CPU: step.CPU, MemMB: step.MemMB, GPU: step.GPU, TargetMs: step.TargetMs, Fills: step.Fills, Label: step.Label,
 	}
 }
--- a/internal/membership/loop.go
+++ b/internal/membership/loop.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"bamboofork/internal/app"
 )
 
 // Shape of the rounds.
@@ -33,18 +35,11 @@
 			urgent = false
 		case <-t.wake:
 			urgent = true
-			sleep(ctx, kickGap)
+			app.Sleep(ctx, kickGap)
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (t *Table) currentInterval() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -30,7 +30,6 @@
 	CPU        int    `json:"c,omitempty"`
 	MemMB      int    `json:"m,omitempty"`
 	GPU        int    `json:"g,omitempty"`
-	Image      string `json:"i,omitempty"`
 	TargetMs   int64  `json:"tm,omitempty"`
 	Fills      bool   `json:"f,omitempty"`
 	Label      string `json:"lb,omitempty"`
@@ -60,6 +59,9 @@
 	Requests []Request `json:"rq,omitempty"` // entries only
 }
 
+// WorkerClockDrift is how much slower than ours a worker's clock may run, as a share; holds are timed by it.
+const WorkerClockDrift = 0.02
+
 // Worker describes the worker beside an agent.
 type Worker struct {
 	ID       string   `json:"id"`
@@ -83,7 +85,6 @@
 	Saved   string `json:"k,omitempty"` // newest checkpoint
 	Percent int    `json:"p,omitempty"`
 	Recent  int    `json:"u5,omitempty"` // tail latency in milliseconds of a serving task, else processor use in thousandths of a core
-	Pace    int    `json:"pc,omitempty"` // share of full speed, in percent
 	AgeMs   int64  `json:"ag,omitempty"` // that it had worked at the last look
 	Unsized bool   `json:"u,omitempty"`  // the agent does not know what the run takes
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"bamboofork/internal/app"
 	"bamboofork/internal/dev"
 	"bamboofork/internal/standin"
 	"bamboofork/internal/store/memstore"
@@ -61,18 +62,11 @@
 	return minFault + time.Duration(rnd.Int64N(int64(maxFault-minFault)))
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // injectFaults runs faults one after another until ctx ends. Several injectors run side by side, so that faults meet.
 func (r *Run) injectFaults(ctx context.Context, stream uint64) {
 	rnd := rand.New(rand.NewPCG(r.cfg.Seed, stream))
 	for ctx.Err() == nil {
-		sleep(ctx, time.Duration(rnd.Int64N(int64(maxFaultGap))))
+		app.Sleep(ctx, time.Duration(rnd.Int64N(int64(maxFaultGap))))
 		f := pickFault(rnd)
 		r.count("fault " + f.name)
 		f.run(ctx, r, rnd)
@@ -86,7 +80,7 @@
 		}
 		defer r.storeFaulty.Unlock()
 		r.fleet.Store.Faulty.Set(make(rnd))
-		sleep(ctx, length(rnd))
+		app.Sleep(ctx, length(rnd))
 		r.fleet.Store.Faulty.Set(memstore.Faults{})
 	}
 }
@@ -98,7 +92,7 @@
 		id := ids[rnd.IntN(len(ids))]
 		w := r.fleet.Worker(id)
 		w.SetFaults(f)
-		sleep(ctx, length(rnd))
+		app.Sleep(ctx, length(rnd))
 		w.SetFaults(standin.WorkerFaults{})
 	}
 }
@@ -123,7 +117,7 @@
 	if err := r.fleet.End(id, end); err != nil {
 		r.fail("end of %s: %v", id, err)
 	}
-	sleep(ctx, length(rnd)/2)
+	app.Sleep(ctx, length(rnd)/2)
 	if err := r.fleet.StartAgain(id); err != nil {
 		r.fail("restart of %s: %v", id, err)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -152,7 +152,7 @@
 	deadline := time.Now().Add(r.cfg.Settle)
 	open := r.openJobs(ctx, r.jobs)
 	for len(open) > 0 && time.Now().Before(deadline) {
-		sleep(ctx, 500*time.Millisecond)
+		app.Sleep(ctx, 500*time.Millisecond)
 		open = r.openJobs(ctx, open)
 	}
 	for _, j := range open {
@@ -163,7 +163,7 @@
 			r.fail("revision %d is not in force everywhere", r.newestRevision.Load())
 			return
 		}
-		sleep(ctx, 100*time.Millisecond)
+		app.Sleep(ctx, 100*time.Millisecond)
 	}
 }
 
--- a/internal/soak/work.go
+++ b/internal/soak/work.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"bamboofork/internal/app"
 	"bamboofork/internal/entry"
 	"bamboofork/internal/settings"
 	"bamboofork/internal/store/etcdgw"
@@ -63,7 +64,7 @@
 		default:
 			r.count("quick " + string(got.outcome))
 		}
-		sleep(ctx, time.Duration(rnd.IntN(40))*time.Millisecond)
+		app.Sleep(ctx, time.Duration(rnd.IntN(40))*time.Millisecond)
 	}
 }
 
@@ -94,10 +95,10 @@
 				break
 			}
 			o.notRun = attempts == 1 && err == nil && got.outcome == wire.OutcomeNotRun
-			sleep(ctx, 100*time.Millisecond)
+			app.Sleep(ctx, 100*time.Millisecond)
 		}
 		r.addOrder(o)
-		sleep(ctx, time.Duration(rnd.IntN(80))*time.Millisecond)
+		app.Sleep(ctx, time.Duration(rnd.IntN(80))*time.Millisecond)
 	}
 }
 
@@ -114,7 +115,7 @@
 		if ok {
 			rec := jobRecord{id: id}
 			if rnd.IntN(8) == 0 {
-				sleep(ctx, time.Duration(rnd.IntN(1500))*time.Millisecond)
+				app.Sleep(ctx, time.Duration(rnd.IntN(1500))*time.Millisecond)
 				rec.cancelled = true
 				if _, err := r.send(context.WithoutCancel(ctx), http.MethodDelete, entry.PathJobs+"/"+id, "", "", rnd.IntN(r.entries)); err != nil {
 					r.count("cancel no answer")
@@ -122,7 +123,7 @@
 			}
 			r.addJob(rec)
 		}
-		sleep(ctx, time.Duration(200+rnd.IntN(600))*time.Millisecond)
+		app.Sleep(ctx, time.Duration(200+rnd.IntN(600))*time.Millisecond)
 	}
 }
 
@@ -148,7 +149,7 @@
 			return out.ID, true
 		}
 		r.count("job submission repeated")
-		sleep(ctx, 300*time.Millisecond)
+		app.Sleep(ctx, 300*time.Millisecond)
 	}
 	return "", false
 }
@@ -176,6 +177,6 @@
 		if err != nil {
 			r.count("edit not accepted or uncertain")
 		}
-		sleep(ctx, 500*time.Millisecond)
+		app.Sleep(ctx, 500*time.Millisecond)
 	}
 }
