Learn from the median task of a serving job, bound outliers, keep more caution under strain

Change: the median of a job's tasks on a worker counts, one look moves estimates by 2.5 deviations at most, late jobs count less towards the strain, and the least margin and caution are higher.

--- a/internal/placement/interference.go
+++ b/internal/placement/interference.go
@@ -1,6 +1,9 @@
 package placement
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // Interference learns how strongly each image of filling tasks presses on each image of serving tasks. It answers filling
 // work that disturbs some neighbours and not others: the effect depends on the pair, so one worker's evidence holds for
@@ -36,16 +39,18 @@
 	// cautionCalm and cautionStrained are how many standard deviations above its mean a pressure is planned, so that a pair
 	// that is not known yet starts slowly instead of harming its neighbours.
 	cautionCalm     = 0.5
-	cautionStrained = 0.0
+	cautionStrained = 0.4
 	// driftVariance is added per second, so that estimates follow effects that change.
 	driftVariance = 0.01
 	// unloadedShare is the latency without load of a serving image that was not seen idle yet, as a share of its target.
 	unloadedShare = 0.2
+	// outlierDeviations bounds the effect of one look, in standard deviations of what was expected.
+	outlierDeviations = 2.5
 	// saturated is the utilisation above which latencies say no more than that it is high.
 	saturated = 0.95
 	// marginCalm and marginStrained are kept between the planned utilisation and the one at which the target is missed.
 	marginCalm     = 0.06
-	marginStrained = -0.02
+	marginStrained = 0.02
 	// maxGroups bounds the loads that are remembered; a deployment has far fewer serving jobs for each owner.
 	maxGroups = 5_000
 )
@@ -156,20 +161,20 @@
 }
 
 // learn updates the load of the first sample's group and the pressures on its image from all of the group's samples: they
-// see the same neighbours at the same time, so they count as one.
+// see the same neighbours at the same time, so they count as one. Their median is taken, because a single task may be slow
+// for a few seconds by itself.
 func (f *Interference) learn(nowMs int64, samples []ServingSample, shares map[string]float64) {
 	first := &samples[0]
 	m := f.model(first.Image, first.TargetMs)
-	used, n := 0.0, 0.0
+	var looks []float64
 	for i := range samples {
-		s := &samples[i]
-		if s.Group == first.Group && s.Image == first.Image && s.LatencyMs > 0 {
+		if s := &samples[i]; s.Group == first.Group && s.LatencyMs > 0 {
 			m.unloaded = max(1, min(m.unloaded, s.LatencyMs))
-			used += 1 - m.unloaded/s.LatencyMs
-			n++
+			looks = append(looks, 1-m.unloaded/s.LatencyMs)
 		}
 	}
-	used /= n
+	slices.Sort(looks)
+	used := (looks[(len(looks)-1)/2] + looks[len(looks)/2]) / 2
 	g := f.loads[first.Group]
 	if g == nil {
 		g = newGroupLoad(priorLoad, nowMs)
@@ -186,6 +191,8 @@
 	if used >= saturated && residual < 0 {
 		return
 	}
+	most := outlierDeviations * math.Sqrt(spread)
+	residual = min(most, max(-most, residual))
 	g.correct(residual, spread)
 	for image, x := range shares {
 		c := m.at(image, nowMs)
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -98,8 +98,14 @@
 	return candidate{job: j, occ: occ, late: slack < 0 && !perm, slackMs: slack, spareMs: objective - totalChainMs(j), perm: perm, image: image, starved: starved}
 }
 
+// lateUrgency is the urgency of a job that cannot end within its objective any more: it is worth little more than before.
+const lateUrgency = 0.3
+
 // urgency returns how much of the time that the job can spare is over, from 0 to 1.
 func (c *candidate) urgency() float64 {
+	if c.late {
+		return lateUrgency
+	}
 	return min(1, max(0, 1-float64(c.slackMs)/float64(max(1, c.spareMs))))
 }
 
