Soak the deployed programs as separate processes; treat a lost worker as unknown until it is listed again

Change: internal/fleetsoak starts bf-front and bf-host against the stand-ins through loopback relays and injects 30 kinds of faults by signals, relays, the store and the workers; it checks acceptance, ends, refusals, cancels, room and own ends. A lost worker is asked for its lists without an acknowledgement and gets no starts until it answers; refused tokens grow by doubling steps. Processes can advertise another address than the one on which they listen.

--- a/internal/deployed/front.go
+++ b/internal/deployed/front.go
@@ -31,7 +31,7 @@
 	st := platform.NewStore(p.cfg.Store)
 	f := &jobfront.Front{Log: p.log, Metrics: p.metrics, Manifest: &queues.Current{}}
 	f.Follower = &follow.Follower{Name: p.cfg.Name, Incarnation: p.incarnation, Log: p.log, Adopted: f.Adopted, Message: f.Message}
-	member := jobowner.Member{Name: p.cfg.Name, Addr: p.cfg.Listen.Peers}
+	member := jobowner.Member{Name: p.cfg.Name, Addr: p.cfg.Listen.Reachable()}
 	// What callers need goes on until the last answer is given.
 	inner, cancel := context.WithCancel(context.Background())
 	until := func(run func(ctx context.Context) error) func(ctx context.Context) error {
--- a/internal/deployed/host.go
+++ b/internal/deployed/host.go
@@ -37,13 +37,13 @@
 			Retention: p.cfg.Bounds.Retention(), Hold: p.cfg.Bounds.Hold(),
 		},
 		Key:      election.NewKey(st, ownerKey, boottime.Now),
-		Me:       election.Owner{Name: p.cfg.Name, Addr: p.cfg.Listen.Peers, Incarnation: p.incarnation},
+		Me:       election.Owner{Name: p.cfg.Name, Addr: p.cfg.Listen.Reachable(), Incarnation: p.incarnation},
 		Follower: follower,
 	}
 	if p.cfg.Advice != "" {
 		candidate.Config.Adviser = platform.NewAdviser(p.cfg.Advice)
 	}
-	member := jobowner.Member{Name: p.cfg.Name, Addr: p.cfg.Listen.Peers, Agent: true}
+	member := jobowner.Member{Name: p.cfg.Name, Addr: p.cfg.Listen.Reachable(), Agent: true}
 	return []app.Part{
 		{Name: "owner", Run: func(ctx context.Context) error { return follower.Listen(ctx, p.cfg.Listen.Peers) }},
 		{Name: "agent", Run: agent.Run},
--- /dev/null
+++ b/internal/fleetsoak/faults_test.go
@@ -0,0 +1,158 @@
+package fleetsoak_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"bamboofork/internal/app"
+	"bamboofork/internal/faultnet"
+	"bamboofork/platform/standin"
+)
+
+// fault is one kind of trouble. It lasts until its function returns; several are in effect at once.
+type fault struct {
+	name   string
+	weight int
+	inject func(ctx context.Context, f *fleet, rnd *rand.Rand)
+}
+
+// faults are the kinds of trouble that the platform's pages describe, as far as they can be brought about from outside.
+var faults = []fault{
+	{"kill", 4, func(ctx context.Context, f *fleet, rnd *rand.Rand) {
+		f.replace(ctx, rnd, pick(rnd, f.procs()), syscall.SIGKILL)
+	}},
+	{"kill the owner", 3, func(ctx context.Context, f *fleet, rnd *rand.Rand) {
+		f.replace(ctx, rnd, f.owner(rnd), syscall.SIGKILL)
+	}},
+	{"terminate", 3, func(ctx context.Context, f *fleet, rnd *rand.Rand) {
+		f.replace(ctx, rnd, pick(rnd, f.procs()), syscall.SIGTERM)
+	}},
+	{"kill all", 1, func(ctx context.Context, f *fleet, rnd *rand.Rand) {
+		for _, p := range f.procs() {
+			f.replace(ctx, rand.New(rand.NewPCG(rnd.Uint64(), 1)), p, syscall.SIGKILL)
+		}
+	}},
+	{"pause", 3, func(ctx context.Context, f *fleet, rnd *rand.Rand) { pause(ctx, rnd, pick(rnd, f.procs())) }},
+	{"pause the owner", 3, func(ctx context.Context, f *fleet, rnd *rand.Rand) { pause(ctx, rnd, f.owner(rnd)) }},
+	{"reload", 1, func(_ context.Context, f *fleet, rnd *rand.Rand) { pick(rnd, f.procs()).signal(syscall.SIGHUP, false) }},
+	{"slow link", 2, linkFault(func(rnd *rand.Rand) faultnet.Faults {
+		return faultnet.Faults{Delay: 20 * time.Millisecond, Jitter: 80 * time.Millisecond, Loss: 0.1 * rnd.Float64()}
+	})},
+	{"closed link", 2, linkFault(func(*rand.Rand) faultnet.Faults { return faultnet.Faults{Refuse: true} })},
+	{"mute link", 2, linkFault(func(*rand.Rand) faultnet.Faults { return faultnet.Faults{Mute: true} })},
+	{"reset connections", 2, func(_ context.Context, f *fleet, rnd *rand.Rand) { pick(rnd, pick(rnd, f.procs()).relays).Reset() }},
+	{"half-open connections", 2, func(_ context.Context, f *fleet, rnd *rand.Rand) { pick(rnd, pick(rnd, f.procs()).relays).HalfOpen() }},
+	{"silent connections", 2, func(_ context.Context, f *fleet, rnd *rand.Rand) {
+		pick(rnd, pick(rnd, f.procs()).relays).Silence(faultnet.ToServer, faultnet.ToClient)
+	}},
+	{"connections silent one way", 2, func(_ context.Context, f *fleet, rnd *rand.Rand) {
+		pick(rnd, pick(rnd, f.procs()).relays).Silence(pick(rnd, []faultnet.Direction{faultnet.ToServer, faultnet.ToClient}))
+	}},
+	{"store away", 2, storeFault(true, standin.StoreFaults{Silent: true})},
+	{"store busy", 1, storeFault(true, standin.StoreFaults{Busy: true})},
+	{"store limited", 1, storeFault(true, standin.StoreFaults{Limited: true})},
+	{"store slow", 2, storeFault(true, standin.StoreFaults{Delay: 150 * time.Millisecond})},
+	{"store loses answers", 3, storeFault(true, standin.StoreFaults{LoseShare: 0.3})},
+	{"store acts late", 3, storeFault(true, standin.StoreFaults{LoseShare: 0.3, LateBy: 800 * time.Millisecond})},
+	{"store refuses some", 3, storeFault(false, standin.StoreFaults{Busy: true})},
+	{"store silent to some", 3, storeFault(false, standin.StoreFaults{Silent: true})},
+	{"deaf watches", 1, storeFault(true, standin.StoreFaults{Deaf: true})},
+	{"leases revoked", 2, func(_ context.Context, f *fleet, _ *rand.Rand) { f.store.RevokeLeases() }},
+	{"history dropped", 2, func(_ context.Context, f *fleet, _ *rand.Rand) { f.store.Compact() }},
+	{"worker crashes", 3, func(_ context.Context, f *fleet, rnd *rand.Rand) { pick(rnd, f.workers).Crash() }},
+	{"worker silent", 2, workerFault(standin.WorkerFaults{Silent: true})},
+	{"orders carried out late", 4, workerFault(standin.WorkerFaults{LateShare: 0.5, LateBy: 1500 * time.Millisecond})},
+	{"worker fails all", 1, workerFault(standin.WorkerFaults{FailAll: true})},
+	{"worker stands still", 2, workerFault(standin.WorkerFaults{Hang: true})},
+}
+
+func pick[T any](rnd *rand.Rand, list []T) T { return list[rnd.IntN(len(list))] }
+
+func pickFault(rnd *rand.Rand) fault {
+	total := 0
+	for _, f := range faults {
+		total += f.weight
+	}
+	n := rnd.IntN(total)
+	for _, f := range faults {
+		if n -= f.weight; n < 0 {
+			return f
+		}
+	}
+	return faults[0]
+}
+
+// between draws a time.
+func between(rnd *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(rnd.Int64N(int64(most-least)))
+}
+
+// owner returns the process that the owner's key names, or any host.
+func (f *fleet) owner(rnd *rand.Rand) *proc {
+	if name := f.store.OwnerName(); name != "" {
+		for _, p := range f.hosts {
+			if p.name == name {
+				return p
+			}
+		}
+	}
+	return pick(rnd, f.hosts)
+}
+
+// replace ends a life of a program and begins another one a little later, unless another fault is at it.
+func (f *fleet) replace(ctx context.Context, rnd *rand.Rand, p *proc, s syscall.Signal) {
+	if !p.busy.TryLock() {
+		return
+	}
+	defer p.busy.Unlock()
+	p.end(s)
+	app.Sleep(ctx, between(rnd, 100*time.Millisecond, 1500*time.Millisecond))
+	f.start(p)
+}
+
+func pause(ctx context.Context, rnd *rand.Rand, p *proc) {
+	if !p.busy.TryLock() {
+		return
+	}
+	defer p.busy.Unlock()
+	p.signal(syscall.SIGSTOP, false)
+	app.Sleep(ctx, between(rnd, 300*time.Millisecond, 4*time.Second))
+	p.signal(syscall.SIGCONT, false)
+}
+
+func linkFault(draw func(rnd *rand.Rand) faultnet.Faults) func(context.Context, *fleet, *rand.Rand) {
+	return func(ctx context.Context, f *fleet, rnd *rand.Rand) {
+		relay := pick(rnd, pick(rnd, f.procs()).relays)
+		relay.SetFaults(draw(rnd))
+		app.Sleep(ctx, between(rnd, 300*time.Millisecond, 3*time.Second))
+		relay.SetFaults(faultnet.Faults{})
+	}
+}
+
+func storeFault(all bool, s standin.StoreFaults) func(context.Context, *fleet, *rand.Rand) {
+	return func(ctx context.Context, f *fleet, rnd *rand.Rand) {
+		hit := f.procs()
+		if !all {
+			rnd.Shuffle(len(hit), func(a, b int) { hit[a], hit[b] = hit[b], hit[a] })
+			hit = hit[:1+len(hit)/3]
+		}
+		for _, p := range hit {
+			p.store.Set(s)
+		}
+		app.Sleep(ctx, between(rnd, 300*time.Millisecond, 4*time.Second))
+		for _, p := range hit {
+			p.store.Set(standin.StoreFaults{})
+		}
+	}
+}
+
+func workerFault(w standin.WorkerFaults) func(context.Context, *fleet, *rand.Rand) {
+	return func(ctx context.Context, f *fleet, rnd *rand.Rand) {
+		worker := pick(rnd, f.workers)
+		worker.Set(w)
+		app.Sleep(ctx, between(rnd, 300*time.Millisecond, 4*time.Second))
+		worker.Set(standin.WorkerFaults{})
+	}
+}
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -35,13 +35,15 @@
 	acked  chan struct{} // the owner has acknowledged ends
 	paced  chan struct{} // a filling run has begun while they are slowed
 
-	mu      sync.Mutex
-	worker  *session.Worker // newest registration
-	token   int64           // fencing token of this life of the agent; 0: not taken yet
-	listed  bool            // the worker has listed its runs under that token, so that runs holds all of them
-	runs    map[string]*run
-	ends    []session.RunEnd // listed by the worker, not yet acknowledged
-	ackEnds int64
+	mu     sync.Mutex
+	worker *session.Worker // newest registration
+	token  int64           // fencing token of this life of the agent; 0: not taken yet
+	// tokenStep is by how much the token grows when the worker knows a higher one.
+	tokenStep int64
+	listed    bool // the worker has listed its runs under that token, so that runs holds all of them
+	runs      map[string]*run
+	ends      []session.RunEnd // listed by the worker, not yet acknowledged
+	ackEnds   int64
 
 	// owner is the connection that reported and seenSeq belong to.
 	owner    *follow.Conn
@@ -100,7 +102,7 @@
 func New(cfg Config) *Agent {
 	return &Agent{
 		cfg: cfg, orders: make(chan *run, 4096), stops: make(chan *run, 4096),
-		wake: make(chan struct{}, 1), acked: make(chan struct{}, 1), paced: make(chan struct{}, 1), paceLimit: 100,
+		wake: make(chan struct{}, 1), acked: make(chan struct{}, 1), paced: make(chan struct{}, 1), paceLimit: 100, tokenStep: 1,
 		runs: map[string]*run{}, stamps: map[int64]int64{},
 	}
 }
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -39,12 +39,17 @@
 
 func (a *Agent) carryOut(ctx context.Context, r *run) {
 	began := boottime.Now()
-	for try := 1; ctx.Err() == nil; try++ {
+	for try := 1; ctx.Err() == nil; {
 		a.mu.Lock()
 		if a.runs[r.start.Task] != r || r.stopping {
 			a.mu.Unlock()
 			return
 		}
+		if a.lost { // it may be in a new lifetime, which would begin the run unseen
+			a.mu.Unlock()
+			app.Sleep(ctx, orderRetry)
+			continue
+		}
 		who, token, deadline := a.identity(), a.token, a.deadline()
 		a.mu.Unlock()
 		asked := boottime.Now()
@@ -54,6 +59,7 @@
 		if a.started(r, who, reason, clock, err, asked, began, try) {
 			return
 		}
+		try++
 		app.Sleep(ctx, orderRetry)
 	}
 }
@@ -159,6 +165,8 @@
 	holdWait = 250
 	// holdTimeout bounds a call that waits.
 	holdTimeout = holdWait*time.Millisecond + 400*time.Millisecond
+	// maxTokenStep bounds the step by which a refused fencing token grows, in ms of the worker's clock: about a day.
+	maxTokenStep = 1 << 27
 	// ackWait is how long the agent waits for the owner's acknowledgement of listed ends before it asks again; the
 	// worker would list the same ends at once.
 	ackWait = 150 * time.Millisecond
@@ -196,6 +204,11 @@
 	if token == 0 || len(a.ends) > 0 || a.rechecking() {
 		waitMs = 0
 	}
+	if a.lost {
+		// A new lifetime under the same id numbers its ends anew: acknowledging by the former numbers would let it forget
+		// ends that nobody has seen.
+		seen, waitMs = 0, 0
+	}
 	if token != 0 && a.grantMs > 0 && !a.lost {
 		deadline = a.deadline() // a worker that does not answer is not given more time, so that its runs lapse
 	}
@@ -216,7 +229,9 @@
 	}
 	if token == 0 || h.Fenced {
 		// The worker's clock rises through its lifetime, so each life of the agent gets a higher token without a store.
-		a.token = max(h.ClockMs, a.token+1)
+		// A call of a former lifetime may have left a higher one behind; doubling the step passes it in a few calls.
+		a.token = max(h.ClockMs, a.token+a.tokenStep)
+		a.tokenStep = min(2*a.tokenStep, maxTokenStep)
 		a.noteClock(who.Life, h.ClockMs, asked)
 		events.WorkerLife.Log(&a.cfg.Log).Str("worker", who.ID).Int64("life", who.Life).Int64("token", a.token).Send()
 		return nil
@@ -224,6 +239,7 @@
 	if h.Life != 0 && h.Life != who.Life {
 		return ErrOtherLife
 	}
+	a.tokenStep = 1
 	a.noteClock(who.Life, h.ClockMs, asked)
 	a.takeIn(&h, asked)
 	return nil
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -25,12 +25,21 @@
 // Listen holds the addresses that the process serves.
 type Listen struct {
 	Peers         string `yaml:"peers"`         // connections of the owner of the jobs
+	Advertise     string `yaml:"advertise"`     // where others reach peers; empty: at the same address
 	Callers       string `yaml:"callers"`       // entries only
 	Readiness     string `yaml:"readiness"`     // entries only
 	Registrations string `yaml:"registrations"` // agents only
 	Metrics       string `yaml:"metrics"`       // IP address; the port is the program's
 }
 
+// Reachable returns the address at which other processes reach this one.
+func (l *Listen) Reachable() string {
+	if l.Advertise != "" {
+		return l.Advertise
+	}
+	return l.Peers
+}
+
 // Bounds are the deployment's limits.
 type Bounds struct {
 	MaxHoldMs     int64 `yaml:"max_hold_ms"`
@@ -85,6 +94,9 @@
 	} else {
 		addrs["listen.callers"], addrs["listen.readiness"] = p.Listen.Callers, p.Listen.Readiness
 	}
+	if p.Listen.Advertise != "" {
+		addrs["listen.advertise"] = p.Listen.Advertise
+	}
 	for field, addr := range addrs {
 		if _, err := netip.ParseAddrPort(addr); err != nil {
 			return eris.Errorf("%s: %q is not an address with a port", field, addr)
--- a/internal/hostconfig/hostconfig_test.go
+++ b/internal/hostconfig/hostconfig_test.go
@@ -31,6 +31,7 @@
 		{"an entry needs other addresses", "", "", false, "listen."},
 		{"no name", "name: host-1", "name: ''", true, "name"},
 		{"a host name as address", "10.0.0.9:8169", "store.example:8169", true, "store"},
+		{"a host name to advertise", `metrics: "10.0.0.1"`, `metrics: "10.0.0.1", advertise: "host-1:7720"`, true, "listen.advertise"},
 		{"no memory", "memory_mb: 152", "memory_mb: 0", true, "memory_mb"},
 		{"a bound is missing", "max_hold_ms: 10000, ", "", true, "bounds.max_hold_ms"},
 		{"not YAML", "name:", "name", true, "settings file"},
