Wake the planner only for ends, refusals and changed workers

Cause: since agents report every look, each report woke the commit loop, which maintains and plans over the whole fleet: at 58 workers about 280 times a second, growing with the square of the fleet.

--- a/internal/jobowner/report.go
+++ b/internal/jobowner/report.go
@@ -27,7 +27,9 @@
 	if msg.Full {
 		o.reconcile(m, msg)
 	}
-	o.signal()
+	if len(msg.Ends) > 0 || len(msg.Refused) > 0 {
+		o.signal() // other news of a worker can wait for the next look at the time
+	}
 }
 
 // workerSeen notes the worker's state; a new lifetime proves that the runs of the former one are over.
@@ -37,6 +39,7 @@
 	if old == nil || old.Life != w.Life || old.Draining != w.Draining || old.Gone != w.Gone {
 		events.WorkerSeen.Log(&o.cfg.Log).Str("agent", m.Name).Str("worker", w.ID).Int64("life", w.Life).
 			Bool("draining", w.Draining).Bool("gone", w.Gone).Int("cpu", w.CPU).Int("mem_mb", w.MemMB).Send()
+		o.signal()
 	}
 	if old == nil || old.Life != w.Life {
 		m.reported = false // its runs are not known until the next complete list
