--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -304,7 +304,7 @@
 				return
 			}
 		}
-		r = &run{start: session.Start{Task: row.Task, Run: row.Run}, pace: fullPace, wanted: fullPace}
+		r = &run{start: session.Start{Task: row.Task, Run: row.Run}, pace: unknownPace, wanted: fullPace}
 		a.runs[row.Task] = r
 	}
 	if r.start.Run != row.Run {
@@ -417,7 +417,7 @@
 func (a *Agent) list() []session.Run {
 	list := make([]session.Run, 0, len(a.runs))
 	for task, r := range a.runs {
-		list = append(list, session.Run{Task: task, Run: r.start.Run, Started: r.started, Saved: r.saved, Percent: r.percent, Recent: r.recent, AgeMs: r.age(), Pace: r.pace, Unsized: !r.sized})
+		list = append(list, session.Run{Task: task, Run: r.start.Run, Started: r.started, Saved: r.saved, Percent: r.percent, Recent: r.recent, AgeMs: r.age(), Pace: max(0, r.pace), Unsized: !r.sized})
 	}
 	return list
 }
--- a/internal/hostagent/pace.go
+++ b/internal/hostagent/pace.go
@@ -26,6 +26,9 @@
 // fullPace is the share of full speed of runs that are not slowed, in percent.
 const fullPace = 100
 
+// unknownPace is the pace of a run that was found on the worker: a former life of the agent may have slowed it.
+const unknownPace = -1
+
 // allow takes in the pace that the owner allows a run.
 func (a *Agent) allow(p *session.Pace) {
 	if r := a.runs[p.Task]; r != nil && r.start.Run == p.Run && r.wanted != p.Percent {
--- a/internal/hostagent/pace_order_test.go
+++ b/internal/hostagent/pace_order_test.go
@@ -48,3 +48,17 @@
 	defer a.mu.Unlock()
 	qt.Check(t, a.list()[0].Pace, qt.Equals, 100)
 }
+
+// Guards against a run that stays slow for good: the agent ended while the run was slowed, and its next life took the run that
+// it found for one at full speed.
+func TestPaceOfAFoundRunIsSetAnew(t *testing.T) {
+	r := &pacedRunner{}
+	a := newTestAgent(r)
+	a.seen(&ActiveRun{Task: "j.0.0.0", Run: 1})
+	a.size(&session.Start{Task: "j.0.0.0", Run: 1, Life: 7, Fills: true})
+	qt.Check(t, a.list()[0].Pace, qt.Equals, 0)
+	a.setPace(context.Background())
+	a.setPace(context.Background())
+	qt.Check(t, r.paces, qt.DeepEquals, []int{100})
+	qt.Check(t, a.list()[0].Pace, qt.Equals, 100)
+}
--- a/internal/jobowner/colocate.go
+++ b/internal/jobowner/colocate.go
@@ -48,7 +48,7 @@
 	serving := o.servingTasks(on)
 	paces := o.interference.Paces(serving, filling)
 	for i, f := range filling {
-		o.setPace(m, on[f.Task], paces[i])
+		o.setPace(m, on[f.Task], paces[i], f.Confirmed)
 	}
 	o.moveSlowed(m, on, filling)
 	if len(m.paces) > 0 {
@@ -84,11 +84,15 @@
 		if p == nil || p.task.Run != r.Run || !p.step.Fills || p.task.Stopping {
 			continue
 		}
+		confirmed := r.Pace
+		if !r.Started {
+			confirmed = p.task.Pace // its start carries the pace
+		}
 		cpu := float64(p.step.CPU)
 		if r.Recent > 0 && r.Pace >= sharedMinPace && r.Pace == p.task.Pace {
 			cpu = max(cpu, float64(r.Recent)*jobs.FullPace/float64(r.Pace))
 		}
-		list = append(list, placement.FillingRun{Task: r.Task, Image: p.step.Image, Share: cpu / float64(max(1, m.worker.CPU))})
+		list = append(list, placement.FillingRun{Task: r.Task, Image: p.step.Image, Share: cpu / float64(max(1, m.worker.CPU)), Confirmed: confirmed})
 	}
 	slices.SortFunc(list, func(a, b placement.FillingRun) int { return strings.Compare(a.Task, b.Task) })
 	return list
@@ -105,9 +109,14 @@
 	return list
 }
 
-// setPace orders the pace of a run if it differs by enough.
-func (o *Owner) setPace(m *member, p *placedTask, pace placement.Pace) {
+// setPace orders the pace of a run if it differs from the one that was ordered last, or if the agent has not confirmed that
+// one: the order may have been lost with a connection.
+func (o *Owner) setPace(m *member, p *placedTask, pace placement.Pace, confirmed int) {
 	was, percent := p.task.Pace, percentOf(pace.Share)
+	if percent == was && (confirmed == percent || m.slowed) {
+		return
+	}
+	m.paces = append(m.paces, session.Pace{Task: p.id.String(), Run: p.task.Run, Percent: percent})
 	if percent == was {
 		return
 	}
@@ -123,7 +132,6 @@
 	}
 	events.RunPaced.Log(&o.cfg.Log).Str("job", p.job.ID).Str("task", p.id.String()).Int("run", p.task.Run).Str("agent", m.Name).
 		Int("from", was).Int("to", percent).Str("for_image", image).Float64("its_load", load).Int64("look", m.look).Send()
-	m.paces = append(m.paces, session.Pace{Task: p.id.String(), Run: p.task.Run, Percent: percent})
 }
 
 // moveSlowed stops a run that has been slow for a while, so that it waits for a worker where it is fast.
--- a/internal/placement/pace.go
+++ b/internal/placement/pace.go
@@ -37,6 +37,8 @@
 	Task  string
 	Image string
 	Share float64 // of the worker's processor that it uses at full speed
+	// Confirmed is the pace, in percent, that the worker has confirmed last.
+	Confirmed int
 }
 
 // Pace is the share of its full speed that a filling run may have.
