Drop the age of runs, which nobody reads, and share the constant of full pace

Cause: a last reading of the change: since looks carry latencies and shares of one window, the age of a run has no reader, but the agent kept two times for it and sent it with every run; the pace of an unslowed run had two constants; the chain of a job was worked out twice for each candidate. Change: the age and its state are gone, jobs.FullPace serves both sides, the chain is worked out once. Conclusion: smaller reports and less state.

--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -12,6 +12,7 @@
 	"bamboofork/internal/events"
 	"bamboofork/internal/follow"
 	"bamboofork/internal/invariant"
+	"bamboofork/internal/jobs"
 	"bamboofork/internal/session"
 	"bamboofork/internal/telemetry"
 )
@@ -78,31 +79,15 @@
 	saved   string
 	percent int
 	recent  int
-	pace    int           // share of full speed, in percent, that the worker has confirmed
-	wanted  int           // share that the owner allows
-	begun   time.Duration // boot time at which the worker confirmed it
-	looked  time.Duration // boot time at which the newest list of the worker arrived
-}
-
-func (r *run) begin() {
-	if !r.started {
-		r.started, r.begun = true, boottime.Now()
-	}
-}
-
-// age returns how long the run had worked at the last look, in milliseconds.
-func (r *run) age() int64 {
-	if !r.started || r.looked < r.begun {
-		return 0
-	}
-	return (r.looked - r.begun).Milliseconds()
+	pace    int // share of full speed, in percent, that the worker has confirmed
+	wanted  int // share that the owner allows
 }
 
 // New returns an agent without a worker.
 func New(cfg Config) *Agent {
 	return &Agent{
 		cfg: cfg, orders: make(chan *run, 4096), stops: make(chan *run, 4096),
-		wake: make(chan struct{}, 1), acked: make(chan struct{}, 1), paced: make(chan struct{}, 1), paceLimit: 100, tokenStep: 1,
+		wake: make(chan struct{}, 1), acked: make(chan struct{}, 1), paced: make(chan struct{}, 1), paceLimit: jobs.FullPace, tokenStep: 1,
 		runs: map[string]*run{}, stamps: map[int64]int64{},
 	}
 }
@@ -294,7 +279,7 @@
 		a.refuse(s.Task, s.Run, why)
 		return
 	}
-	r := &run{start: *s, sized: true, pace: fullPace, wanted: fullPace}
+	r := &run{start: *s, sized: true, pace: jobs.FullPace, wanted: jobs.FullPace}
 	if s.Pace > 0 {
 		r.wanted = s.Pace
 	}
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -9,6 +9,7 @@
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/events"
 	"bamboofork/internal/follow"
+	"bamboofork/internal/jobs"
 	"bamboofork/internal/session"
 )
 
@@ -87,7 +88,7 @@
 		return true
 	case err != nil:
 	case reason == Accepted:
-		r.begin()
+		r.started = true
 		if r.start.Fills && a.paceOf(r) != r.pace {
 			a.signalPace()
 		}
@@ -304,17 +305,17 @@
 				return
 			}
 		}
-		r = &run{start: session.Start{Task: row.Task, Run: row.Run}, pace: unknownPace, wanted: fullPace}
+		r = &run{start: session.Start{Task: row.Task, Run: row.Run}, pace: unknownPace, wanted: jobs.FullPace}
 		a.runs[row.Task] = r
 	}
 	if r.start.Run != row.Run {
 		return
 	}
-	r.begin()
+	r.started = true
 	if r.recheck != 0 && !r.stopping {
 		r.recheck = 0
 	}
-	r.saved, r.percent, r.recent, r.looked = row.Saved, row.Percent, row.Recent, boottime.Now()
+	r.saved, r.percent, r.recent = row.Saved, row.Percent, row.Recent
 }
 
 func (a *Agent) workerLost(err error) {
@@ -417,7 +418,7 @@
 func (a *Agent) list() []session.Run {
 	list := make([]session.Run, 0, len(a.runs))
 	for task, r := range a.runs {
-		list = append(list, session.Run{Task: task, Run: r.start.Run, Started: r.started, Saved: r.saved, Percent: r.percent, Recent: r.recent, AgeMs: r.age(), Pace: max(0, r.pace), Unsized: !r.sized})
+		list = append(list, session.Run{Task: task, Run: r.start.Run, Started: r.started, Saved: r.saved, Percent: r.percent, Recent: r.recent, Pace: max(0, r.pace), Unsized: !r.sized})
 	}
 	return list
 }
--- a/internal/hostagent/pace.go
+++ b/internal/hostagent/pace.go
@@ -23,9 +23,6 @@
 	paceFactor = 2
 )
 
-// fullPace is the share of full speed of runs that are not slowed, in percent.
-const fullPace = 100
-
 // unknownPace is the pace of a run that was found on the worker: a former life of the agent may have slowed it.
 const unknownPace = -1
 
--- a/internal/hostagent/pace_order_test.go
+++ b/internal/hostagent/pace_order_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"bamboofork/internal/jobs"
 	"bamboofork/internal/session"
 )
 
@@ -39,10 +40,10 @@
 		a.mu.Unlock()
 		a.setPace(ctx)
 	}
-	allow(80, fullPace)
+	allow(80, jobs.FullPace)
 	allow(80, 20)
-	allow(80, fullPace)
-	allow(100, fullPace)
+	allow(80, jobs.FullPace)
+	allow(100, jobs.FullPace)
 	qt.Check(t, r.paces, qt.DeepEquals, []int{40, 80, 20, 80, 100})
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -86,7 +86,8 @@
 }
 
 func newCandidate(s *Snapshot, j *jobs.Job, occ int, fromMs int64) candidate {
-	objective := int64(float64(totalChainMs(j))*max(1, j.Queue.Stretch)) + j.Queue.TargetMs
+	chain := totalChainMs(j)
+	objective := int64(float64(chain)*max(1, j.Queue.Stretch)) + j.Queue.TargetMs
 	slack := fromMs + objective - s.WallMs - remainingChainMs(j, occ)
 	perm, image := false, ""
 	for i := range j.Spec.Steps {
@@ -95,7 +96,7 @@
 		}
 	}
 	starved := j.IdleMs > 0 && s.SteadyMs-j.IdleMs > starvedMs
-	return candidate{job: j, occ: occ, late: slack < 0 && !perm, slackMs: slack, spareMs: objective - totalChainMs(j), perm: perm, image: image, starved: starved}
+	return candidate{job: j, occ: occ, late: slack < 0 && !perm, slackMs: slack, spareMs: objective - chain, perm: perm, image: image, starved: starved}
 }
 
 // lateUrgency is the urgency of a job that cannot end within its objective any more: it is worth little more than before.
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -95,7 +95,6 @@
 	Saved   string `json:"k,omitempty"` // newest checkpoint
 	Percent int    `json:"p,omitempty"`
 	Recent  int    `json:"u5,omitempty"` // tail latency in milliseconds of a serving task, else processor use in thousandths of a core
-	AgeMs   int64  `json:"ag,omitempty"` // that it had worked at the last look
 	Pace    int    `json:"pc,omitempty"` // share of full speed, in percent, that the worker has confirmed
 	Unsized bool   `json:"u,omitempty"`  // the agent does not know what the run takes
 }
