Acknowledge a repeated submission only with its own record

The owner rejects the submissions that wait behind an unanswered record, but the effect that replies to them stays queued. The replies were kept by job ID, so when the caller repeated the submission before the next record was confirmed, the effect of the rejected submission acknowledged the repeated one, which was in no record yet (log: rejected at 15.897 s, acknowledged at 16.912 s with after_ms 1280, which is the age of the rejected one). The owner then lost its key and the job was gone.

Change: replies are kept by the submitted job itself.

Before: TestRepeatedSubmissionIsAcknowledgedOnlyWithItsOwnRecord fails with "ok although no record contains it"; after: it passes.

--- /dev/null
+++ b/internal/jobowner/commit_test.go
@@ -0,0 +1,117 @@
+package jobowner
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"bamboofork/internal/boottime"
+	"bamboofork/internal/election"
+	"bamboofork/internal/jobs"
+	"bamboofork/internal/session"
+	"bamboofork/internal/store"
+	"bamboofork/internal/store/memstore"
+	"bamboofork/internal/telemetry"
+)
+
+// gatedStore holds back writes of log records until the test releases them.
+type gatedStore struct {
+	store.Store
+	gate chan struct{} // nil: writes pass; otherwise each write of a record receives once before it is executed
+}
+
+func (s *gatedStore) CompareAndSwap(ctx context.Context, key string, expect int64, value []byte, lease store.LeaseID) (store.CASResult, error) {
+	if s.gate != nil && strings.Contains(key, "/log/") {
+		select {
+		case <-s.gate:
+		case <-ctx.Done():
+			return store.CASResult{}, store.ErrUncertain
+		}
+	}
+	return s.Store.CompareAndSwap(ctx, key, expect, value, lease)
+}
+
+// newTestOwner returns the owner of an empty log whose loops do not run; the test calls commit.
+func newTestOwner(t *testing.T, st store.Store) *Owner {
+	key := election.NewKey(st, "owner", boottime.Now)
+	ownership, err := key.Acquire(t.Context(), election.Owner{Name: "host-0", Incarnation: "host-0-1"}, 0)
+	qt.Assert(t, err, qt.IsNil)
+	o, err := Recover(t.Context(), Config{Name: "host-0", Prefix: "jobs", Log: zerolog.Nop(), Metrics: telemetry.New(), Store: st,
+		Retention: time.Minute, MaxHold: 5 * time.Second}, ownership, "host-0-1")
+	qt.Assert(t, err, qt.IsNil)
+	return o
+}
+
+func submission(id string) *session.Request {
+	return &session.Request{Verb: session.VerbSubmit, JobID: id, Queue: &jobs.Queue{Name: "q", Service: "s"},
+		Spec: &jobs.Spec{Steps: []jobs.Step{{Count: 1, CPU: 1000, MemMB: 100}}}}
+}
+
+// submitTo submits the job and returns the channel that receives its replies.
+func submitTo(o *Owner, id string) chan session.Reply {
+	replies := make(chan session.Reply, 4)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.submitJob(submission(id), func(r session.Reply) { replies <- r })
+	return replies
+}
+
+// startCommit runs one commit in the background and returns a channel that is closed after it. It returns once the commit has
+// taken the pending changes.
+func startCommit(t *testing.T, o *Owner) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if _, err := o.commit(context.Background()); err != nil {
+			t.Errorf("commit: %v", err)
+		}
+	}()
+	for {
+		o.mu.Lock()
+		taken := o.appendStartedAt != 0
+		o.mu.Unlock()
+		if taken {
+			return done
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a job that is acknowledged although its record was never written. A submission that waits behind an unanswered
+// record is rejected; the caller repeats it. The confirmation of the next record, which does not contain the repeated
+// submission, must not acknowledge it.
+func TestRepeatedSubmissionIsAcknowledgedOnlyWithItsOwnRecord(t *testing.T) {
+	st := &gatedStore{Store: memstore.New()}
+	o := newTestOwner(t, st)
+	st.gate = make(chan struct{})
+
+	submitTo(o, "aaaaaaaaaaaaaaaa")
+	firstCommit := startCommit(t, o)
+	rejected := submitTo(o, "bbbbbbbbbbbbbbbb")
+	o.mu.Lock()
+	o.rejectUncommitted()
+	o.mu.Unlock()
+	qt.Assert(t, (<-rejected).Code, qt.Equals, session.CodeRejected)
+	submitTo(o, "cccccccccccccccc")
+	st.gate <- struct{}{}
+	<-firstCommit
+
+	secondCommit := startCommit(t, o)
+	repeated := submitTo(o, "bbbbbbbbbbbbbbbb")
+	st.gate <- struct{}{}
+	<-secondCommit
+	select {
+	case reply := <-repeated:
+		t.Fatalf("the repeated submission got %q although no record contains it", reply.Code)
+	default:
+	}
+
+	thirdCommit := startCommit(t, o)
+	st.gate <- struct{}{}
+	<-thirdCommit
+	qt.Assert(t, (<-repeated).Code, qt.Equals, session.CodeOK)
+}
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -56,8 +56,9 @@
 	pendingChanges []jobs.Change          // applied in memory, not yet in a record
 	pendingEffects []func()               // run under mu when the pending changes are durable
 	members        map[string]*memberView // by name
-	// submitReplies holds the callbacks that reply to submissions once the job's record is durable, by job ID.
-	submitReplies map[string][]func(session.Reply)
+	// submitReplies holds the callbacks that reply to submissions once the job's record is durable. The key is the submitted job
+	// and not its ID: a caller may repeat a submission that was rejected, while the effects of the rejected one are still pending.
+	submitReplies map[*jobs.Job][]func(session.Reply)
 	adviceByStep  map[string]*stepAdvice            // by stepKey
 	placedByAgent map[string]map[string]*placedTask // by agent name and task ID
 	workerHealth  *placement.HealthTracker
@@ -96,7 +97,7 @@
 	o := &Owner{
 		cfg: cfg, ownership: ownership, jobLog: caslog.New(cfg.Store, cfg.Prefix, writer),
 		startedAt: boottime.Now(), wakeCommit: make(chan struct{}, 1), appendTimeout: minAppendTimeout,
-		activeJobs: map[string]*jobs.Job{}, submitReplies: map[string][]func(session.Reply){}, adviceByStep: map[string]*stepAdvice{},
+		activeJobs: map[string]*jobs.Job{}, submitReplies: map[*jobs.Job][]func(session.Reply){}, adviceByStep: map[string]*stepAdvice{},
 		adviceRequests: make(chan adviceRequest, maxAdviceRequests), members: map[string]*memberView{},
 		placedByAgent: map[string]map[string]*placedTask{}, workerHealth: placement.NewHealthTracker(),
 		interference: placement.NewInterference(),
--- a/internal/jobowner/requests.go
+++ b/internal/jobowner/requests.go
@@ -41,7 +41,7 @@
 			reply(session.Reply{Code: session.CodeOK, State: job.DurableState})
 			return
 		}
-		o.submitReplies[job.ID] = append(o.submitReplies[job.ID], reply)
+		o.submitReplies[job] = append(o.submitReplies[job], reply)
 		return
 	}
 	if o.storeStalled() {
@@ -52,14 +52,14 @@
 	o.apply(jobs.Change{Submit: &jobs.Job{ID: request.JobID, Queue: *request.Queue, Spec: *request.Spec, AcceptedMs: wallTimeMs()}})
 	job := o.jobsState.Jobs[request.JobID]
 	o.activeJobs[job.ID] = job
-	o.submitReplies[job.ID] = append(o.submitReplies[job.ID], reply)
+	o.submitReplies[job] = append(o.submitReplies[job], reply)
 	o.pendingEffects = append(o.pendingEffects, func() { o.replyToSubmissions(job) })
 }
 
 // replyToSubmissions replies to the submissions of a job whose record is durable.
 func (o *Owner) replyToSubmissions(job *jobs.Job) {
-	replies := o.submitReplies[job.ID]
-	delete(o.submitReplies, job.ID)
+	replies := o.submitReplies[job]
+	delete(o.submitReplies, job)
 	if len(replies) == 0 {
 		return // rejected in the meantime
 	}
@@ -80,13 +80,14 @@
 			continue
 		}
 		id := c.Submit.ID
+		job := o.jobsState.Jobs[id]
 		delete(o.jobsState.Jobs, id)
 		delete(o.activeJobs, id)
 		events.JobRejected.Log(&o.cfg.Log).Str("job", id).Str("why", reasonStoreUnavailable).Send()
-		for _, reply := range o.submitReplies[id] {
+		for _, reply := range o.submitReplies[job] {
 			reply(session.Reply{Code: session.CodeRejected, RetryMs: storeRetryAfterMs, Reason: reasonStoreUnavailable})
 		}
-		delete(o.submitReplies, id)
+		delete(o.submitReplies, job)
 	}
 	o.pendingChanges = kept
 }
