Keep a won term through recovery and bound the checks of candidates

The lease of 1.6 s was renewed only after recovery, which takes 1.5 to 2.3 s there, so the key lapsed and a crowd of candidates wrote it again: 240 processes check every 100 ms after a fixed delay of at most 200 ms.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -1,6 +1,7 @@
 // Package election elects the process that owns the jobs. The owner's key in the store is attached to a lease; a
-// candidate writes the key when it is absent or when the owner named in it is known to be dead. Ownership is advisory and
-// only selects the process that should act; writes are fenced by the job log.
+// candidate writes the key when it is absent or when the owner named in it is known to be dead. Ownership only selects the
+// process that should act; writes are fenced by the job log. What an owner does without a write, such as extending the holds
+// of workers, depends on a lease that was confirmed together with the key.
 package election
 
 import (
@@ -71,10 +72,9 @@
 	key  *Key
 	self Owner
 
-	mu          sync.Mutex
-	leaseID     store.LeaseID
-	keyRevision int64
-	validUntil  time.Duration // time on key.clock at which the lease counts as expired
+	mu         sync.Mutex
+	leaseID    store.LeaseID
+	validUntil time.Duration // time on key.clock at which the lease counts as expired
 }
 
 // Acquire makes self the owner if the revision of the key is still the given one. It returns ErrTaken if the key has changed.
@@ -106,7 +106,7 @@
 	if !res.Swapped {
 		return ErrTaken
 	}
-	o.setLease(lease, res.Current.ModRevision, sentAt)
+	o.setLease(lease, sentAt)
 	return nil
 }
 
@@ -120,15 +120,15 @@
 	if kv.ModRevision == 0 || kv.Lease != lease {
 		return ErrTaken
 	}
-	o.setLease(lease, kv.ModRevision, sentAt)
+	o.setLease(lease, sentAt)
 	return nil
 }
 
 // setLease stores a lease that was granted or renewed by a call sent at sentAt, and computes when the lease counts as expired.
-func (o *Ownership) setLease(lease store.LeaseID, revision int64, sentAt time.Duration) {
+func (o *Ownership) setLease(lease store.LeaseID, sentAt time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.leaseID, o.keyRevision = lease, revision
+	o.leaseID = lease
 	o.validUntil = sentAt + time.Duration(float64(LeaseTTL)*(1-driftMarginFraction))
 }
 
@@ -140,7 +140,7 @@
 }
 
 // KeepAlive renews the lease until ctx is done, and then returns nil. It returns ErrTaken when another process has become the
-// owner.
+// owner. It has to run from the moment of Acquire: recovery of a large log may take longer than the lease.
 func (o *Ownership) KeepAlive(ctx context.Context) error {
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
@@ -156,7 +156,9 @@
 	}
 }
 
-// renew renews the lease once. If the store has ended the lease, renew acquires the key with a new lease.
+// renew renews the lease once and confirms that the key still names this process. A candidate with evidence that this process
+// is dead or cannot reach the store overwrites the key without ending the lease, so a renewed lease alone proves nothing. If the
+// store has ended the lease, renew acquires the key with a new lease.
 func (o *Ownership) renew(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -171,30 +173,16 @@
 	if err != nil {
 		return err
 	}
-	wasValid := o.LeaseValid()
-	o.mu.Lock()
-	revision := o.keyRevision
-	o.mu.Unlock()
-	o.setLease(lease, revision, sentAt)
-	if !wasValid {
-		return o.verifyOwner(ctx)
-	}
-	return nil
-}
-
-// verifyOwner reads the key after a time in which the lease was not confirmed, because the store may have removed the key
-// without ending the lease. It writes the key again if there is no owner.
-func (o *Ownership) verifyOwner(ctx context.Context) error {
 	owner, revision, err := o.key.Read(ctx)
-	if err != nil {
+	switch {
+	case err != nil:
 		return err
-	}
-	if revision == 0 {
+	case revision == 0: // the store may remove the key without ending the lease
 		return o.acquire(ctx, 0)
-	}
-	if owner.Incarnation != o.self.Incarnation {
+	case owner.Incarnation != o.self.Incarnation:
 		return ErrTaken
 	}
+	o.setLease(lease, sentAt)
 	return nil
 }
 
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -154,6 +154,9 @@
 	if member == nil {
 		member = &memberView{lastMessageAt: o.startedAt}
 		o.members[announced.Name] = member
+		if announced.Agent {
+			o.agentCount++
+		}
 	} else {
 		close(member.addrReplaced)
 		member.close()
@@ -261,6 +264,9 @@
 // sendCommands sends the commands and acknowledgements queued for the member. If nothing is queued, it sends a message only if
 // evenIfEmpty is set. The runs of start commands that cannot be sent end as lost.
 func (o *Owner) sendCommands(member *memberView, evenIfEmpty bool) {
+	if !evenIfEmpty && !member.hasQueuedCommands() {
+		return
+	}
 	starts, stops, startTasks := member.starts, member.stops, member.startTasks
 	member.starts, member.stops, member.startTasks = nil, nil, nil
 	leaseValid := o.ownership.LeaseValid()
@@ -271,12 +277,11 @@
 	if member.conn == nil {
 		return
 	}
-	newAcks := member.ackedEndSeq > member.sentAckSeq
-	if len(starts) == 0 && len(member.runResources) == 0 && len(member.paces) == 0 && len(stops) == 0 && !newAcks && !evenIfEmpty {
-		return
-	}
 	msg := session.ToMember{LeaseValid: leaseValid, StoreUnreachable: o.storeStalled(), Starts: starts, Stops: stops,
 		RunResources: member.runResources, Paces: member.paces, AckLifetime: member.ackLifetime, AckEndSeq: member.ackedEndSeq}
+	if evenIfEmpty {
+		msg.AgentCount = o.agentCount
+	}
 	if leaseValid && !msg.StoreUnreachable {
 		// A successor may take over from an owner that cannot reach the store, even while the lease of that owner is still
 		// renewed. An acknowledged report extends the holds on the worker. The holds must not outlast the time at which the
@@ -293,6 +298,11 @@
 	member.conn.Send(msg)
 }
 
+// hasQueuedCommands reports whether commands or acknowledgements are queued for the member.
+func (m *memberView) hasQueuedCommands() bool {
+	return len(m.starts) > 0 || len(m.stops) > 0 || len(m.runResources) > 0 || len(m.paces) > 0 || m.ackedEndSeq > m.sentAckSeq
+}
+
 // rackOf returns the last of a worker's labels, which names its rack, or "" if the worker has no labels.
 func rackOf(labels []string) string {
 	if len(labels) == 0 {
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -56,6 +56,7 @@
 	pendingChanges []jobs.Change          // applied in memory, not yet in a record
 	pendingEffects []func()               // run under mu when the pending changes are durable
 	members        map[string]*memberView // by name
+	agentCount     int                    // number of agents among members
 	// submitReplies holds the callbacks that reply to submissions once the job's record is durable. The key is the submitted job
 	// and not its ID: a caller may repeat a submission that was rejected, while the effects of the rejected one are still pending.
 	submitReplies map[*jobs.Job][]func(session.Reply)
@@ -67,7 +68,6 @@
 	lastRecordSeq   int64         // sequence number of the newest record
 	snapshotSeq     int64         // sequence number of the newest snapshot
 	appendStartedAt time.Duration // boot time at which the write of the current record began; 0: no write in progress
-	endCause        error         // why the term ended; nil after a graceful shutdown
 }
 
 // placedTask is a task that occupies resources on a worker.
@@ -89,10 +89,13 @@
 	bulkCallTimeout = 3 * time.Second
 	// retryDelay is the delay before a failed store call is repeated.
 	retryDelay = 60 * time.Millisecond
+	// resignTimeout bounds the store call that ends the owner's lease.
+	resignTimeout = 500 * time.Millisecond
 )
 
 // Recover loads the jobs from the log and fences the log. After Recover has returned, no earlier owner can change the jobs. The
-// writer identifies this process in the records. Recover retries until ctx is done or another process has become the owner.
+// writer identifies this process in the records. Recover retries until ctx is done, and then returns the cause; the caller
+// renews the ownership meanwhile and ends ctx when another process has become the owner.
 func Recover(ctx context.Context, cfg Config, ownership *election.Ownership, writer string) (*Owner, error) {
 	o := &Owner{
 		cfg: cfg, ownership: ownership, jobLog: caslog.New(cfg.Store, cfg.Prefix, writer),
@@ -102,63 +105,27 @@
 		placedByAgent: map[string]map[string]*placedTask{}, workerHealth: placement.NewHealthTracker(),
 		interference: placement.NewInterference(),
 	}
+	recovery := logRecovery{jobLog: o.jobLog, attemptTimeout: bulkCallTimeout}
 	for {
-		err := o.recoverOnce(ctx)
+		err := recovery.attempt(ctx)
 		if err == nil {
 			break
 		}
 		if ctx.Err() != nil {
-			return nil, ctx.Err()
-		}
-		if errors.Is(err, caslog.ErrConflict) && !ownership.LeaseValid() {
-			return nil, election.ErrTaken
+			return nil, context.Cause(ctx)
 		}
 		events.RecoveryRetried.Log(&cfg.Log).Err(err).Send()
 		app.Sleep(ctx, retryDelay)
 	}
+	fence := recovery.fence
+	o.jobsState, o.lastRecordSeq, o.epoch, o.snapshotSeq = recovery.state, fence.Seq, fence.Epoch, recovery.snapshotSeq
+	o.rebuildIndexes()
 	o.loadInterference(ctx)
 	events.JobsOwned.Log(&cfg.Log).Int64("epoch", o.epoch).Int("jobs", len(o.jobsState.Jobs)).Int("active", len(o.activeJobs)).
 		Dur("took_ms", boottime.Now()-o.startedAt).Send()
 	return o, nil
 }
 
-// recoverOnce makes one attempt to load the log and to append the fence.
-func (o *Owner) recoverOnce(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, bulkCallTimeout)
-	defer cancel()
-	loaded, err := o.jobLog.Load(callCtx)
-	if err != nil {
-		return err
-	}
-	state, err := jobs.Decode(loaded.Snapshot)
-	if err != nil {
-		return err
-	}
-	for _, r := range loaded.Records {
-		changes, err := decodeRecord(r)
-		if err != nil {
-			return err
-		}
-		for _, change := range changes {
-			state.Apply(change)
-		}
-	}
-	fence := caslog.Record{Seq: loaded.LastSeq() + 1, Epoch: loaded.LastSeq() + 1, Time: time.Now()}
-	for {
-		fence, err = o.jobLog.Append(callCtx, fence)
-		if !errors.Is(err, store.ErrUncertain) || callCtx.Err() != nil {
-			break
-		}
-		app.Sleep(callCtx, retryDelay)
-	}
-	if err != nil {
-		return err
-	}
-	o.jobsState, o.lastRecordSeq, o.epoch, o.snapshotSeq = state, fence.Seq, fence.Epoch, loaded.SnapshotSeq
-	o.rebuildIndexes()
-	return nil
-}
-
 // rebuildIndexes fills activeJobs and placedByAgent from the recovered jobs.
 func (o *Owner) rebuildIndexes() {
 	for id, job := range o.jobsState.Jobs {
@@ -205,25 +172,12 @@
 	}
 }
 
-// Run serves the term until ctx is done or another process becomes the owner. It returns why the term ended, or nil if ctx was
-// done.
+// Run serves the term until ctx is done or another owner has fenced the log. It returns why the term ended, or nil if ctx was
+// done without a cause.
 func (o *Owner) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, endTerm := context.WithCancelCause(ctx)
+	defer endTerm(nil)
 	var wg sync.WaitGroup
-	endTerm := func(err error) {
-		o.mu.Lock()
-		if o.endCause == nil {
-			o.endCause = err
-		}
-		o.mu.Unlock()
-		cancel()
-	}
-	wg.Go(func() {
-		if err := o.ownership.KeepAlive(ctx); err != nil {
-			endTerm(err)
-		}
-	})
 	wg.Go(func() {
 		if err := o.commitLoop(ctx); err != nil {
 			endTerm(err)
@@ -240,13 +194,17 @@
 	for _, member := range o.members {
 		member.close()
 	}
-	events.JobsReleased.Log(&o.cfg.Log).Int64("epoch", o.epoch).AnErr("cause", o.endCause).Send()
-	return o.endCause
+	cause := context.Cause(ctx)
+	if errors.Is(cause, context.Canceled) {
+		cause = nil
+	}
+	events.JobsReleased.Log(&o.cfg.Log).Int64("epoch", o.epoch).AnErr("cause", cause).Send()
+	return cause
 }
 
 // Resign releases ownership voluntarily and notifies the members, so that a successor takes over at once.
 func (o *Owner) Resign() {
-	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
 	defer cancel()
 	if err := o.ownership.Resign(ctx); err != nil {
 		events.LeaseLost.Log(&o.cfg.Log).Err(err).Msg("could not end the owner's lease; it expires at the end of its TTL")
--- /dev/null
+++ b/internal/jobowner/recovery.go
@@ -0,0 +1,111 @@
+package jobowner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"bamboofork/internal/app"
+	"bamboofork/internal/caslog"
+	"bamboofork/internal/jobs"
+	"bamboofork/internal/store"
+)
+
+// maxRecoveryAttemptTimeout bounds one attempt of a recovery. The time of an attempt doubles up to this bound, because a host
+// with little CPU time cannot load a large log within bulkCallTimeout while the store is slow.
+const maxRecoveryAttemptTimeout = 12 * time.Second
+
+// logRecovery loads the jobs from the log and fences the log. It keeps what earlier attempts have loaded, so that a record that
+// the previous owner appends in the meantime costs the reading of that record and not of the whole log.
+type logRecovery struct {
+	jobLog         *caslog.Log
+	attemptTimeout time.Duration
+	state          *jobs.State // nil: nothing loaded yet
+	snapshotSeq    int64
+	lastSeq        int64 // newest record that state contains
+	fence          caslog.Record
+}
+
+// attempt loads what is missing and appends the fence. It returns caslog.ErrConflict if another owner has appended a record in
+// the meantime; the next attempt continues with that record.
+func (r *logRecovery) attempt(ctx context.Context) error {
+	attemptCtx, cancel := context.WithTimeout(ctx, r.attemptTimeout)
+	defer cancel()
+	err := r.load(attemptCtx)
+	if err == nil {
+		err = r.appendFence(attemptCtx)
+	}
+	if err != nil && attemptCtx.Err() != nil {
+		r.attemptTimeout = min(2*r.attemptTimeout, maxRecoveryAttemptTimeout)
+	}
+	return err
+}
+
+// load reads the log, or only the records after lastSeq if an earlier attempt has read the rest. If these have been compacted,
+// the next attempt reads the log from the snapshot.
+func (r *logRecovery) load(ctx context.Context) error {
+	if r.state != nil {
+		records, err := r.jobLog.Read(ctx, r.lastSeq+1)
+		if errors.Is(err, store.ErrCompacted) {
+			r.state = nil
+		}
+		if err != nil {
+			return err
+		}
+		return r.applyRecords(records)
+	}
+	loaded, err := r.jobLog.Load(ctx)
+	if err != nil {
+		return err
+	}
+	state, err := jobs.Decode(loaded.Snapshot)
+	if err != nil {
+		return err
+	}
+	r.state, r.snapshotSeq, r.lastSeq = state, loaded.SnapshotSeq, loaded.SnapshotSeq
+	return r.applyRecords(loaded.Records)
+}
+
+// applyRecords applies the changes in the records. A record that cannot be decoded makes the next attempt load the whole log.
+func (r *logRecovery) applyRecords(records []caslog.Record) error {
+	for _, record := range records {
+		changes, err := decodeRecord(record)
+		if err != nil {
+			r.state = nil
+			return err
+		}
+		for _, change := range changes {
+			r.state.Apply(change)
+		}
+		r.lastSeq = record.Seq
+	}
+	return nil
+}
+
+// appendFence appends the fence after the newest record that has been loaded. It repeats the same write while its outcome is
+// uncertain. The previous owner may have replaced the records by a snapshot since they were read, which frees the position of
+// the fence; appendFence then returns caslog.ErrConflict and the next attempt loads the snapshot.
+func (r *logRecovery) appendFence(ctx context.Context) error {
+	fence := caslog.Record{Seq: r.lastSeq + 1, Epoch: r.lastSeq + 1, Time: time.Now()}
+	for {
+		var err error
+		fence, err = r.jobLog.Append(ctx, fence)
+		if err == nil {
+			r.fence = fence
+			return r.confirmFence(ctx)
+		}
+		if !errors.Is(err, store.ErrUncertain) || ctx.Err() != nil {
+			return err
+		}
+		app.Sleep(ctx, retryDelay)
+	}
+}
+
+// confirmFence checks that no snapshot covers the position of the fence.
+func (r *logRecovery) confirmFence(ctx context.Context) error {
+	err := r.jobLog.CheckNotCompacted(ctx, r.fence)
+	if errors.Is(err, caslog.ErrConflict) {
+		r.state = nil
+	}
+	return err
+}
--- a/internal/ownerconn/ownerconn.go
+++ b/internal/ownerconn/ownerconn.go
@@ -40,6 +40,7 @@
 	ownerResigned    bool
 	storeUnreachable bool   // the owner cannot reach the store
 	ownerName        string // process name of the owner
+	agentCount       int    // number of agents that the last owner reported; 0: not reported yet
 }
 
 // Listen accepts connections from owners on the address until ctx is done.
@@ -119,6 +120,16 @@
 	}
 	f.ownerResigned = f.ownerResigned || msg.Resigned
 	f.storeUnreachable = msg.StoreUnreachable
+	if msg.AgentCount > 0 {
+		f.agentCount = msg.AgentCount
+	}
+}
+
+// AgentCount returns the number of agents that the last owner reported, or 0 if this process has heard from no owner yet.
+func (f *Follower) AgentCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.agentCount
 }
 
 // handleDisconnect clears the connection to the owner, unless another connection has replaced it.
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -6,6 +6,7 @@
 type ToMember struct {
 	Epoch            int64   `json:"e,omitempty"`  // log position of the owner's fence; the owner with the highest epoch is the current one
 	Owner            string  `json:"o,omitempty"`  // name of the owner's process, in the first message only
+	AgentCount       int     `json:"ac,omitempty"` // number of agents that the owner knows, in heartbeats only
 	LeaseValid       bool    `json:"c,omitempty"`  // the owner's lease was valid when this was sent
 	StoreUnreachable bool    `json:"u,omitempty"`  // the owner cannot reach the store; a process that reaches the store may take over
 	Resigned         bool    `json:"z,omitempty"`  // the owner releases ownership; a successor should take over at once
