Plan with a table of image pairs, rate workers once a step, write log lines in batches

Cause: with processor time charged the owner of 240 workers saturates. All placed tasks are checked for time-outs with each record, every member costs a clock reading with each record, and each of the owner's 2,200 log lines a second is a system call.

Placements are the same: the tests of placement are unchanged.

--- a/internal/deployed/deployed.go
+++ b/internal/deployed/deployed.go
@@ -97,7 +97,8 @@
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(cfg.MemoryMB<<20)))
 	metrics := telemetry.New()
 	droppedLines := metrics.Counter("log_lines_dropped")
-	w := diode.NewWriter(os.Stdout, logBufferLines, 0, func(missed int) { droppedLines.Inc(int64(missed)) })
+	batches := &batchWriter{out: os.Stdout}
+	w := diode.NewWriter(batches, logBufferLines, 0, func(missed int) { droppedLines.Inc(int64(missed)) })
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	zerolog.DurationFieldInteger = true
 	p := &process{
@@ -105,7 +106,7 @@
 		log:         zerolog.New(w).Level(minLevel).With().Timestamp().Str("program", name).Str("process", cfg.Name).Logger(),
 		incarnation: cfg.Name + "-" + strconv.FormatInt(time.Now().UnixNano(), 36),
 	}
-	return p, func() { w.Close() }, nil
+	return p, func() { w.Close(); batches.Flush() }, nil
 }
 
 // reload reads and validates the settings file again on each SIGHUP until ctx is done. Only the memory limit is applied. All
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -64,10 +64,11 @@
 	placedByAgent map[string]map[string]*placedTask // by agent name and task ID
 	workerHealth  *placement.HealthTracker
 	// interference is loaded from the store at the start of the term and refined by the reports of the agents.
-	interference    *placement.Interference
-	lastRecordSeq   int64         // sequence number of the newest record
-	snapshotSeq     int64         // sequence number of the newest snapshot
-	appendStartedAt time.Duration // boot time at which the write of the current record began; 0: no write in progress
+	interference      *placement.Interference
+	timeoutsCheckedAt time.Duration // boot time of the last check of timeouts
+	lastRecordSeq     int64         // sequence number of the newest record
+	snapshotSeq       int64         // sequence number of the newest snapshot
+	appendStartedAt   time.Duration // boot time at which the write of the current record began; 0: no write in progress
 }
 
 // placedTask is a task that occupies resources on a worker.
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -20,8 +20,14 @@
 const holdMargin = 300 * time.Millisecond
 
 // checkTimeouts ends the runs of workers whose hold has expired, deletes jobs past their retention and stops runs that make no
-// progress. It also updates how long jobs and tasks have been waiting.
+// progress. It also updates how long jobs and tasks have been waiting. It goes over all placed tasks, so it does nothing if the
+// last check is less than idleCheckInterval ago.
 func (o *Owner) checkTimeouts() {
+	if now := boottime.Now(); now < o.timeoutsCheckedAt+idleCheckInterval {
+		return
+	} else {
+		o.timeoutsCheckedAt = now
+	}
 	for name, tasks := range o.placedByAgent {
 		if len(tasks) > 0 {
 			o.endRunsOfLostWorker(name, tasks)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -1,6 +1,10 @@
 package placement
 
-import "bamboofork/internal/jobs"
+import (
+	"slices"
+
+	"bamboofork/internal/jobs"
+)
 
 // Weights of the terms of a worker's score. The fraction of the worker's CPU that is free has the weight 1. A rack without the data
 // makes a task take 1.5 times as long, which outweighs any difference in free CPU. A repeated failure on the same worker may make
@@ -19,23 +23,110 @@
 // perpetual tasks fill the fleet, and short tasks wait until a perpetual task ends.
 const shortTaskReserveFraction = 0.12
 
-// choose returns the worker for a task, or nil if the task fits on none. It also returns the share of full speed that a best-effort
-// task gets on that worker. A task avoids the worker on which it failed, and a best-effort task avoids serving tasks that it slows
-// down. stepTasksByWorker and stepTasksByRack are the numbers of placed tasks of the step by worker and by rack.
-func choose(snapshot *Snapshot, j *jobs.Job, step *jobs.Step, task *jobs.Task,
-	stepTasksByWorker, stepTasksByRack map[string]int) (*Worker, float64) {
-	return bestWorker(snapshot, step, task, stepTasksByWorker, stepTasksByRack, minStartSpeed, func(worker *Worker) bool {
-		return admits(worker, j, step, stepTasksByWorker[worker.Name]) && leavesReserve(worker, step) && hasIdleCPU(worker, step)
+// chooser chooses workers for the waiting tasks of one step. All tasks of a step need the same resources, so the scores of the
+// workers are computed once, and after each placement again for the worker that took the task.
+type chooser struct {
+	snapshot   *Snapshot
+	step       *jobs.Step
+	row        []pair  // pairs of the image of a best-effort step
+	speedFloor float64 // workers on which a best-effort task would not reach this share of full speed are skipped
+	eligible   func(worker *Worker) bool
+	// stepTasksByRack is the number of placed tasks of the step by rack, for a step that prefers one rack.
+	stepTasksByRack map[string]int
+
+	rated    *[]rating // by position in the snapshot
+	hasRated bool      // rated belongs to this step
+}
+
+// rating is the suitability of one worker for a task of the step.
+type rating struct {
+	eligible bool
+	score    float64
+	speed    float64 // share of full speed that a best-effort task gets
+}
+
+// newChooser returns the chooser for tasks of the step. A best-effort task avoids serving tasks that it slows down.
+func newChooser(snapshot *Snapshot, j *jobs.Job, step *jobs.Step, stepTasksByRack map[string]int) *chooser {
+	return newChooserWhere(snapshot, 0, step, stepTasksByRack, minStartSpeed, func(worker *Worker) bool {
+		return admits(worker, j, step) && leavesReserve(worker, step) && hasIdleCPU(worker, step)
 	})
 }
 
-// chooseStarved returns the same values as choose for a task that has waited too long. It ignores the reserve for short tasks, the
-// idle CPU time and the speed that the task would get, so that interference with other tasks cannot keep a job waiting
-// indefinitely.
-func chooseStarved(snapshot *Snapshot, j *jobs.Job, step *jobs.Step, task *jobs.Task,
-	stepTasksByWorker, stepTasksByRack map[string]int) (*Worker, float64) {
-	return bestWorker(snapshot, step, task, stepTasksByWorker, stepTasksByRack, 0,
-		func(worker *Worker) bool { return admits(worker, j, step, stepTasksByWorker[worker.Name]) })
+// newStarvedChooser returns the chooser for a task that has waited too long. It ignores the reserve for short tasks, the idle CPU
+// time and the speed that the task would get, so that interference with other tasks cannot keep a job waiting indefinitely.
+func newStarvedChooser(snapshot *Snapshot, j *jobs.Job, step *jobs.Step, stepTasksByRack map[string]int) *chooser {
+	return newChooserWhere(snapshot, 1, step, stepTasksByRack, 0, func(worker *Worker) bool { return admits(worker, j, step) })
+}
+
+func newChooserWhere(snapshot *Snapshot, buffer int, step *jobs.Step, stepTasksByRack map[string]int, speedFloor float64,
+	eligible func(worker *Worker) bool) *chooser {
+	if snapshot.ratings == nil {
+		snapshot.ratings = &[2][]rating{}
+	}
+	c := &chooser{snapshot: snapshot, step: step, speedFloor: speedFloor, eligible: eligible, stepTasksByRack: stepTasksByRack,
+		rated: &snapshot.ratings[buffer]}
+	if pairs := snapshot.pairTable(); step.BestEffort && pairs != nil {
+		c.row = pairs.row(step.Image)
+	}
+	return c
+}
+
+// choose returns the eligible worker with the highest score and the share of full speed that a best-effort task gets there, or nil
+// if the task fits on none. A task avoids the worker on which it failed.
+func (c *chooser) choose(task *jobs.Task) (*Worker, float64) {
+	if !c.hasRated || c.step.SameRack { // a placement changes the scores of all workers of the rack
+		c.rateAll()
+	}
+	var best *rating
+	var chosen *Worker
+	bestScore := 0.0
+	rated := *c.rated
+	for i := range rated {
+		r := &rated[i]
+		if !r.eligible {
+			continue
+		}
+		score := r.score
+		if task.Failures > 0 && task.Worker == c.snapshot.Workers[i].Name {
+			score -= weightFailed
+		}
+		if best == nil || score > bestScore {
+			best, bestScore, chosen = r, score, c.snapshot.Workers[i]
+		}
+	}
+	if best == nil {
+		return nil, 1
+	}
+	return chosen, best.speed
+}
+
+func (c *chooser) rateAll() {
+	rated := slices.Grow((*c.rated)[:0], len(c.snapshot.Workers))
+	for _, worker := range c.snapshot.Workers {
+		rated = append(rated, c.rate(worker))
+	}
+	*c.rated, c.hasRated = rated, true
+}
+
+// update rates a worker again whose free resources or tasks have changed.
+func (c *chooser) update(worker *Worker) {
+	if c.hasRated {
+		(*c.rated)[worker.position] = c.rate(worker)
+	}
+}
+
+func (c *chooser) rate(worker *Worker) rating {
+	if !c.eligible(worker) {
+		return rating{}
+	}
+	speed, addedLoad := 1.0, 0.0
+	if c.step.BestEffort {
+		speed, addedLoad = bestEffortSpeed(worker, c.row, c.step.CPU)
+	}
+	if speed < c.speedFloor {
+		return rating{}
+	}
+	return rating{eligible: true, speed: speed, score: scoreWorker(worker, c.step, speed, addedLoad, c.stepTasksByRack)}
 }
 
 // overdueWaitMs is how long a perpetual task may wait while there are free resources for two tasks of its size.
@@ -43,52 +134,26 @@
 
 // isOverdue reports whether a perpetual task has waited for overdueWaitMs, so that it may use the reserve for short tasks. After a
 // loss of workers, the reserve would otherwise keep perpetual tasks waiting indefinitely although enough resources are free.
-func isOverdue(snapshot *Snapshot, j *jobs.Job, step *jobs.Step, task *jobs.Task, stepTasksByWorker map[string]int) bool {
+func isOverdue(snapshot *Snapshot, j *jobs.Job, step *jobs.Step, task *jobs.Task) bool {
 	if !step.Perpetual || task.WaitingSinceMs == 0 || snapshot.BootTimeMs-task.WaitingSinceMs < overdueWaitMs {
 		return false
 	}
 	fittingTasks := 0 // number of tasks of the step that fit on the workers
 	for _, worker := range snapshot.Workers {
-		if admits(worker, j, step, stepTasksByWorker[worker.Name]) {
+		if admits(worker, j, step) {
 			fittingTasks += max(1, worker.Free.CPU/max(1, step.CPU))
 		}
 	}
 	return fittingTasks >= 2
 }
 
-// bestWorker returns the eligible worker with the highest score, and the share of full speed that a best-effort task gets there. It
-// skips workers on which the task does not reach speedFloor, and returns nil if none is left.
-func bestWorker(snapshot *Snapshot, step *jobs.Step, task *jobs.Task, stepTasksByWorker, stepTasksByRack map[string]int, speedFloor float64,
-	eligible func(worker *Worker) bool) (*Worker, float64) {
-	var best *Worker
-	bestScore, bestSpeed := 0.0, 1.0
-	for _, worker := range snapshot.Workers {
-		if !eligible(worker) {
-			continue
-		}
-		speed, addedLoad := 1.0, 0.0
-		if step.BestEffort {
-			speed, addedLoad = snapshot.bestEffortSpeed(worker, step)
-		}
-		if speed < speedFloor {
-			continue
-		}
-		workerScore := scoreWorker(worker, step, task, speed, addedLoad, stepTasksByWorker[worker.Name], stepTasksByRack)
-		if best == nil || workerScore > bestScore {
-			best, bestScore, bestSpeed = worker, workerScore, speed
-		}
-	}
-	return best, bestSpeed
-}
-
-// admits reports whether the worker accepts a task of the step and has the free resources for the task. stepTasksOnWorker is the number of
-// tasks of the step that are on the worker already.
-func admits(worker *Worker, j *jobs.Job, step *jobs.Step, stepTasksOnWorker int) bool {
+// admits reports whether the worker accepts a task of the step that is being planned and has the free resources for the task.
+func admits(worker *Worker, j *jobs.Job, step *jobs.Step) bool {
 	return worker.MaxStarts != 0 &&
 		!(step.BestEffort && worker.BestEffortPaused) &&
 		worker.Service == j.Queue.Service &&
 		worker.HasLabel(step.Label) &&
-		(step.MaxPerWorker == 0 || stepTasksOnWorker < step.MaxPerWorker) &&
+		(step.MaxPerWorker == 0 || worker.stepTasks < step.MaxPerWorker) &&
 		worker.Free.Fits(Need(step))
 }
 
@@ -106,8 +171,7 @@
 
 // scoreWorker returns the score of a worker for a task; a higher score is better. speed is the share of full speed that a best-effort
 // task gets on the worker, and addedLoad is the utilisation that the task adds to the serving tasks.
-func scoreWorker(worker *Worker, step *jobs.Step, task *jobs.Task, speed, addedLoad float64,
-	stepTasksOnWorker int, stepTasksByRack map[string]int) float64 {
+func scoreWorker(worker *Worker, step *jobs.Step, speed, addedLoad float64, stepTasksByRack map[string]int) float64 {
 	capacity := float64(max(1, worker.Capacity.CPU))
 	sum := float64(worker.Free.CPU) / capacity
 	if step.BestEffort {
@@ -119,13 +183,10 @@
 	if step.SameRack && stepTasksByRack[worker.Rack] > 0 {
 		sum += weightSameRack
 	}
-	if task.Failures > 0 && task.Worker == worker.Name {
-		sum -= weightFailed
-	}
 	if step.TargetMs > 0 {
 		sum += weightSameImage * imageAffinity(worker, step.Image)
 	}
-	return sum - weightSpread*float64(stepTasksOnWorker)
+	return sum - weightSpread*float64(worker.stepTasks)
 }
 
 // imageAffinity returns how well the serving tasks of the worker match the image, from -1 to 1. It returns 1 if all of them run the
--- a/internal/placement/pace.go
+++ b/internal/placement/pace.go
@@ -1,7 +1,5 @@
 package placement
 
-import "bamboofork/internal/jobs"
-
 const (
 	// minStartSpeed is the share of full speed below which a best-effort task is not started on a worker.
 	minStartSpeed = 0.7
@@ -110,23 +108,24 @@
 	return runIndex, highestPressure * bestEffort[runIndex].CPUFraction
 }
 
-// bestEffortSpeed returns the share of full speed that a best-effort task of the step would get on the worker beside the current
-// tasks. addedLoad is the largest utilisation that the task is expected to add to a serving task of the worker.
-func (s *Snapshot) bestEffortSpeed(w *Worker, step *jobs.Step) (share, addedLoad float64) {
-	if s.Interference == nil {
-		return 1, 0
-	}
+// bestEffortSpeed returns the share of full speed that a best-effort task would get on the worker beside the current tasks. row
+// holds the pairs of the image of the task, nil without an Interference, and cpu is the CPU of the task in thousandths of a core.
+// addedLoad is the largest utilisation that the task is expected to add to a serving task of the worker.
+func bestEffortSpeed(w *Worker, row []pair, cpu int) (share, addedLoad float64) {
 	share = 1
-	cpuFraction := float64(step.CPU) / float64(max(1, w.Capacity.CPU))
+	if row == nil {
+		return share, 0
+	}
+	cpuFraction := float64(cpu) / float64(max(1, w.Capacity.CPU))
 	for i := range w.Serving {
 		t := &w.Serving[i]
-		addedLoad = max(addedLoad, s.Interference.Pressure(t.Image, step.Image)*cpuFraction)
-		plannedLoad := s.Interference.plannedPressure(t.Image, step.Image) * cpuFraction
+		p := &row[t.imageIndex]
+		addedLoad = max(addedLoad, p.mean*cpuFraction)
+		plannedLoad := p.planned * cpuFraction
 		if plannedLoad <= negligibleLoad {
 			continue
 		}
-		free := s.Interference.UtilisationLimit(t.Image, t.TargetMs) - t.Load - t.PlannedInterference
-		share = min(share, max(0, free)/plannedLoad)
+		share = min(share, max(0, t.limit-t.Load-t.PlannedInterference)/plannedLoad)
 	}
 	return share, addedLoad
 }
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -23,33 +23,33 @@
 	if step.Advised {
 		s = s.restrictedTo(s.AdvisedWorkers[StepID{Job: c.job.ID, Occ: c.occ, Step: stepIndex}])
 	}
-	stepTasksByWorker := map[string]int{}
+	s.countStepTasks(stepState)
 	stepTasksByRack := map[string]int{}
-	lastRunNumber := 0
-	for index := range stepState.Tasks {
-		task := &stepState.Tasks[index]
-		lastRunNumber = max(lastRunNumber, task.Run)
-		if task.State == jobs.TaskPlaced {
-			stepTasksByWorker[task.Worker]++
+	if step.SameRack {
+		for _, worker := range s.Workers {
+			stepTasksByRack[worker.Rack] += worker.stepTasks
 		}
 	}
-	for _, worker := range s.Workers {
-		if n := stepTasksByWorker[worker.Name]; n > 0 {
-			stepTasksByRack[worker.Rack] += n
-		}
+	lastRunNumber := 0
+	for index := range stepState.Tasks {
+		lastRunNumber = max(lastRunNumber, stepState.Tasks[index].Run)
 	}
 	if step.Gang && stepState.WaitingTasks < len(stepState.Tasks) {
 		return nil // tasks of the previous run have not ended yet
 	}
 	var plan []Assignment
+	choosers := []*chooser{newChooser(s, c.job, step, stepTasksByRack)}
 	for index := range stepState.Tasks {
 		task := &stepState.Tasks[index]
 		if task.State != jobs.TaskWaiting {
 			continue
 		}
-		worker, speed := choose(s, c.job, step, task, stepTasksByWorker, stepTasksByRack)
-		if worker == nil && (c.isStarved || isOverdue(s, c.job, step, task, stepTasksByWorker)) {
-			worker, speed = chooseStarved(s, c.job, step, task, stepTasksByWorker, stepTasksByRack)
+		worker, speed := choosers[0].choose(task)
+		if worker == nil && (c.isStarved || isOverdue(s, c.job, step, task)) {
+			if len(choosers) == 1 {
+				choosers = append(choosers, newStarvedChooser(s, c.job, step, stepTasksByRack))
+			}
+			worker, speed = choosers[1].choose(task)
 			c.isStarved = false
 		}
 		if worker == nil {
@@ -61,8 +61,13 @@
 		}
 		pace := max(minStartPace, speed)
 		s.Allocate(worker, step, c.job.ID, pace)
-		stepTasksByWorker[worker.Name]++
-		stepTasksByRack[worker.Rack]++
+		worker.stepTasks++
+		if step.SameRack {
+			stepTasksByRack[worker.Rack]++
+		}
+		for _, chooser := range choosers {
+			chooser.update(worker)
+		}
 		runNumber := task.Run + 1
 		if step.Gang {
 			runNumber = lastRunNumber + 1
@@ -88,8 +93,10 @@
 		usedCPU = int(pace * float64(step.CPU))
 	case step.TargetMs > 0:
 		task := ServingTask{Image: step.Image, TargetMs: step.TargetMs, Load: priorLoad}
-		if s.Interference != nil {
+		if pairs := s.pairTable(); pairs != nil {
 			task.Load = s.Interference.ForecastLoad(group, s.BootTimeMs)
+			task.imageIndex = pairs.indexOfServing(step.Image)
+			task.limit = s.Interference.UtilisationLimit(step.Image, step.TargetMs)
 		}
 		worker.Serving = append(worker.Serving, task)
 		usedCPU = int(task.Load * float64(step.CPU)) // best-effort tasks can use the rest
@@ -99,12 +106,15 @@
 
 // addInterference adds the utilisation that a best-effort task of the step is planned to cause to each serving task of the worker.
 func (s *Snapshot) addInterference(worker *Worker, step *jobs.Step, pace float64) {
-	if s.Interference == nil {
+	pairs := s.pairTable()
+	if pairs == nil || len(worker.Serving) == 0 {
 		return
 	}
+	row := pairs.row(step.Image)
 	cpuFraction := pace * float64(step.CPU) / float64(max(1, worker.Capacity.CPU))
 	for k := range worker.Serving {
-		worker.Serving[k].PlannedInterference += s.Interference.plannedPressure(worker.Serving[k].Image, step.Image) * cpuFraction
+		t := &worker.Serving[k]
+		t.PlannedInterference += row[t.imageIndex].planned * cpuFraction
 	}
 }
 
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -58,6 +58,9 @@
 	// MaxStarts is the number of tasks that may start on the worker now; negative: no limit. A worker on probation gets one task at
 	// a time.
 	MaxStarts int
+
+	stepTasks int // number of placed tasks of the step that is being planned; see Snapshot.countStepTasks
+	position  int // index of the worker in the snapshot of the step that is being planned
 }
 
 // ServingTask is a task with a latency target on a worker.
@@ -66,6 +69,9 @@
 	TargetMs            int64
 	Load                float64 // expected utilisation by the users of the task, 0 to 1
 	PlannedInterference float64 // utilisation that the best-effort tasks on the worker are planned to add
+
+	imageIndex int     // index of Image in the pair table of the pass
+	limit      float64 // highest utilisation that plans allow; see Interference.UtilisationLimit
 }
 
 // HasLabel reports whether the worker has the label; an empty label fits every worker.
@@ -92,6 +98,10 @@
 	// AdvisedWorkers holds, for each step that needs a ticket from the advice service, the names of the workers that may run
 	// the step. Such a step without an entry waits.
 	AdvisedWorkers map[StepID]map[string]bool
+
+	pairs        *pairTable         // see Snapshot.pairTable
+	workerByName map[string]*Worker // of all workers of the pass; see Snapshot.worker
+	ratings      *[2][]rating       // buffers of the choosers, reused for each step of the pass
 }
 
 // StepID identifies a step of one occurrence of a job. Occ and Step are indexes.
@@ -103,6 +113,7 @@
 // restrictedTo returns a snapshot with only the named workers. Both snapshots share the workers, so an allocation in one applies to
 // the other.
 func (s *Snapshot) restrictedTo(names map[string]bool) *Snapshot {
+	s.worker("") // both snapshots share the index
 	restricted := *s
 	restricted.Workers = nil
 	for _, w := range s.Workers {
@@ -113,6 +124,31 @@
 	return &restricted
 }
 
+// worker returns the worker with the name, or nil if it takes no tasks in this pass.
+func (s *Snapshot) worker(name string) *Worker {
+	if s.workerByName == nil {
+		s.workerByName = make(map[string]*Worker, len(s.Workers))
+		for _, w := range s.Workers {
+			s.workerByName[w.Name] = w
+		}
+	}
+	return s.workerByName[name]
+}
+
+// countStepTasks sets the number of placed tasks of the step on each worker, and the positions of the workers.
+func (s *Snapshot) countStepTasks(stepState *jobs.StepState) {
+	for i, w := range s.Workers {
+		w.stepTasks, w.position = 0, i
+	}
+	for i := range stepState.Tasks {
+		if task := &stepState.Tasks[i]; task.State == jobs.TaskPlaced {
+			if w := s.worker(task.Worker); w != nil {
+				w.stepTasks++
+			}
+		}
+	}
+}
+
 // Assignment is the decision to start one task on a worker.
 type Assignment struct {
 	Job   *jobs.Job
