Send messages between owner and members as MessagePack, plan within a share of the time

Change: messages have a generated binary form with the field names of the JSON form. Each side begins with JSON and says in its first message whether it decodes the binary form, so processes of the version before keep talking JSON (TestOlderPeerGetsJSON). After a planning pass the owner pauses planning three times as long as the pass took. A heartbeat is left out if a message was sent within 150 ms. Hardened on the way: an incomplete submission ended the owner's process, a failed accept ended the member's process, and the binary decoder limits the sizes that a message may claim (TestMalformedMessagesGiveErrors).

--- a/internal/events/jobowner.go
+++ b/internal/events/jobowner.go
@@ -23,6 +23,7 @@
 
 	OwnerSeen     = register(2701, "owner_seen", zerolog.InfoLevel, "An entry or agent follows a new job owner.")
 	OwnerGone     = register(2702, "owner_gone", zerolog.WarnLevel, "The job owner is unreachable or has resigned.")
+	AcceptFailed  = register(2704, "accept_failed", zerolog.WarnLevel, "A connection of an owner could not be accepted; the process goes on accepting.")
 	Candidacy     = register(2703, "candidacy", zerolog.InfoLevel, "This process is a candidate for job owner; the line has the evidence that the current owner may be replaced.")
 	RunStarted    = register(2711, "run_started", zerolog.InfoLevel, "The worker started a run.")
 	RunRefused    = register(2712, "run_refused", zerolog.InfoLevel, "A start command was refused and will not be executed; the line has the reason.")
--- a/internal/jobowner/commit.go
+++ b/internal/jobowner/commit.go
@@ -59,11 +59,11 @@
 		case <-o.wakeCommit:
 		case <-timer.C:
 		}
-		timer.Reset(idleCheckInterval)
 		committed, err := o.commit(ctx)
 		if err != nil {
 			return err
 		}
+		timer.Reset(o.untilNextCommit())
 		if committed {
 			app.Sleep(ctx, minCommitInterval)
 		}
@@ -71,13 +71,24 @@
 	return nil
 }
 
+// untilNextCommit returns the time after which the commit loop runs without being woken: the rest of the pause between two
+// planning passes if a pass was postponed, and idleCheckInterval otherwise.
+func (o *Owner) untilNextCommit() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.planPostponed {
+		return min(idleCheckInterval, max(time.Millisecond, o.nextPlanAt-boottime.Now()))
+	}
+	return idleCheckInterval
+}
+
 // commit checks timeouts, plans, and writes the pending changes as one record. Once the record is durable, commit runs the
 // pending effects and sends the queued commands. If there are no pending changes, it runs the effects and sends the commands at
 // once. It reports whether it wrote a record.
 func (o *Owner) commit(ctx context.Context) (bool, error) {
 	o.mu.Lock()
 	o.checkTimeouts()
-	o.plan()
+	o.planIfDue()
 	changes, effects := o.pendingChanges, o.pendingEffects
 	o.pendingChanges, o.pendingEffects = nil, nil
 	recordSeq := o.lastRecordSeq + 1
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -38,6 +38,7 @@
 	runsListed       bool
 	lastMessageAt    time.Duration // boot time of the last message; start of the term if there was none
 	lastReportSeq    int64         // number of the newest report, acknowledged to the agent
+	lastSentAt       time.Duration // boot time of the last message sent by sendCommands
 	commandSeq       int64         // number of the newest message sent on this connection
 	ackLifetime      int64         // worker lifetime to which ackedEndSeq and sentAckSeq refer
 	ackedEndSeq      int64         // number of the newest durable run end; the worker may forget the ends up to this number
@@ -75,6 +76,9 @@
 	relistInterval = 5 * time.Second
 	// heartbeatInterval is how often the owner sends a message to every member. Several intervals fit into session.IdleTimeout.
 	heartbeatInterval = 300 * time.Millisecond
+	// heartbeatSkipAge is the age up to which the last message to a member replaces a heartbeat: every message carries the same
+	// confirmations.
+	heartbeatSkipAge = 150 * time.Millisecond
 )
 
 // membersLoop watches the announcements in the store and keeps a connection to each member until ctx is done.
@@ -198,7 +202,7 @@
 	for _, placed := range o.placedByAgent[member.Name] {
 		placed.task.CommandSeq = 0 // the first list of runs on this connection reflects all earlier commands
 	}
-	c.Send(session.ToMember{Epoch: o.epoch, Owner: o.cfg.Name, LeaseValid: o.ownership.LeaseValid()})
+	c.Send(session.ToMember{Epoch: o.epoch, Owner: o.cfg.Name, AcceptsBinary: true, LeaseValid: o.ownership.LeaseValid()})
 	o.mu.Unlock()
 	events.MemberReached.Log(&o.cfg.Log).Str("member", member.Name).Str("addr", member.Addr).Send()
 	var err error
@@ -248,8 +252,9 @@
 		if o.storeStalled() {
 			o.rejectUncommitted()
 		}
+		now := boottime.Now()
 		for _, member := range o.members {
-			o.sendCommands(member, true)
+			o.sendCommands(member, now > member.lastSentAt+heartbeatSkipAge)
 		}
 	})
 }
@@ -294,7 +299,7 @@
 	for _, placed := range startTasks {
 		placed.task.StartMaybeSent, placed.task.CommandSeq = true, member.commandSeq
 	}
-	member.sentAckSeq = member.ackedEndSeq
+	member.sentAckSeq, member.lastSentAt = member.ackedEndSeq, boottime.Now()
 	member.conn.Send(msg)
 }
 
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -65,6 +65,8 @@
 	workerHealth  *placement.HealthTracker
 	// interference is loaded from the store at the start of the term and refined by the reports of the agents.
 	interference      *placement.Interference
+	nextPlanAt        time.Duration // boot time before which no planning pass starts
+	planPostponed     bool          // a pass was due before nextPlanAt
 	timeoutsCheckedAt time.Duration // boot time of the last check of timeouts
 	lastRecordSeq     int64         // sequence number of the newest record
 	snapshotSeq       int64         // sequence number of the newest snapshot
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -147,6 +147,25 @@
 	}
 }
 
+// planPauseFactor is the pause after a planning pass as a multiple of the duration of the pass. It bounds the part of the
+// processor that planning takes: with a large backlog a pass costs milliseconds, and the reports of the agents and the requests
+// of the callers have to be processed meanwhile.
+const planPauseFactor = 3
+
+// planIfDue plans unless the last pass has ended within the pause that its duration demands. The commit loop then wakes up when
+// the pause is over.
+func (o *Owner) planIfDue() {
+	start := boottime.Now()
+	o.planPostponed = start < o.nextPlanAt
+	if o.planPostponed {
+		return
+	}
+	o.plan()
+	end := boottime.Now()
+	o.nextPlanAt = end + planPauseFactor*(end-start)
+	o.cfg.Metrics.Histogram("owner_plan_us").Update((end - start).Microseconds())
+}
+
 // plan places the waiting tasks that fit on a worker. It places nothing while the lease is not confirmed, because a start needs
 // a durable record.
 func (o *Owner) plan() {
--- a/internal/jobowner/requests.go
+++ b/internal/jobowner/requests.go
@@ -1,6 +1,8 @@
 package jobowner
 
 import (
+	"github.com/rotisserie/eris"
+
 	"bamboofork/internal/events"
 	"bamboofork/internal/jobs"
 	"bamboofork/internal/session"
@@ -23,14 +25,32 @@
 	}
 	switch request.Verb {
 	case session.VerbSubmit:
+		if err := checkSubmission(request); err != nil {
+			events.JobRejected.Log(&o.cfg.Log).Str("job", request.JobID).Str("why", err.Error()).Send()
+			reply(session.Reply{Code: session.CodeRejected, RetryMs: storeRetryAfterMs, Reason: err.Error()})
+			return
+		}
 		o.submitJob(request, reply)
 	case session.VerbCancel:
 		o.cancelJob(request, reply)
 	case session.VerbGet:
 		o.getJob(request, reply)
 	case session.VerbPending:
-		reply(session.Reply{Code: session.CodeOK, PendingJobs: o.pendingJobs(request.Queue.Name)})
+		pending := 0
+		if request.Queue != nil {
+			pending = o.pendingJobs(request.Queue.Name)
+		}
+		reply(session.Reply{Code: session.CodeOK, PendingJobs: pending})
+	}
+}
+
+// checkSubmission returns an error if a submission is incomplete or its job is malformed. The entry has checked the job already,
+// but an invalid job in the log would fail every owner that recovers it.
+func checkSubmission(request *session.Request) error {
+	if request.JobID == "" || request.Queue == nil || request.Spec == nil {
+		return eris.New("incomplete submission")
 	}
+	return request.Spec.Validate()
 }
 
 // submitJob accepts a job and replies once the record of the job is durable. It refuses the job while the store does not
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -4,6 +4,11 @@
 // changes reaches the same state.
 package jobs
 
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -file spec.go -io=false -tests=false
+//msgp:tag json
+//msgp:limit arrays:65536 maps:256
+//msgp:ignore TaskID
+
 import (
 	"errors"
 	"fmt"
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -1,5 +1,10 @@
 package jobs
 
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -file state.go -io=false -tests=false
+//msgp:tag json
+//msgp:limit arrays:65536 maps:256
+//msgp:ignore TaskState Task StepState Occurrence Job Change Cancel Place End State
+
 import (
 	"encoding/json"
 	"sort"
--- a/internal/ownerconn/ownerconn.go
+++ b/internal/ownerconn/ownerconn.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -58,20 +59,28 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return eris.Wrap(err, "accept owner connection")
 		}
+		if err != nil { // for instance no free file descriptors
+			events.AcceptFailed.Log(&f.Log).Err(err).Send()
+			app.Sleep(ctx, acceptRetryDelay)
+			continue
+		}
 		wg.Go(func() { f.serve(ctx, session.New[session.FromMember, session.ToMember](conn)) })
 	}
 }
 
+// acceptRetryDelay is the delay before connections are accepted again after a failure.
+const acceptRetryDelay = 50 * time.Millisecond
+
 // serve passes the messages on a connection to HandleMessage until the connection ends. It closes the connection at once if the
 // sender's epoch is lower than the epoch of an earlier owner.
 func (f *Follower) serve(ctx context.Context, conn *Conn) {
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
 	defer conn.Close()
-	conn.Send(session.FromMember{Name: f.Name, Incarnation: f.Incarnation})
+	conn.Send(session.FromMember{Name: f.Name, Incarnation: f.Incarnation, AcceptsBinary: true})
 	first, err := conn.Receive()
 	if err != nil || !f.acceptOwner(conn, &first) {
 		return
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -2,10 +2,17 @@
 
 import "bamboofork/internal/jobs"
 
+// messages_gen.go is generated from this file and has the binary form of the messages, with the field names of the JSON form.
+//
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -file messages.go -io=false -tests=false
+//msgp:tag json
+//msgp:limit arrays:65536 maps:256
+
 // ToMember is a message from the owner of the jobs to an agent or an entry.
 type ToMember struct {
 	Epoch            int64   `json:"e,omitempty"`  // log position of the owner's fence; the owner with the highest epoch is the current one
 	Owner            string  `json:"o,omitempty"`  // name of the owner's process, in the first message only
+	AcceptsBinary    bool    `json:"mp,omitempty"` // the sender decodes binary messages; in the first message only
 	AgentCount       int     `json:"ac,omitempty"` // number of agents that the owner knows, in heartbeats only
 	LeaseValid       bool    `json:"c,omitempty"`  // the owner's lease was valid when this was sent
 	StoreUnreachable bool    `json:"u,omitempty"`  // the owner cannot reach the store; a process that reaches the store may take over
@@ -56,6 +63,8 @@
 	// Name and Incarnation identify the process, in the first message of a connection only.
 	Name        string `json:"nm,omitempty"`
 	Incarnation string `json:"ic,omitempty"`
+	// AcceptsBinary states that the sender decodes binary messages; in the first message only.
+	AcceptsBinary bool `json:"mp,omitempty"`
 
 	Agent            bool      `json:"ag,omitempty"`
 	ReportSeq        int64     `json:"b,omitempty"`  // number of this report
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -1,5 +1,9 @@
-// Package session exchanges messages between two processes of the system over one TCP connection: length-prefixed JSON frames
-// in both directions, a bounded write queue, and an idle timeout after which the connection counts as lost.
+// Package session exchanges messages between two processes of the system over one TCP connection: length-prefixed frames in
+// both directions, a bounded write queue, and an idle timeout after which the connection counts as lost.
+//
+// A frame holds a message as JSON or as MessagePack. Each side begins with JSON and states in its first message whether it
+// decodes MessagePack; once the peer has stated so, all further messages are sent as MessagePack. A process of an older version
+// therefore keeps talking JSON in both directions.
 package session
 
 import (
@@ -9,10 +13,13 @@
 	"encoding/json"
 	"io"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/tinylib/msgp/msgp"
 )
 
 const (
@@ -24,6 +31,9 @@
 	IdleTimeout = 1500 * time.Millisecond
 	// maxFrameBytes is the maximum size of a message in bytes. The limit keeps a faulty peer from exhausting the memory.
 	maxFrameBytes = 8 << 20
+	headerBytes   = 4        // length of the body, big-endian
+	maxKeptBytes  = 64 << 10 // buffers above this size are not kept for the next message
+	maxBatchBytes = 16 << 10 // size from which a batch of messages is written
 	// writeQueueMessages is the capacity of the write queue in messages. A peer that lets the queue fill up is disconnected.
 	writeQueueMessages = 1024
 )
@@ -35,8 +45,19 @@
 	writeQueue chan Out
 	done       chan struct{}
 	closeOnce  sync.Once
+	sendBinary atomic.Bool // the peer has stated that it decodes binary messages
+	body       []byte      // buffer of the received frame, used by Receive only
 }
 
+// jsonStart is the first byte of a JSON message. No binary message begins with this byte, because a message is a map.
+const jsonStart = '{'
+
+// handshake is implemented by messages that can state that their sender decodes binary messages.
+type handshake interface{ acceptsBinary() bool }
+
+func (m *ToMember) acceptsBinary() bool   { return m.AcceptsBinary }
+func (m *FromMember) acceptsBinary() bool { return m.AcceptsBinary }
+
 // Dial connects to a peer.
 func Dial[Out, In any](ctx context.Context, addr string) (*Conn[Out, In], error) {
 	d := net.Dialer{Timeout: DialTimeout, KeepAlive: -1}
@@ -72,13 +93,14 @@
 	}
 }
 
-// Receive returns the next message. It fails if the connection ends or no complete message arrives within IdleTimeout.
+// Receive returns the next message. It fails if the connection ends or no complete message arrives within IdleTimeout. It is not
+// safe for concurrent use.
 func (s *Conn[Out, In]) Receive() (In, error) {
 	var msg In
 	if err := s.conn.SetReadDeadline(time.Now().Add(IdleTimeout)); err != nil {
 		return msg, err
 	}
-	var header [4]byte
+	var header [headerBytes]byte
 	if _, err := io.ReadFull(s.reader, header[:]); err != nil {
 		return msg, err
 	}
@@ -86,11 +108,47 @@
 	if bodyBytes > maxFrameBytes {
 		return msg, eris.Errorf("frame of %d bytes exceeds the limit", bodyBytes)
 	}
-	body := make([]byte, bodyBytes)
-	if _, err := io.ReadFull(s.reader, body); err != nil {
+	s.body = slices.Grow(s.body[:0], int(bodyBytes))[:bodyBytes]
+	if _, err := io.ReadFull(s.reader, s.body); err != nil {
 		return msg, err
 	}
-	return msg, json.Unmarshal(body, &msg)
+	err := decode(s.body, &msg)
+	if h, ok := any(&msg).(handshake); ok && err == nil && h.acceptsBinary() {
+		s.sendBinary.Store(true)
+	}
+	if cap(s.body) > maxKeptBytes {
+		s.body = nil
+	}
+	return msg, err
+}
+
+// decode decodes the body of a frame into the message.
+func decode(body []byte, msg any) error {
+	binaryMsg, ok := msg.(msgp.Unmarshaler)
+	if !ok || len(body) == 0 || body[0] == jsonStart {
+		return json.Unmarshal(body, msg)
+	}
+	_, err := binaryMsg.UnmarshalMsg(body)
+	return eris.Wrap(err, "decode binary message")
+}
+
+// appendFrame appends the frame of the message to buf.
+func appendFrame(buf []byte, msg any, asBinary bool) ([]byte, error) {
+	start := len(buf)
+	buf = append(buf, make([]byte, headerBytes)...)
+	var err error
+	if binaryMsg, ok := msg.(msgp.Marshaler); ok && asBinary {
+		buf, err = binaryMsg.MarshalMsg(buf)
+	} else {
+		var body []byte
+		body, err = json.Marshal(msg)
+		buf = append(buf, body...)
+	}
+	if err != nil {
+		return nil, eris.Wrap(err, "encode message")
+	}
+	binary.BigEndian.PutUint32(buf[start:], uint32(len(buf)-start-headerBytes))
+	return buf, nil
 }
 
 // Done returns a channel that is closed when this side closes the connection.
@@ -119,38 +177,43 @@
 // returns.
 func (s *Conn[Out, In]) writeLoop() {
 	defer s.Close()
-	writer := bufio.NewWriterSize(s.conn, 16<<10)
+	var buf []byte
 	for {
 		select {
 		case <-s.done:
 			return
 		case msg := <-s.writeQueue:
-			if s.writeBatch(writer, msg) != nil {
+			var err error
+			if buf, err = s.writeBatch(buf[:0], msg); err != nil {
 				return
 			}
+			if cap(buf) > maxKeptBytes {
+				buf = nil
+			}
 		}
 	}
 }
 
-// writeBatch writes the message and all queued messages, and flushes the buffer once to save system calls.
-func (s *Conn[Out, In]) writeBatch(writer *bufio.Writer, msg Out) error {
-	if err := s.conn.SetWriteDeadline(time.Now().Add(IdleTimeout)); err != nil {
-		return err
-	}
+// writeBatch writes the message and the queued messages together, to save system calls. It returns the buffer for reuse.
+func (s *Conn[Out, In]) writeBatch(buf []byte, msg Out) ([]byte, error) {
+	var err error
 	for {
-		body, err := json.Marshal(msg)
-		if err != nil {
-			return err
+		if buf, err = appendFrame(buf, &msg, s.sendBinary.Load()); err != nil {
+			return nil, err
+		}
+		if len(buf) >= maxBatchBytes {
+			break
 		}
-		var header [4]byte
-		binary.BigEndian.PutUint32(header[:], uint32(len(body)))
-		writer.Write(header[:])
-		writer.Write(body)
 		select {
 		case msg = <-s.writeQueue:
 			continue
 		default:
 		}
-		return writer.Flush()
+		break
+	}
+	if err := s.conn.SetWriteDeadline(time.Now().Add(IdleTimeout)); err != nil {
+		return nil, err
 	}
+	_, err = s.conn.Write(buf)
+	return buf, err
 }
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -1,13 +1,17 @@
 package session_test
 
 import (
+	"io"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"bamboofork/internal/jobs"
 	"bamboofork/internal/session"
 )
 
@@ -69,3 +73,84 @@
 		qt.Assert(t, sent < 10_000, qt.IsTrue)
 	}
 }
+
+// fullReport is a report with every kind of content.
+func fullReport() session.FromMember {
+	return session.FromMember{
+		Name: "host-1", Incarnation: "host-1-a", AcceptsBinary: true, Agent: true, ReportSeq: 7, AckSeq: 3, RunsComplete: true, PollSeq: 9,
+		Worker:  &session.Worker{ID: "w", Lifetime: 1769359541450, Service: "s", CPU: 64000, MemMB: 256000, Labels: []string{"a", "r1-3"}},
+		Runs:    []session.Run{{Task: "8215c051b86e18f1.0.0.12", Run: 2, Started: true, Checkpoint: "00000bb87a21d94b", ProgressPercent: 41, RecentUsage: -1}},
+		Ends:    []session.RunEnd{{Lifetime: 1769359541450, Seq: 58, Task: "8215c051b86e18f1.0.0.9", Run: 1, Outcome: jobs.EndDone}},
+		Refused: []session.Refusal{{Task: "t", Run: 1, Reason: "no room"}},
+		Requests: []session.Request{{ID: 5, Verb: session.VerbSubmit, JobID: "8215c051b86e18f1", RemainingMs: 2400,
+			Queue: &jobs.Queue{Name: "q", Service: "s", Stretch: 1.5, TargetMs: 300},
+			Spec:  &jobs.Spec{Payload: "text", Steps: []jobs.Step{{Count: 3, CPU: 2800}, {Count: 1, After: []int{0}, Image: "i", BestEffort: true}}}}},
+	}
+}
+
+// connPair returns both ends of a connection.
+func connPair(t *testing.T) (*session.Conn[session.ToMember, session.FromMember], *conn) {
+	localEnd, remoteEnd := net.Pipe()
+	owner, member := session.New[session.ToMember, session.FromMember](localEnd), session.New[session.FromMember, session.ToMember](remoteEnd)
+	t.Cleanup(owner.Close)
+	t.Cleanup(member.Close)
+	return owner, member
+}
+
+// Guards against content that is lost in the binary form, or in the change from JSON to the binary form within a connection.
+func TestMessagesKeepTheirContentInBothForms(t *testing.T) {
+	owner, member := connPair(t)
+	want := fullReport()
+	for range 3 { // the first message of each side is JSON, the later ones are binary
+		qt.Assert(t, member.Send(want), qt.IsTrue)
+		got, err := owner.Receive()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got, qt.DeepEquals, want)
+		command := session.ToMember{Epoch: 4, AcceptsBinary: true, LeaseValid: true, Starts: []session.Start{{Task: "t", Run: 1, CPU: 7000, BestEffort: true}}}
+		qt.Assert(t, owner.Send(command), qt.IsTrue)
+		answer, err := member.Receive()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, answer, qt.DeepEquals, command)
+	}
+}
+
+// Guards against binary messages to a process of an older version, which decodes JSON only.
+func TestOlderPeerGetsJSON(t *testing.T) {
+	localEnd, remoteEnd := net.Pipe()
+	owner := session.New[session.ToMember, session.FromMember](localEnd)
+	defer owner.Close()
+	defer remoteEnd.Close()
+	hello := []byte(`{"nm":"host-1","ag":true}`)
+	go remoteEnd.Write(append([]byte{0, 0, 0, byte(len(hello))}, hello...))
+	_, err := owner.Receive()
+	qt.Assert(t, err, qt.IsNil)
+	owner.Send(session.ToMember{Epoch: 4, AcceptsBinary: true})
+	frame := make([]byte, 5)
+	_, err = io.ReadFull(remoteEnd, frame)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, frame[4], qt.Equals, byte('{'))
+}
+
+// Guards against a malformed message that ends the process: any bytes give a message or an error, within bounded memory.
+func TestMalformedMessagesGiveErrors(t *testing.T) {
+	report := fullReport()
+	valid, err := report.MarshalMsg(nil)
+	qt.Assert(t, err, qt.IsNil)
+	rng := rand.New(rand.NewPCG(3, 3))
+	for range 20_000 {
+		body := slices.Clone(valid[:1+rng.IntN(len(valid))])
+		for range rng.IntN(4) {
+			body[rng.IntN(len(body))] = byte(rng.Uint32())
+		}
+		var decoded session.FromMember
+		if _, err := decoded.UnmarshalMsg(body); err == nil {
+			continue
+		}
+		var command session.ToMember
+		_, _ = command.UnmarshalMsg(body) // must not panic
+	}
+	huge := []byte{0x81, 0xa2, 'r', 's', 0xdd, 0xff, 0xff, 0xff, 0xff} // a list of runs that claims 4 billion entries
+	var decoded session.FromMember
+	_, err = decoded.UnmarshalMsg(huge)
+	qt.Check(t, err, qt.IsNotNil)
+}
