--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -35,7 +35,7 @@
 	}
 	nowWallMs := wallTimeMs()
 	for id, job := range o.jobsState.Jobs {
-		if job.Ended() && job.IsDurable && nowWallMs-job.EndedMs > o.cfg.Retention.Milliseconds() && !o.hasPlacedTasks(job) {
+		if job.Ended() && job.IsDurable && nowWallMs-job.EndedMs > o.cfg.Retention.Milliseconds() && !job.HasPlacedTasks() {
 			o.apply(jobs.Change{JobID: id, Delete: &struct{}{}})
 		}
 	}
@@ -114,17 +114,6 @@
 	}
 }
 
-func (o *Owner) hasPlacedTasks(job *jobs.Job) bool {
-	for _, tasks := range o.placedByAgent {
-		for _, placed := range tasks {
-			if placed.job == job {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // endRunsOfLostWorker ends the runs of an unreachable worker as lost, so that their tasks can be placed again. It does nothing
 // before the worker's hold must have expired by the worker's own clock.
 func (o *Owner) endRunsOfLostWorker(name string, tasks map[string]*placedTask) {
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -377,16 +377,41 @@
 	}
 }
 
-// Encode returns the serialized state for a snapshot.
+// Encode returns the serialized state for a snapshot. Of an ended job it keeps what callers may still ask for; the steps and tasks
+// of ended jobs would be most of the snapshot, and a new owner has to read it before it can place anything.
 func (s *State) Encode() ([]byte, error) {
 	list := make([]*Job, 0, len(s.Jobs))
 	for _, j := range s.Jobs {
+		if j.Ended() && !j.HasPlacedTasks() {
+			j = j.withoutSteps()
+		}
 		list = append(list, j)
 	}
 	sort.Slice(list, func(a, b int) bool { return list[a].ID < list[b].ID })
 	return json.Marshal(list)
 }
 
+// HasPlacedTasks reports whether the end of a run of the job is not known yet. Such a run has to be stopped by the next owner too.
+func (j *Job) HasPlacedTasks() bool {
+	for k := range j.Occurrences {
+		for i := range j.Occurrences[k].Steps {
+			for t := range j.Occurrences[k].Steps[i].Tasks {
+				if j.Occurrences[k].Steps[i].Tasks[t].State == TaskPlaced {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// withoutSteps returns a copy of an ended job without its payload, steps and occurrences. Its state is the same: a job without
+// occurrences that was neither cancelled nor has failed counts as completed.
+func (j *Job) withoutSteps() *Job {
+	return &Job{ID: j.ID, Queue: Queue{Name: j.Queue.Name, Service: j.Queue.Service}, AcceptedMs: j.AcceptedMs, EndedMs: j.EndedMs,
+		IsCancelled: j.IsCancelled, IsFailed: j.IsFailed}
+}
+
 // Decode restores the state from data that State.Encode returned. For empty data it returns a State without jobs.
 func Decode(data []byte) (*State, error) {
 	s := NewState()
--- a/internal/jobs/state_test.go
+++ b/internal/jobs/state_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -113,8 +115,8 @@
 	qt.Check(t, j.State(), qt.Equals, jobs.Cancelled)
 }
 
-// Guards against a snapshot that loses state. A decoded snapshot must encode to the same data, and must have the same job state and
-// the same numbers of waiting tasks.
+// Guards against a snapshot that loses state. A decoded snapshot must encode to the same data, and must have the same job state and,
+// unless the job is over, the same numbers of waiting tasks.
 func TestSnapshotKeepsTheState(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		s := jobs.NewState()
@@ -143,8 +145,28 @@
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, string(reencoded), qt.Equals, string(data))
 		qt.Check(t, decoded.Jobs["j"].State(), qt.Equals, j.State())
+		qt.Check(t, decoded.Jobs["j"].EndedMs, qt.Equals, j.EndedMs)
+		qt.Check(t, decoded.Jobs["j"].HasPlacedTasks(), qt.Equals, j.HasPlacedTasks())
+		if j.Ended() && !j.HasPlacedTasks() {
+			qt.Check(t, decoded.Jobs["j"].Occurrences, qt.HasLen, 0) // none of its tasks can start again
+			return
+		}
 		for step := range 2 {
 			qt.Check(t, decoded.Jobs["j"].Occurrences[0].Steps[step].WaitingTasks, qt.Equals, j.Occurrences[0].Steps[step].WaitingTasks)
 		}
 	})
 }
+
+// Guards against snapshots that grow with every job that has ended: an owner has to read the snapshot before it can place anything.
+func TestSnapshotOfEndedJobsIsSmall(t *testing.T) {
+	s := jobs.NewState()
+	for i := range 1000 {
+		job := oneStepJob(fmt.Sprintf("%016x", i), 40)
+		job.Spec.Payload = strings.Repeat("x", 150)
+		s.Apply(jobs.Change{Submit: job})
+		s.Apply(jobs.Change{JobID: job.ID, Cancel: &jobs.Cancel{AtMs: 5}})
+	}
+	data, err := s.Encode()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, len(data) < 200*1000, qt.IsTrue, qt.Commentf("%d bytes for 1,000 ended jobs", len(data)))
+}
