Tell a replaced owner about its successor

Change: a member answers an owner of a lower epoch with the epoch that it follows, and the owner ends its term. Flush now waits until messages are written, not only taken from the queue. TestReplacedOwnerWithoutStoreAccessEndsItsTerm runs into its time-out before.

--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -10,6 +10,7 @@
 
 	"bamboofork/internal/app"
 	"bamboofork/internal/boottime"
+	"bamboofork/internal/election"
 	"bamboofork/internal/events"
 	"bamboofork/internal/placement"
 	"bamboofork/internal/session"
@@ -232,6 +233,11 @@
 
 // handleMessage processes a message from a member: the report of an agent, or the requests of an entry.
 func (o *Owner) handleMessage(member *memberView, msg *session.FromMember) {
+	if msg.NewerEpoch > o.epoch {
+		// Another owner has fenced the log. An owner without access to the store learns this only from the members.
+		o.endTerm(election.ErrTaken)
+		return
+	}
 	member.lastMessageAt = boottime.Now()
 	if msg.ReportSeq > member.lastReportSeq || !member.runsListed {
 		member.lastReportSeq = msg.ReportSeq
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -51,6 +51,7 @@
 	adviceRequests chan adviceRequest
 
 	mu             sync.Mutex
+	endTerm        context.CancelCauseFunc // ends the term; set by Run
 	jobsState      *jobs.State
 	activeJobs     map[string]*jobs.Job   // jobs that have not ended, by ID
 	pendingChanges []jobs.Change          // applied in memory, not yet in a record
@@ -180,6 +181,9 @@
 func (o *Owner) Run(ctx context.Context) error {
 	ctx, endTerm := context.WithCancelCause(ctx)
 	defer endTerm(nil)
+	o.mu.Lock()
+	o.endTerm = endTerm
+	o.mu.Unlock()
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		if err := o.commitLoop(ctx); err != nil {
--- /dev/null
+++ b/internal/jobowner/replaced_test.go
@@ -0,0 +1,60 @@
+package jobowner
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"bamboofork/internal/election"
+	"bamboofork/internal/ownerconn"
+	"bamboofork/internal/session"
+	"bamboofork/internal/store"
+	"bamboofork/internal/store/memstore"
+)
+
+// Guards against an owner that acts on after it was replaced. An owner that cannot reach the store learns of its successor only
+// from the members, which answer with the newer epoch; before, it connected to all of them again without an end.
+func TestReplacedOwnerWithoutStoreAccessEndsItsTerm(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	addr := listener.Addr().String()
+	qt.Assert(t, listener.Close(), qt.IsNil)
+	follower := &ownerconn.Follower{Name: "front-0", Incarnation: "front-0-1", Log: zerolog.Nop(),
+		OwnerConnected: func(*ownerconn.Conn) {}, HandleMessage: func(*ownerconn.Conn, *session.ToMember) {}}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	listenDone := make(chan error, 1)
+	go func() { listenDone <- follower.Listen(ctx, addr) }()
+
+	engine := memstore.New()
+	faulty := memstore.NewFaulty(engine, 1)
+	o := newTestOwner(t, faulty)
+	announcement, err := json.Marshal(Member{Name: "front-0", Addr: addr})
+	qt.Assert(t, err, qt.IsNil)
+	_, err = engine.CompareAndSwap(ctx, MemberPrefix+"front-0", 0, announcement, store.LeaseID(0))
+	qt.Assert(t, err, qt.IsNil)
+	ended := make(chan error, 1)
+	go func() { ended <- o.Run(ctx) }()
+	for follower.Conn() == nil {
+		time.Sleep(time.Millisecond)
+	}
+
+	faulty.SetFaults(memstore.Faults{Down: true})
+	successor, err := session.Dial[session.ToMember, session.FromMember](ctx, addr)
+	qt.Assert(t, err, qt.IsNil)
+	defer successor.Close()
+	successor.Send(session.ToMember{Epoch: o.epoch + 1, Owner: "host-1", LeaseValid: true})
+	select {
+	case err := <-ended:
+		qt.Check(t, err, qt.ErrorIs, election.ErrTaken)
+	case <-time.After(3 * time.Second):
+		t.Fatal("the replaced owner goes on")
+	}
+	cancel()
+	qt.Check(t, <-listenDone, qt.IsNil)
+}
--- a/internal/ownerconn/ownerconn.go
+++ b/internal/ownerconn/ownerconn.go
@@ -82,7 +82,11 @@
 	defer conn.Close()
 	conn.Send(session.FromMember{Name: f.Name, Incarnation: f.Incarnation, AcceptsBinary: true})
 	first, err := conn.Receive()
-	if err != nil || !f.acceptOwner(conn, &first) {
+	if err != nil {
+		return
+	}
+	if !f.acceptOwner(conn, &first) {
+		f.rejectOwner(conn)
 		return
 	}
 	f.OwnerConnected(conn)
@@ -117,6 +121,18 @@
 	return true
 }
 
+// rejectionFlushTimeout bounds the sending of the answer to an owner that has been replaced.
+const rejectionFlushTimeout = 300 * time.Millisecond
+
+// rejectOwner tells an owner that it has been replaced. It may have no access to the store, and then learns it from no one else.
+func (f *Follower) rejectOwner(conn *Conn) {
+	f.mu.Lock()
+	newerEpoch := f.ownerEpoch
+	f.mu.Unlock()
+	conn.Send(session.FromMember{NewerEpoch: newerEpoch})
+	conn.Flush(rejectionFlushTimeout)
+}
+
 // updateOwnerStatus records the lease, the store access and the resignation that a message of the current owner reports.
 func (f *Follower) updateOwnerStatus(conn *Conn, msg *session.ToMember) {
 	f.mu.Lock()
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -65,6 +65,9 @@
 	Incarnation string `json:"ic,omitempty"`
 	// AcceptsBinary states that the sender decodes binary messages; in the first message only.
 	AcceptsBinary bool `json:"mp,omitempty"`
+	// NewerEpoch is the epoch of the owner that this member follows, in the answer to an owner with a lower epoch. The connection
+	// is closed after it.
+	NewerEpoch int64 `json:"ne,omitempty"`
 
 	Agent            bool      `json:"ag,omitempty"`
 	ReportSeq        int64     `json:"b,omitempty"`  // number of this report
--- a/internal/session/messages_gen.go
+++ b/internal/session/messages_gen.go
@@ -46,8 +46,8 @@
 func (z *FromMember) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(14)
-	var zb0001Mask uint16 /* 14 bits */
+	zb0001Len := uint32(15)
+	var zb0001Mask uint16 /* 15 bits */
 	_ = zb0001Mask
 	if z.Name == "" {
 		zb0001Len--
@@ -61,50 +61,54 @@
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
-	if z.Agent == false {
+	if z.NewerEpoch == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
-	if z.ReportSeq == 0 {
+	if z.Agent == false {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
-	if z.AckSeq == 0 {
+	if z.ReportSeq == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
-	if z.Worker == nil {
+	if z.AckSeq == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
-	if z.BestEffortPaused == false {
+	if z.Worker == nil {
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
-	if z.RunsComplete == false {
+	if z.BestEffortPaused == false {
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.PollSeq == 0 {
+	if z.RunsComplete == false {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
-	if z.Runs == nil {
+	if z.PollSeq == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
-	if z.Ends == nil {
+	if z.Runs == nil {
 		zb0001Len--
 		zb0001Mask |= 0x800
 	}
-	if z.Refused == nil {
+	if z.Ends == nil {
 		zb0001Len--
 		zb0001Mask |= 0x1000
 	}
-	if z.Requests == nil {
+	if z.Refused == nil {
 		zb0001Len--
 		zb0001Mask |= 0x2000
 	}
+	if z.Requests == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -126,21 +130,26 @@
 			o = msgp.AppendBool(o, z.AcceptsBinary)
 		}
 		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "ne"
+			o = append(o, 0xa2, 0x6e, 0x65)
+			o = msgp.AppendInt64(o, z.NewerEpoch)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// string "ag"
 			o = append(o, 0xa2, 0x61, 0x67)
 			o = msgp.AppendBool(o, z.Agent)
 		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
 			// string "b"
 			o = append(o, 0xa1, 0x62)
 			o = msgp.AppendInt64(o, z.ReportSeq)
 		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "n"
 			o = append(o, 0xa1, 0x6e)
 			o = msgp.AppendInt64(o, z.AckSeq)
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "w"
 			o = append(o, 0xa1, 0x77)
 			if z.Worker == nil {
@@ -153,22 +162,22 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// string "sl"
 			o = append(o, 0xa2, 0x73, 0x6c)
 			o = msgp.AppendBool(o, z.BestEffortPaused)
 		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "f"
 			o = append(o, 0xa1, 0x66)
 			o = msgp.AppendBool(o, z.RunsComplete)
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "lk"
 			o = append(o, 0xa2, 0x6c, 0x6b)
 			o = msgp.AppendInt64(o, z.PollSeq)
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// string "rs"
 			o = append(o, 0xa2, 0x72, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Runs)))
@@ -180,7 +189,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x800) == 0 { // if not omitted
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
 			// string "en"
 			o = append(o, 0xa2, 0x65, 0x6e)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Ends)))
@@ -192,7 +201,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
 			// string "rf"
 			o = append(o, 0xa2, 0x72, 0x66)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Refused)))
@@ -209,7 +218,7 @@
 				o = msgp.AppendString(o, z.Refused[za0003].Reason)
 			}
 		}
-		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
 			// string "rq"
 			o = append(o, 0xa2, 0x72, 0x71)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Requests)))
@@ -265,6 +274,12 @@
 				err = msgp.WrapError(err, "AcceptsBinary")
 				return
 			}
+		case "ne":
+			z.NewerEpoch, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NewerEpoch")
+				return
+			}
 		case "ag":
 			z.Agent, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -463,7 +478,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FromMember) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.Name) + 3 + msgp.StringPrefixSize + len(z.Incarnation) + 3 + msgp.BoolSize + 3 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.Name) + 3 + msgp.StringPrefixSize + len(z.Incarnation) + 3 + msgp.BoolSize + 3 + msgp.Int64Size + 3 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2
 	if z.Worker == nil {
 		s += msgp.NilSize
 	} else {
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -45,6 +45,7 @@
 	writeQueue chan Out
 	done       chan struct{}
 	closeOnce  sync.Once
+	unwritten  atomic.Int64 // number of messages that were queued and are not written yet
 	sendBinary atomic.Bool // the peer has stated that it decodes binary messages
 	body       []byte      // buffer of the received frame, used by Receive only
 }
@@ -84,10 +85,12 @@
 		return false
 	default:
 	}
+	s.unwritten.Add(1)
 	select {
 	case s.writeQueue <- msg:
 		return true
 	default:
+		s.unwritten.Add(-1)
 		s.Close()
 		return false
 	}
@@ -165,10 +168,10 @@
 	})
 }
 
-// Flush waits until the write queue is empty, but not longer than the timeout.
+// Flush waits until the queued messages have been written, but not longer than the timeout.
 func (s *Conn[Out, In]) Flush(timeout time.Duration) {
 	deadline := time.Now().Add(timeout)
-	for len(s.writeQueue) > 0 && time.Now().Before(deadline) {
+	for s.unwritten.Load() > 0 && time.Now().Before(deadline) {
 		time.Sleep(5 * time.Millisecond)
 	}
 }
@@ -196,24 +199,20 @@
 
 // writeBatch writes the message and the queued messages together, to save system calls. It returns the buffer for reuse.
 func (s *Conn[Out, In]) writeBatch(buf []byte, msg Out) ([]byte, error) {
-	var err error
-	for {
-		if buf, err = appendFrame(buf, &msg, s.sendBinary.Load()); err != nil {
-			return nil, err
-		}
-		if len(buf) >= maxBatchBytes {
-			break
-		}
-		select {
-		case msg = <-s.writeQueue:
-			continue
-		default:
-		}
-		break
+	messages := int64(1)
+	buf, err := appendFrame(buf, &msg, s.sendBinary.Load())
+	for err == nil && len(buf) < maxBatchBytes && len(s.writeQueue) > 0 { // writeLoop is the only receiver
+		msg = <-s.writeQueue
+		messages++
+		buf, err = appendFrame(buf, &msg, s.sendBinary.Load())
+	}
+	if err != nil {
+		return nil, err
 	}
 	if err := s.conn.SetWriteDeadline(time.Now().Add(IdleTimeout)); err != nil {
 		return nil, err
 	}
 	_, err = s.conn.Write(buf)
+	s.unwritten.Add(-messages)
 	return buf, err
 }
