--- a/internal/jobowner/commit.go
+++ b/internal/jobowner/commit.go
@@ -30,7 +30,7 @@
 	appendTimeoutFactor = 4
 	// recordsPerSnapshot is the number of records after which a snapshot replaces them. The number bounds the reads during
 	// recovery.
-	recordsPerSnapshot = 400
+	recordsPerSnapshot = 150
 	// storeStallTimeout is how long the write of a record may stay unanswered before the owner refuses submissions instead of
 	// queueing them behind the write. After the same time a process that reaches the store may take over. Two lost responses in
 	// a row take less time.
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -127,6 +127,7 @@
 	o.rebuildIndexes()
 	o.loadInterference(ctx)
 	events.JobsOwned.Log(&cfg.Log).Int64("epoch", o.epoch).Int("jobs", len(o.jobsState.Jobs)).Int("active", len(o.activeJobs)).
+		Dur("load_ms", recovery.loadTime).Int("records", recovery.recordCount).Int("snapshot_bytes", recovery.snapshotBytes).
 		Dur("took_ms", boottime.Now()-o.startedAt).Send()
 	return o, nil
 }
--- a/internal/jobowner/recovery.go
+++ b/internal/jobowner/recovery.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bamboofork/internal/app"
+	"bamboofork/internal/boottime"
 	"bamboofork/internal/caslog"
 	"bamboofork/internal/jobs"
 	"bamboofork/internal/store"
@@ -24,6 +25,10 @@
 	snapshotSeq    int64
 	lastSeq        int64 // newest record that state contains
 	fence          caslog.Record
+	// loadTime is the time spent on reading and decoding; recordCount and snapshotBytes are what was read.
+	loadTime      time.Duration
+	recordCount   int
+	snapshotBytes int
 }
 
 // attempt loads what is missing and appends the fence. It returns caslog.ErrConflict if another owner has appended a record in
@@ -31,7 +36,9 @@
 func (r *logRecovery) attempt(ctx context.Context) error {
 	attemptCtx, cancel := context.WithTimeout(ctx, r.attemptTimeout)
 	defer cancel()
+	start := boottime.Now()
 	err := r.load(attemptCtx)
+	r.loadTime += boottime.Now() - start
 	if err == nil {
 		err = r.appendFence(attemptCtx)
 	}
@@ -62,6 +69,7 @@
 	if err != nil {
 		return err
 	}
+	r.snapshotBytes = len(loaded.Snapshot)
 	r.state, r.snapshotSeq, r.lastSeq = state, loaded.SnapshotSeq, loaded.SnapshotSeq
 	return r.applyRecords(loaded.Records)
 }
@@ -78,6 +86,7 @@
 			r.state.Apply(change)
 		}
 		r.lastSeq = record.Seq
+		r.recordCount++
 	}
 	return nil
 }
