Serve jobs in an overload that can still be in time; order late work by use

Load pattern: large jobs demand 1.3 to 2.6 times what the fleet has. Cause: the job with the least slack goes first, so every job begins when it has hardly any time left, becomes late halfway and gives way to the next one.

Change: begun jobs that are on time first, then those not begun, then late ones, then those past three objectives. If the work ahead does not let all jobs begin in time, the job with the most slack is begun first. Once the overload is over and half of the CPU is not reserved, each job that was left behind has a task running.

Also tests for failures that like operators met: silent workers, restarted agents, expired permissions, malformed requests.

--- a/internal/deployed/deployed_test.go
+++ b/internal/deployed/deployed_test.go
@@ -251,3 +251,27 @@
 	f.waitCompleted(ids, 20*time.Second)
 	qt.Check(t, f.workers[0].StartedRunCount()+f.workers[2].StartedRunCount(), qt.Equals, 0)
 }
+
+// Guards against runs that are started elsewhere or given up because their worker was silent for a while. The silence is shorter
+// than the hold, so the runs go on and no task starts a second time.
+func TestRunsOfASilentWorkerAreKept(t *testing.T) {
+	f := newFleet(t, 2)
+	for _, w := range f.workers {
+		w.SetFaults(standin.WorkerFaults{NoProgress: true}) // the runs do not end by themselves
+	}
+	ids := f.submit("ab", 1, `{"spec":"long","steps":[{"count":4,"cpu":2000,"mem_mb":100,"estimate_ms":200000}]}`)
+	qt.Assert(t, ids, qt.HasLen, 1)
+	f.eventually("the tasks run", 5*time.Second, func() bool { return f.checker.StartCount() == 4 })
+	time.Sleep(500 * time.Millisecond)
+	for _, w := range f.workers {
+		w.SetFaults(standin.WorkerFaults{NoProgress: true, Unresponsive: true})
+	}
+	time.Sleep(time.Second) // the hold lasts 2.4 s and is up to a second old
+	for _, w := range f.workers {
+		w.SetFaults(standin.WorkerFaults{NoProgress: true})
+	}
+	time.Sleep(1500 * time.Millisecond)
+	qt.Check(t, f.checker.StartCount(), qt.Equals, 4)
+	qt.Check(t, f.jobState(ids[0]), qt.Equals, "running")
+	qt.Check(t, f.checker.Violations(), qt.HasLen, 0)
+}
--- a/internal/hostagent/calls_test.go
+++ b/internal/hostagent/calls_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"bamboofork/internal/boottime"
 	"bamboofork/internal/session"
 )
 
@@ -103,3 +104,35 @@
 	qt.Check(t, a.runByTask, qt.HasLen, 0)
 	qt.Check(t, a.unreportedRefusals, qt.DeepEquals, []session.Refusal{{Task: "j.0.0.0", Run: 1, Reason: "ticket"}})
 }
+
+// Guards against a worker that has left and is used again after a restart of its agent: the new process knows nothing, and a delayed
+// registration of the worker may still arrive. Nothing starts before the worker itself has listed its runs.
+func TestRestartedAgentStartsNothingOnAWorkerThatHasLeft(t *testing.T) {
+	a := newTestAgent(nil)
+	a.runsListed, a.token, a.clockMs = false, 0, 0 // as after a restart; the registration is a delayed one
+	a.mu.Lock()
+	a.queueStart(&session.Start{Task: "j.0.0.0", Run: 1, Lifetime: 7, CPU: 1000})
+	qt.Check(t, a.runByTask, qt.HasLen, 0)
+	qt.Check(t, a.unreportedRefusals, qt.HasLen, 1)
+	a.mu.Unlock()
+	for range maxRefusedConns {
+		a.handleHoldError(ErrConnRefused)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	qt.Check(t, a.worker.Gone, qt.IsTrue)
+	a.queueStart(&session.Start{Task: "j.0.0.0", Run: 2, Lifetime: 7, CPU: 1000})
+	qt.Check(t, a.runByTask, qt.HasLen, 0)
+}
+
+// Guards against a start on a permission that has run out while the agent was paused: the deadline that goes with the start is never
+// later than the owner has granted, so that the worker rejects it as late.
+func TestStartAfterAPauseCarriesTheExpiredDeadline(t *testing.T) {
+	a := newTestAgent(nil)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.grantedUntilMs = 5000
+	a.clockMs, a.clockReadAt = 1000, boottime.Now()-10*time.Second // the worker's clock is at 11,000 now
+	qt.Check(t, a.nextDeadlineMs() <= 5000, qt.IsTrue)
+	qt.Check(t, a.workerClockMs() > 5000, qt.IsTrue)
+}
--- a/internal/jobowner/replaced_test.go
+++ b/internal/jobowner/replaced_test.go
@@ -58,3 +58,34 @@
 	cancel()
 	qt.Check(t, <-listenDone, qt.IsNil)
 }
+
+// Guards against a malformed message that ends the owner's process: requests without a job, without a queue or with a job that no
+// owner could recover are answered or ignored.
+func TestMalformedRequestsAreAnswered(t *testing.T) {
+	o := newTestOwner(t, memstore.New())
+	localEnd, remoteEnd := net.Pipe()
+	c := session.New[session.ToMember, session.FromMember](localEnd)
+	peer := session.New[session.FromMember, session.ToMember](remoteEnd)
+	defer c.Close()
+	defer peer.Close()
+	member := &memberView{Member: Member{Name: "front-0"}, conn: c}
+	endless := submission("dddddddddddddddd")
+	endless.Spec.Steps[0].Count = -1
+	requests := []session.Request{
+		{ID: 1, Verb: session.VerbSubmit, JobID: "dddddddddddddddd"}, *endless, {ID: 3, Verb: session.VerbPending},
+		{ID: 4, Verb: session.VerbGet}, {ID: 5, Verb: session.VerbCancel}, {ID: 6, Verb: "other"},
+	}
+	requests[1].ID = 2
+	o.mu.Lock()
+	o.handleMessage(member, &session.FromMember{Requests: requests})
+	o.mu.Unlock()
+	for range 5 {
+		msg, err := peer.Receive()
+		qt.Assert(t, err, qt.IsNil)
+		reply := msg.Replies[0]
+		if reply.RequestID <= 2 {
+			qt.Check(t, reply.Code, qt.Equals, session.CodeRejected, qt.Commentf("request %d", reply.RequestID))
+		}
+	}
+	qt.Check(t, o.jobsState.Jobs, qt.HasLen, 0)
+}
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -43,10 +43,34 @@
 // the interference that the task causes. No job may wait indefinitely while there are free resources for it.
 const starvationMs = 1800
 
+// startIdleJobsIfCalm lets every job without a placed task start one at once if all jobs that wait are late and at least half of the
+// CPU of the workers is not reserved. The jobs that were left behind in an overload then always have a task running, although no
+// worker is free of serving tasks that they interfere with.
+func startIdleJobsIfCalm(s *Snapshot, list []candidate) {
+	free, capacity := 0, 0
+	for _, w := range s.Workers {
+		free, capacity = free+w.Free.CPU, capacity+w.Capacity.CPU
+	}
+	if 2*free < capacity {
+		return
+	}
+	for i := range list {
+		if c := &list[i]; !c.isPerpetual && c.standing < late {
+			return
+		}
+	}
+	for i := range list {
+		c := &list[i]
+		c.isStarved = c.isStarved || (!c.isPerpetual && !c.job.HasPlacedTasks())
+	}
+}
+
 // candidate is an occurrence of a job that may have tasks to start.
 type candidate struct {
 	job            *jobs.Job
 	occ            int
+	standing       standing
+	hasBegun       bool   // a task of the occurrence has been placed
 	isLate         bool   // the job can no longer meet its completion time objective
 	slackMs        int64  // time until the job becomes late; negative for a late job
 	initialSlackMs int64  // slack when the job was accepted
@@ -56,9 +80,8 @@
 }
 
 // sortedCandidates returns the candidates in the order in which their tasks are placed. Queues with a lower priority number come
-// first. Within a priority, perpetual jobs come first, then jobs that can still meet their objective, then late jobs. Among these,
-// the job with the least slack comes first. In a burst of large jobs, some of them therefore finish, instead of all of them making
-// a little progress.
+// first. Within a priority, perpetual jobs come first, then the other jobs by their standing. In a burst of large jobs, some of them
+// therefore finish in time, instead of all of them making a little progress.
 func sortedCandidates(snapshot *Snapshot) []candidate {
 	list := make([]candidate, 0, len(snapshot.Jobs))
 	for _, j := range snapshot.Jobs {
@@ -78,11 +101,13 @@
 			cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority),
 			compareBool(b.isPerpetual, a.isPerpetual),
 			cmp.Compare(a.image, b.image),
-			compareBool(a.isLate, b.isLate),
-			cmp.Compare(a.slackMs, b.slackMs),
+			cmp.Compare(a.standing, b.standing),
+			compareWithinStanding(&a, &b),
 			cmp.Compare(a.job.ID, b.job.ID),
 		)
 	})
+	preferFreshIfOverloaded(snapshot, list)
+	startIdleJobsIfCalm(snapshot, list)
 	return list
 }
 
@@ -99,9 +124,11 @@
 		}
 	}
 	isStarved := j.IdleSinceMs > 0 && snapshot.BootTimeMs-j.IdleSinceMs > starvationMs
-	return candidate{job: j, occ: occ, isLate: currentSlackMs < 0 && !isPerpetual, slackMs: currentSlackMs,
+	c := candidate{job: j, occ: occ, isLate: currentSlackMs < 0 && !isPerpetual, slackMs: currentSlackMs,
 		initialSlackMs: objectiveMs - criticalPathMs,
-		isPerpetual:    isPerpetual, image: image, isStarved: isStarved}
+		isPerpetual:    isPerpetual, image: image, isStarved: isStarved, hasBegun: hasBegun(j, occ)}
+	c.standing = standingOf(&c, objectiveMs)
+	return c
 }
 
 // lateUrgency is the urgency of a job that can no longer meet its objective. Such a job gains little from an earlier end.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -225,3 +225,28 @@
 	_, err = placement.DecodeInterference([]byte("{"), 0)
 	qt.Check(t, err, qt.IsNotNil)
 }
+
+// Guards against jobs that an overload has left behind and that wait although the overload is over: every worker has a serving task
+// with which their image interferes, so they have no worker at full speed. While all waiting jobs are late and half of the CPU is not
+// reserved, each of them has a task running. While another job can still be in time, or the workers are full of serving tasks, none of
+// them disturbs the serving tasks earlier than after starvationMs.
+func TestLateJobsKeepATaskRunningOnceTheOverloadIsOver(t *testing.T) {
+	step := jobs.Step{Count: 5, CPU: 6000, MemMB: 1000, EstimateMs: 1700, BestEffort: true, Image: "heavy"}
+	for _, c := range []struct {
+		hasTimelyJob bool
+		servingTasks int
+		want         int
+	}{{false, 2, 1}, {true, 2, 0}, {false, 3, 0}} {
+		s := &placement.Snapshot{Interference: trainedInterference(), BootTimeMs: 60_000, WallMs: 60_000,
+			Jobs: []*jobs.Job{newJob("late", jobs.Queue{Stretch: 2, TargetMs: 1000}, 1000, step)}}
+		w := newWorker("w", 64_000)
+		s.Workers = []*placement.Worker{w}
+		for range c.servingTasks {
+			s.Allocate(w, &jobs.Step{CPU: 13_000, TargetMs: 20, Image: "serving", Perpetual: true}, "a", 1)
+		}
+		if c.hasTimelyJob {
+			s.Jobs = append(s.Jobs, newJob("timely", jobs.Queue{Stretch: 2, TargetMs: 1000}, 60_000, step))
+		}
+		qt.Check(t, placement.Plan(s), qt.HasLen, c.want)
+	}
+}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -91,6 +91,7 @@
 		worker.BestEffortTasks++
 		s.addInterference(worker, step, pace)
 		usedCPU = int(pace * float64(step.CPU))
+		worker.bestEffortCPU += usedCPU
 	case step.TargetMs > 0:
 		task := ServingTask{Image: step.Image, TargetMs: step.TargetMs, Load: priorLoad}
 		if pairs := s.pairTable(); pairs != nil {
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -59,6 +59,8 @@
 	// a time.
 	MaxStarts int
 
+	bestEffortCPU int // CPU in use by best-effort tasks at their paces, in thousandths of a core
+
 	stepTasks int // number of placed tasks of the step that is being planned; see Snapshot.countStepTasks
 	position  int // index of the worker in the snapshot of the step that is being planned
 }
