--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -23,11 +23,11 @@
 // progress. It also updates how long jobs and tasks have been waiting. It goes over all placed tasks, so it does nothing if the
 // last check is less than idleCheckInterval ago.
 func (o *Owner) checkTimeouts() {
-	if now := boottime.Now(); now < o.timeoutsCheckedAt+idleCheckInterval {
+	now := boottime.Now()
+	if now < o.timeoutsCheckedAt+idleCheckInterval {
 		return
-	} else {
-		o.timeoutsCheckedAt = now
 	}
+	o.timeoutsCheckedAt = now
 	for name, tasks := range o.placedByAgent {
 		if len(tasks) > 0 {
 			o.endRunsOfLostWorker(name, tasks)
