Shorten the silence in the test of silent workers

A call to a worker ends after 650 ms, so 0.8 s are noticed, and 0.6 s of the hold remain in the worst case instead of 0.4 s: on a machine beside other work the process itself may be late.

--- a/internal/deployed/deployed_test.go
+++ b/internal/deployed/deployed_test.go
@@ -266,7 +266,7 @@
 	for _, w := range f.workers {
 		w.SetFaults(standin.WorkerFaults{NoProgress: true, Unresponsive: true})
 	}
-	time.Sleep(time.Second) // the hold lasts 2.4 s and is up to a second old
+	time.Sleep(800 * time.Millisecond) // noticed after 650 ms; the hold lasts 2.4 s and is up to a second old
 	for _, w := range f.workers {
 		w.SetFaults(standin.WorkerFaults{NoProgress: true})
 	}
