Order for placement apart from the sort, lateness from the standing, one way to end a lease

The feasibility of waiting jobs and the start of idle ones were also worked out for the backlog, which needs neither, once more in each planning pass. isLate repeated what the standing says. Two places ended a lease with the same steps. Behaviour is the same but for one log text, and for the order in which the backlog adds up jobs in an overload (last digits of a sum).

--- a/internal/jobowner/candidate.go
+++ b/internal/jobowner/candidate.go
@@ -169,9 +169,5 @@
 	if errors.Is(cause, election.ErrTaken) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
-	defer cancel()
-	if err := ownership.Resign(ctx); err != nil {
-		events.LeaseLost.Log(&c.Config.Log).Err(err).Msg("could not end the lease after a recovery that was not completed; it expires at the end of its TTL")
-	}
+	endLease(ownership, &c.Config.Log)
 }
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -211,13 +211,18 @@
 	return cause
 }
 
-// Resign releases ownership voluntarily and notifies the members, so that a successor takes over at once.
-func (o *Owner) Resign() {
+// endLease ends the owner's lease, so that a successor need not wait for its expiry.
+func endLease(ownership *election.Ownership, log *zerolog.Logger) {
 	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
 	defer cancel()
-	if err := o.ownership.Resign(ctx); err != nil {
-		events.LeaseLost.Log(&o.cfg.Log).Err(err).Msg("could not end the owner's lease; it expires at the end of its TTL")
+	if err := ownership.Resign(ctx); err != nil {
+		events.LeaseLost.Log(log).Err(err).Msg("could not end the owner's lease; it expires at the end of its TTL")
 	}
+}
+
+// Resign releases ownership voluntarily and notifies the members, so that a successor takes over at once.
+func (o *Owner) Resign() {
+	endLease(o.ownership, &o.cfg.Log)
 	o.mu.Lock()
 	conns := []*session.Conn[session.ToMember, session.FromMember]{}
 	for _, member := range o.members {
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -71,7 +71,6 @@
 	occ            int
 	standing       standing
 	hasBegun       bool   // a task of the occurrence has been placed
-	isLate         bool   // the job can no longer meet its completion time objective
 	slackMs        int64  // time until the job becomes late; negative for a late job
 	initialSlackMs int64  // slack when the job was accepted
 	isPerpetual    bool   // the job has a perpetual step, so it runs until it is cancelled
@@ -79,9 +78,17 @@
 	isStarved      bool   // the job has had no placed task for starvationMs
 }
 
-// sortedCandidates returns the candidates in the order in which their tasks are placed. Queues with a lower priority number come
-// first. Within a priority, perpetual jobs come first, then the other jobs by their standing. In a burst of large jobs, some of them
-// therefore finish in time, instead of all of them making a little progress.
+// placementOrder returns the candidates in the order in which their tasks are placed.
+func placementOrder(snapshot *Snapshot) []candidate {
+	list := sortedCandidates(snapshot)
+	preferFreshIfOverloaded(snapshot, list)
+	startIdleJobsIfCalm(snapshot, list)
+	return list
+}
+
+// sortedCandidates returns the candidates by priority and standing. Queues with a lower priority number come first. Within a priority,
+// perpetual jobs come first, then the other jobs by their standing. In a burst of large jobs, some of them therefore finish in time,
+// instead of all of them making a little progress.
 func sortedCandidates(snapshot *Snapshot) []candidate {
 	list := make([]candidate, 0, len(snapshot.Jobs))
 	for _, j := range snapshot.Jobs {
@@ -106,8 +113,6 @@
 			cmp.Compare(a.job.ID, b.job.ID),
 		)
 	})
-	preferFreshIfOverloaded(snapshot, list)
-	startIdleJobsIfCalm(snapshot, list)
 	return list
 }
 
@@ -124,7 +129,7 @@
 		}
 	}
 	isStarved := j.IdleSinceMs > 0 && snapshot.BootTimeMs-j.IdleSinceMs > starvationMs
-	c := candidate{job: j, occ: occ, isLate: currentSlackMs < 0 && !isPerpetual, slackMs: currentSlackMs,
+	c := candidate{job: j, occ: occ, slackMs: currentSlackMs,
 		initialSlackMs: objectiveMs - criticalPathMs,
 		isPerpetual:    isPerpetual, image: image, isStarved: isStarved, hasBegun: hasBegun(j, occ)}
 	c.standing = standingOf(&c, objectiveMs)
@@ -136,7 +141,7 @@
 
 // urgency returns the fraction of the initial slack of the job that is used up, from 0 to 1. It returns lateUrgency for a late job.
 func (c *candidate) urgency() float64 {
-	if c.isLate {
+	if c.standing >= late {
 		return lateUrgency
 	}
 	return min(1, max(0, 1-float64(c.slackMs)/float64(max(1, c.initialSlackMs))))
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -5,7 +5,7 @@
 // Plan returns an assignment for each task that starts now, in the order in which the tasks were chosen.
 func Plan(s *Snapshot) []Assignment {
 	var plan []Assignment
-	for _, c := range sortedCandidates(s) {
+	for _, c := range placementOrder(s) {
 		for stepIndex := range c.job.Spec.Steps {
 			if c.job.Occurrences[c.occ].Steps[stepIndex].WaitingTasks > 0 && c.job.StepReady(c.occ, stepIndex) {
 				plan = append(plan, planStep(s, c, stepIndex)...)
