--- a/internal/deployed/front.go
+++ b/internal/deployed/front.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"sync/atomic"
 	"time"
 
 	"bamboofork/internal/app"
@@ -68,11 +70,23 @@
 func serveCallers(ctx context.Context, p *process, front *jobfront.Front) error {
 	servingCtx, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
+	var open atomic.Int64
 	unregister := context.AfterFunc(ctx, func() {
 		front.Drain()
-		events.EntryDraining.Log(&p.log).Send()
+		events.EntryDraining.Log(&p.log).Int64("open", open.Load()).Send()
 		time.AfterFunc(drainDelay, stopServing)
 	})
 	defer unregister()
-	return serve(servingCtx, p.cfg.Listen.Callers, platform.JobAPIHandler(front), p.cfg.Bounds.Grace()-drainDelay-exitMargin)
+	err := serve(servingCtx, p.cfg.Listen.Callers, countOpen(&open, platform.JobAPIHandler(front)), p.cfg.Bounds.Grace()-drainDelay-exitMargin)
+	events.EntryDrained.Log(&p.log).Int64("unanswered", open.Load()).Send()
+	return err
+}
+
+// countOpen returns a handler that passes requests to next and keeps the number of those that it has not answered yet.
+func countOpen(open *atomic.Int64, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		open.Add(1)
+		defer open.Add(-1)
+		next.ServeHTTP(w, r)
+	})
 }
--- a/internal/events/batch.go
+++ b/internal/events/batch.go
@@ -39,4 +39,5 @@
 	RequestUnknown  = register(1005, "request_unknown", zerolog.WarnLevel, "The outcome of a request is unknown.")
 	AnswerMismatch  = register(1006, "answer_mismatch", zerolog.ErrorLevel, "A response carried the identifier of another request and was discarded.")
 	EntryDraining   = register(1101, "entry_draining", zerolog.InfoLevel, "The entry accepts no new requests and waits for those in flight.")
+	EntryDrained    = register(1102, "entry_drained", zerolog.InfoLevel, "The entry serves no callers any more; the line has the number of requests that ended without an answer.")
 )
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -135,7 +135,8 @@
 	if request.Verb != session.VerbGet || result.Outcome != Done {
 		events.JobRequest.Log(&f.Log).Str("verb", string(request.Verb)).Str("job", request.JobID).Str("queue", queue).
 			Str("outcome", string(result.Outcome)).Str("state", string(result.State)).Int("tries", attempts).
-			Int64("took_ms", elapsed.Milliseconds()).Int64("manifest", f.manifestVersion()).Str("why", result.Reason).Send()
+			Int64("took_ms", elapsed.Milliseconds()).Int64("manifest", f.manifestVersion()).
+			Int64("owner_epoch", f.Follower.OwnerEpoch()).Str("why", result.Reason).Send()
 	}
 	return result
 }
--- a/internal/ownerconn/ownerconn.go
+++ b/internal/ownerconn/ownerconn.go
@@ -157,6 +157,13 @@
 	return f.agentCount
 }
 
+// OwnerEpoch returns the epoch of the newest owner that has connected to this process, or 0 if there was none yet.
+func (f *Follower) OwnerEpoch() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ownerEpoch
+}
+
 // handleDisconnect clears the connection to the owner, unless another connection has replaced it.
 func (f *Follower) handleDisconnect(conn *Conn, cause error) {
 	f.mu.Lock()
