Keep handling signals until the process exits

A request that an entry had read before its SIGTERM ended without an answer.

Cause: the component that reloads settings ended when the shutdown began and gave SIGHUP back to its default action, which ends the process. So a reload signal within the 2.3 s to 5.3 s of an entry's shutdown cut off the requests that still waited, for instance for the successor of an owner that was stopped too. A second SIGTERM did the same on purpose. The shutdown of an owner was cut off in the same way before it had resigned.

Change: app.Run handles the signals of all programs from its start to the exit of the process and never stops handling them. SIGHUP reloads, also during a shutdown; a further SIGTERM is ignored (event 9006); SIGINT still ends a shutdown at once, for people at a terminal. A program without settings to reload shuts down gracefully at SIGHUP, where it used to be killed.

--- a/cmd/bf-dev/main.go
+++ b/cmd/bf-dev/main.go
@@ -72,7 +72,7 @@
 // runFleet waits until the fleet is ready. It then runs the demonstration or, if serve is true, keeps the fleet running until the
 // process is stopped. At the end it stops the fleet.
 func runFleet(fleet *dev.Fleet, serve bool, log zerolog.Logger) error {
-	return app.Run(context.Background(), log, app.Component{Name: "fleet", Run: func(ctx context.Context) error {
+	return app.Run(context.Background(), log, nil, app.Component{Name: "fleet", Run: func(ctx context.Context) error {
 		defer fleet.Stop() //nolint:errcheck // the error of the demonstration is the one to return
 		readyCtx, cancel := context.WithTimeout(ctx, readyTimeout)
 		defer cancel()
--- a/cmd/bf-platform/main.go
+++ b/cmd/bf-platform/main.go
@@ -62,7 +62,7 @@
 		}
 		components = append(components, component)
 	}
-	if err := app.Run(context.Background(), log, components...); err != nil {
+	if err := app.Run(context.Background(), log, nil, components...); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return app.ExitFailure
 	}
--- a/cmd/bf-runner/main.go
+++ b/cmd/bf-runner/main.go
@@ -42,7 +42,7 @@
 		return app.ExitFailure
 	}
 	server := sample.New(cfg)
-	err = app.Run(context.Background(), log, app.Component{Name: "runner", Run: func(ctx context.Context) error {
+	err = app.Run(context.Background(), log, nil, app.Component{Name: "runner", Run: func(ctx context.Context) error {
 		return node.ServeHTTP(ctx, listener, server, 30*time.Second) // maximum wait for open requests at a shutdown
 	}})
 	if err != nil {
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -1,13 +1,11 @@
 // Package app runs the components of a program as a group. The first component that ends
-// stops the others. SIGTERM and SIGINT make all of them drain and stop; a second signal
-// terminates the process at once.
+// stops the others. SIGTERM and SIGINT make all of them drain and stop; SIGINT during the
+// shutdown terminates the process at once.
 package app
 
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/oklog/run"
@@ -26,7 +24,7 @@
 	ExitFailure  = 1 // the operation failed
 	ExitUsage    = 2 // invalid flags or arguments
 	ExitSettings = 3 // a settings file is invalid
-	ExitForced   = 4 // a second signal ended the process before it was drained
+	ExitForced   = 4 // SIGINT during the shutdown ended the process before it was drained
 )
 
 // Component is a named unit of a program. Run blocks until ctx is done, then drains and returns.
@@ -37,8 +35,9 @@
 
 // Run runs the components until one of them returns, ctx is done, or a stop signal arrives. It then
 // cancels the contexts of all components and waits until each has returned. It returns nil after
-// a requested stop, otherwise the error of the component that returned first.
-func Run(ctx context.Context, log zerolog.Logger, components ...Component) error {
+// a requested stop, otherwise the error of the component that returned first. reload reads the
+// settings again at SIGHUP; if it is nil, the program has none and SIGHUP is a stop signal.
+func Run(ctx context.Context, log zerolog.Logger, reload func(), components ...Component) error {
 	var g run.Group
 	for _, c := range components {
 		componentCtx, cancel := context.WithCancel(ctx)
@@ -50,40 +49,19 @@
 			return nil
 		}, func(error) { cancel() })
 	}
-	addSignals(&g, log)
+	stopCtx, requestStop := context.WithCancel(ctx)
+	defer requestStop()
+	watchSignals(log, requestStop, reload)
+	g.Add(func() error {
+		<-stopCtx.Done()
+		return nil
+	}, func(error) { requestStop() })
 	events.ProcessStarted.Log(&log).Str("version", Version).Send()
 	err := g.Run()
 	events.ProcessStopped.Log(&log).AnErr("cause", err).Send()
 	return err
 }
 
-// forceExit terminates the process. Tests can replace this variable.
-var forceExit = func() { os.Exit(ExitForced) }
-
-// addSignals adds an actor to the group that ends on the first SIGTERM or SIGINT, which makes the group stop all components.
-func addSignals(g *run.Group, log zerolog.Logger) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	interrupted := make(chan struct{})
-	g.Add(func() error {
-		select {
-		case s := <-signals:
-			events.ProcessStopping.Log(&log).Str("signal", s.String()).Send()
-			go forceOnSecondSignal(signals, log)
-			return nil
-		case <-interrupted:
-			return nil
-		}
-	}, func(error) { close(interrupted) })
-}
-
-// forceOnSecondSignal waits for the next signal and then terminates the process without waiting for the components.
-func forceOnSecondSignal(signals <-chan os.Signal, log zerolog.Logger) {
-	<-signals
-	events.StopForced.Log(&log).Send()
-	forceExit()
-}
-
 // NewLogger returns a logger that writes JSON lines to stderr at the given level ("debug", "info", "warn", "error").
 func NewLogger(program, level string) (zerolog.Logger, error) {
 	logLevel, err := zerolog.ParseLevel(level)
--- /dev/null
+++ b/internal/app/signals.go
@@ -0,0 +1,49 @@
+package app
+
+import (
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"bamboofork/internal/events"
+)
+
+// watchSignals handles the signals of a program until the process exits. They are never given back to their default action, which
+// would end a process that is shutting down, without answers to its open requests.
+//
+// SIGTERM and SIGINT request a stop, and SIGHUP does so too if reload is nil; otherwise each SIGHUP calls reload, also during a
+// shutdown. Only a further SIGINT ends a shutdown early.
+func watchSignals(log zerolog.Logger, requestStop, reload func()) {
+	stops := make(chan os.Signal, 2)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	if reload == nil {
+		signal.Notify(stops, syscall.SIGHUP)
+	} else {
+		reloads := make(chan os.Signal, 1) // signals that arrive during a reload cause one more
+		signal.Notify(reloads, syscall.SIGHUP)
+		go func() {
+			for range reloads {
+				reload()
+			}
+		}()
+	}
+	go handleStops(stops, log, sync.OnceFunc(requestStop))
+}
+
+// handleStops requests a stop at the first signal. Of the signals that follow, SIGINT terminates the process at once and the others
+// are ignored: a platform or an operator may repeat a request to stop, and the open requests still need their answers.
+func handleStops(stops <-chan os.Signal, log zerolog.Logger, requestStop func()) {
+	s := <-stops
+	events.ProcessStopping.Log(&log).Str("signal", s.String()).Send()
+	requestStop()
+	for s := range stops {
+		if s == syscall.SIGINT {
+			events.StopForced.Log(&log).Send()
+			os.Exit(ExitForced)
+		}
+		events.SignalIgnored.Log(&log).Str("signal", s.String()).Send()
+	}
+}
--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -41,7 +41,7 @@
 	}
 	n, err := build(cfg, log)
 	if err == nil {
-		err = app.Run(context.Background(), log, app.Component{Name: name, Run: n.Run})
+		err = app.Run(context.Background(), log, nil, app.Component{Name: name, Run: n.Run})
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/deployed/deployed.go
+++ b/internal/deployed/deployed.go
@@ -8,10 +8,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -76,8 +74,7 @@
 	defer flush()
 	list, err := components(p)
 	if err == nil {
-		list = append(list, app.Component{Name: "reload", Run: p.reload})
-		err = app.Run(context.Background(), p.log, list...)
+		err = app.Run(context.Background(), p.log, p.reload, list...)
 	}
 	if err != nil {
 		events.ProcessStopped.Log(&p.log).Err(err).Send()
@@ -109,26 +106,16 @@
 	return p, func() { w.Close(); batches.Flush() }, nil
 }
 
-// reload reads and validates the settings file again on each SIGHUP until ctx is done. Only the memory limit is applied. All
-// other settings, such as addresses and names, keep their values from the start of the process.
-func (p *process) reload(ctx context.Context) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-signals:
-		}
-		cfg, err := hostconfig.Load(p.settingsPath, p.isAgent)
-		if err != nil {
-			events.SettingsReloaded.Log(&p.log).Err(err).Msg("settings file rejected; keeping the previous settings")
-			continue
-		}
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(cfg.MemoryMB<<20)))
-		events.SettingsReloaded.Log(&p.log).Int64("memory_mb", cfg.MemoryMB).Send()
+// reload reads and validates the settings file again. Only the memory limit is applied. All other settings, such as addresses and
+// names, keep their values from the start of the process.
+func (p *process) reload() {
+	cfg, err := hostconfig.Load(p.settingsPath, p.isAgent)
+	if err != nil {
+		events.SettingsReloaded.Log(&p.log).Err(err).Msg("settings file rejected; keeping the previous settings")
+		return
 	}
+	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(cfg.MemoryMB<<20)))
+	events.SettingsReloaded.Log(&p.log).Int64("memory_mb", cfg.MemoryMB).Send()
 }
 
 // serve runs an HTTP server on addr until ctx is done. It then waits at most shutdownTimeout for requests in progress and closes
