Keep a program running when the reader of its log ends

A write to a closed standard output or standard error raised SIGPIPE. It is ignored now; the log writer sees the error of the write. TestClosedLogDoesNotEndTheProgram failed before ("signal: broken pipe") and passes.

--- a/internal/app/signals.go
+++ b/internal/app/signals.go
@@ -15,8 +15,9 @@
 // would end a process that is shutting down, without answers to its open requests.
 //
 // SIGTERM and SIGINT request a stop, and SIGHUP does so too if reload is nil; otherwise each SIGHUP calls reload, also during a
-// shutdown. Only a further SIGINT ends a shutdown early.
+// shutdown. Only a further SIGINT ends a shutdown early. A closed standard output does not end the process.
 func watchSignals(log zerolog.Logger, requestStop, reload func()) {
+	signal.Ignore(syscall.SIGPIPE)
 	stops := make(chan os.Signal, 2)
 	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
 	if reload == nil {
--- a/internal/app/signals_test.go
+++ b/internal/app/signals_test.go
@@ -80,6 +80,14 @@
 	}
 }
 
+// Guards against a program that the end of its log's reader ends, with its open requests.
+func TestClosedLogDoesNotEndTheProgram(t *testing.T) {
+	cmd, out := startProgram(t, "reload")
+	qt.Assert(t, out.Close(), qt.IsNil)
+	qt.Assert(t, cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	qt.Check(t, cmd.Wait(), qt.IsNil)
+}
+
 // Guards against a program without settings that ignores the end of its terminal.
 func TestReloadSignalStopsAProgramWithoutSettings(t *testing.T) {
 	cmd, out := startProgram(t, "plain")
