Soak: reload signals reach entries that are shutting down, and a stopped process must drain

The soak sent SIGTERM and SIGHUP to processes, but took each exit after a SIGTERM as expected, and connections without an answer as the faults'. An exit that SIGTERM has asked for must now be one without an error; only SIGKILL may end a process at once. One more injector, with random numbers of its own so that the regression seeds keep their faults, stops an entry and sends SIGHUP while it drains.

--- a/internal/fleetsoak/faults_test.go
+++ b/internal/fleetsoak/faults_test.go
@@ -116,6 +116,14 @@
 	f.start(p)
 }
 
+// reloadDuringShutdown terminates an entry, sends it a reload signal while it shuts down, and starts it again.
+func reloadDuringShutdown(ctx context.Context, f *fleet, rng *rand.Rand) {
+	entry := pick(rng, f.fronts)
+	reload := time.AfterFunc(randomDuration(rng, 0, 2*time.Second), func() { entry.signal(syscall.SIGHUP, true) })
+	defer reload.Stop()
+	f.restart(ctx, rng, entry, syscall.SIGTERM)
+}
+
 // pause suspends the program's process for a random time. If another fault has already stopped or paused the process, pause does
 // nothing.
 func pause(ctx context.Context, rng *rand.Rand, p *proc) {
--- a/internal/fleetsoak/fleet_test.go
+++ b/internal/fleetsoak/fleet_test.go
@@ -152,7 +152,9 @@
 	go func() {
 		err := cmd.Wait()
 		p.mu.Lock()
-		if !p.exitExpected {
+		// Only SIGKILL ends a process at once. Any other signal leaves it the time to drain.
+		status, ok := cmd.ProcessState.Sys().(syscall.WaitStatus)
+		if isKilled := ok && status.Signaled() && status.Signal() == syscall.SIGKILL; !p.exitExpected || (err != nil && !isKilled) {
 			p.unexpectedEvents = append(p.unexpectedEvents, fmt.Sprint("exited unexpectedly: ", err))
 		}
 		p.mu.Unlock()
--- a/internal/fleetsoak/soak_test.go
+++ b/internal/fleetsoak/soak_test.go
@@ -113,6 +113,14 @@
 			}
 		})
 	}
+	wg.Go(func() { // apart from the list of faults, so that the regression seeds keep their faults
+		rng := rand.New(rand.NewPCG(seed, injectorCount))
+		for ctx.Err() == nil {
+			app.Sleep(ctx, randomDuration(rng, 0, 2*time.Second))
+			r.countEvent("fault: reload during a shutdown")
+			reloadDuringShutdown(ctx, r.fleet, rng)
+		}
+	})
 	for i := range uint64(callerCount) {
 		rng := rand.New(rand.NewPCG(seed, 100+i))
 		wg.Go(func() {
