A renewal does not undo the resignation of an owner

Cause: in a graceful shutdown the owner resigns (candidate.go, Owner.Resign) while its renewal still runs, until endTerm. A renewal that had read its key before the revocation set the lease valid again (election.go, setLease), and one after it found no lease and wrote the key again (reacquire). The process then exits without ending that lease: candidates see an owner's key of a process that is gone, and until its exit the old owner acknowledges holds, sends starts and reports unknown jobs as the valid owner. Change: Resign marks the ownership. A renewal stores no lease after that, writes no key, and ends a lease that it was just granted. Measured: TestRenewalDoesNotUndoResignation failed in all four cases before (lease valid, key at revision 3), passes now; the tests of election and jobowner pass with -race.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -75,6 +75,7 @@
 	mu         sync.Mutex
 	leaseID    store.LeaseID
 	validUntil time.Duration // time on key.clock at which the lease counts as expired
+	resigned   bool          // Resign was called; the lease is not renewed any more
 }
 
 // Acquire makes self the owner if the revision of the key is still the given one. It returns ErrTaken if the key has changed.
@@ -106,8 +107,7 @@
 	if !res.Swapped {
 		return ErrTaken
 	}
-	o.setLease(lease, sentAt)
-	return nil
+	return o.adoptLease(lease, sentAt)
 }
 
 // resolveUncertainWrite reads the key after the response to a write was lost. The write took effect if the key is attached to
@@ -120,16 +120,36 @@
 	if kv.ModRevision == 0 || kv.Lease != lease {
 		return ErrTaken
 	}
-	o.setLease(lease, sentAt)
-	return nil
+	return o.adoptLease(lease, sentAt)
+}
+
+// adoptLease stores the new lease of the key. It ends the lease at once if the owner has resigned while the key was written.
+func (o *Ownership) adoptLease(lease store.LeaseID, sentAt time.Duration) error {
+	if o.setLease(lease, sentAt) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	return o.key.store.RevokeLease(ctx, lease)
 }
 
-// setLease stores a lease that was granted or renewed by a call sent at sentAt, and computes when the lease counts as expired.
-func (o *Ownership) setLease(lease store.LeaseID, sentAt time.Duration) {
+// setLease stores a lease that was granted or renewed by a call sent at sentAt, and computes when the lease counts as expired. It
+// returns false and stores nothing if the owner has resigned.
+func (o *Ownership) setLease(lease store.LeaseID, sentAt time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.resigned {
+		return false
+	}
 	o.leaseID = lease
 	o.validUntil = sentAt + time.Duration(float64(LeaseTTL)*(1-driftMarginFraction))
+	return true
+}
+
+func (o *Ownership) hasResigned() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.resigned
 }
 
 // LeaseValid reports whether the lease is still valid on a clock that includes the time during which the host was suspended.
@@ -139,8 +159,8 @@
 	return o.key.clock() < o.validUntil
 }
 
-// KeepAlive renews the lease until ctx is done, and then returns nil. It returns ErrTaken when another process has become the
-// owner. It has to run from the moment of Acquire: recovery of a large log may take longer than the lease.
+// KeepAlive renews the lease until ctx is done or the owner has resigned, and then returns nil. It returns ErrTaken when another
+// process has become the owner. It has to run from the moment of Acquire: recovery of a large log may take longer than the lease.
 func (o *Ownership) KeepAlive(ctx context.Context) error {
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
@@ -150,7 +170,10 @@
 			return nil
 		case <-ticker.C:
 		}
-		if err := o.renew(ctx); errors.Is(err, ErrTaken) {
+		if o.hasResigned() {
+			return nil
+		}
+		if err := o.renew(ctx); errors.Is(err, ErrTaken) && !o.hasResigned() {
 			return err
 		}
 	}
@@ -167,7 +190,7 @@
 	o.mu.Unlock()
 	sentAt := o.key.clock()
 	_, err := o.key.store.KeepAlive(callCtx, lease)
-	if errors.Is(err, store.ErrLeaseNotFound) {
+	if errors.Is(err, store.ErrLeaseNotFound) && !o.hasResigned() {
 		return o.reacquire(ctx)
 	}
 	if err != nil {
@@ -177,7 +200,7 @@
 	switch {
 	case err != nil:
 		return err
-	case revision == 0: // the store may remove the key without ending the lease
+	case revision == 0 && !o.hasResigned(): // the store may remove the key without ending the lease
 		return o.acquire(ctx, 0)
 	case owner.Incarnation != o.self.Incarnation:
 		return ErrTaken
@@ -198,11 +221,12 @@
 	return o.acquire(ctx, revision)
 }
 
-// Resign revokes the lease, which deletes the key, so that a successor need not wait for the lease to expire.
+// Resign revokes the lease, which deletes the key, so that a successor need not wait for the lease to expire. A renewal that is in
+// progress or follows has no effect.
 func (o *Ownership) Resign(ctx context.Context) error {
 	o.mu.Lock()
 	lease := o.leaseID
-	o.validUntil = 0
+	o.validUntil, o.resigned = 0, true
 	o.mu.Unlock()
 	return o.key.store.RevokeLease(ctx, lease)
 }
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -1,12 +1,14 @@
 package election
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"bamboofork/internal/boottime"
+	"bamboofork/internal/store"
 	"bamboofork/internal/store/memstore"
 )
 
@@ -38,3 +40,54 @@
 	now += LeaseTTL
 	qt.Check(t, ownership.LeaseValid(), qt.IsFalse)
 }
+
+// hookedStore calls the hooks, if set, right after the store has processed a read and right before it processes a write.
+type hookedStore struct {
+	store.Store
+	afterGet, beforeSwap func()
+}
+
+// Get implements store.Store.
+func (s *hookedStore) Get(ctx context.Context, key string) (store.KV, error) {
+	kv, err := s.Store.Get(ctx, key)
+	if s.afterGet != nil {
+		s.afterGet()
+	}
+	return kv, err
+}
+
+// CompareAndSwap implements store.Store.
+func (s *hookedStore) CompareAndSwap(ctx context.Context, key string, expect int64, value []byte, lease store.LeaseID) (store.CASResult, error) {
+	if s.beforeSwap != nil {
+		s.beforeSwap()
+	}
+	return s.Store.CompareAndSwap(ctx, key, expect, value, lease)
+}
+
+// Guards against an owner that resigns in a graceful shutdown and is made the owner again by its own renewal, which still runs: its
+// lease must stay invalid and the key absent, so that the successor need not wait for the end of a process that is gone.
+func TestRenewalDoesNotUndoResignation(t *testing.T) {
+	for name, setUp := range map[string]func(st *hookedStore, resign func(), endLease func()){
+		"renewal after the resignation":  func(_ *hookedStore, resign, _ func()) { resign() },
+		"resignation during a renewal":   func(st *hookedStore, resign, _ func()) { st.afterGet = resign },
+		"resignation while reacquiring":  func(st *hookedStore, resign, endLease func()) { endLease(); st.afterGet = resign },
+		"resignation during the new key": func(st *hookedStore, resign, endLease func()) { endLease(); st.beforeSwap = resign },
+	} {
+		t.Run(name, func(t *testing.T) {
+			st := &hookedStore{Store: memstore.New()}
+			key := NewKey(st, "owner", boottime.Now)
+			ownership, err := key.Acquire(t.Context(), Owner{Name: "a", Incarnation: "a-1"}, 0)
+			qt.Assert(t, err, qt.IsNil)
+			resign := func() { qt.Check(t, ownership.Resign(t.Context()), qt.IsNil) }
+			endLease := func() { qt.Assert(t, st.RevokeLease(t.Context(), ownership.leaseID), qt.IsNil) }
+			setUp(st, resign, endLease)
+			_ = ownership.renew(t.Context())
+			st.afterGet, st.beforeSwap = nil, nil
+			_ = ownership.renew(t.Context())
+			qt.Check(t, ownership.LeaseValid(), qt.IsFalse)
+			_, revision, err := key.Read(t.Context())
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, revision, qt.Equals, int64(0))
+		})
+	}
+}
