Repeat a call to a partition's owner whose connection broke before the reply

Cause: in a planned stop the control server ends last and closes its connections (peer/server.go, failReads): a call that is sent and not yet read there ends as "peer connection lost, outcome unknown". A trace of TestPlannedStopUnderLoad (GOMAXPROCS=2, -race, beside two busy loops) shows it: the partition was released at 49.705 s, the control server of agent-1 had stopped at 49.884 s, and the claim of a keyed request failed at 49.897 s with 503 not_run; no probe had timed out before. An unanswered probe ends the calls on its connection in the same way. Directory.Call gave up after it although the caller had time left. Change: Call repeats the call until its context ends. The calls to an owner are repeatable: a claim or an assignment that the ledger holds for the same request, attempt and agent is granted again, and so is the end that is recorded already. A refusal of a repeated call does not settle the first one: it is reported as unknown.

--- a/internal/dev/path_test.go
+++ b/internal/dev/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -85,6 +86,22 @@
 			qt.Check(t, runsOfKey(f, "silent-"+name), qt.Equals, 1)
 		})
 	}
+	for name, directions := range map[string][]faultnet.Direction{
+		"requests": {faultnet.ToServer}, "answers": {faultnet.ToClient},
+	} {
+		t.Run("lost connections to the owners, "+name, func(t *testing.T) {
+			for i := range 24 { // more keys than partitions, so that the connection to each owner is open
+				qt.Assert(t, post(url+orderPath, fmt.Sprintf("open-%s-%d", name, i), "order").outcome, qt.Equals, "done")
+			}
+			for i := range f.Profile.Agents {
+				f.Agent(i).Relays.Control.Blackhole(directions...)
+			}
+			key := "owner-lost-" + name
+			resp := post(url+orderPath, key, "order")
+			qt.Check(t, resp.outcome, qt.Equals, "done", qt.Commentf("%d %v %s", resp.status, resp.err, resp.body))
+			qt.Check(t, runsOfKey(f, key), qt.Equals, 1)
+		})
+	}
 	t.Run("slow and lossy links", func(t *testing.T) {
 		for i := range f.Profile.Agents {
 			for _, l := range f.Agent(i).Relays.All() {
--- a/internal/partition/directory.go
+++ b/internal/partition/directory.go
@@ -114,14 +114,21 @@
 const callRetryDelay = 150 * time.Millisecond
 
 // Call calls a method of the partition's owner. Until ctx is done it retries if there is no owner, if the called process
-// replies that it is not the owner, or if the request was not sent. A change of owner therefore only delays the call, and no
-// method runs twice. The function code returns the result code from reply.
+// replies that it is not the owner, if the request was not sent, or if the connection broke before the reply. A change of owner
+// or a lost connection therefore only delays the call. The method may run more than once, so a repeated call must have the effect
+// and the reply of the first one. Call returns peer.ErrOutcomeUnknown if an attempt may have had an effect and no later reply
+// tells. The function code returns the result code from reply.
 func (d *Directory) Call(ctx context.Context, partition int, method string, args, reply any, code func() wire.Code) error {
+	mayHaveRun := false
 	for refresh := false; ; refresh = true {
 		retry, err := d.callOnce(ctx, partition, refresh, method, args, reply, code)
+		if mayHaveRun && (err != nil || code() == wire.CodeNoStore) {
+			err = peer.ErrOutcomeUnknown // this attempt had no effect, which proves nothing about the earlier one
+		}
 		if !retry {
 			return err
 		}
+		mayHaveRun = errors.Is(err, peer.ErrOutcomeUnknown)
 		select {
 		case <-ctx.Done():
 			return err
@@ -139,7 +146,7 @@
 	switch {
 	case err == nil && code() == wire.CodeNotOwner:
 		return true, ErrNotOwner
-	case errors.Is(err, peer.ErrNotSent):
+	case errors.Is(err, peer.ErrNotSent), errors.Is(err, peer.ErrOutcomeUnknown):
 		return true, err
 	}
 	return false, err
--- a/internal/partition/keyedclaims.go
+++ b/internal/partition/keyedclaims.go
@@ -22,8 +22,9 @@
 	maxClaimBodyBytes = 4 << 20     // bytes of stored response bodies per partition
 )
 
-// Claim records a keyed request before its dispatch. If the key already has an open claim, Claim first queries the agent of
-// that claim. If the earlier request is proven not to have run, the key is released and the new claim is recorded.
+// Claim records a keyed request before its dispatch. If the key already has an open claim of another request, Claim first
+// queries the agent of that claim. If the earlier request is proven not to have run, the key is released and the new claim is
+// recorded. A repeated call after a lost reply is granted as the first one was.
 func (s *Service) Claim(args wire.ClaimArgs, reply *wire.ClaimReply) error {
 	claim := args.Claim
 	claim.At = time.Now()
@@ -33,6 +34,10 @@
 		return nil
 	}
 	code, err := s.commit(args.Partition, ledger.Op{Kind: ledger.OpClaim, Claim: &claim})
+	if o != nil && errors.Is(err, ledger.ErrDuplicate) && o.holdsAttempt(claim) {
+		reply.Code, reply.Granted = wire.CodeOK, true
+		return nil
+	}
 	if o != nil && errors.Is(err, ledger.ErrDuplicate) && s.resolveEarlier(o, claim) {
 		code, err = s.commit(args.Partition, ledger.Op{Kind: ledger.OpClaim, Claim: &claim})
 	}
@@ -66,10 +71,22 @@
 	return ledger.Claim{Key: key}
 }
 
+// holdsAttempt reports whether the stored claim of the key is open and names the same request, attempt and agent. Only the entry
+// that processes the request makes such a claim, and it dispatches the attempt once.
+func (o *Owner) holdsAttempt(claim ledger.Claim) bool {
+	stored := o.lookupClaim(claim.Key)
+	return !stored.Done && stored.RequestID == claim.RequestID && stored.Attempt == claim.Attempt && stored.Agent == claim.Agent &&
+		stored.AgentInc == claim.AgentInc
+}
+
 // Assign moves an open claim to another agent. The entry has proof that the request did not run at the previous agent.
 func (s *Service) Assign(args wire.AssignArgs, reply *wire.AssignReply) error {
 	claim := args.Claim
-	reply.Code, _ = s.commit(args.Partition, ledger.Op{Kind: ledger.OpAssign, Claim: &claim})
+	var err error
+	reply.Code, err = s.commit(args.Partition, ledger.Op{Kind: ledger.OpAssign, Claim: &claim})
+	if o := s.m.owner(args.Partition); o != nil && errors.Is(err, ledger.ErrStale) && o.holdsAttempt(claim) {
+		reply.Code = wire.CodeOK // repeated call after a lost reply
+	}
 	return nil
 }
 
@@ -84,6 +101,19 @@
 	if o := s.m.owner(args.Partition); o != nil && o.claimStats.bodyLimitReached() {
 		claim.Truncated, claim.Body = claim.Truncated || len(claim.Body) > 0, nil
 	}
-	reply.Code, _ = s.commit(args.Partition, op)
+	var err error
+	reply.Code, err = s.commit(args.Partition, op)
+	if o := s.m.owner(args.Partition); o != nil && errors.Is(err, ledger.ErrStale) && o.isCompleted(claim, args.Release) {
+		reply.Code = wire.CodeOK // repeated call after a lost reply
+	}
 	return nil
 }
+
+// isCompleted reports whether the outcome of the claim's request is recorded, or whether its key is released.
+func (o *Owner) isCompleted(claim ledger.Claim, released bool) bool {
+	stored := o.lookupClaim(claim.Key)
+	if released {
+		return stored.RequestID != claim.RequestID
+	}
+	return stored.Done && stored.RequestID == claim.RequestID && stored.Attempt == claim.Attempt && stored.Outcome == claim.Outcome
+}
