A refused repetition does not settle a submission whose reply was lost

Cause: SubmitJob repeats a submission without a reply (entry/jobs.go). If the repeated one was refused because the partition had no owner, or its owner no store, the caller was told 503 not_run, although the job of the first attempt may be durable and run. Change: such a refusal leaves the outcome uncertain (504, to be repeated with the same key). Measured: TestRefusedRepetitionDoesNotSettleALostReply failed before (not_owner, no_store), passes now.

--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -39,15 +39,20 @@
 	}
 	partitionID := partition.PartitionForKey(key, e.directory.PartitionCount)
 	job.ID = partition.JobID(partitionID, job.ID)
-	var result JobResult
-	for range maxSubmitAttempts {
-		if result = e.submitOnce(ctx, partitionID, job); result.Code != wire.CodeUncertain || ctx.Err() != nil {
-			break
+	result := e.submitOnce(ctx, partitionID, job)
+	for attempt := 1; attempt < maxSubmitAttempts && result.Code == wire.CodeUncertain && ctx.Err() == nil; attempt++ {
+		if repeated := e.submitOnce(ctx, partitionID, job); isRefused(repeated.Code) {
+			result.Reason = repeated.Reason // refuses the repetition only; the earlier attempt may have been accepted
+		} else {
+			result = repeated
 		}
 	}
 	return result
 }
 
+// isRefused reports whether the code means that a call had no effect.
+func isRefused(code wire.Code) bool { return code == wire.CodeNoStore || code == wire.CodeNotOwner }
+
 // maxSubmitAttempts bounds the calls to the partition owner for one submission. A retry after a lost reply is safe, because
 // the owner deduplicates jobs by ID and key.
 const maxSubmitAttempts = 3
