Answer the open requests of an entry before the grace period ends

Cause: serveCallers closes all connections at grace_s - 0.7 s (deployed.go, serve), whether their requests are answered or not. A request waits up to 2.6 s for an owner from the moment that it is read whole. One that is read in the last 2.6 s before that close, because its body comes slowly or its connection was opened shortly before the listener closed, was cut off without an answer while no owner replied, for instance when the owner stops at the same time. Change: 0.3 s before the close the waits end, and each request gets the answer of a wait that ended (503 if it was not sent to an owner or only reads, otherwise 504). From then on no request is sent to an owner.

--- a/internal/deployed/front.go
+++ b/internal/deployed/front.go
@@ -22,6 +22,8 @@
 	drainDelay = 2300 * time.Millisecond
 	// exitMargin is the part of the shutdown grace period that remains for the exit of the process after the last request.
 	exitMargin = 700 * time.Millisecond
+	// answerMargin is the time between the last answers, which say that no owner has answered, and the end of the connections.
+	answerMargin = 300 * time.Millisecond
 )
 
 // RunEntry runs an entry and returns the exit code of the process.
@@ -66,18 +68,24 @@
 }
 
 // serveCallers serves callers until ctx is done. The entry then reports that it is not ready, so that the load balancer removes
-// it. After drainDelay, serveCallers closes the listener and waits for requests in progress.
+// it. After drainDelay, serveCallers closes the listener and waits for requests in progress. Shortly before the end of the grace
+// period, it ends their waits for an owner, so that all of them are answered.
 func serveCallers(ctx context.Context, p *process, front *jobfront.Front) error {
 	servingCtx, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
+	answersDue, endWaits := context.WithCancel(context.Background())
+	defer endWaits()
+	shutdownTimeout := p.cfg.Bounds.Grace() - drainDelay - exitMargin
 	var open atomic.Int64
 	unregister := context.AfterFunc(ctx, func() {
 		front.Drain()
 		events.EntryDraining.Log(&p.log).Int64("open", open.Load()).Send()
 		time.AfterFunc(drainDelay, stopServing)
+		time.AfterFunc(drainDelay+shutdownTimeout-answerMargin, endWaits)
 	})
 	defer unregister()
-	err := serve(servingCtx, p.cfg.Listen.Callers, countOpen(&open, platform.JobAPIHandler(front)), p.cfg.Bounds.Grace()-drainDelay-exitMargin)
+	handler := endWaitsWith(answersDue, countOpen(&open, platform.JobAPIHandler(front)))
+	err := serve(servingCtx, p.cfg.Listen.Callers, handler, shutdownTimeout)
 	events.EntryDrained.Log(&p.log).Int64("unanswered", open.Load()).Send()
 	return err
 }
@@ -90,3 +98,14 @@
 		next.ServeHTTP(w, r)
 	})
 }
+
+// endWaitsWith returns a handler that passes requests to next. Their contexts also end when due is done.
+func endWaitsWith(due context.Context, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		stop := context.AfterFunc(due, cancel)
+		defer stop()
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -178,7 +178,7 @@
 	pollTicker := time.NewTicker(connPollInterval)
 	defer pollTicker.Stop()
 	for {
-		if c := f.Follower.Conn(); c != nil && c != lastConn {
+		if c := f.Follower.Conn(); c != nil && c != lastConn && ctx.Err() == nil {
 			if c.Send(session.FromMember{Requests: []session.Request{*request}}) {
 				lastConn = c
 				attempts++
