A refusal by an earlier owner does not settle a request sent to its successor

Cause: an entry sends a request again on each new connection to an owner, and took the first reply to its number as the answer (jobfront, HandleMessage and sendUntilReply), from whichever owner. An owner whose store is stalled rejects the submissions that are in no record (jobowner, rejectUncommitted); if that message was received before the successor connected and handled after the submission was sent to the successor, the caller was told 503, not run, although the successor accepts the job. In the same way an earlier owner's "unknown" became 410. The window is the time between the receipt and the handling of one message, or the choice of select between a reply and a tick, so it needs a starved process. Change: replies keep their connection. A refusal counts only on the connection on which the request was sent last; "durable" counts from any.

--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -76,19 +76,29 @@
 	draining      atomic.Bool
 
 	mu            sync.Mutex
-	replyChannels map[int64]chan session.Reply // by request ID
+	replyChannels map[int64]chan ownerReply // by request ID
 }
 
+// ownerReply is a reply with the connection on which it arrived.
+type ownerReply struct {
+	session.Reply
+	conn *ownerconn.Conn
+}
+
+// maxQueuedReplies is the number of replies to one request that wait to be read. There is one for each owner to which the request
+// was sent.
+const maxQueuedReplies = 8
+
 // HandleMessage passes the replies in a message of the owner to the waiting requests.
-func (f *Front) HandleMessage(_ *ownerconn.Conn, m *session.ToMember) {
+func (f *Front) HandleMessage(conn *ownerconn.Conn, m *session.ToMember) {
 	for _, reply := range m.Replies {
 		f.mu.Lock()
 		replyChannel := f.replyChannels[reply.RequestID]
 		f.mu.Unlock()
 		if replyChannel != nil {
 			select {
-			case replyChannel <- reply:
-			default: // a second reply to the same request
+			case replyChannel <- ownerReply{reply, conn}:
+			default: // further replies to the same request
 			}
 		}
 	}
@@ -156,13 +166,14 @@
 }
 
 // sendUntilReply sends the request on each new connection to an owner until a reply arrives, the wait has expired or ctx is
-// done. It returns the result and how often the request was sent.
+// done. A refusal counts only if it arrives on the connection on which the request was sent last: an earlier owner does not know
+// what its successor does with the request. It returns the result and how often the request was sent.
 func (f *Front) sendUntilReply(ctx context.Context, request *session.Request, wait time.Duration) (Result, int) {
 	request.ID = f.lastRequestID.Add(1)
-	replyChannel := make(chan session.Reply, 1)
+	replyChannel := make(chan ownerReply, maxQueuedReplies)
 	f.mu.Lock()
 	if f.replyChannels == nil {
-		f.replyChannels = map[int64]chan session.Reply{}
+		f.replyChannels = map[int64]chan ownerReply{}
 	}
 	f.replyChannels[request.ID] = replyChannel
 	f.mu.Unlock()
@@ -186,7 +197,9 @@
 		}
 		select {
 		case reply := <-replyChannel:
-			return resultOf(reply), attempts
+			if reply.Code == session.CodeOK || reply.conn == lastConn {
+				return resultOf(reply.Reply), attempts
+			}
 		case <-pollTicker.C:
 		case <-timer.C:
 			return noReplyResult(request.Verb, attempts), attempts
