Plan an entry's shutdown by its grace period

Cause: the entry accepted connections for 2.3 s and kept 0.7 s for its exit whatever grace_s is (front.go). With grace_s 3 the open requests had no time at all (all connections were closed at 2.3 s), with grace_s 2 the process is killed before. Change: planShutdown limits the times to fractions of the grace period. At 6 s they are as before: 2.3 s, 5.0 s, 5.3 s. Measured: TestShutdownLeavesTimeForOpenRequests, grace periods of 1 to 30 s; by the old constants answersDue - closeListener was -0.3 s at 3 s and -1.3 s at 2 s.

--- a/internal/deployed/front.go
+++ b/internal/deployed/front.go
@@ -17,15 +17,35 @@
 
 const (
 	frontMetricsPort = "9464" // must match the deployment file
-	// drainDelay is the time for which an entry still accepts connections after its shutdown has begun. The load balancer
+	// maxDrainDelay is the time for which an entry still accepts connections after its shutdown has begun. The load balancer
 	// checks readiness once a second and removes an entry after two failed checks.
-	drainDelay = 2300 * time.Millisecond
-	// exitMargin is the part of the shutdown grace period that remains for the exit of the process after the last request.
-	exitMargin = 700 * time.Millisecond
-	// answerMargin is the time between the last answers, which say that no owner has answered, and the end of the connections.
-	answerMargin = 300 * time.Millisecond
+	maxDrainDelay = 2300 * time.Millisecond
+	// maxExitMargin is the part of the shutdown grace period that remains for the exit of the process after the last request.
+	maxExitMargin = 700 * time.Millisecond
+	// maxAnswerMargin is the time between the last answers, which say that no owner has answered, and the end of the connections.
+	maxAnswerMargin = 300 * time.Millisecond
+	// Limits of these times as fractions of the grace period. The open requests need the rest of it.
+	maxDrainFraction  = 0.4
+	maxExitFraction   = 0.125
+	maxAnswerFraction = 0.1
 )
 
+// shutdownPlan holds the times of an entry's shutdown, each counted from its beginning.
+type shutdownPlan struct {
+	closeListener time.Duration // no connections are accepted any more
+	answersDue    time.Duration // open requests are answered without waiting any longer
+	closeAll      time.Duration // the remaining connections are closed
+}
+
+func planShutdown(grace time.Duration) shutdownPlan {
+	upTo := func(limit time.Duration, fraction float64) time.Duration {
+		return min(limit, time.Duration(fraction*float64(grace)))
+	}
+	closeAll := grace - upTo(maxExitMargin, maxExitFraction)
+	return shutdownPlan{closeListener: upTo(maxDrainDelay, maxDrainFraction), closeAll: closeAll,
+		answersDue: closeAll - upTo(maxAnswerMargin, maxAnswerFraction)}
+}
+
 // RunEntry runs an entry and returns the exit code of the process.
 func RunEntry() int {
 	return RunProcess("bf-front", "Forward callers' job requests to the job owner.", false, frontComponents)
@@ -68,24 +88,24 @@
 }
 
 // serveCallers serves callers until ctx is done. The entry then reports that it is not ready, so that the load balancer removes
-// it. After drainDelay, serveCallers closes the listener and waits for requests in progress. Shortly before the end of the grace
-// period, it ends their waits for an owner, so that all of them are answered.
+// it. Later serveCallers closes the listener and waits for requests in progress. Shortly before the end of the grace period, it ends
+// their waits for an owner, so that all of them are answered.
 func serveCallers(ctx context.Context, p *process, front *jobfront.Front) error {
 	servingCtx, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
 	answersDue, endWaits := context.WithCancel(context.Background())
 	defer endWaits()
-	shutdownTimeout := p.cfg.Bounds.Grace() - drainDelay - exitMargin
+	plan := planShutdown(p.cfg.Bounds.Grace())
 	var open atomic.Int64
 	unregister := context.AfterFunc(ctx, func() {
 		front.Drain()
 		events.EntryDraining.Log(&p.log).Int64("open", open.Load()).Send()
-		time.AfterFunc(drainDelay, stopServing)
-		time.AfterFunc(drainDelay+shutdownTimeout-answerMargin, endWaits)
+		time.AfterFunc(plan.closeListener, stopServing)
+		time.AfterFunc(plan.answersDue, endWaits)
 	})
 	defer unregister()
 	handler := endWaitsWith(answersDue, countOpen(&open, platform.JobAPIHandler(front)))
-	err := serve(servingCtx, p.cfg.Listen.Callers, handler, shutdownTimeout)
+	err := serve(servingCtx, p.cfg.Listen.Callers, handler, plan.closeAll-plan.closeListener)
 	events.EntryDrained.Log(&p.log).Int64("unanswered", open.Load()).Send()
 	return err
 }
--- a/internal/deployed/shutdown_test.go
+++ b/internal/deployed/shutdown_test.go
@@ -42,3 +42,16 @@
 	qt.Check(t, resp.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
 	<-stopped
 }
+
+// Guards against a shutdown without time for the open requests where the grace period is short: the process would be killed while it
+// still accepts connections.
+func TestShutdownLeavesTimeForOpenRequests(t *testing.T) {
+	for grace := time.Second; grace <= 30*time.Second; grace += time.Second {
+		plan, comment := planShutdown(grace), qt.Commentf("grace period of %s", grace)
+		qt.Check(t, plan.closeListener > 0, qt.IsTrue, comment)
+		qt.Check(t, plan.answersDue-plan.closeListener >= grace/3, qt.IsTrue, comment)
+		qt.Check(t, plan.closeAll > plan.answersDue && plan.closeAll < grace, qt.IsTrue, comment)
+	}
+	qt.Check(t, planShutdown(6*time.Second), qt.Equals,
+		shutdownPlan{closeListener: 2300 * time.Millisecond, answersDue: 5 * time.Second, closeAll: 5300 * time.Millisecond})
+}
