End the runs of a worker that its connected agent does not know

Cause: the owner kept the runs of a worker for as long as its agent was connected. If the worker ends for good while its agent process is away (killed, or its host without power), the agent comes back, connects, knows no worker and reports no runs, so nothing ever ended them and a perpetual task was not started again.

Change: what extends a hold is a confirmed report, not a connection. The hold of a worker now counts from the last report with a number, whether its agent is connected or not; the margins stay. Event 3620 (task_waits) names once a second the perpetual task that waits for longest, with the free resources.

Measured: TestRunsEndAlthoughTheAgentIsConnectedWithoutAWorker fails on the former rule and passes; go test ./internal/jobowner passes.

--- /dev/null
+++ b/internal/jobowner/hold_test.go
@@ -0,0 +1,70 @@
+package jobowner
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bamboofork/internal/boottime"
+	"bamboofork/internal/jobs"
+	"bamboofork/internal/session"
+	"bamboofork/internal/store/memstore"
+)
+
+const (
+	lastingTask = "aaaaaaaaaaaaaaaa.0.0.0"
+	testMaxHold = 5 * time.Second // Config.MaxHold of newTestOwner
+)
+
+// ownerWithLastingRun returns an owner whose term began the given time ago. A perpetual task of its only job is placed on the worker
+// of host-1, whose agent is connected and has sent nothing.
+func ownerWithLastingRun(t *testing.T, termAge time.Duration) (*Owner, *memberView) {
+	o := newTestOwner(t, memstore.New())
+	o.startedAt -= termAge
+	o.apply(jobs.Change{Submit: &jobs.Job{ID: "aaaaaaaaaaaaaaaa", Queue: jobs.Queue{Service: "s"},
+		Spec: jobs.Spec{Steps: []jobs.Step{{Count: 1, CPU: 1000, Perpetual: true}}}}})
+	o.apply(jobs.Change{JobID: "aaaaaaaaaaaaaaaa", Place: &jobs.Place{Run: 1, Worker: "host-1", Lifetime: 7}})
+	o.rebuildIndexes()
+	localEnd, remoteEnd := net.Pipe()
+	c := session.New[session.ToMember, session.FromMember](localEnd)
+	t.Cleanup(c.Close)
+	t.Cleanup(func() { remoteEnd.Close() })
+	member := &memberView{Member: Member{Name: "host-1", Agent: true}, conn: c}
+	o.members["host-1"] = member
+	return o, member
+}
+
+// checkTimeoutsNow runs a check of timeouts that is due, and reports whether the task waits for a worker afterwards.
+func checkTimeoutsNow(o *Owner) bool {
+	o.timeoutsCheckedAt = 0
+	o.checkTimeouts()
+	return o.jobsState.Jobs["aaaaaaaaaaaaaaaa"].Occurrences[0].Steps[0].Tasks[0].State == jobs.TaskWaiting
+}
+
+// Guards against a task that is never started again: the worker crashed while its agent was away, so that the agent came back and
+// knew no worker. The owner kept the runs for as long as the agent was connected.
+func TestRunsEndAlthoughTheAgentIsConnectedWithoutAWorker(t *testing.T) {
+	o, member := ownerWithLastingRun(t, 20*time.Second)
+	o.handleMessage(member, &session.FromMember{})
+	qt.Check(t, checkTimeoutsNow(o), qt.IsTrue)
+}
+
+// Guards against a task that runs twice: only the hold ends the runs of a worker of which nothing is known, and each report that the
+// owner confirms extends the hold.
+func TestRunsStayUntilTheHoldHasExpired(t *testing.T) {
+	o, member := ownerWithLastingRun(t, takeoverMargin+testMaxHold)
+	qt.Check(t, checkTimeoutsNow(o), qt.IsFalse, qt.Commentf("the previous owner may have extended the hold"))
+
+	o, member = ownerWithLastingRun(t, 20*time.Second)
+	report := &session.FromMember{ReportSeq: 1, RunsComplete: true, Runs: []session.Run{{Task: lastingTask, Run: 1, Started: true}}}
+	o.handleMessage(member, report)
+	qt.Check(t, checkTimeoutsNow(o), qt.IsFalse, qt.Commentf("the run is listed"))
+	member.conn, member.runsListed = nil, false
+	qt.Check(t, checkTimeoutsNow(o), qt.IsFalse, qt.Commentf("the agent was lost just now"))
+	member.lastReportAt = boottime.Now() - testMaxHold
+	qt.Check(t, checkTimeoutsNow(o), qt.IsFalse, qt.Commentf("the worker's clock may be slow"))
+	member.lastReportAt = boottime.Now() - testMaxHold - 500*time.Millisecond
+	qt.Check(t, checkTimeoutsNow(o), qt.IsTrue)
+}
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -37,7 +37,7 @@
 	worker       *session.Worker
 	// runsListed is true once the current connection has delivered a complete list of runs.
 	runsListed       bool
-	lastMessageAt    time.Duration // boot time of the last message; start of the term if there was none
+	lastReportAt     time.Duration // boot time of the last report whose confirmation extends the hold; 0: none in this term
 	lastReportSeq    int64         // number of the newest report, acknowledged to the agent
 	lastSentAt       time.Duration // boot time of the last message sent by sendCommands
 	commandSeq       int64         // number of the newest message sent on this connection
@@ -157,7 +157,7 @@
 		return
 	}
 	if member == nil {
-		member = &memberView{lastMessageAt: o.startedAt}
+		member = &memberView{}
 		o.members[announced.Name] = member
 		if announced.Agent {
 			o.agentCount++
@@ -238,7 +238,9 @@
 		o.endTerm(election.ErrTaken)
 		return
 	}
-	member.lastMessageAt = boottime.Now()
+	if msg.ReportSeq > 0 {
+		member.lastReportAt = boottime.Now()
+	}
 	if msg.ReportSeq > member.lastReportSeq || !member.runsListed {
 		member.lastReportSeq = msg.ReportSeq
 	}
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -70,6 +70,7 @@
 	nextPlanAt        time.Duration // boot time before which no planning pass starts
 	planPostponed     bool          // a pass was due before nextPlanAt
 	timeoutsCheckedAt time.Duration // boot time of the last check of timeouts
+	waitingReportedAt time.Duration // boot time of the last report of waiting perpetual tasks
 	lastRecordSeq     int64         // sequence number of the newest record
 	snapshotSeq       int64         // sequence number of the newest snapshot
 	appendStartedAt   time.Duration // boot time at which the write of the current record began; 0: no write in progress
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -114,21 +114,16 @@
 	}
 }
 
-// endRunsOfLostWorker ends the runs of an unreachable worker as lost, so that their tasks can be placed again. It does nothing
-// before the worker's hold must have expired by the worker's own clock.
+// endRunsOfLostWorker ends the runs of a worker as lost, so that their tasks can be placed again, once the worker's hold must have
+// expired by the worker's own clock. Only a confirmed report extends the hold, whether the agent is connected or not: an agent that
+// came back after its worker had ended is connected, but knows no worker and reports no runs.
 func (o *Owner) endRunsOfLostWorker(name string, tasks map[string]*placedTask) {
-	member := o.members[name]
-	lastMessageAt := o.startedAt + takeoverMargin
-	if member != nil {
-		if member.conn != nil {
-			return
-		}
-		if member.lastMessageAt > o.startedAt {
-			lastMessageAt = member.lastMessageAt
-		}
+	lastReportAt := o.startedAt + takeoverMargin
+	if member := o.members[name]; member != nil && member.lastReportAt > 0 {
+		lastReportAt = member.lastReportAt
 	}
 	holdTimeout := o.cfg.MaxHold + time.Duration(float64(o.cfg.MaxHold)*session.WorkerClockDrift) + holdMargin
-	if boottime.Now() < lastMessageAt+holdTimeout {
+	if boottime.Now() < lastReportAt+holdTimeout {
 		return
 	}
 	for _, placed := range tasks {
@@ -170,6 +165,56 @@
 		o.place(assignment)
 	}
 	o.interference.SetBacklog(snapshot.Backlog())
+	o.reportWaitingTasks(snapshot)
+}
+
+const (
+	// waitingReportInterval is the interval between two reports of perpetual tasks that wait.
+	waitingReportInterval = time.Second
+	// minReportedWaitMs is how long a perpetual task waits before it is reported.
+	minReportedWaitMs = 2000
+)
+
+// reportWaitingTasks logs the perpetual task that has waited for longest, with the reason why no worker takes it, once per
+// waitingReportInterval. The snapshot is that of a planning pass that has just ended.
+func (o *Owner) reportWaitingTasks(snapshot *placement.Snapshot) {
+	now := boottime.Now()
+	if now < o.waitingReportedAt+waitingReportInterval {
+		return
+	}
+	waiting := 0
+	var longest *jobs.Job
+	var longestID jobs.TaskID
+	var longestMs int64
+	for _, job := range snapshot.Jobs {
+		for occIndex := range job.Occurrences {
+			for stepIndex := range job.Spec.Steps {
+				if !job.Spec.Steps[stepIndex].Perpetual {
+					continue
+				}
+				for taskIndex := range job.Occurrences[occIndex].Steps[stepIndex].Tasks {
+					task := &job.Occurrences[occIndex].Steps[stepIndex].Tasks[taskIndex]
+					if task.State != jobs.TaskWaiting || task.WaitingSinceMs == 0 || snapshot.BootTimeMs-task.WaitingSinceMs < minReportedWaitMs {
+						continue
+					}
+					waiting++
+					if waitMs := snapshot.BootTimeMs - task.WaitingSinceMs; waitMs > longestMs {
+						longest, longestMs = job, waitMs
+						longestID = jobs.TaskID{Job: job.ID, Occurrence: occIndex, Step: stepIndex, Index: taskIndex}
+					}
+				}
+			}
+		}
+	}
+	if longest == nil {
+		return
+	}
+	o.waitingReportedAt = now
+	step, shortage := &longest.Spec.Steps[longestID.Step], snapshot.ShortageOf(longest, longestID.Occurrence, longestID.Step)
+	events.TaskWaits.Log(&o.cfg.Log).Str("job", longest.ID).Str("task", longestID.String()).Int("waiting", waiting).
+		Int64("waits_ms", longestMs).Int("cpu", step.CPU).Int("mem_mb", step.MemMB).Int("max_per_worker", step.MaxPerWorker).
+		Int("workers", shortage.Workers).Int("fitting", shortage.Fitting).Int("fits", shortage.Fits).Int("full", shortage.Full).
+		Int("free_cpu", shortage.FreeCPU).Int("max_free_cpu", shortage.MaxFreeCPU).Int("max_free_mem_mb", shortage.MaxFreeMemMB).Send()
 }
 
 // placementSnapshot returns a snapshot of the jobs with waiting tasks and of the workers that may take tasks. The snapshot is
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -138,13 +138,18 @@
 	if !step.Perpetual || task.WaitingSinceMs == 0 || snapshot.BootTimeMs-task.WaitingSinceMs < overdueWaitMs {
 		return false
 	}
-	fittingTasks := 0 // number of tasks of the step that fit on the workers
+	fitting := 0
 	for _, worker := range snapshot.Workers {
 		if admits(worker, j, step) {
-			fittingTasks += max(1, worker.Free.CPU/max(1, step.CPU))
+			fitting += fittingTasks(worker, step)
 		}
 	}
-	return fittingTasks >= 2
+	return fitting >= 2
+}
+
+// fittingTasks returns how many tasks of the step fit on a worker that admits one.
+func fittingTasks(worker *Worker, step *jobs.Step) int {
+	return max(1, worker.Free.CPU/max(1, step.CPU))
 }
 
 // admits reports whether the worker accepts a task of the step that is being planned and has the free resources for the task.
