The owner speaks only to the member that it means

Cause: announcements of removed hosts stay in the store, and a platform may give the address of a removed host to a new one. The owner then connected to the new host under both names.

Change: the owner reads the name that the peer states first, and sends nothing to a process with another name.

Measured: TestHostAtTheAddressOfARemovedHostKeepsItsConnection fails before and passes; go test ./internal/jobowner passes.

--- a/internal/jobowner/hold_test.go
+++ b/internal/jobowner/hold_test.go
@@ -1,15 +1,21 @@
 package jobowner
 
 import (
+	"context"
+	"encoding/json"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
 
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/jobs"
+	"bamboofork/internal/ownerconn"
 	"bamboofork/internal/session"
+	"bamboofork/internal/store"
 	"bamboofork/internal/store/memstore"
 )
 
@@ -68,3 +74,44 @@
 	member.lastReportAt = boottime.Now() - testMaxHold - 500*time.Millisecond
 	qt.Check(t, checkTimeoutsNow(o), qt.IsTrue)
 }
+
+// Guards against a host that was removed and whose address a new host has taken over. The owner announced itself to the new host
+// under both names, so that each of the two connections ended the other one, without an end, and the messages of the new host
+// extended the hold of the worker that was removed with the old one.
+func TestHostAtTheAddressOfARemovedHostKeepsItsConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	addr := listener.Addr().String()
+	qt.Assert(t, listener.Close(), qt.IsNil)
+	var connections atomic.Int64
+	follower := &ownerconn.Follower{Name: "host-2", Incarnation: "host-2-1", Log: zerolog.Nop(),
+		OwnerConnected: func(*ownerconn.Conn) { connections.Add(1) },
+		HandleMessage:  func(conn *ownerconn.Conn, _ *session.ToMember) { conn.Send(session.FromMember{ReportSeq: 1}) }}
+	ctx, cancel := context.WithCancel(t.Context())
+	listenDone := make(chan error, 1)
+	go func() { listenDone <- follower.Listen(ctx, addr) }()
+	defer func() {
+		cancel()
+		qt.Check(t, <-listenDone, qt.IsNil)
+	}()
+
+	engine := memstore.New()
+	o := newTestOwner(t, engine)
+	for _, name := range []string{"host-1", "host-2"} {
+		announcement, err := json.Marshal(Member{Name: name, Addr: addr, Agent: true})
+		qt.Assert(t, err, qt.IsNil)
+		_, err = engine.CompareAndSwap(ctx, MemberPrefix+name, 0, announcement, store.LeaseID(0))
+		qt.Assert(t, err, qt.IsNil)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- o.Run(ctx) }()
+	time.Sleep(1500 * time.Millisecond)
+	qt.Check(t, connections.Load(), qt.Equals, int64(1))
+	o.mu.Lock()
+	removed, present := o.members["host-1"], o.members["host-2"]
+	qt.Check(t, removed.conn == nil && removed.lastReportAt == 0, qt.IsTrue, qt.Commentf("the removed host counts as reached"))
+	qt.Check(t, present.conn != nil && present.lastReportAt > 0, qt.IsTrue)
+	o.mu.Unlock()
+	cancel()
+	<-ended
+}
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -180,7 +180,7 @@
 			return
 		default:
 		}
-		c, err := session.Dial[session.ToMember, session.FromMember](ctx, addr)
+		c, err := dialMember(ctx, member.Name, addr)
 		if err == nil {
 			delay, failureLogged = minRedialDelay, false
 			o.serveMember(ctx, member, c)
@@ -193,6 +193,26 @@
 	}
 }
 
+// dialMember connects to the member with the name. It fails if another process answers at the address, and then sends that process
+// nothing: a new host may have the address of a removed one, and would take the connection for the one to its own name.
+func dialMember(ctx context.Context, name, addr string) (*conn, error) {
+	c, err := session.Dial[session.ToMember, session.FromMember](ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, c.Close)
+	defer stop()
+	hello, err := c.Receive()
+	if err == nil && hello.Name != name {
+		err = eris.Errorf("%s identifies itself as %s", addr, hello.Name)
+	}
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
 // serveMember makes c the connection to the member and processes the messages on c until the connection ends.
 func (o *Owner) serveMember(ctx context.Context, member *memberView, c *conn) {
 	stop := context.AfterFunc(ctx, c.Close)
@@ -217,10 +237,6 @@
 			o.handleMessage(member, &msg)
 		}
 		o.mu.Unlock()
-		if msg.Name != "" && msg.Name != member.Name {
-			err = eris.Errorf("%s identifies itself as %s", member.Addr, msg.Name)
-			break
-		}
 	}
 	c.Close()
 	o.mu.Lock()
