--- /dev/null
+++ b/internal/jobowner/hold_test.go
@@ -0,0 +1,117 @@
+package jobowner
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"bamboofork/internal/boottime"
+	"bamboofork/internal/jobs"
+	"bamboofork/internal/ownerconn"
+	"bamboofork/internal/session"
+	"bamboofork/internal/store"
+	"bamboofork/internal/store/memstore"
+)
+
+const (
+	lastingTask = "aaaaaaaaaaaaaaaa.0.0.0"
+	testMaxHold = 5 * time.Second // Config.MaxHold of newTestOwner
+)
+
+// ownerWithLastingRun returns an owner whose term began the given time ago. A perpetual task of its only job is placed on the worker
+// of host-1, whose agent is connected and has sent nothing.
+func ownerWithLastingRun(t *testing.T, termAge time.Duration) (*Owner, *memberView) {
+	o := newTestOwner(t, memstore.New())
+	o.startedAt -= termAge
+	o.apply(jobs.Change{Submit: &jobs.Job{ID: "aaaaaaaaaaaaaaaa", Queue: jobs.Queue{Service: "s"},
+		Spec: jobs.Spec{Steps: []jobs.Step{{Count: 1, CPU: 1000, Perpetual: true}}}}})
+	o.apply(jobs.Change{JobID: "aaaaaaaaaaaaaaaa", Place: &jobs.Place{Run: 1, Worker: "host-1", Lifetime: 7}})
+	o.rebuildIndexes()
+	localEnd, remoteEnd := net.Pipe()
+	c := session.New[session.ToMember, session.FromMember](localEnd)
+	t.Cleanup(c.Close)
+	t.Cleanup(func() { remoteEnd.Close() })
+	member := &memberView{Member: Member{Name: "host-1", Agent: true}, conn: c}
+	o.members["host-1"] = member
+	return o, member
+}
+
+// checkTimeoutsNow runs a check of timeouts that is due, and reports whether the task waits for a worker afterwards.
+func checkTimeoutsNow(o *Owner) bool {
+	o.timeoutsCheckedAt = 0
+	o.checkTimeouts()
+	return o.jobsState.Jobs["aaaaaaaaaaaaaaaa"].Occurrences[0].Steps[0].Tasks[0].State == jobs.TaskWaiting
+}
+
+// Guards against a task that is never started again: the worker crashed while its agent was away, so that the agent came back and
+// knew no worker. The owner kept the runs for as long as the agent was connected.
+func TestRunsEndAlthoughTheAgentIsConnectedWithoutAWorker(t *testing.T) {
+	o, member := ownerWithLastingRun(t, 20*time.Second)
+	o.handleMessage(member, &session.FromMember{})
+	qt.Check(t, checkTimeoutsNow(o), qt.IsTrue)
+}
+
+// Guards against a task that runs twice: only the hold ends the runs of a worker of which nothing is known, and each report that the
+// owner confirms extends the hold.
+func TestRunsStayUntilTheHoldHasExpired(t *testing.T) {
+	o, member := ownerWithLastingRun(t, takeoverMargin+testMaxHold)
+	qt.Check(t, checkTimeoutsNow(o), qt.IsFalse, qt.Commentf("the previous owner may have extended the hold"))
+
+	o, member = ownerWithLastingRun(t, 20*time.Second)
+	report := &session.FromMember{ReportSeq: 1, RunsComplete: true, Runs: []session.Run{{Task: lastingTask, Run: 1, Started: true}}}
+	o.handleMessage(member, report)
+	qt.Check(t, checkTimeoutsNow(o), qt.IsFalse, qt.Commentf("the run is listed"))
+	member.conn, member.runsListed = nil, false
+	qt.Check(t, checkTimeoutsNow(o), qt.IsFalse, qt.Commentf("the agent was lost just now"))
+	member.lastReportAt = boottime.Now() - testMaxHold
+	qt.Check(t, checkTimeoutsNow(o), qt.IsFalse, qt.Commentf("the worker's clock may be slow"))
+	member.lastReportAt = boottime.Now() - testMaxHold - 500*time.Millisecond
+	qt.Check(t, checkTimeoutsNow(o), qt.IsTrue)
+}
+
+// Guards against a host that was removed and whose address a new host has taken over. The owner announced itself to the new host
+// under both names, so that each of the two connections ended the other one, without an end, and the messages of the new host
+// extended the hold of the worker that was removed with the old one.
+func TestHostAtTheAddressOfARemovedHostKeepsItsConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	addr := listener.Addr().String()
+	qt.Assert(t, listener.Close(), qt.IsNil)
+	var connections atomic.Int64
+	follower := &ownerconn.Follower{Name: "host-2", Incarnation: "host-2-1", Log: zerolog.Nop(),
+		OwnerConnected: func(*ownerconn.Conn) { connections.Add(1) },
+		HandleMessage:  func(conn *ownerconn.Conn, _ *session.ToMember) { conn.Send(session.FromMember{ReportSeq: 1}) }}
+	ctx, cancel := context.WithCancel(t.Context())
+	listenDone := make(chan error, 1)
+	go func() { listenDone <- follower.Listen(ctx, addr) }()
+	defer func() {
+		cancel()
+		qt.Check(t, <-listenDone, qt.IsNil)
+	}()
+
+	engine := memstore.New()
+	o := newTestOwner(t, engine)
+	for _, name := range []string{"host-1", "host-2"} {
+		announcement, err := json.Marshal(Member{Name: name, Addr: addr, Agent: true})
+		qt.Assert(t, err, qt.IsNil)
+		_, err = engine.CompareAndSwap(ctx, MemberPrefix+name, 0, announcement, store.LeaseID(0))
+		qt.Assert(t, err, qt.IsNil)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- o.Run(ctx) }()
+	time.Sleep(1500 * time.Millisecond)
+	qt.Check(t, connections.Load(), qt.Equals, int64(1))
+	o.mu.Lock()
+	removed, present := o.members["host-1"], o.members["host-2"]
+	qt.Check(t, removed.conn == nil && removed.lastReportAt == 0, qt.IsTrue, qt.Commentf("the removed host counts as reached"))
+	qt.Check(t, present.conn != nil && present.lastReportAt > 0, qt.IsTrue)
+	o.mu.Unlock()
+	cancel()
+	<-ended
+}
