--- a/internal/deployed/deployed.go
+++ b/internal/deployed/deployed.go
@@ -22,6 +22,7 @@
 	"bamboofork/internal/app"
 	"bamboofork/internal/events"
 	"bamboofork/internal/hostconfig"
+	"bamboofork/internal/network"
 	"bamboofork/internal/telemetry"
 	"bamboofork/platform"
 )
@@ -44,6 +45,7 @@
 	isAgent      bool // true for an agent, false for an entry
 	log          zerolog.Logger
 	metrics      *telemetry.Registry
+	network      network.Network
 	// incarnation is unique to each start of the process.
 	incarnation string
 }
@@ -102,7 +104,7 @@
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	zerolog.DurationFieldInteger = true
 	p := &process{
-		cfg: cfg, settingsPath: settingsPath, isAgent: isAgent, metrics: metrics,
+		cfg: cfg, settingsPath: settingsPath, isAgent: isAgent, metrics: metrics, network: network.TCP,
 		log:         zerolog.New(w).Level(minLevel).With().Timestamp().Str("program", name).Str("process", cfg.Name).Logger(),
 		incarnation: cfg.Name + "-" + strconv.FormatInt(time.Now().UnixNano(), 36),
 	}
@@ -133,8 +135,8 @@
 
 // serve runs an HTTP server on addr until ctx is done. It then waits at most shutdownTimeout for requests in progress and closes
 // the remaining connections.
-func serve(ctx context.Context, addr string, handler http.Handler, shutdownTimeout time.Duration) error {
-	listener, err := net.Listen("tcp", addr)
+func (p *process) serve(ctx context.Context, addr string, handler http.Handler, shutdownTimeout time.Duration) error {
+	listener, err := p.network.Listen(addr)
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", addr)
 	}
@@ -175,6 +177,6 @@
 
 func (p *process) metricsComponent(port string) app.Component {
 	return app.Component{Name: "metrics", Run: func(ctx context.Context) error {
-		return serve(ctx, net.JoinHostPort(p.cfg.Listen.Metrics, port), p.metricsHandler(), 0)
+		return p.serve(ctx, net.JoinHostPort(p.cfg.Listen.Metrics, port), p.metricsHandler(), 0)
 	}}
 }
--- a/internal/deployed/deployed_test.go
+++ b/internal/deployed/deployed_test.go
@@ -149,7 +149,7 @@
 		}
 		previous := f.hosts[i]
 		previous.stop()
-		restarted := &testProcess{process: &process{cfg: previous.cfg, isAgent: true, log: previous.log, metrics: previous.metrics,
+		restarted := &testProcess{process: &process{cfg: previous.cfg, isAgent: true, network: previous.network, log: previous.log, metrics: previous.metrics,
 			incarnation: previous.incarnation + "-2"}, store: previous.store}
 		f.restart(restarted)
 		break
--- a/internal/deployed/fleet_test.go
+++ b/internal/deployed/fleet_test.go
@@ -21,6 +21,7 @@
 
 	"bamboofork/internal/app"
 	"bamboofork/internal/hostconfig"
+	"bamboofork/internal/network"
 	"bamboofork/internal/telemetry"
 	"bamboofork/platform/standin"
 )
@@ -165,7 +166,7 @@
 		Bounds: hostconfig.Bounds{MaxHoldMs: 3000, StopTimeoutMs: 200, GraceS: 6, StatusS: 120},
 	}
 	qt.Assert(f.t, cfg.Validate(isAgent), qt.IsNil)
-	p := &testProcess{store: endpoint, process: &process{cfg: cfg, isAgent: isAgent,
+	p := &testProcess{store: endpoint, process: &process{cfg: cfg, isAgent: isAgent, network: network.TCP,
 		log: zerolog.New(io.Discard), metrics: telemetry.New(),
 		incarnation: fmt.Sprintf("%s-%d", name, time.Now().UnixNano())}}
 	f.startComponents(p, components)
--- a/internal/deployed/front.go
+++ b/internal/deployed/front.go
@@ -28,7 +28,7 @@
 }
 
 func frontComponents(p *process) ([]app.Component, error) {
-	store := platform.NewStore(p.cfg.Store)
+	store := platform.NewStore(p.cfg.Store, p.network)
 	front := &jobfront.Front{Log: p.log, Metrics: p.metrics, Manifest: &queues.CurrentManifest{}}
 	front.Follower = &ownerconn.Follower{Name: p.cfg.Name, Incarnation: p.incarnation, Log: p.log,
 		OwnerConnected: front.OwnerConnected, HandleMessage: front.HandleMessage}
@@ -43,7 +43,7 @@
 		{Name: "manifest", Run: untilDrained(func(ctx context.Context) error {
 			return platform.FollowManifest(ctx, store, front.Manifest, &p.log)
 		})},
-		{Name: "owner", Run: untilDrained(func(ctx context.Context) error { return front.Follower.Listen(ctx, p.cfg.Listen.Peers) })},
+		{Name: "owner", Run: untilDrained(func(ctx context.Context) error { return front.Follower.Listen(ctx, p.network, p.cfg.Listen.Peers) })},
 		{Name: "heartbeat", Run: untilDrained(front.Heartbeat)},
 		{Name: "announcement", Run: func(ctx context.Context) error {
 			if err := ownerconn.Announce(ctx, store, &p.log, jobowner.MemberPrefix+p.cfg.Name, member); err != nil {
@@ -53,7 +53,7 @@
 			return nil
 		}},
 		{Name: "readiness", Run: untilDrained(func(ctx context.Context) error {
-			return serve(ctx, p.cfg.Listen.Readiness, platform.ReadinessHandler(front.Ready), 0)
+			return p.serve(ctx, p.cfg.Listen.Readiness, platform.ReadinessHandler(front.Ready), 0)
 		})},
 		{Name: "callers", Run: func(ctx context.Context) error {
 			defer stopComponents()
@@ -74,5 +74,5 @@
 		time.AfterFunc(drainDelay, stopServing)
 	})
 	defer unregister()
-	return serve(servingCtx, p.cfg.Listen.Callers, platform.JobAPIHandler(front), p.cfg.Bounds.Grace()-drainDelay-exitMargin)
+	return p.serve(servingCtx, p.cfg.Listen.Callers, platform.JobAPIHandler(front), p.cfg.Bounds.Grace()-drainDelay-exitMargin)
 }
--- a/internal/deployed/host.go
+++ b/internal/deployed/host.go
@@ -24,16 +24,16 @@
 }
 
 func hostComponents(p *process) ([]app.Component, error) {
-	store := platform.NewStore(p.cfg.Store)
+	store := platform.NewStore(p.cfg.Store, p.network)
 	follower := &ownerconn.Follower{Name: p.cfg.Name, Incarnation: p.incarnation, Log: p.log}
 	agent := hostagent.New(hostagent.Config{
-		Log: p.log, Metrics: p.metrics, Runner: platform.NewRunner(p.cfg.Worker), Follower: follower,
+		Log: p.log, Metrics: p.metrics, Runner: platform.NewRunner(p.cfg.Worker, p.network), Follower: follower,
 		MaxHoldDuration: p.cfg.Bounds.Hold(), StopTimeout: p.cfg.Bounds.StopTimeout(),
 	})
 	follower.OwnerConnected, follower.HandleMessage = agent.OwnerConnected, agent.HandleMessage
 	candidate := &jobowner.Candidate{
 		Config: jobowner.Config{
-			Name: p.cfg.Name, Prefix: logKeyPrefix, Log: p.log, Metrics: p.metrics, Store: store,
+			Name: p.cfg.Name, Prefix: logKeyPrefix, Log: p.log, Metrics: p.metrics, Store: store, Network: p.network,
 			Retention: p.cfg.Bounds.Retention(), MaxHold: p.cfg.Bounds.Hold(),
 		},
 		Key:      election.NewKey(store, ownerKey, boottime.Now),
@@ -41,14 +41,14 @@
 		Follower: follower,
 	}
 	if p.cfg.Advice != "" {
-		candidate.Config.Adviser = platform.NewAdviser(p.cfg.Advice)
+		candidate.Config.Adviser = platform.NewAdviser(p.cfg.Advice, p.network)
 	}
 	member := jobowner.Member{Name: p.cfg.Name, Addr: p.cfg.Listen.PeerAddr(), Agent: true}
 	return []app.Component{
-		{Name: "owner", Run: func(ctx context.Context) error { return follower.Listen(ctx, p.cfg.Listen.Peers) }},
+		{Name: "owner", Run: func(ctx context.Context) error { return follower.Listen(ctx, p.network, p.cfg.Listen.Peers) }},
 		{Name: "agent", Run: agent.Run},
 		{Name: "registrations", Run: func(ctx context.Context) error {
-			return serve(ctx, p.cfg.Listen.Registrations, platform.RegistrationHandler(p.cfg.Worker, agent), 0)
+			return p.serve(ctx, p.cfg.Listen.Registrations, platform.RegistrationHandler(p.cfg.Worker, agent), 0)
 		}},
 		{Name: "candidate", Run: func(ctx context.Context) error {
 			if err := ownerconn.Announce(ctx, store, &p.log, jobowner.MemberPrefix+p.cfg.Name, member); err != nil {
--- /dev/null
+++ b/internal/deployed/virtual_network_test.go
@@ -0,0 +1,381 @@
+package deployed
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// virtualNetwork is a network in memory for virtual time. Each machine has an IP address. A cut direction between two machines
+// carries nothing; like TCP, it carries later what was sent meanwhile, if both ends still wait for it. mu guards all state of the
+// network and its connections; nobody blocks while holding it.
+type virtualNetwork struct {
+	mu        sync.Mutex
+	listeners map[string]*virtualListener
+	links     map[machinePair]linkFaults
+	conns     map[*virtualConn]bool // one of the two ends of each open connection per machine
+	changed   chan struct{}         // closed and replaced when a link changes
+}
+
+// machinePair is a direction between two machines, each given by its IP address.
+type machinePair struct{ from, to string }
+
+// linkFaults are the faults of one direction.
+type linkFaults struct {
+	cut   bool
+	delay time.Duration
+}
+
+const linkDelay = time.Millisecond
+
+func newVirtualNetwork() *virtualNetwork {
+	return &virtualNetwork{listeners: map[string]*virtualListener{}, links: map[machinePair]linkFaults{}, conns: map[*virtualConn]bool{},
+		changed: make(chan struct{})}
+}
+
+func machineOf(addr string) string { return netip.MustParseAddrPort(addr).Addr().String() }
+
+// setLink replaces the faults of the direction from one machine to another.
+func (n *virtualNetwork) setLink(from, to string, faults linkFaults) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links[machinePair{from, to}] = faults
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// healLinks removes the faults of all links.
+func (n *virtualNetwork) healLinks() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.links)
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// resetConns resets the connections of which both ends satisfy the condition.
+func (n *virtualNetwork) resetConns(matches func(a, b string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if matches(c.machine, c.peer.machine) || matches(c.peer.machine, c.machine) {
+			c.reset()
+		}
+	}
+}
+
+// virtualProcess is the network as one process sees it. It implements network.Network. After kill, it connects to nothing.
+type virtualProcess struct {
+	network *virtualNetwork
+	machine string
+	dead    bool // guarded by network.mu
+}
+
+func (n *virtualNetwork) process(machine string) *virtualProcess {
+	return &virtualProcess{network: n, machine: machine}
+}
+
+// kill resets the connections of the process and closes its ports. If silent is set, its peers are not told, as at a power loss.
+func (p *virtualProcess) kill(silent bool) {
+	p.network.mu.Lock()
+	defer p.network.mu.Unlock()
+	p.dead = true
+	close(p.network.changed)
+	p.network.changed = make(chan struct{})
+	for c := range p.network.conns {
+		if c.owner == p {
+			if silent {
+				c.vanish()
+			} else {
+				c.reset()
+			}
+		}
+	}
+	for _, l := range p.network.listeners {
+		if l.owner == p {
+			l.close()
+		}
+	}
+}
+
+var errDead = &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ENETUNREACH}
+
+// Listen implements network.Network.
+func (p *virtualProcess) Listen(addr string) (net.Listener, error) {
+	p.network.mu.Lock()
+	defer p.network.mu.Unlock()
+	if p.dead || p.network.listeners[addr] != nil {
+		return nil, &net.OpError{Op: "listen", Net: "tcp", Err: syscall.EADDRINUSE}
+	}
+	l := &virtualListener{network: p.network, owner: p, addr: addr, backlog: make(chan net.Conn, 1024), done: make(chan struct{})}
+	p.network.listeners[addr] = l
+	return l, nil
+}
+
+// Dial implements network.Network. The handshake needs both directions; an address where nothing listens refuses the connection.
+func (p *virtualProcess) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	to := machineOf(addr)
+	for {
+		n := p.network
+		n.mu.Lock()
+		there, back, changed := n.links[machinePair{p.machine, to}], n.links[machinePair{to, p.machine}], n.changed
+		dead := p.dead
+		n.mu.Unlock()
+		if dead {
+			return nil, errDead
+		}
+		if there.cut || back.cut {
+			select {
+			case <-changed:
+				continue
+			case <-ctx.Done():
+				return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
+			}
+		}
+		select {
+		case <-time.After(2*linkDelay + there.delay + back.delay):
+		case <-ctx.Done():
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
+		}
+		return p.connect(addr)
+	}
+}
+
+func (p *virtualProcess) connect(addr string) (net.Conn, error) {
+	n := p.network
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	listener := n.listeners[addr]
+	if p.dead {
+		return nil, errDead
+	}
+	if listener == nil || len(listener.backlog) == cap(listener.backlog) {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	}
+	local := &virtualConn{network: n, owner: p, machine: p.machine, addr: p.machine + ":40000", notify: make(chan struct{})}
+	remote := &virtualConn{network: n, owner: listener.owner, machine: machineOf(addr), addr: addr, notify: make(chan struct{})}
+	local.peer, remote.peer = remote, local
+	n.conns[local], n.conns[remote] = true, true
+	listener.backlog <- remote
+	return local, nil
+}
+
+type virtualListener struct {
+	network *virtualNetwork
+	owner   *virtualProcess
+	addr    string
+	backlog chan net.Conn
+	done    chan struct{}
+	closed  bool
+}
+
+func (l *virtualListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.backlog:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// close closes the listener and resets the connections that nobody has accepted. The caller holds network.mu.
+func (l *virtualListener) close() {
+	if l.closed {
+		return
+	}
+	l.closed = true
+	close(l.done)
+	if l.network.listeners[l.addr] == l {
+		delete(l.network.listeners, l.addr)
+	}
+	for {
+		select {
+		case c := <-l.backlog:
+			c.(*virtualConn).reset()
+		default:
+			return
+		}
+	}
+}
+
+// Close implements net.Listener.
+func (l *virtualListener) Close() error {
+	l.network.mu.Lock()
+	defer l.network.mu.Unlock()
+	l.close()
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *virtualListener) Addr() net.Addr { return virtualAddr(l.addr) }
+
+type virtualAddr string
+
+func (virtualAddr) Network() string  { return "tcp" }
+func (a virtualAddr) String() string { return string(a) }
+
+// virtualConn is one end of a connection. Its fields are guarded by network.mu.
+type virtualConn struct {
+	network  *virtualNetwork
+	owner    *virtualProcess
+	machine  string
+	addr     string
+	peer     *virtualConn
+	incoming []segment
+	deadline time.Time
+	notify   chan struct{} // closed and replaced when something changes for the reader
+	closed   bool          // closed by this end
+	broken   bool          // reset
+}
+
+// segment is sent data, or the end of the stream if data is nil.
+type segment struct {
+	data    []byte
+	readyAt time.Time
+}
+
+func (c *virtualConn) wake() {
+	close(c.notify)
+	c.notify = make(chan struct{})
+}
+
+// reset breaks both ends.
+func (c *virtualConn) reset() {
+	c.broken, c.peer.broken = true, true
+	delete(c.network.conns, c)
+	delete(c.network.conns, c.peer)
+	c.wake()
+	c.peer.wake()
+}
+
+// vanish breaks this end without a notice to its peer.
+func (c *virtualConn) vanish() {
+	c.broken = true
+	delete(c.network.conns, c)
+	c.wake()
+}
+
+// Read implements net.Conn.
+func (c *virtualConn) Read(p []byte) (int, error) {
+	for {
+		c.network.mu.Lock()
+		now := time.Now()
+		link := c.network.links[machinePair{c.peer.machine, c.machine}]
+		var wait time.Duration = -1
+		switch {
+		case c.closed:
+			c.network.mu.Unlock()
+			return 0, net.ErrClosed
+		case !c.deadline.IsZero() && !now.Before(c.deadline):
+			c.network.mu.Unlock()
+			return 0, os.ErrDeadlineExceeded
+		case c.broken:
+			c.network.mu.Unlock()
+			return 0, &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET}
+		case len(c.incoming) > 0 && !link.cut && !c.incoming[0].readyAt.After(now):
+			head := &c.incoming[0]
+			if head.data == nil {
+				c.network.mu.Unlock()
+				return 0, io.EOF
+			}
+			read := copy(p, head.data)
+			if head.data = head.data[read:]; len(head.data) == 0 {
+				c.incoming = c.incoming[1:]
+			}
+			c.network.mu.Unlock()
+			return read, nil
+		case len(c.incoming) > 0 && !link.cut:
+			wait = c.incoming[0].readyAt.Sub(now)
+		}
+		if !c.deadline.IsZero() && (wait < 0 || c.deadline.Sub(now) < wait) {
+			wait = c.deadline.Sub(now)
+		}
+		notify, changed := c.notify, c.network.changed
+		c.network.mu.Unlock()
+		var timeout <-chan time.Time
+		var timer *time.Timer
+		if wait >= 0 {
+			timer = time.NewTimer(wait)
+			timeout = timer.C
+		}
+		select {
+		case <-notify:
+		case <-changed:
+		case <-timeout:
+		}
+		if timer != nil {
+			timer.Stop()
+		}
+	}
+}
+
+// Write implements net.Conn. It never blocks.
+func (c *virtualConn) Write(p []byte) (int, error) {
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	link := c.network.links[machinePair{c.machine, c.peer.machine}]
+	switch {
+	case c.closed:
+		return 0, net.ErrClosed
+	case c.broken:
+		return 0, &net.OpError{Op: "write", Net: "tcp", Err: syscall.ECONNRESET}
+	case c.peer.closed && !link.cut:
+		return 0, &net.OpError{Op: "write", Net: "tcp", Err: syscall.EPIPE}
+	case c.peer.closed || c.peer.broken:
+		return len(p), nil // lost
+	}
+	c.send(append([]byte(nil), p...), link)
+	return len(p), nil
+}
+
+// send queues data, or the end of the stream if data is nil, for the peer.
+func (c *virtualConn) send(data []byte, link linkFaults) {
+	readyAt := time.Now().Add(linkDelay + link.delay)
+	if n := len(c.peer.incoming); n > 0 && c.peer.incoming[n-1].readyAt.After(readyAt) {
+		readyAt = c.peer.incoming[n-1].readyAt
+	}
+	c.peer.incoming = append(c.peer.incoming, segment{data: data, readyAt: readyAt})
+	c.peer.wake()
+}
+
+// Close implements net.Conn.
+func (c *virtualConn) Close() error {
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.closed = true
+	delete(c.network.conns, c)
+	if !c.broken && !c.peer.closed {
+		c.send(nil, c.network.links[machinePair{c.machine, c.peer.machine}])
+	}
+	c.wake()
+	return nil
+}
+
+func (c *virtualConn) LocalAddr() net.Addr  { return virtualAddr(c.addr) }
+func (c *virtualConn) RemoteAddr() net.Addr { return virtualAddr(c.peer.addr) }
+
+// SetDeadline implements net.Conn.
+func (c *virtualConn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
+
+// SetReadDeadline implements net.Conn.
+func (c *virtualConn) SetReadDeadline(t time.Time) error {
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.deadline = t
+	c.wake()
+	return nil
+}
+
+// SetWriteDeadline implements net.Conn. Writes do not block.
+func (c *virtualConn) SetWriteDeadline(time.Time) error { return nil }
--- a/internal/jobowner/candidate.go
+++ b/internal/jobowner/candidate.go
@@ -11,6 +11,7 @@
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/election"
 	"bamboofork/internal/events"
+	"bamboofork/internal/network"
 	"bamboofork/internal/ownerconn"
 	"bamboofork/internal/session"
 )
@@ -93,7 +94,7 @@
 	case c.Follower.OwnerStoreUnreachable(owner.Name):
 		return revision, "the store answers this process and not the owner", true
 	}
-	if evidence, dead := probeOwner(ctx, owner); dead {
+	if evidence, dead := probeOwner(ctx, c.Config.Network, owner); dead {
 		return revision, evidence, true
 	}
 	return 0, "", false
@@ -102,10 +103,10 @@
 // probeOwner reports whether the process that the owner's key names has certainly ended, and returns the evidence. The process
 // has ended if its port refuses connections or another incarnation responds. A missing response proves nothing; the owner is
 // then replaced only after its lease has expired.
-func probeOwner(ctx context.Context, owner election.Owner) (string, bool) {
+func probeOwner(ctx context.Context, through network.Network, owner election.Owner) (string, bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	ownerConn, err := session.Dial[session.ToMember, session.FromMember](ctx, owner.Addr)
+	ownerConn, err := session.Dial[session.ToMember, session.FromMember](ctx, through, owner.Addr)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return "the owner's port is closed", true
 	}
--- a/internal/jobowner/commit_test.go
+++ b/internal/jobowner/commit_test.go
@@ -12,6 +12,7 @@
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/election"
 	"bamboofork/internal/jobs"
+	"bamboofork/internal/network"
 	"bamboofork/internal/session"
 	"bamboofork/internal/store"
 	"bamboofork/internal/store/memstore"
@@ -40,7 +41,7 @@
 	key := election.NewKey(st, "owner", boottime.Now)
 	ownership, err := key.Acquire(t.Context(), election.Owner{Name: "host-0", Incarnation: "host-0-1"}, 0)
 	qt.Assert(t, err, qt.IsNil)
-	o, err := Recover(t.Context(), Config{Name: "host-0", Prefix: "jobs", Log: zerolog.Nop(), Metrics: telemetry.New(), Store: st,
+	o, err := Recover(t.Context(), Config{Name: "host-0", Prefix: "jobs", Log: zerolog.Nop(), Metrics: telemetry.New(), Store: st, Network: network.TCP,
 		Retention: time.Minute, MaxHold: 5 * time.Second}, ownership, "host-0-1")
 	qt.Assert(t, err, qt.IsNil)
 	return o
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -180,7 +180,7 @@
 			return
 		default:
 		}
-		c, err := session.Dial[session.ToMember, session.FromMember](ctx, addr)
+		c, err := session.Dial[session.ToMember, session.FromMember](ctx, o.cfg.Network, addr)
 		if err == nil {
 			delay, failureLogged = minRedialDelay, false
 			o.serveMember(ctx, member, c)
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -20,6 +20,7 @@
 	"bamboofork/internal/election"
 	"bamboofork/internal/events"
 	"bamboofork/internal/jobs"
+	"bamboofork/internal/network"
 	"bamboofork/internal/placement"
 	"bamboofork/internal/session"
 	"bamboofork/internal/store"
@@ -33,9 +34,10 @@
 	Log       zerolog.Logger
 	Metrics   *telemetry.Registry
 	Store     store.Store
-	Adviser   Adviser       // nil: no queue needs advice
-	Retention time.Duration // how long an ended job is kept
-	MaxHold   time.Duration // maximum time that a worker keeps its runs while its reports do not reach the owner
+	Network   network.Network // through which the owner reaches the members
+	Adviser   Adviser         // nil: no queue needs advice
+	Retention time.Duration   // how long an ended job is kept
+	MaxHold   time.Duration   // maximum time that a worker keeps its runs while its reports do not reach the owner
 }
 
 // Owner is one term of ownership. mu guards all fields below it.
--- a/internal/jobowner/replaced_test.go
+++ b/internal/jobowner/replaced_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"bamboofork/internal/election"
+	"bamboofork/internal/network"
 	"bamboofork/internal/ownerconn"
 	"bamboofork/internal/session"
 	"bamboofork/internal/store"
@@ -29,7 +30,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	listenDone := make(chan error, 1)
-	go func() { listenDone <- follower.Listen(ctx, addr) }()
+	go func() { listenDone <- follower.Listen(ctx, network.TCP, addr) }()
 
 	engine := memstore.New()
 	faulty := memstore.NewFaulty(engine, 1)
@@ -45,7 +46,7 @@
 	}
 
 	faulty.SetFaults(memstore.Faults{Down: true})
-	successor, err := session.Dial[session.ToMember, session.FromMember](ctx, addr)
+	successor, err := session.Dial[session.ToMember, session.FromMember](ctx, network.TCP, addr)
 	qt.Assert(t, err, qt.IsNil)
 	defer successor.Close()
 	successor.Send(session.ToMember{Epoch: o.epoch + 1, Owner: "host-1", LeaseValid: true})
--- a/internal/jobowner/takeover_test.go
+++ b/internal/jobowner/takeover_test.go
@@ -15,6 +15,7 @@
 	"bamboofork/internal/caslog"
 	"bamboofork/internal/election"
 	"bamboofork/internal/jobs"
+	"bamboofork/internal/network"
 	"bamboofork/internal/ownerconn"
 	"bamboofork/internal/store"
 	"bamboofork/internal/store/memstore"
@@ -53,7 +54,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	candidate := &Candidate{
-		Config: Config{Name: "host-0", Prefix: "jobs", Log: zerolog.Nop(), Metrics: telemetry.New(), Store: st, Retention: time.Minute},
+		Config: Config{Name: "host-0", Prefix: "jobs", Log: zerolog.Nop(), Metrics: telemetry.New(), Store: st, Network: network.TCP, Retention: time.Minute},
 		Key:    election.NewKey(st, "owner", boottime.Now), Self: election.Owner{Name: "host-0", Incarnation: "host-0-1"},
 		Follower: &ownerconn.Follower{},
 	}
--- a/internal/ownerconn/ownerconn.go
+++ b/internal/ownerconn/ownerconn.go
@@ -17,6 +17,7 @@
 	"bamboofork/internal/app"
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/events"
+	"bamboofork/internal/network"
 	"bamboofork/internal/session"
 	"bamboofork/internal/store"
 )
@@ -45,8 +46,8 @@
 }
 
 // Listen accepts connections from owners on the address until ctx is done.
-func (f *Follower) Listen(ctx context.Context, addr string) error {
-	listener, err := net.Listen("tcp", addr)
+func (f *Follower) Listen(ctx context.Context, on network.Network, addr string) error {
+	listener, err := on.Listen(addr)
 	if err != nil {
 		return eris.Wrapf(err, "listen for owner connections on %s", addr)
 	}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -20,6 +20,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/tinylib/msgp/msgp"
+
+	"bamboofork/internal/network"
 )
 
 const (
@@ -60,9 +62,10 @@
 func (m *FromMember) acceptsBinary() bool { return m.AcceptsBinary }
 
 // Dial connects to a peer.
-func Dial[Out, In any](ctx context.Context, addr string) (*Conn[Out, In], error) {
-	d := net.Dialer{Timeout: DialTimeout, KeepAlive: -1}
-	c, err := d.DialContext(ctx, "tcp", addr)
+func Dial[Out, In any](ctx context.Context, through network.Network, addr string) (*Conn[Out, In], error) {
+	dialCtx, cancel := context.WithTimeout(ctx, DialTimeout)
+	defer cancel()
+	c, err := through.Dial(dialCtx, addr)
 	if err != nil {
 		return nil, eris.Wrapf(err, "dial %s", addr)
 	}
