--- a/internal/deployed/front.go
+++ b/internal/deployed/front.go
@@ -52,7 +52,7 @@
 }
 
 func frontComponents(p *process) ([]app.Component, error) {
-	store := platform.NewStore(p.cfg.Store)
+	store := platform.NewStore(p.cfg.Store, p.network)
 	front := &jobfront.Front{Log: p.log, Metrics: p.metrics, Manifest: &queues.CurrentManifest{}}
 	front.Follower = &ownerconn.Follower{Name: p.cfg.Name, Incarnation: p.incarnation, Log: p.log,
 		OwnerConnected: front.OwnerConnected, HandleMessage: front.HandleMessage}
@@ -67,7 +67,7 @@
 		{Name: "manifest", Run: untilDrained(func(ctx context.Context) error {
 			return platform.FollowManifest(ctx, store, front.Manifest, &p.log)
 		})},
-		{Name: "owner", Run: untilDrained(func(ctx context.Context) error { return front.Follower.Listen(ctx, p.cfg.Listen.Peers) })},
+		{Name: "owner", Run: untilDrained(func(ctx context.Context) error { return front.Follower.Listen(ctx, p.network, p.cfg.Listen.Peers) })},
 		{Name: "heartbeat", Run: untilDrained(front.Heartbeat)},
 		{Name: "announcement", Run: func(ctx context.Context) error {
 			if err := ownerconn.Announce(ctx, store, &p.log, jobowner.MemberPrefix+p.cfg.Name, member); err != nil {
@@ -77,7 +77,7 @@
 			return nil
 		}},
 		{Name: "readiness", Run: untilDrained(func(ctx context.Context) error {
-			return serve(ctx, p.cfg.Listen.Readiness, platform.ReadinessHandler(front.Ready), 0)
+			return p.serve(ctx, p.cfg.Listen.Readiness, platform.ReadinessHandler(front.Ready), 0)
 		})},
 		{Name: "callers", Run: func(ctx context.Context) error {
 			defer stopComponents()
@@ -105,7 +105,7 @@
 	})
 	defer unregister()
 	handler := endWaitsWith(answersDue, countOpen(&open, platform.JobAPIHandler(front)))
-	err := serve(servingCtx, p.cfg.Listen.Callers, handler, plan.closeAll-plan.closeListener)
+	err := p.serve(servingCtx, p.cfg.Listen.Callers, handler, plan.closeAll-plan.closeListener)
 	events.EntryDrained.Log(&p.log).Int64("unanswered", open.Load()).Send()
 	return err
 }
--- a/internal/jobfront/front_test.go
+++ b/internal/jobfront/front_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"bamboofork/internal/network"
 	"bamboofork/internal/ownerconn"
 	"bamboofork/internal/session"
 	"bamboofork/internal/telemetry"
@@ -32,7 +33,7 @@
 	front.Follower = &ownerconn.Follower{Name: "entry", Log: zerolog.Nop(), OwnerConnected: front.OwnerConnected, HandleMessage: front.HandleMessage}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- front.Follower.Listen(ctx, addr) }()
+	go func() { done <- front.Follower.Listen(ctx, network.TCP, addr) }()
 	t.Cleanup(func() {
 		cancel()
 		qt.Check(t, <-done, qt.IsNil)
@@ -40,7 +41,7 @@
 	return front, func(epoch int64) *fakeOwner {
 		var owner *fakeOwner
 		for end := time.Now().Add(10 * time.Second); owner == nil; time.Sleep(10 * time.Millisecond) {
-			conn, err := session.Dial[session.ToMember, session.FromMember](context.Background(), addr)
+			conn, err := session.Dial[session.ToMember, session.FromMember](context.Background(), network.TCP, addr)
 			if err == nil {
 				owner = &fakeOwner{t: t, conn: conn}
 			}
--- a/internal/jobowner/hold_test.go
+++ b/internal/jobowner/hold_test.go
@@ -13,6 +13,7 @@
 
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/jobs"
+	"bamboofork/internal/network"
 	"bamboofork/internal/ownerconn"
 	"bamboofork/internal/session"
 	"bamboofork/internal/store"
@@ -89,7 +90,7 @@
 		HandleMessage:  func(conn *ownerconn.Conn, _ *session.ToMember) { conn.Send(session.FromMember{ReportSeq: 1}) }}
 	ctx, cancel := context.WithCancel(t.Context())
 	listenDone := make(chan error, 1)
-	go func() { listenDone <- follower.Listen(ctx, addr) }()
+	go func() { listenDone <- follower.Listen(ctx, network.TCP, addr) }()
 	defer func() {
 		cancel()
 		qt.Check(t, <-listenDone, qt.IsNil)
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -12,6 +12,7 @@
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/election"
 	"bamboofork/internal/events"
+	"bamboofork/internal/network"
 	"bamboofork/internal/placement"
 	"bamboofork/internal/session"
 	"bamboofork/internal/store"
@@ -180,7 +181,7 @@
 			return
 		default:
 		}
-		c, err := dialMember(ctx, member.Name, addr)
+		c, err := dialMember(ctx, o.cfg.Network, member.Name, addr)
 		if err == nil {
 			delay, failureLogged = minRedialDelay, false
 			o.serveMember(ctx, member, c)
@@ -195,8 +196,8 @@
 
 // dialMember connects to the member with the name. It fails if another process answers at the address, and then sends that process
 // nothing: a new host may have the address of a removed one, and would take the connection for the one to its own name.
-func dialMember(ctx context.Context, name, addr string) (*conn, error) {
-	c, err := session.Dial[session.ToMember, session.FromMember](ctx, addr)
+func dialMember(ctx context.Context, through network.Network, name, addr string) (*conn, error) {
+	c, err := session.Dial[session.ToMember, session.FromMember](ctx, through, addr)
 	if err != nil {
 		return nil, err
 	}
