Write changes that are too large for one record as several

During an outage of the store the ends of runs collect; on a fleet of 240 workers with 40 short tasks each, 10,000 ends and as many placements are more than the 1 MiB that a value takes. The store refuses such a record, and the owner repeated it without an end: nothing accepted, nothing placed, until a candidate took its silence for a lost store and the next owner met the same backlog.

commit encodes the changes as several records if they need it; effects still run after the last one is durable, and each prefix of the changes is a valid state. Before: TestMoreChangesThanAValueTakesAreWritten (400 submissions of 4 kB at once) fails with "context deadline exceeded"; after: it passes, and a successor recovers all 400 jobs.

--- a/internal/jobowner/commit.go
+++ b/internal/jobowner/commit.go
@@ -37,6 +37,28 @@
 	storeStallTimeout = 900 * time.Millisecond
 )
 
+// maxRecordBytes is the maximum size of the changes in a record. It leaves room for the other fields of the record in a value.
+const maxRecordBytes = store.MaxValueBytes - 4<<10
+
+// encodeChanges returns the data of the records that hold the changes, in order: one record, unless the changes are too large for
+// a value of the store.
+func encodeChanges(changes []jobs.Change) ([]json.RawMessage, error) {
+	data, err := json.Marshal(changes)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode changes")
+	}
+	if len(data) <= maxRecordBytes || len(changes) == 1 {
+		return []json.RawMessage{data}, nil
+	}
+	half := len(changes) / 2
+	first, err := encodeChanges(changes[:half])
+	if err != nil {
+		return nil, err
+	}
+	second, err := encodeChanges(changes[half:])
+	return append(first, second...), err
+}
+
 // decodeRecord returns the changes in a record. A fence has no data and therefore no changes.
 func decodeRecord(r caslog.Record) ([]jobs.Change, error) {
 	if len(r.Data) == 0 {
@@ -82,16 +104,15 @@
 	return idleCheckInterval
 }
 
-// commit checks timeouts, plans, and writes the pending changes as one record. Once the record is durable, commit runs the
-// pending effects and sends the queued commands. If there are no pending changes, it runs the effects and sends the commands at
-// once. It reports whether it wrote a record.
+// commit checks timeouts, plans, and writes the pending changes as a record, or as several if they are too large for one. Once all
+// changes are durable, commit runs the pending effects and sends the queued commands. If there are no pending changes, it runs the
+// effects and sends the commands at once. It reports whether it wrote a record.
 func (o *Owner) commit(ctx context.Context) (bool, error) {
 	o.mu.Lock()
 	o.checkTimeouts()
 	o.planIfDue()
 	changes, effects := o.pendingChanges, o.pendingEffects
 	o.pendingChanges, o.pendingEffects = nil, nil
-	recordSeq := o.lastRecordSeq + 1
 	if len(changes) == 0 {
 		runEffects(effects)
 		o.sendQueuedCommands()
@@ -113,31 +134,36 @@
 	for job := range changedJobs {
 		stateByJob[job] = job.State()
 	}
-	data, err := json.Marshal(changes)
-	var snapshot []byte // state after this record, without later changes
-	if err == nil && recordSeq-o.snapshotSeq >= recordsPerSnapshot {
+	records, err := encodeChanges(changes)
+	lastSeq := o.lastRecordSeq + int64(len(records))
+	var snapshot []byte // state after these records, without later changes
+	if err == nil && lastSeq-o.snapshotSeq >= recordsPerSnapshot {
 		snapshot, err = o.jobsState.Encode()
 	}
+	firstSeq := o.lastRecordSeq + 1
 	o.mu.Unlock()
 	if err != nil {
-		return false, eris.Wrap(err, "encode changes")
-	}
-	if err := o.appendRecord(ctx, caslog.Record{Seq: recordSeq, Epoch: o.epoch, Time: time.Now(), Data: data}); err != nil {
 		return false, err
 	}
+	for i, data := range records {
+		record := caslog.Record{Seq: firstSeq + int64(i), Epoch: o.epoch, Time: time.Now(), Data: data}
+		if err := o.appendRecord(ctx, record); err != nil {
+			return false, err
+		}
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.lastRecordSeq = recordSeq
+	o.lastRecordSeq = lastSeq
 	for job, state := range stateByJob {
 		job.IsDurable, job.DurableState = true, state
 	}
 	runEffects(effects)
 	o.sendQueuedCommands()
-	o.cfg.Metrics.Counter("owner_records").Inc(1)
+	o.cfg.Metrics.Counter("owner_records").Inc(int64(len(records)))
 	o.cfg.Metrics.Counter("owner_changes").Inc(int64(len(changes)))
 	if snapshot != nil {
-		o.snapshotSeq = recordSeq
-		go o.writeSnapshot(ctx, recordSeq, snapshot)
+		o.snapshotSeq = lastSeq
+		go o.writeSnapshot(ctx, lastSeq, snapshot)
 	}
 	return true, nil
 }
--- a/internal/jobowner/commit_test.go
+++ b/internal/jobowner/commit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"bamboofork/internal/boottime"
+	"bamboofork/internal/caslog"
 	"bamboofork/internal/election"
 	"bamboofork/internal/jobs"
 	"bamboofork/internal/network"
@@ -116,3 +118,28 @@
 	<-thirdCommit
 	qt.Assert(t, (<-repeated).Code, qt.Equals, session.CodeOK)
 }
+
+// Guards against an owner that writes nothing any more: more changes have become due at once than a value of the store takes, for
+// instance the ends of all runs after a long outage of the store.
+func TestMoreChangesThanAValueTakesAreWritten(t *testing.T) {
+	engine := memstore.New()
+	o := newTestOwner(t, engine)
+	const jobCount = 400
+	replies := make(chan session.Reply, jobCount)
+	o.mu.Lock()
+	for i := range jobCount {
+		request := submission(fmt.Sprintf("%016x", i))
+		request.Spec.Payload = strings.Repeat("x", jobs.MaxPayload)
+		o.submitJob(request, func(r session.Reply) { replies <- r })
+	}
+	o.mu.Unlock()
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	_, err := o.commit(ctx)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, len(replies), qt.Equals, jobCount)
+
+	recovery := logRecovery{jobLog: caslog.New(engine, "jobs", "successor"), attemptTimeout: time.Second}
+	qt.Assert(t, recovery.attempt(t.Context()), qt.IsNil)
+	qt.Check(t, recovery.state.Jobs, qt.HasLen, jobCount)
+}
