--- a/internal/jobowner/commit.go
+++ b/internal/jobowner/commit.go
@@ -235,6 +235,11 @@
 	return o.appendStartedAt != 0 && boottime.Now()-o.appendStartedAt > storeStallTimeout
 }
 
+// isCurrent reports whether no other process can have become the owner: the lease is confirmed, and no candidate can have taken the
+// owner's silence for a lost store. Without that, the owner must not confirm holds, and a job that it does not know may be one of
+// its successor.
+func (o *Owner) isCurrent() bool { return o.ownership.LeaseValid() && !o.storeStalled() }
+
 // writeSnapshot replaces the records up to recordSeq by a snapshot. If the write fails, the records stay until the next
 // snapshot.
 func (o *Owner) writeSnapshot(ctx context.Context, recordSeq int64, data []byte) {
--- a/internal/jobowner/commit_test.go
+++ b/internal/jobowner/commit_test.go
@@ -143,3 +143,21 @@
 	qt.Assert(t, recovery.attempt(t.Context()), qt.IsNil)
 	qt.Check(t, recovery.state.Jobs, qt.HasLen, jobCount)
 }
+
+// Guards against an owner that calls a job unknown which its successor has accepted: once its store does not answer, it may have been
+// replaced although its lease is still valid.
+func TestOwnerThatMayBeReplacedCallsNoJobUnknown(t *testing.T) {
+	o := newTestOwner(t, memstore.New())
+	answer := func(handle func(*session.Request, func(session.Reply))) (replies []session.Reply) {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		handle(&session.Request{JobID: "aaaaaaaaaaaaaaaa"}, func(r session.Reply) { replies = append(replies, r) })
+		return replies
+	}
+	qt.Check(t, answer(o.getJob)[0].Code, qt.Equals, session.CodeUnknown)
+	qt.Check(t, answer(o.cancelJob)[0].Code, qt.Equals, session.CodeUnknown)
+	o.setAppendStart(boottime.Now() - 2*storeStallTimeout)
+	qt.Assert(t, o.ownership.LeaseValid(), qt.IsTrue)
+	qt.Check(t, answer(o.getJob)[0].Code, qt.Equals, session.CodeRejected)
+	qt.Check(t, answer(o.cancelJob), qt.HasLen, 0)
+}
--- a/internal/jobowner/interference_store.go
+++ b/internal/jobowner/interference_store.go
@@ -48,7 +48,7 @@
 	app.Every(ctx, interferenceStoreInterval, func() {
 		o.mu.Lock()
 		data, err := o.interference.Encode()
-		shouldSkip := o.storeStalled() || !o.ownership.LeaseValid()
+		shouldSkip := !o.isCurrent()
 		o.mu.Unlock()
 		if shouldSkip {
 			return // the model is stored after a later interval
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -312,10 +312,9 @@
 	if evenIfEmpty {
 		msg.AgentCount = o.agentCount
 	}
-	if leaseValid && !msg.StoreUnreachable {
-		// A successor may take over from an owner that cannot reach the store, even while the lease of that owner is still
-		// renewed. An acknowledged report extends the holds on the worker. The holds must not outlast the time at which the
-		// successor assumes that they have expired.
+	if o.isCurrent() {
+		// An acknowledged report extends the holds on the worker, which must not outlast the time at which a successor assumes that
+		// they have expired.
 		msg.AckReportSeq = member.lastReportSeq
 	}
 	member.runResources, member.paces = nil, nil
--- a/internal/jobowner/requests.go
+++ b/internal/jobowner/requests.go
@@ -16,7 +16,7 @@
 const reasonStoreUnavailable = "store unavailable"
 
 // handleRequest processes a caller's request and sends at most one reply. It sends none if the connection ends first. It also
-// sends none if an owner without a confirmed lease is to cancel a job that it does not know.
+// sends none if an owner that may have been replaced is to cancel a job that it does not know.
 func (o *Owner) handleRequest(member *memberView, request *session.Request) {
 	c := member.conn
 	reply := func(result session.Reply) {
@@ -112,12 +112,12 @@
 	o.pendingChanges = kept
 }
 
-// cancelJob cancels a job and replies once the cancellation is durable. An owner without a confirmed lease does not reply about
-// a job that it does not know, because a successor may know the job.
+// cancelJob cancels a job and replies once the cancellation is durable. An owner that may have been replaced does not reply about a
+// job that it does not know, because its successor may know the job.
 func (o *Owner) cancelJob(request *session.Request, reply func(session.Reply)) {
 	job := o.jobsState.Jobs[request.JobID]
 	if job == nil {
-		if o.ownership.LeaseValid() {
+		if o.isCurrent() {
 			reply(session.Reply{Code: session.CodeUnknown})
 		}
 		return
@@ -130,15 +130,15 @@
 	o.wakeCommitLoop()
 }
 
-// getJob replies with the durable state of a job. An owner without a confirmed lease does not report a job as unknown, because
-// a successor may know the job.
+// getJob replies with the durable state of a job. An owner that may have been replaced does not report a job as unknown, because its
+// successor may know the job.
 func (o *Owner) getJob(request *session.Request, reply func(session.Reply)) {
 	job := o.jobsState.Jobs[request.JobID]
 	if job != nil && job.IsDurable {
 		reply(session.Reply{Code: session.CodeOK, State: job.DurableState})
 		return
 	}
-	if job == nil && o.ownership.LeaseValid() {
+	if job == nil && o.isCurrent() {
 		reply(session.Reply{Code: session.CodeUnknown})
 		return
 	}
