Answer requests that take longer than an entry's drain period

Cause: the entry of bf-entry closes all connections at the end of drain_timeout (node/server.go, serve). A request whose deadline is later (branch deadlines go up to 24 h), a submission in a takeover (up to 9 s) and a call that waits for a job (up to 20 s) were cut off without an answer. Change: 2 s before that, or half of a shorter drain period, the waits end: a request that runs gets its outcome from the agent, else unknown, a waiting call the current state of its job. A response that is being transferred continues until the close.

--- /dev/null
+++ b/internal/dev/drain_test.go
@@ -0,0 +1,52 @@
+package dev_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bamboofork/internal/entry"
+	"bamboofork/internal/ledger"
+	"bamboofork/internal/worker"
+)
+
+// Guards against requests that take longer than the drain period and whose connections are closed at its end without an answer.
+// Each must get a complete answer: a request that runs gets an unknown outcome, and a call that waits for a job its current state.
+func TestRequestsLongerThanTheDrainAreAnswered(t *testing.T) {
+	f := startSmallFleet(t)
+	defer func() { qt.Check(t, f.Stop(), qt.IsNil) }()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	jobID := submitJob(t, ctx, f, "long", entry.JobRequest{Branch: "workshop/moulding-plans", Tasks: 1, Need: worker.Resources{Cores: 1}, RunMs: 600_000})
+	awaitJob(t, ctx, f, jobID, atLeast(ledger.TaskPlaced, 1))
+	h, url := f.Entry(0), f.EntryURL(0)
+	longerThanDrain := (5 * f.Profile.Drain).Milliseconds()
+	requests := map[string]func() response{
+		"idempotent": func() response { return post(fmt.Sprintf("%s%s?ms=%d", url, scanPath, longerThanDrain), "", "x") },
+		"keyed":      func() response { return post(fmt.Sprintf("%s%s?ms=%d", url, orderPath, longerThanDrain), "long-order", "x") },
+		"job": func() response {
+			return call(http.MethodGet, fmt.Sprintf("%s%s/%s?wait_ms=%d", url, entry.PathJobs, jobID, longerThanDrain), "", nil)
+		},
+	}
+	responses := map[string]chan response{}
+	for name, send := range requests {
+		answered := make(chan response, 1)
+		responses[name] = answered
+		go func() { answered <- send() }()
+	}
+	time.Sleep(500 * time.Millisecond) // the entry forwards the requests
+	qt.Check(t, h.Stop(), qt.IsNil)
+	f.Remove(h)
+	for _, name := range []string{"idempotent", "keyed"} {
+		resp := <-responses[name]
+		qt.Check(t, resp.err, qt.IsNil, qt.Commentf(name))
+		qt.Check(t, resp.outcome, qt.Equals, "unknown", qt.Commentf("%s: %d %s", name, resp.status, resp.body))
+	}
+	resp := <-responses["job"]
+	qt.Check(t, resp.err, qt.IsNil)
+	qt.Check(t, resp.status, qt.Equals, http.StatusOK, qt.Commentf("%s", resp.body))
+}
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -182,11 +182,13 @@
 	}
 	result := &Result{QueueTime: queueTimeUnknown}
 	defer func() { permit.Done(result.QueueTime, result.RefusedForOverload, time.Now()) }()
+	stopWatching := context.AfterFunc(e.shutdown.answersDue, cancel)
 	if req.Branch.Idempotent {
 		result = e.Send(ctx, req)
 	} else {
 		result = e.SendKeyed(ctx, req, idempotencyKey)
 	}
+	stopWatching() // a response that is being transferred continues until the connections are closed
 	e.metrics.Counter("entry_outcome_" + string(result.Outcome)).Inc(1)
 	e.decisions.add(decisionRecord{requestID: req.ID, branch: req.Branch.Branch, outcome: result.Outcome, reason: result.Reason})
 	c.Response().Header().Set(wire.HeaderEntry, e.ID)
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -39,6 +39,8 @@
 	}
 	partitionID := partition.PartitionForKey(key, e.directory.PartitionCount)
 	job.ID = partition.JobID(partitionID, job.ID)
+	ctx, cancel := e.untilAnswersDue(ctx)
+	defer cancel()
 	result := e.submitOnce(ctx, partitionID, job)
 	for attempt := 1; attempt < maxSubmitAttempts && result.Code == wire.CodeUncertain && ctx.Err() == nil; attempt++ {
 		if repeated := e.submitOnce(ctx, partitionID, job); isRefused(repeated.Code) {
@@ -86,9 +88,19 @@
 // GetJob returns the current state of a job without waiting.
 func (e *Entry) GetJob(ctx context.Context, jobID string) JobResult { return e.WaitJob(ctx, jobID, 0) }
 
-// WaitJob returns a job as soon as it has finished, or its current state after wait. wait is limited to partition.MaxWait;
-// with 0, WaitJob returns the current state at once.
+// WaitJob returns a job as soon as it has finished, or its current state after wait. wait is limited to partition.MaxWait and ends
+// when the answers are due in a graceful shutdown; with 0, WaitJob returns the current state at once.
 func (e *Entry) WaitJob(ctx context.Context, jobID string, wait time.Duration) JobResult {
+	waitCtx, cancel := e.untilAnswersDue(ctx)
+	defer cancel()
+	result := e.waitJob(waitCtx, jobID, wait)
+	if result.Code == wire.CodeUncertain && waitCtx.Err() != nil && ctx.Err() == nil {
+		return e.waitJob(ctx, jobID, 0)
+	}
+	return result
+}
+
+func (e *Entry) waitJob(ctx context.Context, jobID string, wait time.Duration) JobResult {
 	partitionID, ok := partition.PartitionForJobID(jobID)
 	if !ok || partitionID >= e.directory.PartitionCount {
 		return JobResult{Code: wire.CodeUnknown, Reason: "not a job id"}
@@ -111,6 +123,8 @@
 	if !ok || partitionID >= e.directory.PartitionCount {
 		return JobResult{Code: wire.CodeUnknown, Reason: "not a job id"}
 	}
+	ctx, cancel := e.untilAnswersDue(ctx)
+	defer cancel()
 	var reply wire.CancelReply
 	err := e.callOwner(ctx, partitionID, "Partition.Cancel", wire.CancelArgs{Partition: partitionID, JobID: jobID}, &reply,
 		func() wire.Code { return reply.Code })
--- a/internal/entry/jobs_test.go
+++ b/internal/entry/jobs_test.go
@@ -41,7 +41,7 @@
 				_, err := engine.CompareAndSwap(t.Context(), partition.OwnerKey(0), 0, []byte(`{"id":"a-1","addr":"a"}`), 0)
 				qt.Assert(t, err, qt.IsNil)
 				owner := &refusingOwner{code: code}
-				e := &Entry{directory: partition.NewDirectory(engine, owner, 1)}
+				e := &Entry{directory: partition.NewDirectory(engine, owner, 1), shutdown: newShutdownSignal()}
 				result := e.SubmitJob(t.Context(), ledger.Job{ID: "j"})
 				qt.Check(t, owner.calls > 1, qt.IsTrue)
 				qt.Check(t, result.Code, qt.Equals, wire.CodeUncertain)
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -35,13 +35,16 @@
 
 // SendKeyed runs a request at most once per key. It records each attempt and its agent before it dispatches the attempt. It
 // records a further attempt only after proof that the previous one did not run. A request with a repeated key gets the
-// recorded outcome. SendKeyed continues until the request's deadline even if the caller disconnects.
+// recorded outcome. SendKeyed continues until the request's deadline, or until the answers are due in a graceful shutdown, even
+// if the caller disconnects.
 func (e *Entry) SendKeyed(ctx context.Context, request *Request, key string) *Result {
 	request.AtMostOnce = true
 	if err := request.Body.buffer(); err != nil {
 		return bodyErrorResult(err)
 	}
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), request.Deadline)
+	stopWatching := context.AfterFunc(e.shutdown.answersDue, cancel)
+	defer stopWatching()
 	fullKey := request.Branch.Branch + "\x00" + key
 	call := &keyedCall{entry: e, request: request, partitionID: partition.PartitionForKey(fullKey, e.directory.PartitionCount)}
 	call.claim = ledger.Claim{Key: fullKey, Branch: request.Branch.Branch, RequestID: request.ID, Digest: digest(request)}
--- a/internal/entry/shutdown.go
+++ b/internal/entry/shutdown.go
@@ -21,6 +21,10 @@
 	// streamEndFraction is the fraction of the drain period within which all streams end. The rest of the period is a margin,
 	// so that the last stream ends before the server stops.
 	streamEndFraction = 0.8
+	// maxAnswerMargin is the time between the end of all waits and the end of the drain period, limited to maxAnswerFraction of that
+	// period. An entry queries an agent for the outcome of a keyed request in this time.
+	maxAnswerMargin   = 2 * time.Second
+	maxAnswerFraction = 0.5
 )
 
 // shutdownSignal notifies requests in flight of a graceful shutdown.
@@ -30,11 +34,16 @@
 	drainPeriod    time.Duration // period over which streams end
 	onBegin        func()
 	announcePeriod time.Duration // time to keep serving after the announcement
+	// answersDue is done shortly before the connections are closed. Requests that wait for an agent or an owner then get an answer
+	// at once. endWaits ends answersDue.
+	answersDue context.Context
+	endWaits   context.CancelFunc
 }
 
 func newShutdownSignal() *shutdownSignal {
+	answersDue, endWaits := context.WithCancel(context.Background())
 	return &shutdownSignal{begun: make(chan struct{}), drainPeriod: DefaultStreamDrainTimeout, announcePeriod: announceDuration,
-		onBegin: func() {}}
+		onBegin: func() {}, answersDue: answersDue, endWaits: endWaits}
 }
 
 // ConfigureShutdown sets the drain period, within which streams end during a graceful shutdown. onBegin is called when the
@@ -48,6 +57,8 @@
 	e.table.Update(func(m *membership.Member) { m.Leaving = true })
 	e.shutdown.onBegin()
 	e.shutdown.closeOnce.Do(func() { close(e.shutdown.begun) })
+	margin := min(maxAnswerMargin, time.Duration(maxAnswerFraction*float64(e.shutdown.drainPeriod)))
+	time.AfterFunc(e.shutdown.announcePeriod+e.shutdown.drainPeriod-margin, e.shutdown.endWaits)
 	time.Sleep(e.shutdown.announcePeriod)
 }
 
@@ -61,6 +72,16 @@
 	}
 }
 
+// untilAnswersDue returns a context that also ends when the answers are due in a graceful shutdown.
+func (e *Entry) untilAnswersDue(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(parent)
+	stopWatching := context.AfterFunc(e.shutdown.answersDue, cancel)
+	return ctx, func() {
+		stopWatching()
+		cancel()
+	}
+}
+
 // streamContext returns a context that ends at a random time within the drain period of a graceful shutdown. The random times
 // keep callers from reopening their streams all at once.
 func (e *Entry) streamContext(parent context.Context) (context.Context, context.CancelFunc) {
