--- a/internal/jobowner/commit.go
+++ b/internal/jobowner/commit.go
@@ -11,6 +11,7 @@
 	"bamboofork/internal/app"
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/caslog"
+	"bamboofork/internal/election"
 	"bamboofork/internal/events"
 	"bamboofork/internal/jobs"
 	"bamboofork/internal/store"
@@ -28,9 +29,9 @@
 	maxAppendTimeout = 2 * time.Second
 	// appendTimeoutFactor is the timeout of the next attempt as a multiple of the last response time.
 	appendTimeoutFactor = 4
-	// recordsPerSnapshot is the number of records after which a snapshot replaces them. The number bounds the reads during
+	// defaultRecordsPerSnapshot is the number of records after which a snapshot replaces them. The number bounds the reads during
 	// recovery.
-	recordsPerSnapshot = 150
+	defaultRecordsPerSnapshot = 150
 	// storeStallTimeout is how long the write of a record may stay unanswered before the owner refuses submissions instead of
 	// queueing them behind the write. After the same time a process that reaches the store may take over. Two lost responses in
 	// a row take less time.
@@ -115,7 +116,7 @@
 	}
 	data, err := json.Marshal(changes)
 	var snapshot []byte // state after this record, without later changes
-	if err == nil && recordSeq-o.snapshotSeq >= recordsPerSnapshot {
+	if err == nil && recordSeq-o.snapshotSeq >= o.cfg.recordsPerSnapshot() && o.maySnapshot() {
 		snapshot, err = o.jobsState.Encode()
 	}
 	o.mu.Unlock()
@@ -209,6 +210,11 @@
 	return o.appendStartedAt != 0 && boottime.Now()-o.appendStartedAt > storeStallTimeout
 }
 
+// maySnapshot reports whether no predecessor has a lease that it takes for valid. A snapshot frees the positions of the records that it
+// covers, also that of this owner's fence. A predecessor whose key was removed or replaced while its lease was valid could append
+// there, and does not check its records as long as it takes its lease for valid.
+func (o *Owner) maySnapshot() bool { return boottime.Now() >= o.startedAt+election.LeaseTTL }
+
 // writeSnapshot replaces the records up to recordSeq by a snapshot. If the write fails, the records stay until the next
 // snapshot.
 func (o *Owner) writeSnapshot(ctx context.Context, recordSeq int64, data []byte) {
--- a/internal/jobowner/commit_test.go
+++ b/internal/jobowner/commit_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
 	"bamboofork/internal/boottime"
+	"bamboofork/internal/caslog"
 	"bamboofork/internal/election"
 	"bamboofork/internal/jobs"
 	"bamboofork/internal/network"
@@ -116,3 +118,52 @@
 	<-thirdCommit
 	qt.Assert(t, (<-repeated).Code, qt.Equals, session.CodeOK)
 }
+
+// Guards against a job that a replaced owner acknowledges although no successor knows it. The successor's snapshot frees the position
+// of its fence, so it must wait until no lease of a predecessor can count as valid.
+func TestReplacedOwnerWithValidLeaseAppendsNothingAtAFreedPosition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := memstore.New()
+		predecessor := newTestOwner(t, st)
+		successor := replaceOwner(t, st)
+		submitTo(successor, "aaaaaaaaaaaaaaaa")
+		for !commitsNothing(t, successor) {
+			synctest.Wait() // a snapshot is written in the background
+		}
+
+		qt.Assert(t, predecessor.ownership.LeaseValid(), qt.IsTrue)
+		replies := submitTo(predecessor, "bbbbbbbbbbbbbbbb")
+		_, err := predecessor.commit(t.Context())
+		qt.Check(t, err, qt.ErrorIs, caslog.ErrConflict)
+		qt.Check(t, replies, qt.HasLen, 0)
+
+		successor.startedAt -= election.LeaseTTL
+		submitTo(successor, "cccccccccccccccc")
+		for !commitsNothing(t, successor) {
+			synctest.Wait()
+		}
+		loaded, err := caslog.New(st, "jobs", "reader").Load(t.Context())
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, loaded.SnapshotSeq > 0, qt.IsTrue)
+	})
+}
+
+// replaceOwner returns an owner that has taken the key from the owner of newTestOwner and writes a snapshot with each record.
+func replaceOwner(t *testing.T, st store.Store) *Owner {
+	key := election.NewKey(st, "owner", boottime.Now)
+	_, revision, err := key.Read(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	ownership, err := key.Acquire(t.Context(), election.Owner{Name: "host-1", Incarnation: "host-1-1"}, revision)
+	qt.Assert(t, err, qt.IsNil)
+	o, err := Recover(t.Context(), Config{Name: "host-1", Prefix: "jobs", Log: zerolog.Nop(), Metrics: telemetry.New(), Store: st,
+		Network: network.TCP, Retention: time.Minute, MaxHold: 5 * time.Second, RecordsPerSnapshot: 1}, ownership, "host-1-1")
+	qt.Assert(t, err, qt.IsNil)
+	return o
+}
+
+// commitsNothing makes the owner commit its pending changes, and reports whether there were none.
+func commitsNothing(t *testing.T, o *Owner) bool {
+	committed, err := o.commit(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	return !committed
+}
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -38,6 +38,15 @@
 	Adviser   Adviser         // nil: no queue needs advice
 	Retention time.Duration   // how long an ended job is kept
 	MaxHold   time.Duration   // maximum time that a worker keeps its runs while its reports do not reach the owner
+	// RecordsPerSnapshot is the number of records after which a snapshot replaces them; 0: defaultRecordsPerSnapshot.
+	RecordsPerSnapshot int64
+}
+
+func (c *Config) recordsPerSnapshot() int64 {
+	if c.RecordsPerSnapshot > 0 {
+		return c.RecordsPerSnapshot
+	}
+	return defaultRecordsPerSnapshot
 }
 
 // Owner is one term of ownership. mu guards all fields below it.
