--- a/internal/dev/drain_test.go
+++ b/internal/dev/drain_test.go
@@ -27,7 +27,9 @@
 	longerThanDrain := (5 * f.Profile.Drain).Milliseconds()
 	requests := map[string]func() response{
 		"idempotent": func() response { return post(fmt.Sprintf("%s%s?ms=%d", url, scanPath, longerThanDrain), "", "x") },
-		"keyed":      func() response { return post(fmt.Sprintf("%s%s?ms=%d", url, orderPath, longerThanDrain), "long-order", "x") },
+		"keyed": func() response {
+			return post(fmt.Sprintf("%s%s?ms=%d", url, orderPath, longerThanDrain), "long-order", "x")
+		},
 		"job": func() response {
 			return call(http.MethodGet, fmt.Sprintf("%s%s/%s?wait_ms=%d", url, entry.PathJobs, jobID, longerThanDrain), "", nil)
 		},
