--- a/internal/deployed/shutdown_test.go
+++ b/internal/deployed/shutdown_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -55,3 +56,76 @@
 	qt.Check(t, planShutdown(6*time.Second), qt.Equals,
 		shutdownPlan{closeListener: 2300 * time.Millisecond, answersDue: 5 * time.Second, closeAll: 5300 * time.Millisecond})
 }
+
+// Guards against submissions that get no answer or a wrong one while owners stop in turn: sent to an owner that has resigned, or in a
+// record that was written and not answered. An accepted job must be known, and a rejected one must not.
+func TestOwnerShutdownAnswersEverySubmission(t *testing.T) {
+	for name, faults := range map[string]standin.StoreFaults{
+		"sound store":           {},
+		"lost and late answers": {LostResponseRatio: 0.3, ApplyDelay: 400 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) { playOwnerShutdowns(t, faults) })
+	}
+}
+
+// playOwnerShutdowns stops two owners in turn while callers submit jobs, and checks the answers. The faults are those of the store
+// meanwhile.
+func playOwnerShutdowns(t *testing.T, faults standin.StoreFaults) {
+	f := newFleet(t, 3)
+	for _, h := range f.hosts {
+		h.store.SetFaults(faults)
+	}
+	var mu sync.Mutex
+	codes := map[string]int{}
+	stopSubmitting := make(chan struct{})
+	var callers sync.WaitGroup
+	for caller := range 6 {
+		callers.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stopSubmitting:
+					return
+				case <-time.After(5 * time.Millisecond):
+				}
+				id := fmt.Sprintf("5%03x%012x", caller, i)
+				code, body := f.request(http.MethodPost, id, standin.OneStepJob)
+				qt.Check(t, code != 0, qt.IsTrue, qt.Commentf("no answer: %s", body))
+				mu.Lock()
+				codes[id] = code
+				mu.Unlock()
+			}
+		})
+	}
+	for range 2 {
+		time.Sleep(300 * time.Millisecond)
+		owner := f.ownerIndex()
+		qt.Assert(t, owner >= 0, qt.IsTrue)
+		f.hosts[owner].stop()
+		f.eventually("a successor", 10*time.Second, func() bool { o := f.ownerIndex(); return o >= 0 && o != owner })
+	}
+	for _, h := range f.hosts {
+		h.store.SetFaults(standin.StoreFaults{})
+	}
+	time.Sleep(300 * time.Millisecond)
+	close(stopSubmitting)
+	callers.Wait()
+	count := map[int]int{}
+	for id, code := range codes {
+		count[code]++
+		f.eventually("the owner answers", 10*time.Second, func() bool {
+			known, _ := f.request(http.MethodGet, id, "")
+			switch {
+			case known == http.StatusServiceUnavailable:
+				return false
+			case code == http.StatusOK:
+				qt.Check(t, known, qt.Equals, http.StatusOK, qt.Commentf("job %s was accepted", id))
+			case code == http.StatusServiceUnavailable:
+				qt.Check(t, known, qt.Equals, http.StatusGone, qt.Commentf("job %s was rejected", id))
+			}
+			return true
+		})
+	}
+	t.Logf("submissions by status: %v", count)
+	qt.Check(t, count[http.StatusOK] > 10, qt.IsTrue)
+	qt.Check(t, f.checker.Violations(), qt.HasLen, 0)
+}
