--- a/internal/deployed/shutdown_test.go
+++ b/internal/deployed/shutdown_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"testing"
@@ -129,3 +130,56 @@
 	qt.Check(t, count[http.StatusOK] > 10, qt.IsTrue)
 	qt.Check(t, f.checker.Violations(), qt.HasLen, 0)
 }
+
+// Guards against requests on open connections that are cut off while the entry and the owner stop together. Callers keep using their
+// connections until the process is gone. As in the operators' rule, a request that was sent within lossSlack before the end of its
+// connection does not count: the server may close an idle connection at the moment at which a request is sent on it.
+func TestEntryAndOwnerShutdownCutOffNoRequest(t *testing.T) {
+	const lossSlack = 200 * time.Millisecond
+	f := newFleet(t, 2)
+	var mu sync.Mutex
+	answered, justSent := 0, 0
+	stopped := make(chan struct{})
+	var callers sync.WaitGroup
+	for caller := range 24 {
+		callers.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}, Timeout: 10 * time.Second}
+			defer client.CloseIdleConnections()
+			for i := 0; ; i++ {
+				select {
+				case <-stopped:
+					return
+				case <-time.After(time.Duration(caller) * 20 * time.Millisecond):
+				}
+				var sentAt time.Time
+				trace := &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { sentAt = time.Now() }}
+				url := fmt.Sprintf("%s%s6%03x%012x", f.entryURL, standin.QueuePrefix, caller, i)
+				req, err := http.NewRequestWithContext(httptrace.WithClientTrace(t.Context(), trace), http.MethodPost, url, strings.NewReader(standin.OneStepJob))
+				qt.Assert(t, err, qt.IsNil)
+				req.Host, req.GetBody = standin.QueueHost, nil
+				resp, err := client.Do(req)
+				mu.Lock()
+				switch {
+				case err == nil:
+					resp.Body.Close()
+					answered++
+				case sentAt.IsZero(): // no connection
+				case time.Since(sentAt) < lossSlack:
+					justSent++
+				default:
+					t.Errorf("caller %d: cut off %s after the request was sent: %v", caller, time.Since(sentAt), err)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	var processes sync.WaitGroup
+	processes.Go(f.hosts[max(f.ownerIndex(), 0)].stop)
+	processes.Go(f.front.stop)
+	processes.Wait()
+	close(stopped)
+	callers.Wait()
+	t.Logf("%d requests answered, %d connections closed just after a request was sent", answered, justSent)
+	qt.Check(t, answered > 24, qt.IsTrue)
+}
