Submit the urgent task of the preemption test when the fleet is full

Cause: the test measured the wrong thing. It took the fleet as full when 11 tasks were placed in the ledger; a placed task takes no room before its agent has admitted and started it. At that moment 0, 4, 5, 6 or 7 of the 11 workers had a task (9 traced runs), so the urgent task may reach an agent before the batch task that is placed there, and then nothing has to be evicted. Change: the test waits until the tasks on each worker use the cores of one task. As strict as before: exactly one eviction, all resumed.

--- a/internal/dev/urgent_test.go
+++ b/internal/dev/urgent_test.go
@@ -100,6 +100,24 @@
 	}
 }
 
+// awaitWorkersUse waits until the tasks on each worker use at least the given number of cores. A placed task uses none before its
+// agent has started it.
+func awaitWorkersUse(t *testing.T, ctx context.Context, f *dev.Fleet, cores float64) {
+	for i := range f.Profile.Agents {
+		for used := 0.0; used < cores; {
+			used = 0
+			for _, c := range f.Agent(i).Worker.CoresByKind() {
+				used += c
+			}
+			select {
+			case <-ctx.Done():
+				t.Fatalf("the tasks on the worker of agent %d use %.0f of %.0f cores", i, used, cores)
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	}
+}
+
 // Guards against an urgent task that waits for long batch tasks on a full fleet. A task of lower priority must be checkpointed and
 // evicted instead. No more tasks than necessary (one) may be evicted, and the evicted task must resume.
 func TestUrgentPreemptsOnFullFleet(t *testing.T) {
@@ -109,6 +127,7 @@
 	need := worker.Resources{Cores: 50, MemoryMB: 40_000}
 	fullJobID := submitJob(t, ctx, f, "full", entry.JobRequest{Branch: "workshop/moulding-plans", Tasks: 11, Need: need, RunMs: 600_000})
 	awaitJob(t, ctx, f, fullJobID, atLeast(ledger.TaskPlaced, 11))
+	awaitWorkersUse(t, ctx, f, need.Cores)
 	submittedAt := time.Now()
 	urgentJobID := submitJob(t, ctx, f, "urgent", entry.JobRequest{Branch: "workshop/urgent-plans", Tasks: 1, Need: need, RunMs: 500})
 	awaitJob(t, ctx, f, urgentJobID, func(j ledger.Job) bool { return atLeast(ledger.TaskPlaced, 1)(j) || j.Finished() })
