--- a/internal/deployed/deployed.go
+++ b/internal/deployed/deployed.go
@@ -46,6 +46,8 @@
 	log          zerolog.Logger
 	metrics      *telemetry.Registry
 	network      network.Network
+	// recordsPerSnapshot replaces the default of the owner if it is not 0.
+	recordsPerSnapshot int64
 	// incarnation is unique to each start of the process.
 	incarnation string
 }
--- a/internal/deployed/host.go
+++ b/internal/deployed/host.go
@@ -34,7 +34,7 @@
 	candidate := &jobowner.Candidate{
 		Config: jobowner.Config{
 			Name: p.cfg.Name, Prefix: logKeyPrefix, Log: p.log, Metrics: p.metrics, Store: store, Network: p.network,
-			Retention: p.cfg.Bounds.Retention(), MaxHold: p.cfg.Bounds.Hold(),
+			Retention: p.cfg.Bounds.Retention(), MaxHold: p.cfg.Bounds.Hold(), RecordsPerSnapshot: p.recordsPerSnapshot,
 		},
 		Key:      election.NewKey(store, ownerKey, boottime.Now),
 		Self:     election.Owner{Name: p.cfg.Name, Addr: p.cfg.Listen.PeerAddr(), Incarnation: p.incarnation},
