--- a/internal/caslog/snapshot.go
+++ b/internal/caslog/snapshot.go
@@ -73,6 +73,21 @@
 	return nil
 }
 
+// CheckUnreplaced checks that no other writer has appended a record at position next or later, or has replaced that position by a
+// snapshot. It returns ErrConflict if one has, and another error if a snapshot was written during the check.
+func (l *Log) CheckUnreplaced(ctx context.Context, next int64) error {
+	records, readErr := l.Read(ctx, next)
+	m, err := l.manifest(ctx) // after the records, so that a snapshot that has removed them is seen
+	if err != nil {
+		return err
+	}
+	isForeign := func(rec Record) bool { return rec.Writer != l.writer }
+	if slices.ContainsFunc(records, isForeign) || (m.Seq >= next && m.Writer != l.writer) {
+		return ErrConflict
+	}
+	return readErr
+}
+
 // readChunks returns the data of the snapshot, nil without a snapshot. It returns store.ErrCompacted if the chunks are gone or do not
 // match the hash, because a newer snapshot has then replaced them.
 func (l *Log) readChunks(ctx context.Context, m manifest) ([]byte, error) {
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -72,9 +72,19 @@
 	key  *Key
 	self Owner
 
-	mu         sync.Mutex
-	leaseID    store.LeaseID
-	validUntil time.Duration // time on key.clock at which the lease counts as expired
+	mu sync.Mutex
+	// confirmUnreplaced is called after the key was written again, because another owner may have held it in between. nil: not called.
+	confirmUnreplaced func(ctx context.Context) error
+	leaseID           store.LeaseID
+	validUntil        time.Duration // time on key.clock at which the lease counts as expired
+}
+
+// ConfirmUnreplaced sets a function that is called after the key was written again during the term. Until the function has returned
+// nil, the lease does not count as valid. It returns ErrTaken if another owner has held the key in the meantime.
+func (o *Ownership) ConfirmUnreplaced(confirm func(ctx context.Context) error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.confirmUnreplaced = confirm
 }
 
 // Acquire makes self the owner if the revision of the key is still the given one. It returns ErrTaken if the key has changed.
@@ -84,8 +94,8 @@
 }
 
 // acquire writes the key with a new lease if the revision of the key is still the given one.
-func (o *Ownership) acquire(ctx context.Context, revision int64) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+func (o *Ownership) acquire(termCtx context.Context, revision int64) error {
+	ctx, cancel := context.WithTimeout(termCtx, callTimeout)
 	defer cancel()
 	sentAt := o.key.clock()
 	lease, err := o.key.store.GrantLease(ctx, LeaseTTL)
@@ -97,22 +107,42 @@
 		return eris.Wrap(err, "encode owner")
 	}
 	res, err := o.key.store.CompareAndSwap(ctx, o.key.name, revision, value, lease)
-	if errors.Is(err, store.ErrUncertain) {
-		return o.resolveUncertainWrite(ctx, lease, sentAt)
+	switch {
+	case errors.Is(err, store.ErrUncertain):
+		err = o.resolveUncertainWrite(ctx, lease)
+	case err == nil && !res.Swapped:
+		err = ErrTaken
 	}
 	if err != nil {
 		return err
 	}
-	if !res.Swapped {
-		return ErrTaken
+	if err := o.runConfirmUnreplaced(termCtx, lease); err != nil {
+		return err
 	}
 	o.setLease(lease, sentAt)
 	return nil
 }
 
+// runConfirmUnreplaced calls confirmUnreplaced. If another owner has held the key, runConfirmUnreplaced gives the key up again.
+func (o *Ownership) runConfirmUnreplaced(ctx context.Context, lease store.LeaseID) error {
+	o.mu.Lock()
+	confirm := o.confirmUnreplaced
+	o.mu.Unlock()
+	if confirm == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := confirm(ctx)
+	if errors.Is(err, ErrTaken) {
+		return errors.Join(err, o.key.store.RevokeLease(ctx, lease))
+	}
+	return err
+}
+
 // resolveUncertainWrite reads the key after the response to a write was lost. The write took effect if the key is attached to
 // the new lease; otherwise it returns ErrTaken.
-func (o *Ownership) resolveUncertainWrite(ctx context.Context, lease store.LeaseID, sentAt time.Duration) error {
+func (o *Ownership) resolveUncertainWrite(ctx context.Context, lease store.LeaseID) error {
 	kv, err := o.key.store.Get(ctx, o.key.name)
 	if err != nil {
 		return err
@@ -120,7 +150,6 @@
 	if kv.ModRevision == 0 || kv.Lease != lease {
 		return ErrTaken
 	}
-	o.setLease(lease, sentAt)
 	return nil
 }
 
--- a/internal/jobowner/commit.go
+++ b/internal/jobowner/commit.go
@@ -215,6 +215,18 @@
 // there, and does not check its records as long as it takes its lease for valid.
 func (o *Owner) maySnapshot() bool { return boottime.Now() >= o.startedAt+election.LeaseTTL }
 
+// confirmUnreplaced returns election.ErrTaken if another owner has fenced the log since the newest record of this one.
+func (o *Owner) confirmUnreplaced(ctx context.Context) error {
+	o.mu.Lock()
+	next := o.lastRecordSeq + 1
+	o.mu.Unlock()
+	err := o.jobLog.CheckUnreplaced(ctx, next)
+	if errors.Is(err, caslog.ErrConflict) {
+		return election.ErrTaken
+	}
+	return err
+}
+
 // writeSnapshot replaces the records up to recordSeq by a snapshot. If the write fails, the records stay until the next
 // snapshot.
 func (o *Owner) writeSnapshot(ctx context.Context, recordSeq int64, data []byte) {
--- a/internal/jobowner/commit_test.go
+++ b/internal/jobowner/commit_test.go
@@ -167,3 +167,23 @@
 	qt.Assert(t, err, qt.IsNil)
 	return !committed
 }
+
+// Guards against an owner that comes back although a successor has served since: the owner finds no key, because the successor has
+// stopped, and writes the key again. Its records would take the positions that the successor's snapshot has freed.
+func TestOwnerThatWasReplacedDoesNotWriteItsKeyAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := memstore.New()
+		predecessor := newTestOwner(t, st)
+		successor := replaceOwner(t, st)
+		successor.startedAt -= election.LeaseTTL
+		submitTo(successor, "aaaaaaaaaaaaaaaa")
+		for !commitsNothing(t, successor) {
+			synctest.Wait()
+		}
+		qt.Assert(t, successor.ownership.Resign(t.Context()), qt.IsNil)
+
+		ctx, cancel := context.WithTimeout(t.Context(), 3*election.LeaseTTL)
+		defer cancel()
+		qt.Check(t, predecessor.ownership.KeepAlive(ctx), qt.ErrorIs, election.ErrTaken)
+	})
+}
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -136,6 +136,7 @@
 	fence := recovery.fence
 	o.jobsState, o.lastRecordSeq, o.epoch, o.snapshotSeq = recovery.state, fence.Seq, fence.Epoch, recovery.snapshotSeq
 	o.rebuildIndexes()
+	ownership.ConfirmUnreplaced(o.confirmUnreplaced)
 	o.loadInterference(ctx)
 	events.JobsOwned.Log(&cfg.Log).Int64("epoch", o.epoch).Int("jobs", len(o.jobsState.Jobs)).Int("active", len(o.activeJobs)).
 		Dur("load_ms", recovery.loadTime).Int("records", recovery.recordCount).Int("snapshot_bytes", recovery.snapshotBytes).
