Bind the answer to a request to the connection on which it was sent last

Cause (by reading): an entry sends a request that waits for its reply again when another owner connects, under the same request ID. It took a reply of either owner. If the previous owner rejects the submission while the successor accepts it, the entry answers 503, which promises that the job never runs (REFUSED). The reply of the previous owner counts if it was received before its connection was closed, and also if it lies in the channel when the request is sent again.

Change: a reply counts only on the connection on which the request was sent last, and a request with a reply is not sent again.

--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -75,25 +75,43 @@
 	lastRequestID atomic.Int64
 	draining      atomic.Bool
 
-	mu            sync.Mutex
-	replyChannels map[int64]chan session.Reply // by request ID
+	mu              sync.Mutex
+	waitingRequests map[int64]*waitingRequest // by request ID
+}
+
+// waitingRequest is a request without a reply. Its fields are guarded by Front.mu.
+type waitingRequest struct {
+	reply chan session.Reply // holds at most one reply
+	// conn is the connection on which the request was sent last. Only replies on this connection count: another owner may accept a
+	// job that a previous owner has rejected.
+	conn *ownerconn.Conn
 }
 
 // HandleMessage passes the replies in a message of the owner to the waiting requests.
-func (f *Front) HandleMessage(_ *ownerconn.Conn, m *session.ToMember) {
+func (f *Front) HandleMessage(conn *ownerconn.Conn, m *session.ToMember) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, reply := range m.Replies {
-		f.mu.Lock()
-		replyChannel := f.replyChannels[reply.RequestID]
-		f.mu.Unlock()
-		if replyChannel != nil {
+		if waiting := f.waitingRequests[reply.RequestID]; waiting != nil && waiting.conn == conn {
 			select {
-			case replyChannel <- reply:
+			case waiting.reply <- reply:
 			default: // a second reply to the same request
 			}
 		}
 	}
 }
 
+// send sends the request on the connection unless there is a reply already. It reports whether the request was sent.
+func (f *Front) send(request *session.Request, waiting *waitingRequest, conn *ownerconn.Conn) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(waiting.reply) > 0 || !conn.Send(session.FromMember{Requests: []session.Request{*request}}) {
+		return false
+	}
+	waiting.conn = conn
+	return true
+}
+
 // OwnerConnected sends an empty message on the connection of a new owner. An entry has nothing to report, unlike an agent.
 func (f *Front) OwnerConnected(c *ownerconn.Conn) { c.Send(session.FromMember{}) }
 
@@ -158,16 +176,16 @@
 // done. It returns the result and how often the request was sent.
 func (f *Front) sendUntilReply(ctx context.Context, request *session.Request, wait time.Duration) (Result, int) {
 	request.ID = f.lastRequestID.Add(1)
-	replyChannel := make(chan session.Reply, 1)
+	waiting := &waitingRequest{reply: make(chan session.Reply, 1)}
 	f.mu.Lock()
-	if f.replyChannels == nil {
-		f.replyChannels = map[int64]chan session.Reply{}
+	if f.waitingRequests == nil {
+		f.waitingRequests = map[int64]*waitingRequest{}
 	}
-	f.replyChannels[request.ID] = replyChannel
+	f.waitingRequests[request.ID] = waiting
 	f.mu.Unlock()
 	defer func() {
 		f.mu.Lock()
-		delete(f.replyChannels, request.ID)
+		delete(f.waitingRequests, request.ID)
 		f.mu.Unlock()
 	}()
 	timer := time.NewTimer(max(wait, 0))
@@ -177,14 +195,12 @@
 	pollTicker := time.NewTicker(connPollInterval)
 	defer pollTicker.Stop()
 	for {
-		if c := f.Follower.Conn(); c != nil && c != lastConn {
-			if c.Send(session.FromMember{Requests: []session.Request{*request}}) {
-				lastConn = c
-				attempts++
-			}
+		if c := f.Follower.Conn(); c != nil && c != lastConn && f.send(request, waiting, c) {
+			lastConn = c
+			attempts++
 		}
 		select {
-		case reply := <-replyChannel:
+		case reply := <-waiting.reply:
 			return resultOf(reply), attempts
 		case <-pollTicker.C:
 		case <-timer.C:
