Do not acknowledge the cancellation of a submission that was rejected

Cause (by reading): a submission that waits behind an unanswered record is rejected, but a cancellation of it stayed among the changes, by the job's ID, and was acknowledged with the next record. If the caller had submitted the job again by then, that job ran after its cancellation was acknowledged.

Change: the pending cancellation is dropped with the submission and gets the same answer, that it was not done.

Before: TestCancellationOfARejectedSubmissionIsNotAcknowledged fails with ok for the cancellation; after: it passes.

--- a/internal/jobowner/commit_test.go
+++ b/internal/jobowner/commit_test.go
@@ -187,3 +187,31 @@
 		qt.Check(t, predecessor.ownership.KeepAlive(ctx), qt.ErrorIs, election.ErrTaken)
 	})
 }
+
+// Guards against a cancellation that is acknowledged although the job runs. The cancellation of a submission that was rejected says
+// nothing about a repeated submission of the same job.
+func TestCancellationOfARejectedSubmissionIsNotAcknowledged(t *testing.T) {
+	st := &gatedStore{Store: memstore.New()}
+	o := newTestOwner(t, st)
+	st.gate = make(chan struct{})
+
+	submitTo(o, "aaaaaaaaaaaaaaaa")
+	firstCommit := startCommit(t, o)
+	rejected, cancelled := submitTo(o, "bbbbbbbbbbbbbbbb"), make(chan session.Reply, 1)
+	o.mu.Lock()
+	o.cancelJob(&session.Request{Verb: session.VerbCancel, JobID: "bbbbbbbbbbbbbbbb"}, func(r session.Reply) { cancelled <- r })
+	o.rejectUncommitted()
+	o.mu.Unlock()
+	qt.Assert(t, (<-rejected).Code, qt.Equals, session.CodeRejected)
+	repeated := submitTo(o, "bbbbbbbbbbbbbbbb")
+	st.gate <- struct{}{}
+	<-firstCommit
+	secondCommit := startCommit(t, o)
+	st.gate <- struct{}{}
+	<-secondCommit
+
+	accepted := <-repeated
+	qt.Check(t, accepted.Code, qt.Equals, session.CodeOK)
+	qt.Check(t, accepted.State, qt.Not(qt.Equals), jobs.Cancelled)
+	qt.Check(t, (<-cancelled).Code, qt.Equals, session.CodeRejected)
+}
--- a/internal/jobowner/requests.go
+++ b/internal/jobowner/requests.go
@@ -93,13 +93,16 @@
 // rejectUncommitted rejects the submitted jobs that are queued behind an unanswered record. These jobs are in no record, so
 // they certainly never run. Their callers need not wait until their own timeouts.
 func (o *Owner) rejectUncommitted() {
-	kept := o.pendingChanges[:0]
+	kept, rejected := o.pendingChanges[:0], map[string]bool{}
 	for _, c := range o.pendingChanges {
 		if c.Submit == nil {
-			kept = append(kept, c)
+			if !rejected[c.JobID] { // a cancellation of a rejected job must not cancel a repeated submission
+				kept = append(kept, c)
+			}
 			continue
 		}
 		id := c.Submit.ID
+		rejected[id] = true
 		job := o.jobsState.Jobs[id]
 		delete(o.jobsState.Jobs, id)
 		delete(o.activeJobs, id)
@@ -126,7 +129,13 @@
 		o.apply(jobs.Change{JobID: job.ID, Cancel: &jobs.Cancel{AtMs: wallTimeMs()}})
 		o.cleanUpJob(job)
 	}
-	o.pendingEffects = append(o.pendingEffects, func() { reply(session.Reply{Code: session.CodeOK, State: job.DurableState}) })
+	o.pendingEffects = append(o.pendingEffects, func() {
+		if !job.IsDurable { // rejected in the meantime; its caller may have submitted it again
+			reply(session.Reply{Code: session.CodeRejected, RetryMs: storeRetryAfterMs, Reason: reasonStoreUnavailable})
+			return
+		}
+		reply(session.Reply{Code: session.CodeOK, State: job.DurableState})
+	})
 	o.wakeCommitLoop()
 }
 
