Forget what an owner said about its store when its connection ends

Cause (by reading): a follower kept, by the name of the process, that the owner does not reach the store, also after the connection had ended. If a new process of that name became the owner before it had connected to this follower, a candidate took the key from a healthy owner with the evidence of the earlier process. What is lost by that is the time of a takeover, not a job.

Change: the statement ends with the connection. A candidate then needs the evidence of its own probe, or waits for the lease.

--- a/internal/ownerconn/ownerconn.go
+++ b/internal/ownerconn/ownerconn.go
@@ -165,7 +165,7 @@
 	if f.conn != conn {
 		return
 	}
-	f.conn = nil
+	f.conn, f.storeUnreachable = nil, false // the next process of this name has not said so
 	events.OwnerGone.Log(&f.Log).Int64("epoch", f.ownerEpoch).AnErr("cause", cause).
 		Int64("confirmed_ms_ago", (boottime.Now() - f.confirmedAt).Milliseconds()).Send()
 }
@@ -188,8 +188,8 @@
 	return f.conn != nil && !f.ownerResigned && !f.storeUnreachable && boottime.Now()-f.confirmedAt < maxConfirmationAge
 }
 
-// OwnerStoreUnreachable reports whether the named process is the current owner and its latest message said that the owner cannot
-// reach the store.
+// OwnerStoreUnreachable reports whether the named process is the current owner, is connected, and its latest message said that the
+// owner cannot reach the store.
 func (f *Follower) OwnerStoreUnreachable(owner string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
