--- a/internal/deployed/virtual_test.go
+++ b/internal/deployed/virtual_test.go
@@ -912,6 +912,7 @@
 	f.outside.kill(false)
 	f.client.CloseIdleConnections()
 	f.wg.Wait()
+	time.Sleep(callerDeadline) // for dials that nobody waits for any more
 }
 
 func playVirtualFleet(t *testing.T, seed uint64) {
