--- a/internal/jobowner/hold_test.go
+++ b/internal/jobowner/hold_test.go
@@ -61,10 +61,10 @@
 // Guards against a task that runs twice: only the hold ends the runs of a worker of which nothing is known, and each report that the
 // owner confirms extends the hold.
 func TestRunsStayUntilTheHoldHasExpired(t *testing.T) {
-	o, member := ownerWithLastingRun(t, takeoverMargin+testMaxHold)
+	o, _ := ownerWithLastingRun(t, takeoverMargin+testMaxHold)
 	qt.Check(t, checkTimeoutsNow(o), qt.IsFalse, qt.Commentf("the previous owner may have extended the hold"))
 
-	o, member = ownerWithLastingRun(t, 20*time.Second)
+	o, member := ownerWithLastingRun(t, 20*time.Second)
 	report := &session.FromMember{ReportSeq: 1, RunsComplete: true, Runs: []session.Run{{Task: lastingTask, Run: 1, Started: true}}}
 	o.handleMessage(member, report)
 	qt.Check(t, checkTimeoutsNow(o), qt.IsFalse, qt.Commentf("the run is listed"))
