Check for other owners also when the first check after a key write failed

By reading, in: the owner writes its key again and checks the log for another owner before its lease counts as valid. If that check failed (slow store), or the response to the write was lost, the next renewal found its own name in the key and counted the old lease as valid without any check, if the store had removed the key and not the lease. The new lease of the key was then not renewed. An owner that was replaced meanwhile would call the jobs of the other owner unknown (410).

Change: a renewal counts only for the revision of the key that was checked; otherwise the owner writes the key once more and checks.

Before: TestRenewalAfterAFailedCheckDoesNotSkipTheCheck and TestRenewalAfterALostKeyWriteDoesNotSkipTheCheck fail (lease valid, no check); after: both pass, go test -race ./internal/election 3 of 3 times.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -77,6 +77,7 @@
 	confirmUnreplaced func(ctx context.Context) error
 	leaseID           store.LeaseID
 	validUntil        time.Duration // time on key.clock at which the lease counts as expired
+	confirmedRevision int64         // of the key as this owner wrote it last, after confirmUnreplaced
 	resigned          bool          // Resign was called; the lease is not renewed any more
 }
 
@@ -108,9 +109,10 @@
 		return eris.Wrap(err, "encode owner")
 	}
 	res, err := o.key.store.CompareAndSwap(ctx, o.key.name, revision, value, lease)
+	written := res.Current.ModRevision
 	switch {
 	case errors.Is(err, store.ErrUncertain):
-		err = o.resolveUncertainWrite(ctx, lease)
+		written, err = o.resolveUncertainWrite(ctx, lease)
 	case err == nil && !res.Swapped:
 		err = ErrTaken
 	}
@@ -120,6 +122,9 @@
 	if err := o.runConfirmUnreplaced(termCtx, lease); err != nil {
 		return err
 	}
+	o.mu.Lock()
+	o.confirmedRevision = written
+	o.mu.Unlock()
 	return o.adoptLease(lease, sentAt)
 }
 
@@ -141,16 +146,16 @@
 }
 
 // resolveUncertainWrite reads the key after the response to a write was lost. The write took effect if the key is attached to
-// the new lease; otherwise it returns ErrTaken.
-func (o *Ownership) resolveUncertainWrite(ctx context.Context, lease store.LeaseID) error {
+// the new lease; otherwise it returns ErrTaken. It returns the revision of the key.
+func (o *Ownership) resolveUncertainWrite(ctx context.Context, lease store.LeaseID) (int64, error) {
 	kv, err := o.key.store.Get(ctx, o.key.name)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if kv.ModRevision == 0 || kv.Lease != lease {
-		return ErrTaken
+		return 0, ErrTaken
 	}
-	return nil
+	return kv.ModRevision, nil
 }
 
 // adoptLease stores the new lease of the key. It ends the lease at once if the owner has resigned while the key was written.
@@ -211,12 +216,12 @@
 
 // renew renews the lease once and confirms that the key still names this process. A candidate with evidence that this process
 // is dead or cannot reach the store overwrites the key without ending the lease, so a renewed lease alone proves nothing. If the
-// store has ended the lease, renew acquires the key with a new lease.
+// store has ended the lease, or the key belongs to a lease that did not become valid, renew acquires the key with a new lease.
 func (o *Ownership) renew(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	o.mu.Lock()
-	lease := o.leaseID
+	lease, confirmedRevision := o.leaseID, o.confirmedRevision
 	o.mu.Unlock()
 	sentAt := o.key.clock()
 	_, err := o.key.store.KeepAlive(callCtx, lease)
@@ -234,6 +239,8 @@
 		return o.acquire(ctx, 0)
 	case owner.Incarnation != o.self.Incarnation:
 		return ErrTaken
+	case revision != confirmedRevision && !o.hasResigned(): // written again, but the response or the check failed
+		return o.acquire(ctx, revision)
 	}
 	o.setLease(lease, sentAt)
 	return nil
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -91,3 +92,69 @@
 		})
 	}
 }
+
+// Guards against an owner that counts its lease as valid although it could not find out whether another owner has served since: the
+// store removed the key and not the lease, the check after the key was written again failed, and the next renewal skipped it.
+func TestRenewalAfterAFailedCheckDoesNotSkipTheCheck(t *testing.T) {
+	now := time.Hour
+	st := memstore.New()
+	key := NewKey(st, "owner", func() time.Duration { return now })
+	ownership, err := key.Acquire(t.Context(), Owner{Name: "a", Incarnation: "a-1"}, 0)
+	qt.Assert(t, err, qt.IsNil)
+	checkErr := store.ErrUncertain
+	ownership.ConfirmUnreplaced(func(context.Context) error { return checkErr })
+
+	_, err = st.DeleteRange(t.Context(), "owner", "owner\x00")
+	qt.Assert(t, err, qt.IsNil)
+	now += LeaseTTL
+	qt.Check(t, ownership.renew(t.Context()), qt.ErrorIs, store.ErrUncertain)
+	qt.Check(t, ownership.renew(t.Context()), qt.ErrorIs, store.ErrUncertain)
+	qt.Check(t, ownership.LeaseValid(), qt.IsFalse)
+
+	checkErr = ErrTaken
+	qt.Check(t, ownership.renew(t.Context()), qt.ErrorIs, ErrTaken)
+	qt.Check(t, ownership.LeaseValid(), qt.IsFalse)
+	_, revision, err := key.Read(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, revision, qt.Equals, int64(0), qt.Commentf("the key stays for a process that is not the owner"))
+}
+
+// silentStore executes writes and loses the responses, also those of reads, after the first write.
+type silentStore struct {
+	store.Store
+	lost bool
+}
+
+// CompareAndSwap implements store.Store.
+func (s *silentStore) CompareAndSwap(ctx context.Context, key string, expect int64, value []byte, lease store.LeaseID) (store.CASResult, error) {
+	_, err := s.Store.CompareAndSwap(ctx, key, expect, value, lease)
+	s.lost = true
+	return store.CASResult{}, errors.Join(err, store.ErrUncertain)
+}
+
+// Get implements store.Store.
+func (s *silentStore) Get(ctx context.Context, key string) (store.KV, error) {
+	if s.lost {
+		return store.KV{}, store.ErrUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// Guards against the same omission of the check after a write of the key whose response was lost.
+func TestRenewalAfterALostKeyWriteDoesNotSkipTheCheck(t *testing.T) {
+	now := time.Hour
+	st := memstore.New()
+	key := NewKey(st, "owner", func() time.Duration { return now })
+	ownership, err := key.Acquire(t.Context(), Owner{Name: "a", Incarnation: "a-1"}, 0)
+	qt.Assert(t, err, qt.IsNil)
+	ownership.ConfirmUnreplaced(func(context.Context) error { return ErrTaken })
+	_, err = st.DeleteRange(t.Context(), "owner", "owner\x00")
+	qt.Assert(t, err, qt.IsNil)
+	now += LeaseTTL
+
+	key.store = &silentStore{Store: st}
+	qt.Check(t, ownership.renew(t.Context()), qt.ErrorIs, store.ErrUnavailable)
+	key.store = st
+	qt.Check(t, ownership.renew(t.Context()), qt.ErrorIs, ErrTaken)
+	qt.Check(t, ownership.LeaseValid(), qt.IsFalse)
+}
