Leave SIGHUP ignored in a program without settings that was started so

Since a program without settings stops at SIGHUP. signal.Notify also enables a signal that was ignored when the process started, so that bf-entry, bf-agent and the other programs without settings stopped at the end of their terminal although they ran under nohup.

Before: TestHangUpDoesNotStopAProgramThatIgnoresIt fails (event 9002 with signal hangup); after: 3 of 3 runs of internal/app pass.

--- a/internal/app/signals.go
+++ b/internal/app/signals.go
@@ -14,14 +14,17 @@
 // watchSignals handles the signals of a program until the process exits. They are never given back to their default action, which
 // would end a process that is shutting down, without answers to its open requests.
 //
-// SIGTERM and SIGINT request a stop, and SIGHUP does so too if reload is nil; otherwise each SIGHUP calls reload, also during a
-// shutdown. Only a further SIGINT ends a shutdown early. A closed standard output does not end the process.
+// SIGTERM and SIGINT request a stop. SIGHUP calls reload, also during a shutdown; if reload is nil, SIGHUP requests a stop too, unless
+// it was ignored when the program started. Only a further SIGINT ends a shutdown early. A closed standard output does not end the
+// process.
 func watchSignals(log zerolog.Logger, requestStop, reload func()) {
 	signal.Ignore(syscall.SIGPIPE)
 	stops := make(chan os.Signal, 2)
 	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
 	if reload == nil {
-		signal.Notify(stops, syscall.SIGHUP)
+		if !signal.Ignored(syscall.SIGHUP) { // as under nohup
+			signal.Notify(stops, syscall.SIGHUP)
+		}
 	} else {
 		reloads := make(chan os.Signal, 1) // signals that arrive during a reload cause one more
 		signal.Notify(reloads, syscall.SIGHUP)
--- a/internal/app/signals_test.go
+++ b/internal/app/signals_test.go
@@ -49,7 +49,11 @@
 
 // startProgram starts the test program and returns when it handles signals, with a reader of its output.
 func startProgram(t *testing.T, kind string) (*exec.Cmd, io.ReadCloser) {
-	cmd := exec.Command(os.Args[0])
+	return startCommand(t, kind, exec.Command(os.Args[0]))
+}
+
+// startCommand does the same with a command that executes the test program.
+func startCommand(t *testing.T, kind string, cmd *exec.Cmd) (*exec.Cmd, io.ReadCloser) {
 	cmd.Env = append(os.Environ(), programVariable+"="+kind)
 	out, err := cmd.StdoutPipe()
 	qt.Assert(t, err, qt.IsNil)
@@ -107,3 +111,16 @@
 	qt.Assert(t, err, qt.IsNotNil)
 	qt.Check(t, cmd.ProcessState.ExitCode(), qt.Equals, ExitForced)
 }
+
+// Guards against a program that was started to survive its terminal, as by nohup, and stops when the terminal is closed.
+func TestHangUpDoesNotStopAProgramThatIgnoresIt(t *testing.T) {
+	cmd, out := startCommand(t, "plain", exec.Command("sh", "-c", `trap "" HUP; exec "$0"`, os.Args[0]))
+	qt.Assert(t, cmd.Process.Signal(syscall.SIGHUP), qt.IsNil)
+	time.Sleep(drainTime / 4)
+	qt.Assert(t, cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	line, err := bufio.NewReader(out).ReadString('\n') // event 9002
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, line, qt.Contains, `"signal":"terminated"`)
+	go io.Copy(io.Discard, out)
+	qt.Check(t, cmd.Wait(), qt.IsNil)
+}
