--- a/internal/jobowner/commit_test.go
+++ b/internal/jobowner/commit_test.go
@@ -259,3 +259,43 @@
 	qt.Check(t, accepted.State, qt.Not(qt.Equals), jobs.Cancelled)
 	qt.Check(t, (<-cancelled).Code, qt.Equals, session.CodeRejected)
 }
+
+// Guards against changes of which a successor knows a later one and not an earlier one, or which are acknowledged although they were
+// cut off: the successor takes over while the changes of its predecessor are written as several records.
+func TestTakeoverBetweenRecordsOfOneCommitKeepsThePrefix(t *testing.T) {
+	st := &gatedStore{Store: memstore.New()}
+	o := newTestOwner(t, st)
+	st.gate = make(chan struct{})
+	const jobCount = 400
+	acknowledged := make(chan session.Reply, jobCount)
+	o.mu.Lock()
+	for i := range jobCount {
+		request := submission(fmt.Sprintf("%016x", i))
+		request.Spec.Payload = strings.Repeat("x", jobs.MaxPayload)
+		o.submitJob(request, func(r session.Reply) { acknowledged <- r })
+	}
+	o.cancelJob(&session.Request{JobID: fmt.Sprintf("%016x", jobCount-1)}, func(r session.Reply) { acknowledged <- r })
+	o.mu.Unlock()
+	committed := make(chan error, 1)
+	go func() {
+		_, err := o.commit(context.Background())
+		committed <- err
+	}()
+	st.gate <- struct{}{} // the first record
+	log := caslog.New(st.Store, "jobs", "reader")
+	for records, err := log.Read(t.Context(), 2); len(records) == 0; records, err = log.Read(t.Context(), 2) {
+		qt.Assert(t, err, qt.IsNil)
+	}
+
+	successor := replaceOwner(t, st.Store)
+	known := len(successor.jobsState.Jobs)
+	qt.Check(t, known > 0 && known < jobCount, qt.IsTrue, qt.Commentf("%d jobs", known))
+	for i := range known {
+		job := successor.jobsState.Jobs[fmt.Sprintf("%016x", i)]
+		qt.Assert(t, job, qt.IsNotNil, qt.Commentf("job %d of %d", i, known))
+		qt.Check(t, job.Ended(), qt.IsFalse)
+	}
+	st.gate <- struct{}{} // the second record
+	qt.Check(t, <-committed, qt.ErrorIs, caslog.ErrConflict)
+	qt.Check(t, acknowledged, qt.HasLen, 0)
+}
