--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -78,6 +78,7 @@
 	leaseID           store.LeaseID
 	validUntil        time.Duration // time on key.clock at which the lease counts as expired
 	confirmedRevision int64         // of the key as this owner wrote it last, after confirmUnreplaced
+	rewrittenAt       time.Duration // time on key.clock at which the key was written again during the term; 0: never
 	resigned          bool          // Resign was called; the lease is not renewed any more
 }
 
@@ -123,6 +124,9 @@
 		return err
 	}
 	o.mu.Lock()
+	if o.confirmedRevision != 0 {
+		o.rewrittenAt = o.key.clock()
+	}
 	o.confirmedRevision = written
 	o.mu.Unlock()
 	return o.adoptLease(lease, sentAt)
@@ -187,6 +191,14 @@
 	return o.resigned
 }
 
+// RewrittenAt returns the time on the clock of the key at which the key was written again during the term, or 0. Another owner may
+// have held the key before that, and may count its lease as valid for up to LeaseTTL after it.
+func (o *Ownership) RewrittenAt() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.rewrittenAt
+}
+
 // LeaseValid reports whether the lease is still valid on a clock that includes the time during which the host was suspended.
 func (o *Ownership) LeaseValid() bool {
 	o.mu.Lock()
--- a/internal/jobowner/commit.go
+++ b/internal/jobowner/commit.go
@@ -243,8 +243,11 @@
 
 // maySnapshot reports whether no predecessor has a lease that it takes for valid. A snapshot frees the positions of the records that it
 // covers, also that of this owner's fence. A predecessor whose key was removed or replaced while its lease was valid could append
-// there, and does not check its records as long as it takes its lease for valid.
-func (o *Owner) maySnapshot() bool { return boottime.Now() >= o.startedAt+election.LeaseTTL }
+// there, and does not check its records as long as it takes its lease for valid. The same holds for an owner that has held the key
+// during a part of this term.
+func (o *Owner) maySnapshot() bool {
+	return boottime.Now() >= max(o.startedAt, o.ownership.RewrittenAt())+election.LeaseTTL
+}
 
 // confirmUnreplaced returns election.ErrTaken if another owner has fenced the log since the newest record of this one.
 func (o *Owner) confirmUnreplaced(ctx context.Context) error {
--- a/internal/jobowner/commit_test.go
+++ b/internal/jobowner/commit_test.go
@@ -299,3 +299,25 @@
 	qt.Check(t, <-committed, qt.ErrorIs, caslog.ErrConflict)
 	qt.Check(t, acknowledged, qt.HasLen, 0)
 }
+
+// Guards against a snapshot that frees positions while the lease of another owner may count as valid: that owner has held the key for
+// a part of this owner's term, which began longer ago than a lease.
+func TestNoSnapshotSoonAfterTheKeyWasWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now().Add(-time.Hour)
+		bootClock := boottime.SetClock(func() time.Duration { return time.Since(start) })
+		defer boottime.SetClock(bootClock)
+		st := memstore.New()
+		o := newTestOwner(t, st)
+		o.startedAt -= 2 * election.LeaseTTL // a long recovery
+		_, err := st.DeleteRange(t.Context(), "owner", "owner\x00")
+		qt.Assert(t, err, qt.IsNil)
+		ctx, cancel := context.WithTimeout(t.Context(), election.LeaseTTL/2)
+		defer cancel()
+		qt.Assert(t, o.ownership.KeepAlive(ctx), qt.IsNil) // writes the key again
+		qt.Assert(t, o.ownership.LeaseValid(), qt.IsTrue)
+		qt.Check(t, o.maySnapshot(), qt.IsFalse)
+		time.Sleep(election.LeaseTTL)
+		qt.Check(t, o.maySnapshot(), qt.IsTrue)
+	})
+}
