--- a/internal/jobowner/commit_test.go
+++ b/internal/jobowner/commit_test.go
@@ -259,3 +259,65 @@
 	qt.Check(t, accepted.State, qt.Not(qt.Equals), jobs.Cancelled)
 	qt.Check(t, (<-cancelled).Code, qt.Equals, session.CodeRejected)
 }
+
+// Guards against changes of which a successor knows a later one and not an earlier one, or which are acknowledged although they were
+// cut off: the successor takes over while the changes of its predecessor are written as several records.
+func TestTakeoverBetweenRecordsOfOneCommitKeepsThePrefix(t *testing.T) {
+	st := &gatedStore{Store: memstore.New()}
+	o := newTestOwner(t, st)
+	st.gate = make(chan struct{})
+	const jobCount = 400
+	acknowledged := make(chan session.Reply, jobCount)
+	o.mu.Lock()
+	for i := range jobCount {
+		request := submission(fmt.Sprintf("%016x", i))
+		request.Spec.Payload = strings.Repeat("x", jobs.MaxPayload)
+		o.submitJob(request, func(r session.Reply) { acknowledged <- r })
+	}
+	o.cancelJob(&session.Request{JobID: fmt.Sprintf("%016x", jobCount-1)}, func(r session.Reply) { acknowledged <- r })
+	o.mu.Unlock()
+	committed := make(chan error, 1)
+	go func() {
+		_, err := o.commit(context.Background())
+		committed <- err
+	}()
+	st.gate <- struct{}{} // the first record
+	log := caslog.New(st.Store, "jobs", "reader")
+	for records, err := log.Read(t.Context(), 2); len(records) == 0; records, err = log.Read(t.Context(), 2) {
+		qt.Assert(t, err, qt.IsNil)
+	}
+
+	successor := replaceOwner(t, st.Store)
+	known := len(successor.jobsState.Jobs)
+	qt.Check(t, known > 0 && known < jobCount, qt.IsTrue, qt.Commentf("%d jobs", known))
+	for i := range known {
+		job := successor.jobsState.Jobs[fmt.Sprintf("%016x", i)]
+		qt.Assert(t, job, qt.IsNotNil, qt.Commentf("job %d of %d", i, known))
+		qt.Check(t, job.Ended(), qt.IsFalse)
+	}
+	st.gate <- struct{}{} // the second record
+	qt.Check(t, <-committed, qt.ErrorIs, caslog.ErrConflict)
+	qt.Check(t, acknowledged, qt.HasLen, 0)
+}
+
+// Guards against a snapshot that frees positions while the lease of another owner may count as valid: that owner has held the key for
+// a part of this owner's term, which began longer ago than a lease.
+func TestNoSnapshotSoonAfterTheKeyWasWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now().Add(-time.Hour)
+		bootClock := boottime.SetClock(func() time.Duration { return time.Since(start) })
+		defer boottime.SetClock(bootClock)
+		st := memstore.New()
+		o := newTestOwner(t, st)
+		o.startedAt -= 2 * election.LeaseTTL // a long recovery
+		_, err := st.DeleteRange(t.Context(), "owner", "owner\x00")
+		qt.Assert(t, err, qt.IsNil)
+		ctx, cancel := context.WithTimeout(t.Context(), election.LeaseTTL/2)
+		defer cancel()
+		qt.Assert(t, o.ownership.KeepAlive(ctx), qt.IsNil) // writes the key again
+		qt.Assert(t, o.ownership.LeaseValid(), qt.IsTrue)
+		qt.Check(t, o.maySnapshot(), qt.IsFalse)
+		time.Sleep(election.LeaseTTL)
+		qt.Check(t, o.maySnapshot(), qt.IsTrue)
+	})
+}
