An owner whose store answers again calls no job unknown before its next renewal

By reading, what is left of the fault of: the owner called no job unknown while its write was unanswered for 0.9 s, but did so again once that write was answered. A candidate that was told of the silence may have taken the key while the write was under way; the owner learns that from its next renewal, or at the end of its lease, up to 1.44 s later. In between it answered 410 to a GET, and to a cancellation after which the job ran on.

Change: isCurrent needs a renewal that was sent after the silence. A candidate that was told of the silence and takes the key only after that renewal is still possible; its window ends with the lease too.

Before: TestOwnerWhoseStoreAnswersAgainCallsNoJobUnknown fails ("unknown" to both); after: it passes (one run with -race).

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -77,6 +77,7 @@
 	confirmUnreplaced func(ctx context.Context) error
 	leaseID           store.LeaseID
 	validUntil        time.Duration // time on key.clock at which the lease counts as expired
+	confirmedAt       time.Duration // time on key.clock at which the call was sent that confirmed the lease last
 	confirmedRevision int64         // of the key as this owner wrote it last, after confirmUnreplaced
 	rewrittenAt       time.Duration // time on key.clock at which the key was written again during the term; 0: never
 	resigned          bool          // Resign was called; the lease is not renewed any more
@@ -180,7 +181,7 @@
 	if o.resigned {
 		return false
 	}
-	o.leaseID = lease
+	o.leaseID, o.confirmedAt = lease, sentAt
 	o.validUntil = sentAt + time.Duration(float64(LeaseTTL)*(1-driftMarginFraction))
 	return true
 }
@@ -206,6 +207,13 @@
 	return o.key.clock() < o.validUntil
 }
 
+// ConfirmedAt returns the time on the clock of the key after which the lease and the key were confirmed last.
+func (o *Ownership) ConfirmedAt() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.confirmedAt
+}
+
 // KeepAlive renews the lease until ctx is done or the owner has resigned, and then returns nil. It returns ErrTaken when another
 // process has become the owner. It has to run from the moment of Acquire: recovery of a large log may take longer than the lease.
 func (o *Ownership) KeepAlive(ctx context.Context) error {
--- a/internal/jobowner/commit.go
+++ b/internal/jobowner/commit.go
@@ -227,6 +227,9 @@
 func (o *Owner) setAppendStart(start time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.storeStalled() {
+		o.stalledUntil = boottime.Now()
+	}
 	o.appendStartedAt = start
 }
 
@@ -236,10 +239,12 @@
 	return o.appendStartedAt != 0 && boottime.Now()-o.appendStartedAt > storeStallTimeout
 }
 
-// isCurrent reports whether no other process can have become the owner: the lease is confirmed, and no candidate can have taken the
-// owner's silence for a lost store. Without that, the owner must not confirm holds, and a job that it does not know may be one of
-// its successor.
-func (o *Owner) isCurrent() bool { return o.ownership.LeaseValid() && !o.storeStalled() }
+// isCurrent reports whether the owner has no sign that another process may have become the owner: the lease is valid, the store
+// answers, and the key was read after the last silence of the store, which candidates take for a lost store. Without that, the owner
+// must not confirm holds, and a job that it does not know may be one of its successor.
+func (o *Owner) isCurrent() bool {
+	return o.ownership.LeaseValid() && !o.storeStalled() && o.ownership.ConfirmedAt() >= o.stalledUntil
+}
 
 // maySnapshot reports whether no predecessor has a lease that it takes for valid. A snapshot frees the positions of the records that it
 // covers, also that of this owner's fence. A predecessor whose key was removed or replaced while its lease was valid could append
--- a/internal/jobowner/commit_test.go
+++ b/internal/jobowner/commit_test.go
@@ -163,6 +163,40 @@
 	qt.Check(t, answer(o.cancelJob), qt.HasLen, 0)
 }
 
+// Guards against the same answer after the store has answered again: a candidate that was told of the silence may have taken the key
+// while the last write was under way, which the owner learns from its next renewal.
+func TestOwnerWhoseStoreAnswersAgainCallsNoJobUnknown(t *testing.T) {
+	st := memstore.New()
+	o := newTestOwner(t, st)
+	o.setAppendStart(boottime.Now() - 2*storeStallTimeout)
+	o.setAppendStart(0)
+	successor := replaceOwner(t, st)
+	accepted := submitTo(successor, "aaaaaaaaaaaaaaaa")
+	qt.Assert(t, commitsNothing(t, successor), qt.IsFalse)
+	qt.Assert(t, (<-accepted).Code, qt.Equals, session.CodeOK)
+
+	qt.Assert(t, o.ownership.LeaseValid(), qt.IsTrue)
+	var replies []session.Reply
+	o.mu.Lock()
+	o.getJob(&session.Request{JobID: "aaaaaaaaaaaaaaaa"}, func(r session.Reply) { replies = append(replies, r) })
+	o.cancelJob(&session.Request{JobID: "aaaaaaaaaaaaaaaa"}, func(r session.Reply) { replies = append(replies, r) })
+	o.mu.Unlock()
+	qt.Assert(t, replies, qt.HasLen, 1)
+	qt.Check(t, replies[0].Code, qt.Equals, session.CodeRejected)
+}
+
+// Guards against an owner that calls no job unknown any more after a short silence of its store.
+func TestOwnerIsCurrentAgainAfterARenewal(t *testing.T) {
+	o := newTestOwner(t, memstore.New())
+	o.setAppendStart(boottime.Now() - 2*storeStallTimeout)
+	o.setAppendStart(0)
+	qt.Check(t, o.isCurrent(), qt.IsFalse)
+	ctx, cancel := context.WithTimeout(t.Context(), election.LeaseTTL/2)
+	defer cancel()
+	qt.Assert(t, o.ownership.KeepAlive(ctx), qt.IsNil)
+	qt.Check(t, o.isCurrent(), qt.IsTrue)
+}
+
 // Guards against a job that a replaced owner acknowledges although no successor knows it. The successor's snapshot frees the position
 // of its fence, so it must wait until no lease of a predecessor can count as valid.
 func TestReplacedOwnerWithValidLeaseAppendsNothingAtAFreedPosition(t *testing.T) {
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -85,6 +85,7 @@
 	lastRecordSeq     int64         // sequence number of the newest record
 	snapshotSeq       int64         // sequence number of the newest snapshot
 	appendStartedAt   time.Duration // boot time at which the write of the current record began; 0: no write in progress
+	stalledUntil      time.Duration // boot time at which the last write that was unanswered for storeStallTimeout ended; 0: none
 }
 
 // placedTask is a task that occupies resources on a worker.
