Do not hold back an outcome for a stopped partition owner at the end of the drain

Change: once the answers are due, the record is given 300 ms. The owner otherwise gets the outcome from the agent, as after any failure.

Before: TestOutcomeIsNotHeldBackByAStoppedOwner fails (3 s); after: it passes (one run with -race).

--- a/internal/entry/jobs_test.go
+++ b/internal/entry/jobs_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -11,6 +12,7 @@
 	"bamboofork/internal/partition"
 	"bamboofork/internal/peer"
 	"bamboofork/internal/store/memstore"
+	"bamboofork/internal/telemetry"
 	"bamboofork/internal/wire"
 )
 
@@ -49,3 +51,28 @@
 		})
 	}
 }
+
+// silentOwner replies to no call.
+type silentOwner struct{}
+
+// Call implements partition.Caller.
+func (silentOwner) Call(ctx context.Context, _, _ string, _, _ any) error {
+	<-ctx.Done()
+	return peer.ErrOutcomeUnknown
+}
+
+// Guards against a keyed request that has its outcome in a graceful shutdown and is cut off without an answer, because the entry waits
+// for the partition's owner, which stops too.
+func TestOutcomeIsNotHeldBackByAStoppedOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := memstore.New()
+		_, err := engine.CompareAndSwap(t.Context(), partition.OwnerKey(0), 0, []byte(`{"id":"a-1","addr":"a"}`), 0)
+		qt.Assert(t, err, qt.IsNil)
+		e := &Entry{directory: partition.NewDirectory(engine, silentOwner{}, 1), shutdown: newShutdownSignal(), metrics: telemetry.New()}
+		time.AfterFunc(100*time.Millisecond, e.shutdown.endWaits)
+		start := time.Now()
+		(&keyedCall{entry: e, request: &Request{}}).completeClaim(ledger.Claim{}, true)
+		answerTime := maxAnswerMargin - minResolveDuration - resolveQueryTimeout // after the longest query of the agent
+		qt.Check(t, time.Since(start) < 100*time.Millisecond+answerTime, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
+	})
+}
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -22,6 +22,8 @@
 const (
 	ownerTimeout = 3 * time.Second
 	claimTimeout = 6 * time.Second
+	// lateRecordTimeout bounds the recording of an outcome once the answers are due in a graceful shutdown.
+	lateRecordTimeout = 300 * time.Millisecond
 )
 
 // keyedCall is a request with an idempotency key that is being processed. claim names the agent of the current attempt.
@@ -234,7 +236,11 @@
 	claim.Done = !release
 	var reply wire.CompleteReply
 	args := wire.CompleteArgs{Partition: k.partitionID, Claim: claim, Release: release}
-	err := k.entry.callOwner(context.Background(), k.partitionID, "Partition.Complete", args, &reply, func() wire.Code { return reply.Code })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stopWatching := context.AfterFunc(k.entry.shutdown.answersDue, func() { time.AfterFunc(lateRecordTimeout, cancel) })
+	defer stopWatching()
+	err := k.entry.callOwner(ctx, k.partitionID, "Partition.Complete", args, &reply, func() wire.Code { return reply.Code })
 	if err == nil && reply.Code == wire.CodeOK {
 		return
 	}
