Write the log line of a forced stop before the process exits

Event 9004 never reached the log of bf-front and bf-host: their log writer holds lines back for up to 20 ms, and the process exited at once.

--- a/internal/app/signals.go
+++ b/internal/app/signals.go
@@ -5,6 +5,7 @@
 	"os/signal"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -37,6 +38,9 @@
 	go handleStops(stops, log, sync.OnceFunc(requestStop))
 }
 
+// logWriteDelay is the time for the log writer of a program, which joins lines, to write the last one.
+const logWriteDelay = 50 * time.Millisecond
+
 // handleStops requests a stop at the first signal. Of the signals that follow, SIGINT terminates the process at once and the others
 // are ignored: a platform or an operator may repeat a request to stop, and the open requests still need their answers.
 func handleStops(stops <-chan os.Signal, log zerolog.Logger, requestStop func()) {
@@ -46,6 +50,7 @@
 	for s := range stops {
 		if s == syscall.SIGINT {
 			events.StopForced.Log(&log).Send()
+			time.Sleep(logWriteDelay)
 			os.Exit(ExitForced)
 		}
 		events.SignalIgnored.Log(&log).Str("signal", s.String()).Send()
--- a/internal/fleetsoak/shutdown_test.go
+++ b/internal/fleetsoak/shutdown_test.go
@@ -44,3 +44,18 @@
 		})
 	}
 }
+
+// TestForcedStopIsInTheLog guards against a shutdown that a signal cuts short and that looks in the log as if the process was killed.
+func TestForcedStopIsInTheLog(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts separate processes")
+	}
+	entry := newFleet(t, 1, 1, 1).fronts[0]
+	entry.signal(syscall.SIGTERM, true)
+	time.Sleep(100 * time.Millisecond)
+	entry.signal(syscall.SIGINT, true)
+	<-entry.done
+	entry.mu.Lock()
+	defer entry.mu.Unlock()
+	qt.Check(t, entry.log.String(), qt.Contains, `"event":9004`)
+}
