--- a/internal/deployed/virtual_test.go
+++ b/internal/deployed/virtual_test.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"path/filepath"
 	"sort"
@@ -71,6 +72,8 @@
 	idleLimit      = 3 * time.Second
 	virtualHoldMs  = 8000
 	callerDeadline = 3 * time.Second
+	// lossSlack is the time before the end of a connection in which a request on it may have been sent too late to be read.
+	lossSlack = 200 * time.Millisecond
 )
 
 // virtualMachine is the machine of an entry, or of an agent and its worker.
@@ -82,6 +85,9 @@
 	storeIP    string
 	logs       *lockedBuffer
 
+	// disturbedUntil is the time until which requests to the machine may stay without an answer. Guarded by virtualFleet.mu.
+	disturbedUntil time.Time
+
 	incarnations int
 	running      *virtualIncarnation // nil while no process runs
 	stopping     chan struct{}       // closed when the last graceful stop has ended; nil: there was none
@@ -128,6 +134,8 @@
 	// recordsPerSnapshot is small in many seeds, so that takeovers meet snapshots.
 	recordsPerSnapshot int64
 	faultsEnd          time.Time
+	manifestVersion    int64
+	ownerShare         float64                        // share of the faults of single machines that strike the owner
 	onlySubmitAt       atomic.Pointer[virtualMachine] // nil: jobs are handed in at all entries
 
 	mu         sync.Mutex
@@ -181,7 +189,9 @@
 	f := &virtualFleet{t: t, rng: rand.New(rand.NewPCG(seed, 21)), start: time.Now(), network: newVirtualNetwork(),
 		store: standin.NewStore(seed + 1), checker: standin.NewRunChecker(), acked: make(chan struct{}, 1), jobs: map[string]*virtualJob{}}
 	f.recordsPerSnapshot = []int64{2, 6, 25, 150}[f.rng.IntN(4)]
-	f.store.PutManifest()
+	f.manifestVersion = 7
+	f.ownerShare = []float64{0.5, 0.5, 0.8}[f.rng.IntN(3)]
+	f.store.PutManifestVersion(f.manifestVersion)
 	f.outside = f.network.process("10.0.3.1")
 	f.client = &http.Client{Timeout: callerDeadline, Transport: &http.Transport{MaxIdleConnsPerHost: 16,
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
@@ -261,11 +271,22 @@
 	}
 	in := m.running
 	m.running = nil
+	f.disturb(m, 0)
 	in.cancel()
 	in.network.kill(silent)
+	f.client.CloseIdleConnections() // the peers of a silent connection would use it for ever
 	f.note("kill %s silent=%t", m.cfg.Name, silent)
 }
 
+// disturb lets requests to a machine stay without an answer for a time from now.
+func (f *virtualFleet) disturb(m *virtualMachine, length time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if until := time.Now().Add(length); until.After(m.disturbedUntil) {
+		m.disturbedUntil = until
+	}
+}
+
 // stop ends the process of a machine gracefully.
 func (f *virtualFleet) stop(m *virtualMachine) {
 	if m.running == nil {
@@ -353,7 +374,7 @@
 
 // anyMachine returns the owner's machine with a good chance, or a random one.
 func (f *virtualFleet) anyMachine() *virtualMachine {
-	if f.chance(0.5) {
+	if f.chance(f.ownerShare) {
 		return f.owner()
 	}
 	all := f.machines()
@@ -396,6 +417,10 @@
 		{3, f.workerLeaves},
 		{8, f.stormOnOwnersStore},
 		{6, f.divide},
+		{8, f.endOwnerAsStoreAnswers},
+		{8, f.changeOwners},
+		{4, f.restartAgentsBesideOwner},
+		{2, f.changeManifest},
 	}
 	total := 0
 	for _, c := range choices {
@@ -442,8 +467,67 @@
 	}
 }
 
+// endAndRestart kills or stops the process of a machine.
+func (f *virtualFleet) endAndRestart(m *virtualMachine) {
+	if f.chance(0.5) {
+		f.killAndRestart(m)
+	} else {
+		f.stopAndRestart(m)
+	}
+}
+
+// endOwnerAsStoreAnswers ends the owner about when its store answers it again.
+func (f *virtualFleet) endOwnerAsStoreAnswers() {
+	m, length := f.owner(), f.between(100*time.Millisecond, 3*time.Second)
+	faults := []standin.StoreFaults{{Unresponsive: true}, {Unavailable: true}, {RateLimited: true}, {LostResponseRatio: 1},
+		{LostResponseRatio: 1, ApplyDelay: f.between(50*time.Millisecond, length+time.Second)}}[f.rng.IntN(5)]
+	f.note("store of %s for %s: %+v", m.cfg.Name, length, faults)
+	m.endpoint.SetFaults(faults)
+	f.after(length, func() { f.note("store of %s is well", m.cfg.Name); m.endpoint.SetFaults(standin.StoreFaults{}) })
+	f.after(length+f.between(-30*time.Millisecond, 150*time.Millisecond), func() { f.endAndRestart(m) })
+}
+
+// changeOwners ends several owners in turn.
+func (f *virtualFleet) changeOwners() {
+	for at := time.Duration(0); f.chance(0.75); at += f.between(50*time.Millisecond, 1500*time.Millisecond) {
+		f.strikeAfter(at, func() { f.endAndRestart(f.owner()) })
+	}
+}
+
+// restartAgentsBesideOwner ends the owner and other agents within a short time. The processes start again soon.
+func (f *virtualFleet) restartAgentsBesideOwner() {
+	machines := []*virtualMachine{f.owner()}
+	for range 1 + f.rng.IntN(3) {
+		machines = append(machines, f.anyHost())
+	}
+	for _, m := range machines {
+		f.after(f.between(0, 600*time.Millisecond), func() {
+			f.endAndRestart(m)
+			f.after(f.between(10*time.Millisecond, 300*time.Millisecond), func() { f.restart(m) })
+		})
+	}
+}
+
+// changeManifest writes newer versions of the manifest, and with a good chance stops the owner or an entry meanwhile.
+func (f *virtualFleet) changeManifest() {
+	for range 1 + f.rng.IntN(4) {
+		f.strikeAfter(f.between(0, time.Second), func() {
+			f.manifestVersion += 1 + f.rng.Int64N(5)
+			f.note("manifest %d", f.manifestVersion)
+			f.store.PutManifestVersion(f.manifestVersion)
+		})
+	}
+	if f.chance(0.7) {
+		m := f.anyEntry()
+		if f.chance(0.5) {
+			m = f.owner()
+		}
+		f.strikeAfter(f.between(0, time.Second), func() { f.stopAndRestart(m) })
+	}
+}
+
 func (f *virtualFleet) randomStoreFaults() standin.StoreFaults {
-	switch f.rng.IntN(7) {
+	switch f.rng.IntN(8) {
 	case 0:
 		return standin.StoreFaults{Unresponsive: true}
 	case 1:
@@ -451,11 +535,13 @@
 	case 2:
 		return standin.StoreFaults{RateLimited: true}
 	case 3:
-		return standin.StoreFaults{Delay: f.between(20*time.Millisecond, 500*time.Millisecond)}
+		return standin.StoreFaults{Delay: f.between(20*time.Millisecond, []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond}[f.rng.IntN(2)])}
 	case 4:
 		return standin.StoreFaults{LostResponseRatio: 0.2 + 0.6*f.rng.Float64()}
 	case 5:
-		return standin.StoreFaults{LostResponseRatio: 0.2 + 0.8*f.rng.Float64(), ApplyDelay: f.between(50*time.Millisecond, 1500*time.Millisecond)}
+		return standin.StoreFaults{LostResponseRatio: 0.2 + 0.8*f.rng.Float64(), ApplyDelay: f.between(50*time.Millisecond, 4*time.Second)}
+	case 6:
+		return standin.StoreFaults{UnavailableRatio: 0.2 + 0.7*f.rng.Float64()}
 	}
 	return standin.StoreFaults{NoWatchEvents: true}
 }
@@ -523,12 +609,17 @@
 		}
 	}
 	set(faults)
-	f.after(f.between(200*time.Millisecond, 5*time.Second), func() { f.note("link of %s to %s is well", m.cfg.Name, what); set(linkFaults{}) })
+	length := f.between(200*time.Millisecond, 5*time.Second)
+	if what == "everything" {
+		f.disturb(m, length+time.Second)
+	}
+	f.after(length, func() { f.note("link of %s to %s is well", m.cfg.Name, what); set(linkFaults{}) })
 }
 
 func (f *virtualFleet) resetLinks() {
 	m, other := f.anyMachine(), f.anyMachine()
 	toAll := f.chance(0.5)
+	f.disturb(m, 0)
 	f.note("reset connections of %s with %s, with all: %t", m.cfg.Name, other.cfg.Name, toAll)
 	f.network.resetConns(func(a, b string) bool { return a == m.ip && (toAll || b == other.ip) && b != m.ip })
 }
@@ -700,23 +791,32 @@
 	return job
 }
 
-// request sends a caller's request to an entry. It returns 0 for a request without an answer, and -1 for one that was not sent.
+// request sends a caller's request to an entry. It returns 0 for a request without an answer, and -1 for one that was not sent. Each
+// request that an entry has read must be answered, unless the entry was killed or its connections were disturbed.
 func (f *virtualFleet) request(entry *virtualMachine, method, id, body string) (int, string) {
 	req, err := http.NewRequest(method, "http://"+entry.cfg.Listen.Callers+standin.QueuePrefix+id, strings.NewReader(body))
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	req.Host = standin.QueueHost
-	resp, err := f.client.Do(req)
+	var sentAt time.Time
+	trace := &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { sentAt = time.Now() }}
+	resp, err := f.client.Do(req.WithContext(httptrace.WithClientTrace(context.Background(), trace)))
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return -1, ""
 	}
-	if err != nil {
-		return 0, ""
+	var b []byte
+	if err == nil {
+		defer resp.Body.Close()
+		b, err = io.ReadAll(resp.Body)
 	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
 	if err != nil {
+		f.mu.Lock()
+		disturbed := !sentAt.After(entry.disturbedUntil)
+		f.mu.Unlock()
+		if !sentAt.IsZero() && !disturbed && time.Since(sentAt) > lossSlack {
+			f.violation("LOST: %s %s, sent to %s at %.3f, has no answer: %v", method, id, entry.cfg.Name, sentAt.Sub(f.start).Seconds(), err)
+		}
 		return 0, ""
 	}
 	return resp.StatusCode, string(b)
