A successor confirms its term after the fence

What callers could see: an accepted job that is unknown, or a task that runs twice.

Change: after the fence the successor reads the key. If another process holds it, the term ends; if it came back to the successor, the term counts from then. It costs one read per takeover.

Before: TestSuccessorDoesNotServeBesideItsPredecessor fails (the successor serves although the predecessor holds the key, and the start of the term is too early); after: passes.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -56,6 +56,11 @@
 func (k *Key) Read(ctx context.Context) (Owner, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	return k.read(ctx)
+}
+
+// read is Read without a timeout of its own.
+func (k *Key) read(ctx context.Context) (Owner, int64, error) {
 	kv, err := k.store.Get(ctx, k.name)
 	if err != nil || kv.ModRevision == 0 {
 		return Owner{}, 0, err
@@ -206,6 +211,27 @@
 	return o.key.clock() < o.validUntil
 }
 
+// ErrNotHeld is returned when the key does not name this process, or was written by this process without a check for other owners. A
+// renewal writes the key again.
+var ErrNotHeld = errors.New("the owner's key is not held")
+
+// CheckHeld reads the key and returns nil if this process holds it. It returns ErrTaken when another process is the owner.
+func (o *Ownership) CheckHeld(ctx context.Context) error {
+	owner, revision, err := o.key.read(ctx)
+	if err != nil {
+		return err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case revision != 0 && owner.Incarnation != o.self.Incarnation:
+		return ErrTaken
+	case revision == 0 || revision != o.confirmedRevision:
+		return ErrNotHeld
+	}
+	return nil
+}
+
 // KeepAlive renews the lease until ctx is done or the owner has resigned, and then returns nil. It returns ErrTaken when another
 // process has become the owner. It has to run from the moment of Acquire: recovery of a large log may take longer than the lease.
 func (o *Ownership) KeepAlive(ctx context.Context) error {
--- a/internal/jobowner/commit_test.go
+++ b/internal/jobowner/commit_test.go
@@ -194,15 +194,60 @@
 
 // replaceOwner returns an owner that has taken the key from the owner of newTestOwner and writes a snapshot with each record.
 func replaceOwner(t *testing.T, st store.Store) *Owner {
+	o, err := recoverSuccessor(t, st, replaceKey(t, st))
+	qt.Assert(t, err, qt.IsNil)
+	return o
+}
+
+// replaceKey takes the key from the owner of newTestOwner.
+func replaceKey(t *testing.T, st store.Store) *election.Ownership {
 	key := election.NewKey(st, "owner", boottime.Now)
 	_, revision, err := key.Read(t.Context())
 	qt.Assert(t, err, qt.IsNil)
 	ownership, err := key.Acquire(t.Context(), election.Owner{Name: "host-1", Incarnation: "host-1-1"}, revision)
 	qt.Assert(t, err, qt.IsNil)
-	o, err := Recover(t.Context(), Config{Name: "host-1", Prefix: "jobs", Log: zerolog.Nop(), Metrics: telemetry.New(), Store: st,
+	return ownership
+}
+
+func recoverSuccessor(t *testing.T, st store.Store, ownership *election.Ownership) (*Owner, error) {
+	return Recover(t.Context(), Config{Name: "host-1", Prefix: "jobs", Log: zerolog.Nop(), Metrics: telemetry.New(), Store: st,
 		Network: network.TCP, Retention: time.Minute, MaxHold: 5 * time.Second, RecordsPerSnapshot: 1}, ownership, "host-1-1")
+}
+
+// removeKeyAndRenew removes the owner's key without ending its lease, and returns after the ownership has been renewed once.
+func removeKeyAndRenew(t *testing.T, st store.Store, ownership *election.Ownership) {
+	_, err := st.DeleteRange(t.Context(), "owner", "owner0")
 	qt.Assert(t, err, qt.IsNil)
-	return o
+	ctx, cancel := context.WithTimeout(t.Context(), election.LeaseTTL/4)
+	defer cancel()
+	qt.Assert(t, ownership.KeepAlive(ctx), qt.IsNil)
+}
+
+// Guards against a job that is acknowledged and lost, and against tasks that run twice: while a successor recovers, its key is removed,
+// and the owner before it writes its key again and keeps a valid lease.
+func TestSuccessorDoesNotServeBesideItsPredecessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := &slowLogStore{Store: memstore.New()}
+		predecessor := newTestOwner(t, st)
+		successorship := replaceKey(t, st)
+		duringRecovery := func(run func()) {
+			st.onRead = func() { st.onRead = nil; run() }
+		}
+		duringRecovery(func() { removeKeyAndRenew(t, st, predecessor.ownership) })
+		_, err := recoverSuccessor(t, st, successorship)
+		qt.Assert(t, predecessor.ownership.LeaseValid(), qt.IsTrue)
+		qt.Check(t, err, qt.ErrorIs, election.ErrTaken)
+
+		var keyRemovedAgain time.Duration
+		duringRecovery(func() {
+			keyRemovedAgain = boottime.Now()
+			removeKeyAndRenew(t, st, successorship)
+		})
+		successor, err := recoverSuccessor(t, st, successorship)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, predecessor.ownership.LeaseValid(), qt.IsTrue)
+		qt.Check(t, successor.startedAt > keyRemovedAgain, qt.IsTrue) // the predecessor may have renewed its lease until then
+	})
 }
 
 // commitsNothing makes the owner commit its pending changes, and reports whether there were none.
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -55,7 +55,7 @@
 	jobLog     *caslog.Log
 	ownership  *election.Ownership
 	epoch      int64
-	startedAt  time.Duration // boot time at the start of the term
+	startedAt  time.Duration // boot time at the start of the term, since which no other process has held the owner's key
 	wakeCommit chan struct{}
 	// appendTimeout is the timeout of the next attempt to write a record; used by the commit loop only.
 	appendTimeout  time.Duration
@@ -138,13 +138,40 @@
 	o.jobsState, o.lastRecordSeq, o.epoch, o.snapshotSeq = recovery.state, fence.Seq, fence.Epoch, recovery.snapshotSeq
 	o.rebuildIndexes()
 	ownership.ConfirmUnreplaced(o.confirmUnreplaced)
+	recoveryStart := o.startedAt
+	if err := o.confirmTerm(ctx); err != nil {
+		return nil, err
+	}
 	o.loadInterference(ctx)
 	events.JobsOwned.Log(&cfg.Log).Int64("epoch", o.epoch).Int("jobs", len(o.jobsState.Jobs)).Int("active", len(o.activeJobs)).
 		Dur("load_ms", recovery.loadTime).Int("records", recovery.recordCount).Int("snapshot_bytes", recovery.snapshotBytes).
-		Dur("took_ms", boottime.Now()-o.startedAt).Send()
+		Dur("took_ms", boottime.Now()-recoveryStart).Send()
 	return o, nil
 }
 
+// confirmTerm checks after the fence that this process still holds the owner's key, and sets the start of the term to the time since
+// which no other process has held it. The previous owner may have written its key again before the fence, if the store had removed the
+// key of this process. After the fence it no longer can (confirmUnreplaced).
+func (o *Owner) confirmTerm(ctx context.Context) error {
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, bulkCallTimeout)
+		err := o.ownership.CheckHeld(callCtx)
+		cancel()
+		if err == nil {
+			o.startedAt = max(o.startedAt, o.ownership.RewrittenAt())
+			return nil
+		}
+		if errors.Is(err, election.ErrTaken) {
+			return err
+		}
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+		events.RecoveryRetried.Log(&o.cfg.Log).Err(err).Send()
+		app.Sleep(ctx, retryDelay)
+	}
+}
+
 // rebuildIndexes fills activeJobs and placedByAgent from the recovered jobs.
 func (o *Owner) rebuildIndexes() {
 	for id, job := range o.jobsState.Jobs {
