--- a/internal/deployed/virtual_test.go
+++ b/internal/deployed/virtual_test.go
@@ -421,6 +421,7 @@
 		{8, f.changeOwners},
 		{4, f.restartAgentsBesideOwner},
 		{2, f.changeManifest},
+		{4, f.stopEntryWithoutOwner},
 	}
 	total := 0
 	for _, c := range choices {
@@ -508,6 +509,15 @@
 	}
 }
 
+// stopEntryWithoutOwner ends the owner while no process can take over, and stops an entry meanwhile or soon before.
+func (f *virtualFleet) stopEntryWithoutOwner() {
+	f.stopAndRestart(f.anyEntry())
+	f.strikeAfter(f.between(0, 3*time.Second), func() {
+		f.endAndRestart(f.owner())
+		f.setStoreOfAll(standin.StoreFaults{Unavailable: true}, f.between(500*time.Millisecond, 5*time.Second))
+	})
+}
+
 // changeManifest writes newer versions of the manifest, and with a good chance stops the owner or an entry meanwhile.
 func (f *virtualFleet) changeManifest() {
 	for range 1 + f.rng.IntN(4) {
@@ -554,12 +564,16 @@
 }
 
 func (f *virtualFleet) disturbStoreOfAll() {
-	faults := f.randomStoreFaults()
+	f.setStoreOfAll(f.randomStoreFaults(), f.between(200*time.Millisecond, 3*time.Second))
+}
+
+// setStoreOfAll disturbs the store of all machines for a time.
+func (f *virtualFleet) setStoreOfAll(faults standin.StoreFaults, length time.Duration) {
 	f.note("store of all: %+v", faults)
 	for _, m := range f.machines() {
 		m.endpoint.SetFaults(faults)
 	}
-	f.after(f.between(200*time.Millisecond, 3*time.Second), func() {
+	f.after(length, func() {
 		f.note("store of all is well")
 		for _, m := range f.machines() {
 			m.endpoint.SetFaults(standin.StoreFaults{})
@@ -802,7 +816,7 @@
 	var sentAt time.Time
 	trace := &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { sentAt = time.Now() }}
 	resp, err := f.client.Do(req.WithContext(httptrace.WithClientTrace(context.Background(), trace)))
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	if errors.Is(err, syscall.ECONNREFUSED) && sentAt.IsZero() {
 		return -1, ""
 	}
 	var b []byte
