--- a/internal/jobowner/commit_test.go
+++ b/internal/jobowner/commit_test.go
@@ -340,7 +340,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		start := time.Now().Add(-time.Hour)
 		bootClock := boottime.SetClock(func() time.Duration { return time.Since(start) })
-		defer boottime.SetClock(bootClock)
+		defer func() { boottime.SetClock(bootClock) }()
 		st := memstore.New()
 		o := newTestOwner(t, st)
 		o.startedAt -= 2 * election.LeaseTTL // a long recovery
