--- a/cmd/bf-dev/main.go
+++ b/cmd/bf-dev/main.go
@@ -43,12 +43,7 @@
 		port = 8080
 	}
 	deployment.FirstPort = port
-	fleet, err := dev.Start(deployment, log)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return app.ExitFailure
-	}
-	if err := runFleet(fleet, serve, log); err != nil {
+	if err := runFleet(deployment, serve, log); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return app.ExitFailure
 	}
@@ -69,10 +64,14 @@
 // readyTimeout is the maximum wait until the fleet can serve requests.
 const readyTimeout = 20 * time.Second
 
-// runFleet waits until the fleet is ready. It then runs the demonstration or, if serve is true, keeps the fleet running until the
-// process is stopped. At the end it stops the fleet.
-func runFleet(fleet *dev.Fleet, serve bool, log zerolog.Logger) error {
+// runFleet starts the fleet and waits until it is ready. It then runs the demonstration or, if serve is true, keeps the fleet running
+// until the process is stopped. At the end it stops the fleet.
+func runFleet(deployment dev.Profile, serve bool, log zerolog.Logger) error {
 	return app.Run(context.Background(), log, nil, app.Component{Name: "fleet", Run: func(ctx context.Context) error {
+		fleet, err := dev.Start(deployment, log) // serves callers, so signals have to be handled already
+		if err != nil {
+			return err
+		}
 		defer fleet.Stop() //nolint:errcheck // the error of the demonstration is the one to return
 		readyCtx, cancel := context.WithTimeout(ctx, readyTimeout)
 		defer cancel()
