Complete the announcement of a departed worker in the shutdown

Change: an announcement that the store has not taken when the process is stopped is retried for half of the grace period. A process without such an announcement stops as before.

--- a/internal/deployed/host.go
+++ b/internal/deployed/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"bamboofork/internal/app"
 	"bamboofork/internal/boottime"
@@ -67,15 +68,21 @@
 }
 
 // announceDepartures announces each lifetime of the worker that has ended because the worker left, until ctx is done. The agent reports
-// the same to the owner, but a host that is removed may be gone before the next owner connects.
+// the same to the owner, but a host that is removed may be gone before the next owner connects. An announcement that the store has not
+// taken by then is continued for half of the grace period.
 func announceDepartures(ctx context.Context, p *process, st store.Store, agent *hostagent.Agent, member jobowner.Member) {
+	announceCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case member.EndedLifetime = <-agent.Departed():
 		}
-		if err := ownerconn.Announce(ctx, st, &p.log, jobowner.MemberPrefix+p.cfg.Name, member); err != nil {
+		stop := context.AfterFunc(ctx, func() { time.AfterFunc(p.cfg.Bounds.Grace()/2, cancel) })
+		err := ownerconn.Announce(announceCtx, st, &p.log, jobowner.MemberPrefix+p.cfg.Name, member)
+		stop()
+		if err != nil {
 			events.AnnouncementFailed.Log(&p.log).Str("key", jobowner.MemberPrefix+p.cfg.Name).Err(err).Send()
 		}
 	}
--- a/internal/deployed/virtual_test.go
+++ b/internal/deployed/virtual_test.go
@@ -980,6 +980,14 @@
 // Guards against perpetual tasks that stay away for the length of a hold: their worker and its host left while the owner was cut off and
 // before its successor was elected, so that no owner was told. The bound is the calm after which the operators count them as lost.
 func TestTasksOfADepartedWorkerRunAgainAfterATakeover(t *testing.T) {
+	for name, faults := range map[string]standin.StoreFaults{"sound store": {}, "store unavailable until the shutdown": {Unavailable: true}} {
+		t.Run(name, func(t *testing.T) { playDeparture(t, faults) })
+	}
+}
+
+// playDeparture makes a worker and its host leave while the owner is cut off. The faults are those of the host's store until the process
+// of the host is stopped.
+func playDeparture(t *testing.T, faults standin.StoreFaults) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newVirtualFleet(t, 1)
 		time.Sleep(time.Second)
@@ -999,6 +1007,7 @@
 			f.network.setLink(owner.ip, ip, linkFaults{cut: true})
 			f.network.setLink(ip, owner.ip, linkFaults{cut: true})
 		}
+		departing.endpoint.SetFaults(faults)
 		departing.left = true
 		departing.stopRegister()
 		departing.worker.Crash()
@@ -1006,7 +1015,9 @@
 		departing.worker.Unregister(f.client, departing.cfg.Listen.Registrations)
 		time.Sleep(time.Second)
 		f.stop(departing)
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
+		departing.endpoint.SetFaults(standin.StoreFaults{})
+		time.Sleep(1300 * time.Millisecond)
 		f.network.healLinks()
 		time.Sleep(virtualCalm)
 		for _, job := range perpetual {
