Count the ends that come with the departure of a worker

Cause (by reading): a report can contain the departure of a worker and the ends of its last runs. The owner handled the departure first, which ended these runs as lost, and then found no run for the listed ends, so that tasks that were done ran again. An owner that was connected all the while gets the ends before the departure; its successor gets both in the first report. An announced departure, which a new owner reads before the agent is connected, would act in the same way.

Change: the ends in a report are handled before the state of the worker. An announced departure ends the remaining runs 1 s after the owner has read it: by then an agent that still runs has reported, and the host of a departed worker is about to stop.

Before: TestEndsInTheLastReportOfADepartedWorkerCount fails, with the former order and also with the former effect of an announcement; after: it passes.

--- a/internal/jobowner/hold_test.go
+++ b/internal/jobowner/hold_test.go
@@ -86,11 +86,27 @@
 		value, err := json.Marshal(Member{Name: "host-1", Agent: true, EndedLifetime: lifetime})
 		qt.Assert(t, err, qt.IsNil)
 		o.updateMember(t.Context(), &sync.WaitGroup{}, value)
+		qt.Check(t, checkTimeoutsNow(o), qt.IsFalse, qt.Commentf("the last report may follow"))
+		member.departureSeenAt -= departureReportTimeout
 		qt.Check(t, checkTimeoutsNow(o), qt.Equals, lifetime == 7)
 		qt.Check(t, member.conn, qt.Equals, conn)
 	}
 }
 
+// Guards against a task that runs again although it was done: its worker listed the end and left while the owner changed, so that the new
+// owner receives the end and the departure in one report.
+func TestEndsInTheLastReportOfADepartedWorkerCount(t *testing.T) {
+	o, member := ownerWithLastingRun(t, 0)
+	o.jobsState.Jobs["aaaaaaaaaaaaaaaa"].Spec.Steps[0].Perpetual = false
+	value, err := json.Marshal(map[string]any{"name": "host-1", "agent": true, "ended_lifetime": 7})
+	qt.Assert(t, err, qt.IsNil)
+	o.updateMember(t.Context(), &sync.WaitGroup{}, value)
+	o.handleMessage(member, &session.FromMember{ReportSeq: 1, Worker: &session.Worker{Lifetime: 7, Gone: true},
+		Ends: []session.RunEnd{{Lifetime: 7, Seq: 1, Task: lastingTask, Run: 1, Outcome: jobs.EndDone}}})
+	task := o.jobsState.Jobs["aaaaaaaaaaaaaaaa"].Occurrences[0].Steps[0].Tasks[0]
+	qt.Check(t, task.State, qt.Equals, jobs.TaskDone)
+}
+
 // Guards against a host that was removed and whose address a new host has taken over. The owner announced itself to the new host
 // under both names, so that each of the two connections ended the other one, without an end, and the messages of the new host
 // extended the hold of the worker that was removed with the old one.
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -39,6 +39,9 @@
 	addrReplaced chan struct{} // closed when the address is replaced
 	conn         *conn
 	worker       *session.Worker
+	// departedLifetime is the newest EndedLifetime that was announced, and departureSeenAt the boot time at which this owner has read it.
+	departedLifetime int64
+	departureSeenAt  time.Duration
 	// runsListed is true once the current connection has delivered a complete list of runs.
 	runsListed       bool
 	lastReportAt     time.Duration // boot time of the last report whose confirmation extends the hold; 0: none in this term
@@ -156,11 +159,9 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if announced.EndedLifetime != 0 {
-		o.endRunsOfLifetime(announced.Name, announced.EndedLifetime)
-	}
 	member := o.members[announced.Name]
 	if member != nil && member.Addr == announced.Addr && member.Agent == announced.Agent {
+		member.noteDeparture(announced.EndedLifetime)
 		return
 	}
 	if member == nil {
@@ -173,11 +174,28 @@
 		close(member.addrReplaced)
 		member.close()
 	}
+	member.noteDeparture(announced.EndedLifetime)
 	member.Member, member.addrReplaced = announced, make(chan struct{})
 	addrReplaced := member.addrReplaced
 	wg.Go(func() { o.keepConnected(ctx, member, announced.Addr, addrReplaced) })
 }
 
+// departureReportTimeout is how long the agent of a departed worker has for its last report, which contains the ends of runs that no
+// owner has acknowledged. The other runs of the lifetime then end as lost.
+const departureReportTimeout = time.Second
+
+// noteDeparture stores the announced end of a lifetime of the member's worker.
+func (m *memberView) noteDeparture(endedLifetime int64) {
+	if endedLifetime > m.departedLifetime {
+		m.departedLifetime, m.departureSeenAt = endedLifetime, boottime.Now()
+	}
+}
+
+// hasDeparted reports whether the worker has left, departureReportTimeout ago.
+func (m *memberView) hasDeparted() bool {
+	return m.departedLifetime != 0 && boottime.Now() >= m.departureSeenAt+departureReportTimeout
+}
+
 // keepConnected keeps a connection to the member until its address is replaced or ctx is done.
 func (o *Owner) keepConnected(ctx context.Context, member *memberView, addr string, addrReplaced <-chan struct{}) {
 	delay, failureLogged := minRedialDelay, false
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -116,11 +116,17 @@
 
 // endRunsOfLostWorker ends the runs of a worker as lost, so that their tasks can be placed again, once the worker's hold must have
 // expired by the worker's own clock. Only a confirmed report extends the hold, whether the agent is connected or not: an agent that
-// came back after its worker had ended is connected, but knows no worker and reports no runs.
+// came back after its worker had ended is connected, but knows no worker and reports no runs. The runs of a worker that has left end
+// without that wait.
 func (o *Owner) endRunsOfLostWorker(name string, tasks map[string]*placedTask) {
 	lastReportAt := o.startedAt + takeoverMargin
-	if member := o.members[name]; member != nil && member.lastReportAt > 0 {
-		lastReportAt = member.lastReportAt
+	if member := o.members[name]; member != nil {
+		if member.lastReportAt > 0 {
+			lastReportAt = member.lastReportAt
+		}
+		if member.hasDeparted() {
+			o.endRunsOfLifetime(name, member.departedLifetime)
+		}
 	}
 	holdTimeout := o.cfg.MaxHold + time.Duration(float64(o.cfg.MaxHold)*session.WorkerClockDrift) + holdMargin
 	if boottime.Now() < lastReportAt+holdTimeout {
--- a/internal/jobowner/report.go
+++ b/internal/jobowner/report.go
@@ -16,12 +16,12 @@
 // handleReport processes an agent's report about its worker and its runs.
 func (o *Owner) handleReport(member *memberView, msg *session.FromMember) {
 	member.bestEffortPaused = msg.BestEffortPaused
+	for i := range msg.Ends { // before the worker, whose departure ends the runs that have no listed end
+		o.handleRunEnd(member, &msg.Ends[i])
+	}
 	if msg.Worker != nil {
 		o.updateWorker(member, msg.Worker)
 	}
-	for i := range msg.Ends {
-		o.handleRunEnd(member, &msg.Ends[i])
-	}
 	for _, refusal := range msg.Refused {
 		o.handleRefusal(member, refusal)
 	}
