--- a/internal/deployed/virtual_test.go
+++ b/internal/deployed/virtual_test.go
@@ -15,6 +15,7 @@
 	"net/http/httptrace"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -24,6 +25,7 @@
 	"testing/synctest"
 	"time"
 
+	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
 	"bamboofork/internal/app"
@@ -72,6 +74,7 @@
 	idleLimit      = 3 * time.Second
 	virtualHoldMs  = 8000
 	callerDeadline = 3 * time.Second
+	virtualCalm    = 7 * time.Second // after which a perpetual task has to run
 	// lossSlack is the time before the end of a connection in which a request on it may have been sent too late to be read.
 	lossSlack = 200 * time.Millisecond
 )
@@ -369,6 +372,17 @@
 	return f.anyHost()
 }
 
+// ipsExcept returns the addresses of all machines but one.
+func (f *virtualFleet) ipsExcept(except *virtualMachine) []string {
+	var ips []string
+	for _, m := range f.machines() {
+		if m != except {
+			ips = append(ips, m.ip)
+		}
+	}
+	return ips
+}
+
 func (f *virtualFleet) anyHost() *virtualMachine  { return f.hosts[f.rng.IntN(len(f.hosts))] }
 func (f *virtualFleet) anyEntry() *virtualMachine { return f.entries[f.rng.IntN(len(f.entries))] }
 
@@ -1076,3 +1090,54 @@
 		})
 	}
 }
+
+// Guards against perpetual tasks that stay away for the length of a hold: their worker and its host left while the owner was cut off and
+// before its successor was elected, so that no owner was told. The bound is the calm after which the operators count them as lost.
+func TestTasksOfADepartedWorkerRunAgainAfterATakeover(t *testing.T) {
+	for name, faults := range map[string]standin.StoreFaults{"sound store": {}, "store unavailable until the shutdown": {Unavailable: true}} {
+		t.Run(name, func(t *testing.T) { playDeparture(t, faults) })
+	}
+}
+
+// playDeparture makes a worker and its host leave while the owner is cut off. The faults are those of the host's store until the process
+// of the host is stopped.
+func playDeparture(t *testing.T, faults standin.StoreFaults) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newVirtualFleet(t, 1)
+		time.Sleep(time.Second)
+		var perpetual []*virtualJob
+		for rng := rand.New(rand.NewPCG(1, 1)); len(perpetual) < maxPerpetualJobs; {
+			if job := f.newJob(rng); job.isPerpetual {
+				qt.Check(t, f.submit(job, f.entries[0]), qt.Equals, http.StatusOK)
+				perpetual = append(perpetual, job)
+			}
+		}
+		time.Sleep(time.Second)
+		owner := f.owner()
+		i := slices.IndexFunc(f.hosts, func(m *virtualMachine) bool { return m != owner && m.worker.StartedRunCount() > 0 })
+		qt.Assert(t, i >= 0, qt.IsTrue)
+		departing := f.hosts[i]
+		for _, ip := range append(f.ipsExcept(owner), owner.storeIP) {
+			f.network.setLink(owner.ip, ip, linkFaults{cut: true})
+			f.network.setLink(ip, owner.ip, linkFaults{cut: true})
+		}
+		departing.endpoint.SetFaults(faults)
+		departing.left = true
+		departing.stopRegister()
+		departing.worker.Crash()
+		departing.workerServer.Close()
+		departing.worker.Unregister(f.client, departing.cfg.Listen.Registrations)
+		time.Sleep(time.Second)
+		f.stop(departing)
+		time.Sleep(200 * time.Millisecond)
+		departing.endpoint.SetFaults(standin.StoreFaults{})
+		time.Sleep(1300 * time.Millisecond)
+		f.network.healLinks()
+		time.Sleep(virtualCalm)
+		for _, job := range perpetual {
+			qt.Check(t, f.checker.RunningTaskCount(job.id), qt.Equals, job.taskCount)
+		}
+		f.close()
+		qt.Check(t, f.checker.Violations(), qt.HasLen, 0)
+	})
+}
--- a/internal/jobowner/report.go
+++ b/internal/jobowner/report.go
@@ -16,12 +16,12 @@
 // handleReport processes an agent's report about its worker and its runs.
 func (o *Owner) handleReport(member *memberView, msg *session.FromMember) {
 	member.bestEffortPaused = msg.BestEffortPaused
+	for i := range msg.Ends { // before the worker, whose departure ends the runs that have no listed end
+		o.handleRunEnd(member, &msg.Ends[i])
+	}
 	if msg.Worker != nil {
 		o.updateWorker(member, msg.Worker)
 	}
-	for i := range msg.Ends {
-		o.handleRunEnd(member, &msg.Ends[i])
-	}
 	for _, refusal := range msg.Refused {
 		o.handleRefusal(member, refusal)
 	}
@@ -49,8 +49,18 @@
 	if member.ackLifetime != worker.Lifetime {
 		member.ackLifetime, member.ackedEndSeq, member.sentAckSeq = worker.Lifetime, 0, 0
 	}
-	for _, placed := range o.placedByAgent[member.Name] {
-		if placed.task.Lifetime < worker.Lifetime || (worker.Gone && placed.task.Lifetime <= worker.Lifetime) {
+	endedLifetime := worker.Lifetime - 1
+	if worker.Gone {
+		endedLifetime = worker.Lifetime
+	}
+	o.endRunsOfLifetime(member.Name, endedLifetime)
+}
+
+// endRunsOfLifetime ends the runs on the agent's worker in the lifetime and in those before it. A worker that starts again has a higher
+// lifetime.
+func (o *Owner) endRunsOfLifetime(agent string, lifetime int64) {
+	for _, placed := range o.placedByAgent[agent] {
+		if placed.task.Lifetime <= lifetime {
 			o.endRun(placed, jobs.EndLost, "", "the worker's lifetime is over")
 		}
 	}
