Count the hold of a worker from the end of the predecessor's confirmations at the earliest

By reading (review): a report early in a term shortened the takeover margin. If the agent starts again within the 1.44 s in which the replaced owner still confirms reports, meets that owner first and never reaches the new one, the hold that the replaced owner extended outlasts the new owner's count by up to about a second, and a task could run twice. Before: the new case of TestRunsStayUntilTheHoldHasExpired fails; after: it passes.

--- a/internal/jobowner/hold_test.go
+++ b/internal/jobowner/hold_test.go
@@ -65,6 +65,10 @@
 	o, _ := ownerWithLastingRun(t, takeoverMargin+testMaxHold)
 	qt.Check(t, checkTimeoutsNow(o), qt.IsFalse, qt.Commentf("the previous owner may have extended the hold"))
 
+	o, early := ownerWithLastingRun(t, takeoverMargin+testMaxHold)
+	early.lastReportAt = o.startedAt + 100*time.Millisecond
+	qt.Check(t, checkTimeoutsNow(o), qt.IsFalse, qt.Commentf("the previous owner may have extended the hold after the report"))
+
 	o, member := ownerWithLastingRun(t, 20*time.Second)
 	report := &session.FromMember{ReportSeq: 1, RunsComplete: true, Runs: []session.Run{{Task: lastingTask, Run: 1, Started: true}}}
 	o.handleMessage(member, report)
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -121,9 +121,7 @@
 func (o *Owner) endRunsOfLostWorker(name string, tasks map[string]*placedTask) {
 	lastReportAt := o.startedAt + takeoverMargin
 	if member := o.members[name]; member != nil {
-		if member.lastReportAt > 0 {
-			lastReportAt = member.lastReportAt
-		}
+		lastReportAt = max(lastReportAt, member.lastReportAt)
 		if member.hasDeparted() {
 			o.endRunsOfLifetime(name, member.departedLifetime)
 		}
