Hand over an agent's tasks and partitions while its requests finish

Callers and operators saw: when one request lasted as long as the drain period, the partitions of a stopping agent had no successor before the agent's data server had waited a second drain period (61.5 s with the defaults), and its batch tasks were checkpointed but their ends not reported, so they waited for the end of their holds. A supervisor that ended the process at the end of the drain period left the partitions to the expiry of the lease.

Cause: the agent handed its tasks over after its requests had ended, with the same time limit, and the node stopped the partitions after that. The hand-over does not depend on the requests: the entries record outcomes with whoever owns the partition.

Change: both happen while the requests finish: first the tasks, whose ends the owners record, then the partitions, at the latest 5 s (or half of a shorter drain period) before the end of the drain period. The lease is kept until the partitions are released, as before.

The long requests get an outcome that is true (unknown or done).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -66,7 +66,8 @@
 const loadReportInterval = 200 * time.Millisecond
 
 // Run serves until ctx is done and then drains the host. To drain, the agent announces the shutdown, waits for the entries to
-// receive the announcement, lets requests in flight finish, and checkpoints the batch tasks so that they resume on other hosts.
+// receive the announcement, lets requests in flight finish, and meanwhile checkpoints the batch tasks so that they resume on other
+// hosts.
 func (a *Agent) Run(ctx context.Context) error {
 	if err := a.taskRunner.adoptExistingTasks(ctx); err != nil {
 		return err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -199,7 +199,11 @@
 	node.stages = [][]app.Component{
 		{{Name: "agent", Run: agentComponent.Run}},
 		{data},
-		{{Name: "partitions", Run: manager.Run}},
+		{{Name: "partitions", Run: func(ctx context.Context) error {
+			ctx, cancel := agentComponent.UntilPartitionsDue(ctx)
+			defer cancel()
+			return manager.Run(ctx)
+		}}},
 		{{Name: "lease", Run: keeper.Run}},
 	}
 	if cfg.Listen.Operator != "" {
