Answer open requests of a stopping process's internal servers

Cause: the servers for registrations, readiness and metrics stopped with a shutdown timeout of 0. http.Server.Shutdown then returns at once while a handler runs, and Close ends its connection: a worker that registered just then, or was about to leave, had no answer although the process had read and applied its request. Callers' requests were not concerned. Change: these servers wait up to 100 ms, which fits into the exit margin; their handlers only use memory.

--- a/internal/deployed/deployed.go
+++ b/internal/deployed/deployed.go
@@ -148,7 +148,15 @@
 	return nil
 }
 
+// serveInternal runs an HTTP server for the platform, a worker or operators on addr until ctx is done. Requests in progress are
+// answered, as serve does.
+func (p *process) serveInternal(ctx context.Context, addr string, handler http.Handler) error {
+	return p.serve(ctx, addr, handler, internalShutdownTimeout)
+}
+
 const (
+	// internalShutdownTimeout is the shutdown timeout of serveInternal, whose handlers only use the memory of the process.
+	internalShutdownTimeout = 100 * time.Millisecond
 	// readHeaderTimeout and idleTimeout match the limits in the operators' manifests.
 	readHeaderTimeout = 3 * time.Second
 	idleTimeout       = 15 * time.Second
@@ -169,6 +177,6 @@
 
 func (p *process) metricsComponent(port string) app.Component {
 	return app.Component{Name: "metrics", Run: func(ctx context.Context) error {
-		return p.serve(ctx, net.JoinHostPort(p.cfg.Listen.Metrics, port), p.metricsHandler(), 0)
+		return p.serveInternal(ctx, net.JoinHostPort(p.cfg.Listen.Metrics, port), p.metricsHandler())
 	}}
 }
--- a/internal/deployed/front.go
+++ b/internal/deployed/front.go
@@ -77,7 +77,7 @@
 			return nil
 		}},
 		{Name: "readiness", Run: untilDrained(func(ctx context.Context) error {
-			return p.serve(ctx, p.cfg.Listen.Readiness, platform.ReadinessHandler(front.Ready), 0)
+			return p.serveInternal(ctx, p.cfg.Listen.Readiness, platform.ReadinessHandler(front.Ready))
 		})},
 		{Name: "callers", Run: func(ctx context.Context) error {
 			defer stopComponents()
--- a/internal/deployed/host.go
+++ b/internal/deployed/host.go
@@ -48,7 +48,7 @@
 		{Name: "owner", Run: func(ctx context.Context) error { return follower.Listen(ctx, p.network, p.cfg.Listen.Peers) }},
 		{Name: "agent", Run: agent.Run},
 		{Name: "registrations", Run: func(ctx context.Context) error {
-			return p.serve(ctx, p.cfg.Listen.Registrations, platform.RegistrationHandler(p.cfg.Worker, agent), 0)
+			return p.serveInternal(ctx, p.cfg.Listen.Registrations, platform.RegistrationHandler(p.cfg.Worker, agent))
 		}},
 		{Name: "candidate", Run: func(ctx context.Context) error {
 			if err := ownerconn.Announce(ctx, store, &p.log, jobowner.MemberPrefix+p.cfg.Name, member); err != nil {
--- a/internal/deployed/shutdown_test.go
+++ b/internal/deployed/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"bamboofork/internal/network"
 	"bamboofork/platform/standin"
 )
 
@@ -183,3 +185,28 @@
 	t.Logf("%d requests answered, %d connections closed just after a request was sent", answered, justSent)
 	qt.Check(t, answered > 24, qt.IsTrue)
 }
+
+// Guards against a response that is cut off because its server stops while the handler runs, for instance to a worker that registers.
+func TestInternalServersAnswerOpenRequestsBeforeTheyStop(t *testing.T) {
+	listener, addr := listen(t)
+	qt.Assert(t, listener.Close(), qt.IsNil)
+	ctx, stop := context.WithCancel(t.Context())
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		stop()
+		time.Sleep(20 * time.Millisecond)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	p, served := &process{network: network.TCP}, make(chan error, 1)
+	go func() { served <- p.serveInternal(ctx, addr, handler) }()
+	for {
+		resp, err := http.Post("http://"+addr, "", nil)
+		if err != nil && ctx.Err() == nil {
+			continue // the server does not listen yet
+		}
+		qt.Assert(t, err, qt.IsNil)
+		resp.Body.Close()
+		qt.Check(t, resp.StatusCode, qt.Equals, http.StatusNoContent)
+		break
+	}
+	qt.Check(t, <-served, qt.IsNil)
+}
