Repeat unanswered checkpoint calls of a stopping agent

Cause: the hand-over of a stopping agent called the worker once for each task, one after another, each call for up to 2 s. A call without a response left its task running after the agent had gone, until the worker's lease of the task ended, and calls to a worker that had stopped responding outlasted the drain period. Change: the calls run concurrently and are repeated each second until the worker's list shows the end of the task.

--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -112,12 +112,13 @@
 	delete(r.attemptByRef, ref)
 }
 
-// handOverTasks checkpoints all tasks. It then sends reports until the owners have recorded the ends of the tasks or ctx is done.
+// handOverTasks checkpoints all tasks and sends reports until the owners have recorded the ends of the tasks or ctx is done. The
+// checkpoint calls run concurrently and are repeated, because a slow worker must not use up the time of the hand-over.
 func (r *taskRunner) handOverTasks(ctx context.Context) {
-	for _, ref := range r.runningAttempts() {
-		r.endAttempt(ref, true, "agent is shutting down")
-	}
 	for ctx.Err() == nil {
+		for _, ref := range r.selectDueStops(r.runningAttempts()) {
+			go r.endAttempt(ref, true, "agent is shutting down")
+		}
 		r.refreshAttempts(ctx)
 		r.sendReports(ctx)
 		r.mu.Lock()
--- a/internal/dev/drain_test.go
+++ b/internal/dev/drain_test.go
@@ -11,6 +11,7 @@
 
 	"bamboofork/internal/entry"
 	"bamboofork/internal/ledger"
+	"bamboofork/internal/standin"
 	"bamboofork/internal/worker"
 )
 
@@ -106,3 +107,21 @@
 		qt.Check(t, resp.outcome == "done" || resp.outcome == "unknown", qt.IsTrue, qt.Commentf("%d %s %s", resp.status, resp.outcome, resp.body))
 	}
 }
+
+// Guards against tasks that still run on a worker after its agent has stopped, because a checkpoint call had no response.
+func TestHandOverRepeatsUnansweredCheckpoints(t *testing.T) {
+	f := startSmallFleet(t)
+	defer func() { qt.Check(t, f.Stop(), qt.IsNil) }()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	submitJob(t, ctx, f, "spread", entry.JobRequest{Branch: "workshop/moulding-plans", Tasks: 8, Need: worker.Resources{Cores: 12}, RunMs: 600_000})
+	awaitWorkersUse(t, ctx, f, 12)
+	h := f.Agent(0)
+	h.Worker.SetFaults(standin.WorkerFaults{Paused: true})
+	time.AfterFunc(2*time.Second, func() { h.Worker.SetFaults(standin.WorkerFaults{}) }) // after the first checkpoint calls
+	qt.Check(t, h.Stop(), qt.IsNil)
+	f.Remove(h)
+	for kind, cores := range h.Worker.CoresByKind() {
+		t.Errorf("tasks of kind %s still use %.0f cores", kind, cores)
+	}
+}
