--- a/internal/partition/repeatedcall_test.go
+++ b/internal/partition/repeatedcall_test.go
@@ -92,7 +92,8 @@
 }
 
 // Guards against a call that reports that it had no effect although an earlier attempt may have had one: a later refusal proves
-// only that the later attempt had none. Also guards against a call that is given up because its connection broke.
+// only that the later attempt had none. Also guards against a call that is given up because its connection broke or because its owner
+// stopped before the outcome of a write was known.
 func TestCallAfterALostReply(t *testing.T) {
 	for name, test := range map[string]struct {
 		results []callResult
@@ -104,6 +105,8 @@
 		"no owner after it":                {[]callResult{{err: peer.ErrOutcomeUnknown}, {code: wire.CodeNotOwner}}, "", peer.ErrOutcomeUnknown},
 		"owner unreachable after it":       {[]callResult{{err: peer.ErrOutcomeUnknown}, {err: peer.ErrNotSent}}, "", peer.ErrOutcomeUnknown},
 		"store unavailable after it":       {[]callResult{{err: peer.ErrOutcomeUnknown}, {code: wire.CodeNoStore}}, "", peer.ErrOutcomeUnknown},
+		"uncertain, then reply":            {[]callResult{{code: wire.CodeUncertain}, {code: wire.CodeNotOwner}, {code: wire.CodeOK}}, wire.CodeOK, nil},
+		"uncertain, then no owner":         {[]callResult{{code: wire.CodeUncertain}, {code: wire.CodeNotOwner}}, "", peer.ErrOutcomeUnknown},
 		"no owner at all":                  {[]callResult{{code: wire.CodeNotOwner}}, "", ErrNotOwner},
 		"store unavailable from the start": {[]callResult{{code: wire.CodeNoStore}}, wire.CodeNoStore, nil},
 	} {
