Release the keys of partitions that a stopping agent claimed and did not recover

Cause: an agent that stops between the claim of a partition and the end of its recovery leaves the owner's key to the end of its lease. The lease used to end soon after; since the partitions are handed over while requests finish, it is kept until the requests have ended (up to 61.5 s with the defaults), and the partition has no owner for as long. Change: the manager remembers the keys that it holds, or may hold after a lost response, without an owner, and releases them when it stops. Evidence: TestClaimedPartitionIsReleasedBeforeItsRecovery failed before and passes now. Found by reading.

--- a/internal/partition/manager.go
+++ b/internal/partition/manager.go
@@ -46,6 +46,9 @@
 	viewByPartition  map[int]ownerView // owners of the other partitions as last read
 	ownerReadLimiter *rate.Limiter     // limits the reads of owner keys
 	wg               sync.WaitGroup
+
+	// ownerlessKeys holds the owner keys that this process holds or may hold without an Owner, with their leases. Used by Run only.
+	ownerlessKeys map[int]store.LeaseID
 }
 
 // NewManager returns a manager that owns no partitions yet.
@@ -58,7 +61,7 @@
 	}
 	return &Manager{
 		cfg: cfg, store: st, keeper: keeper, membership: members, rpc: rpc, log: log, owners: map[int]*Owner{},
-		viewByPartition: map[int]ownerView{}, ownerReadLimiter: rate.NewLimiter(ownerReadsPerSecond, ownerReadBurst),
+		ownerlessKeys: map[int]store.LeaseID{}, viewByPartition: map[int]ownerView{}, ownerReadLimiter: rate.NewLimiter(ownerReadsPerSecond, ownerReadBurst),
 	}
 }
 
--- a/internal/partition/owner_test.go
+++ b/internal/partition/owner_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -300,6 +302,48 @@
 	})
 }
 
+// unreadableLogs is a store whose logs of partitions cannot be read.
+type unreadableLogs struct{ store.Store }
+
+func (s unreadableLogs) Get(ctx context.Context, key string) (store.KV, error) {
+	if strings.HasPrefix(key, LogPrefix(0)) {
+		return store.KV{}, store.ErrUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// TestClaimedPartitionIsReleasedBeforeItsRecovery guards against a partition that stays without an owner while a stopping process keeps
+// its lease for open requests, because the process claimed the partition and did not recover it.
+func TestClaimedPartitionIsReleasedBeforeItsRecovery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		engine := memstore.New()
+		st := unreadableLogs{memstore.NewFaulty(engine, 1)}
+		leaseCtx, endLease := context.WithCancel(context.Background())
+		ctx, stop := context.WithCancel(context.Background())
+		keeper := lease.NewKeeper(st, 3*time.Second, zerolog.Nop())
+		m := NewManager(Config{MemberID: "a", ProcessID: "a-1", Addr: "a", PartitionCount: 1, MaxPartitions: 1}, st, keeper, emptyView{}, nil, zerolog.Nop())
+		done := make(chan struct{}, 2)
+		go func() { _ = keeper.Run(leaseCtx); done <- struct{}{} }()
+		go func() { _ = m.Run(ctx); done <- struct{}{} }()
+		record := func() (rec OwnerRecord) {
+			kv, err := engine.Get(ctx, OwnerKey(0))
+			c.Assert(err, qt.IsNil)
+			if kv.ModRevision > 0 {
+				c.Assert(json.Unmarshal(kv.Value, &rec), qt.IsNil)
+			}
+			return rec
+		}
+		time.Sleep(4 * time.Second)
+		c.Check(record().ID, qt.Equals, "a-1")
+		stop()
+		<-done
+		c.Check(record().Released, qt.IsTrue)
+		endLease()
+		<-done
+	})
+}
+
 // TestPruneAfterRetention guards against unbounded growth of the state. It also guards against pruning before the retention has
 // expired, and against pruning open claims.
 func TestPruneAfterRetention(t *testing.T) {
--- a/internal/partition/ownerclaim.go
+++ b/internal/partition/ownerclaim.go
@@ -12,7 +12,8 @@
 	"bamboofork/internal/store"
 )
 
-// Run claims partitions until ctx is done, then waits until their owners have released them.
+// Run claims partitions until ctx is done, then waits until their owners have released them. It also releases the keys of partitions
+// that were claimed and not recovered, because the process may keep its lease for much longer.
 func (m *Manager) Run(ctx context.Context) error {
 	ticker := time.NewTicker(claimInterval)
 	defer ticker.Stop()
@@ -20,6 +21,9 @@
 		m.claimDue(ctx)
 		select {
 		case <-ctx.Done():
+			for id, leaseID := range m.ownerlessKeys {
+				m.releaseKey(id, leaseID)
+			}
 			m.wg.Wait()
 			return nil
 		case <-ticker.C:
@@ -98,12 +102,14 @@
 	if err != nil {
 		return
 	}
+	m.ownerlessKeys[id] = leaseID
 	res, err := m.store.CompareAndSwap(ctx, OwnerKey(id), modRevision, value, leaseID)
 	if errors.Is(err, store.ErrUncertain) {
 		m.scheduleRead(id, time.Now())
 		return
 	}
 	if err != nil || !res.Swapped {
+		delete(m.ownerlessKeys, id)
 		return
 	}
 	m.recoverPartition(ctx, id, leaseID)
@@ -113,6 +119,7 @@
 // checkOwner retries while the lease is valid.
 func (m *Manager) recoverPartition(ctx context.Context, id int, leaseID store.LeaseID) {
 	started := time.Now()
+	m.ownerlessKeys[id] = leaseID
 	log := caslog.New(m.store, LogPrefix(id), m.cfg.ProcessID)
 	cfg := OwnerConfig{Partition: id, OutageHold: m.cfg.OutageHold, Retention: m.cfg.Retention,
 		AppendsPerSecond: storeAppendsPerSecond / float64(m.cfg.PartitionCount)}
@@ -127,6 +134,7 @@
 	invariant.Check(m.owners[id] == nil, "one_owner_per_partition", "partition %d is owned twice in one process", id)
 	m.owners[id] = o
 	m.mu.Unlock()
+	delete(m.ownerlessKeys, id)
 	m.wg.Add(1)
 	go m.runOwner(ctx, o, leaseID)
 }
