Consider overdue perpetual tasks behind one that has just begun to wait

Callers: a perpetual task that had waited for longer than overdueWaitMs did not get the reserve for short tasks while an earlier task of its step had only just ended. With tasks that fail one after the other, the wait of the last one had no bound of its own.

Cause: the planning of a step stopped at the first waiting task without a worker, because all tasks of a step need the same resources. Whether a task may use the reserve depends on its own wait.

Change: the later tasks of a perpetual step are considered too.

Evidence: TestOverdueTaskDoesNotWaitForAnEarlierOne failed before (no assignment) and passes; go test ./internal/placement passes.

--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -57,7 +57,10 @@
 				releaseGang(plan, s, step)
 				return nil
 			}
-			break // all tasks of a step need the same resources
+			if !step.Perpetual {
+				break // all tasks of a step need the same resources
+			}
+			continue // a later task may be overdue
 		}
 		pace := max(minStartPace, speed)
 		s.Allocate(worker, step, c.job.ID, pace)
