Hold workers for perpetual tasks that short tasks keep waiting

Callers: a perpetual task that needs much CPU did not start for as long as short tasks waited too.

Cause: every pass plans afresh. A short task that ends frees less than a large task needs, and the next short task takes it in the same pass, so that no worker ever gathers enough. The reserve for short tasks was also counted against what short tasks use.

Change: an overdue perpetual task counts the reserve against perpetual tasks alone. Event 3620 also has the workers that are held and those that would fit without short tasks.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -36,6 +36,7 @@
 
 	rated    *[]rating // by position in the snapshot
 	hasRated bool      // rated belongs to this step
+	isFull   bool      // no worker was found; the resources only shrink while the step is planned
 }
 
 // rating is the suitability of one worker for a task of the step.
@@ -58,10 +59,18 @@
 	return newChooserWhere(snapshot, 1, step, stepTasksByRack, 0, func(worker *Worker) bool { return admits(worker, j, step) })
 }
 
+// newOverdueChooser returns the chooser for a perpetual task that has waited for overdueWaitMs. The reserve counts as free while short
+// tasks use it: a worker that short tasks keep busy would otherwise never take a perpetual task.
+func newOverdueChooser(snapshot *Snapshot, j *jobs.Job, step *jobs.Step, stepTasksByRack map[string]int) *chooser {
+	return newChooserWhere(snapshot, 2, step, stepTasksByRack, minStartSpeed, func(worker *Worker) bool {
+		return admits(worker, j, step) && hasRoomBesidePerpetual(worker, step) && hasIdleCPU(worker, step)
+	})
+}
+
 func newChooserWhere(snapshot *Snapshot, buffer int, step *jobs.Step, stepTasksByRack map[string]int, speedFloor float64,
 	eligible func(worker *Worker) bool) *chooser {
 	if snapshot.ratings == nil {
-		snapshot.ratings = &[2][]rating{}
+		snapshot.ratings = &[3][]rating{}
 	}
 	c := &chooser{snapshot: snapshot, step: step, speedFloor: speedFloor, eligible: eligible, stepTasksByRack: stepTasksByRack,
 		rated: &snapshot.ratings[buffer]}
@@ -74,6 +83,9 @@
 // choose returns the eligible worker with the highest score and the share of full speed that a best-effort task gets there, or nil
 // if the task fits on none. A task avoids the worker on which it failed.
 func (c *chooser) choose(task *jobs.Task) (*Worker, float64) {
+	if c.isFull {
+		return nil, 1
+	}
 	if !c.hasRated || c.step.SameRack { // a placement changes the scores of all workers of the rack
 		c.rateAll()
 	}
@@ -95,6 +107,7 @@
 		}
 	}
 	if best == nil {
+		c.isFull = true
 		return nil, 1
 	}
 	return chosen, best.speed
@@ -129,15 +142,17 @@
 	return rating{eligible: true, speed: speed, score: scoreWorker(worker, c.step, speed, addedLoad, c.stepTasksByRack)}
 }
 
-// overdueWaitMs is how long a perpetual task may wait while there are free resources for two tasks of its size.
+// overdueWaitMs is how long a perpetual task may wait before it may use the reserve for short tasks.
 const overdueWaitMs = 1200
 
-// isOverdue reports whether a perpetual task has waited for overdueWaitMs, so that it may use the reserve for short tasks. After a
-// loss of workers, the reserve would otherwise keep perpetual tasks waiting indefinitely although enough resources are free.
-func isOverdue(snapshot *Snapshot, j *jobs.Job, step *jobs.Step, task *jobs.Task) bool {
-	if !step.Perpetual || task.WaitingSinceMs == 0 || snapshot.BootTimeMs-task.WaitingSinceMs < overdueWaitMs {
-		return false
-	}
+// isOverdue reports whether a perpetual task has waited for overdueWaitMs.
+func isOverdue(snapshot *Snapshot, step *jobs.Step, task *jobs.Task) bool {
+	return step.Perpetual && task.WaitingSinceMs > 0 && snapshot.BootTimeMs-task.WaitingSinceMs >= overdueWaitMs
+}
+
+// fitsTwice reports whether there are free resources for two tasks of the step. An overdue task then uses the reserve: after a loss of
+// workers, the reserve would otherwise keep perpetual tasks waiting indefinitely although enough resources are free.
+func fitsTwice(snapshot *Snapshot, j *jobs.Job, step *jobs.Step) bool {
 	fitting := 0
 	for _, worker := range snapshot.Workers {
 		if admits(worker, j, step) {
@@ -154,18 +169,35 @@
 
 // admits reports whether the worker accepts a task of the step that is being planned and has the free resources for the task.
 func admits(worker *Worker, j *jobs.Job, step *jobs.Step) bool {
+	return accepts(worker, j, step) && worker.Free.Fits(Need(step))
+}
+
+// accepts reports whether the worker accepts a task of the step that is being planned, whatever its free resources.
+func accepts(worker *Worker, j *jobs.Job, step *jobs.Step) bool {
 	return worker.MaxStarts != 0 &&
 		!(step.BestEffort && worker.BestEffortPaused) &&
 		worker.Service == j.Queue.Service &&
 		worker.HasLabel(step.Label) &&
-		(step.MaxPerWorker == 0 || worker.stepTasks < step.MaxPerWorker) &&
-		worker.Free.Fits(Need(step))
+		(step.MaxPerWorker == 0 || worker.stepTasks < step.MaxPerWorker)
 }
 
 // leavesReserve reports whether the reserve for short tasks remains free if a task of the step starts on the worker. Only perpetual
 // tasks must leave the reserve free.
 func leavesReserve(worker *Worker, step *jobs.Step) bool {
-	return !step.Perpetual || worker.Free.CPU-step.CPU >= int(shortTaskReserveFraction*float64(worker.Capacity.CPU))
+	return !step.Perpetual || worker.Free.CPU-step.CPU >= shortTaskReserve(worker)
+}
+
+// shortTaskReserve returns the CPU of the worker that perpetual tasks leave free for short tasks, in thousandths of a core.
+func shortTaskReserve(worker *Worker) int {
+	return int(shortTaskReserveFraction * float64(worker.Capacity.CPU))
+}
+
+// hasRoomBesidePerpetual reports whether a task of the step and the reserve for short tasks fit on the worker beside its perpetual
+// tasks alone.
+func hasRoomBesidePerpetual(worker *Worker, step *jobs.Step) bool {
+	room := worker.Capacity.Sub(worker.perpetual)
+	room.CPU -= shortTaskReserve(worker)
+	return room.Fits(Need(step))
 }
 
 // hasIdleCPU reports whether the worker has idle CPU time for a best-effort task of the step. The first best-effort task on a worker
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -5,10 +5,15 @@
 // Plan returns an assignment for each task that starts now, in the order in which the tasks were chosen.
 func Plan(s *Snapshot) []Assignment {
 	var plan []Assignment
-	for _, c := range placementOrder(s) {
+	var waiting holds
+	order := placementOrder(s)
+	for i, c := range order {
+		if i > 0 && (!c.isPerpetual || c.job.Queue.Priority != order[i-1].job.Queue.Priority) {
+			waiting.apply(s) // the perpetual jobs of the priority have been planned
+		}
 		for stepIndex := range c.job.Spec.Steps {
 			if c.job.Occurrences[c.occ].Steps[stepIndex].WaitingTasks > 0 && c.job.StepReady(c.occ, stepIndex) {
-				plan = append(plan, planStep(s, c, stepIndex)...)
+				plan = append(plan, planStep(s, c, stepIndex, &waiting)...)
 			}
 		}
 	}
@@ -16,8 +21,8 @@
 }
 
 // planStep returns assignments for the waiting tasks of one step that fit, and allocates the resources. A gang is assigned as a whole
-// or not at all.
-func planStep(s *Snapshot, c candidate, stepIndex int) []Assignment {
+// or not at all. It adds overdue tasks that fit nowhere to waiting.
+func planStep(s *Snapshot, c candidate, stepIndex int, waiting *holds) []Assignment {
 	step := &c.job.Spec.Steps[stepIndex]
 	stepState := &c.job.Occurrences[c.occ].Steps[stepIndex]
 	if step.Advised {
@@ -39,17 +44,31 @@
 	}
 	var plan []Assignment
 	choosers := []*chooser{newChooser(s, c.job, step, stepTasksByRack)}
+	var overdueChooser, starvedChooser *chooser
+	mayFitTwice := true
 	for index := range stepState.Tasks {
 		task := &stepState.Tasks[index]
 		if task.State != jobs.TaskWaiting {
 			continue
 		}
 		worker, speed := choosers[0].choose(task)
-		if worker == nil && (c.isStarved || isOverdue(s, c.job, step, task)) {
-			if len(choosers) == 1 {
-				choosers = append(choosers, newStarvedChooser(s, c.job, step, stepTasksByRack))
+		overdue := worker == nil && isOverdue(s, step, task)
+		if overdue {
+			if overdueChooser == nil {
+				overdueChooser = newOverdueChooser(s, c.job, step, stepTasksByRack)
+				choosers = append(choosers, overdueChooser)
+			}
+			worker, speed = overdueChooser.choose(task)
+		}
+		if worker == nil && overdue && mayFitTwice {
+			mayFitTwice = fitsTwice(s, c.job, step)
+		}
+		if worker == nil && (c.isStarved || (overdue && mayFitTwice)) {
+			if starvedChooser == nil {
+				starvedChooser = newStarvedChooser(s, c.job, step, stepTasksByRack)
+				choosers = append(choosers, starvedChooser)
 			}
-			worker, speed = choosers[1].choose(task)
+			worker, speed = starvedChooser.choose(task)
 			c.isStarved = false
 		}
 		if worker == nil {
@@ -60,7 +79,10 @@
 			if !step.Perpetual {
 				break // all tasks of a step need the same resources
 			}
-			continue // a later task may be overdue
+			if overdue {
+				waiting.add(s, c, stepIndex, task)
+			}
+			continue
 		}
 		pace := max(minStartPace, speed)
 		s.Allocate(worker, step, c.job.ID, pace)
@@ -85,6 +107,9 @@
 // same users. pace is the share of full speed at which a best-effort task runs.
 func (s *Snapshot) Allocate(worker *Worker, step *jobs.Step, group string, pace float64) {
 	worker.Free = worker.Free.Sub(Need(step))
+	if step.Perpetual {
+		worker.perpetual = worker.perpetual.Add(Need(step))
+	}
 	if worker.MaxStarts > 0 {
 		worker.MaxStarts--
 	}
@@ -129,6 +154,9 @@
 		for _, worker := range s.Workers {
 			if worker.Name == a.Place.Worker {
 				worker.Free = worker.Free.Add(Need(step))
+				if step.Perpetual {
+					worker.perpetual = worker.perpetual.Sub(Need(step))
+				}
 				worker.IdleCPU += step.CPU
 			}
 		}
--- a/internal/placement/shortage.go
+++ b/internal/placement/shortage.go
@@ -7,6 +7,8 @@
 	Workers      int // workers that take starts, of the service and with the label that the step needs
 	Fitting      int // workers with the free resources for a task
 	Full         int // workers that already run as many tasks of the step as they may
+	BesideShort  int // workers on which a perpetual task fits once their short tasks have ended
+	Held         int // workers that start no short tasks until a perpetual task fits; their free resources are reduced by its needs
 	Fits         int // tasks of the step that the free resources of all workers hold, one worker after the other
 	FreeCPU      int // free CPU of all workers, in thousandths of a core
 	MaxFreeCPU   int // largest free CPU of one worker
@@ -29,6 +31,12 @@
 		if step.MaxPerWorker > 0 && worker.stepTasks >= step.MaxPerWorker {
 			shortage.Full++
 		}
+		if worker.isHeld {
+			shortage.Held++
+		}
+		if accepts(worker, j, step) && hasRoomBesidePerpetual(worker, step) {
+			shortage.BesideShort++
+		}
 		if admits(worker, j, step) {
 			shortage.Fitting++
 			shortage.Fits += fittingTasks(worker, step)
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -32,9 +32,9 @@
 	return Resources{r.CPU - o.CPU, r.MemMB - o.MemMB, r.GPU - o.GPU}
 }
 
-// Fits reports whether r covers the need.
+// Fits reports whether r covers the need. An amount of r may be negative; a task that needs nothing of it fits.
 func (r Resources) Fits(need Resources) bool {
-	return need.CPU <= r.CPU && need.MemMB <= r.MemMB && need.GPU <= r.GPU
+	return need.CPU <= max(0, r.CPU) && need.MemMB <= max(0, r.MemMB) && need.GPU <= max(0, r.GPU)
 }
 
 // Worker is the view that the owner of the jobs has of one worker.
@@ -59,7 +59,9 @@
 	// a time.
 	MaxStarts int
 
-	bestEffortCPU int // CPU in use by best-effort tasks at their paces, in thousandths of a core
+	bestEffortCPU int       // CPU in use by best-effort tasks at their paces, in thousandths of a core
+	perpetual     Resources // reservations of the perpetual tasks
+	isHeld        bool      // see holds
 
 	stepTasks int // number of placed tasks of the step that is being planned; see Snapshot.countStepTasks
 	position  int // index of the worker in the snapshot of the step that is being planned
@@ -103,7 +105,7 @@
 
 	pairs        *pairTable         // see Snapshot.pairTable
 	workerByName map[string]*Worker // of all workers of the pass; see Snapshot.worker
-	ratings      *[2][]rating       // buffers of the choosers, reused for each step of the pass
+	ratings      *[3][]rating       // buffers of the choosers, reused for each step of the pass
 }
 
 // StepID identifies a step of one occurrence of a job. Occ and Step are indexes.
