Announce the end of a worker in the store, for owners that never reach its agent

Cause: only the agent knows that its worker has shut down, and it tells the connected owner. If the owner cannot be reached at that time and the host is removed with the worker, the knowledge is lost. The next owner must then assume that its predecessor confirmed reports until after the takeover, and waits for the margin of the takeover (2.5 s) and the whole hold (10.5 s) from the start of its term.

Change: an agent whose worker unregisters while runs of it may not be confirmed writes the lifetime that has ended into its announcement in the store, once more after its own shutdown began. An owner that reads it ends the runs of exactly this lifetime. Nothing else shortens a hold: a worker that only refuses connections may come back in the same lifetime and is not announced.

--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -25,6 +25,9 @@
 	Follower        *ownerconn.Follower
 	MaxHoldDuration time.Duration // how long runs stay held after the latest report that the owner has acknowledged was sent
 	StopTimeout     time.Duration // upper bound on the time the worker takes to stop a run
+	// WorkerEnded is called with the lifetime of a worker that has shut down, if runs of it may have ended that the owner has not
+	// confirmed. It does not block; nil: nothing is called.
+	WorkerEnded func(lifetime int64)
 }
 
 // Agent is one incarnation of the agent beside a worker. mu is its only lock and guards all fields below it.
@@ -163,6 +166,9 @@
 		return
 	}
 	a.refusedConns = 0
+	if a.cfg.WorkerEnded != nil && (!a.runsListed || len(a.runByTask) > 0 || len(a.unackedEnds) > 0) {
+		a.cfg.WorkerEnded(a.worker.Lifetime)
+	}
 	a.markWorkerGone()
 }
 
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -12,6 +12,7 @@
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/election"
 	"bamboofork/internal/events"
+	"bamboofork/internal/jobs"
 	"bamboofork/internal/network"
 	"bamboofork/internal/placement"
 	"bamboofork/internal/session"
@@ -26,6 +27,8 @@
 	Name  string `json:"name"`
 	Addr  string `json:"addr"`
 	Agent bool   `json:"agent"`
+	// EndedLifetime is a lifetime of the agent's worker that has ended; 0: none has ended while runs of it were not confirmed.
+	EndedLifetime int64 `json:"ended_lifetime,omitempty"`
 }
 
 type conn = session.Conn[session.ToMember, session.FromMember]
@@ -153,6 +156,10 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if announced.EndedLifetime != 0 {
+		o.endRunsOfLifetime(announced.Name, announced.EndedLifetime)
+		announced.EndedLifetime = 0
+	}
 	member := o.members[announced.Name]
 	if member != nil && member.Member == announced {
 		return
@@ -172,6 +179,20 @@
 	wg.Go(func() { o.keepConnected(ctx, member, announced.Addr, addrReplaced) })
 }
 
+// endRunsOfLifetime ends the runs of a lifetime of a worker that has shut down. Its agent may not live to report the end.
+func (o *Owner) endRunsOfLifetime(name string, lifetime int64) {
+	if member := o.members[name]; member != nil && member.worker != nil && member.worker.Lifetime == lifetime && !member.worker.Gone {
+		gone := *member.worker
+		gone.Gone = true
+		member.worker = &gone
+	}
+	for _, placed := range o.placedByAgent[name] {
+		if placed.task.Lifetime == lifetime {
+			o.endRun(placed, jobs.EndLost, "", "the worker's end was announced")
+		}
+	}
+}
+
 // keepConnected keeps a connection to the member until its address is replaced or ctx is done.
 func (o *Owner) keepConnected(ctx context.Context, member *memberView, addr string, addrReplaced <-chan struct{}) {
 	delay, failureLogged := minRedialDelay, false
--- a/internal/ownerconn/ownerconn.go
+++ b/internal/ownerconn/ownerconn.go
@@ -228,6 +228,16 @@
 	return nil
 }
 
+// AnnounceFinally is Announce with one more attempt if ctx is done before the value is stored.
+func AnnounceFinally(ctx context.Context, st store.Store, log *zerolog.Logger, key string, v any) error {
+	if err := Announce(ctx, st, log, key, v); err != nil || ctx.Err() == nil {
+		return err
+	}
+	final, cancel := context.WithTimeout(context.WithoutCancel(ctx), announceTimeout)
+	defer cancel()
+	return Announce(final, st, log, key, v)
+}
+
 // announceOnce makes one attempt to store the value. It writes nothing if the key already has the value.
 func announceOnce(ctx context.Context, st store.Store, key string, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
