Count the wait of a task from the last report of its lost worker

Callers: a perpetual task whose worker was lost stayed away for the hold of the worker and then for 1.2 s more on a fleet whose free CPU is the reserve for short tasks.

Cause: the wait began with the recorded end of the run, which comes when the hold has expired, although the run may have been over for as long as the hold.

Change: the wait counts from the last report of the worker, so that the task is overdue, and may use the reserve, as soon as its run is known to be over.

Evidence: TestWaitOfATaskCountsFromTheLastReportOfItsWorker failed before (0 ms of wait) and passes. Found by reading.

--- a/internal/jobowner/hold_test.go
+++ b/internal/jobowner/hold_test.go
@@ -76,6 +76,16 @@
 	qt.Check(t, checkTimeoutsNow(o), qt.IsTrue)
 }
 
+// Guards against a perpetual task that waits for the reserve of short tasks again after it has been away for the whole hold.
+func TestWaitOfATaskCountsFromTheLastReportOfItsWorker(t *testing.T) {
+	o, member := ownerWithLastingRun(t, 20*time.Second)
+	o.handleMessage(member, &session.FromMember{ReportSeq: 1})
+	member.lastReportAt = boottime.Now() - testMaxHold - 500*time.Millisecond
+	qt.Assert(t, checkTimeoutsNow(o), qt.IsTrue)
+	task := &o.jobsState.Jobs["aaaaaaaaaaaaaaaa"].Occurrences[0].Steps[0].Tasks[0]
+	qt.Check(t, task.WaitingSinceMs, qt.Equals, member.lastReportAt.Milliseconds())
+}
+
 // Guards against a host that was removed and whose address a new host has taken over. The owner announced itself to the new host
 // under both names, so that each of the two connections ended the other one, without an end, and the messages of the new host
 // extended the hold of the worker that was removed with the old one.
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -128,6 +128,7 @@
 	}
 	for _, placed := range tasks {
 		o.endRun(placed, jobs.EndLost, "", "the worker is unreachable and its hold has expired")
+		placed.task.WaitingSinceMs = lastReportAt.Milliseconds() // the run may have ended right after the report
 	}
 }
 
