--- /dev/null
+++ b/internal/deployed/lasting_test.go
@@ -0,0 +1,132 @@
+package deployed
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bamboofork/internal/app"
+)
+
+// Guards against a perpetual task that stays away for the whole hold after its worker has said that it ends: the host was removed while
+// there was no owner, so that only the agent of the removed host knew of the end.
+func TestTaskOfARemovedHostIsRestartedByTheNextOwner(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playRemovedHost(t, seed) })
+		})
+	}
+}
+
+const (
+	lastingJob   = "b000000000000001"
+	lastingTasks = 12
+)
+
+// newLastingFleet returns a fleet on which the perpetual tasks of lastingJob run.
+func newLastingFleet(t *testing.T, seed uint64) *virtualFleet {
+	f := newVirtualFleet(t, seed)
+	time.Sleep(2 * time.Second)
+	body := fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"cpu":2000,"mem_mb":100,"estimate_ms":300,"perpetual":true,"anti_affinity":3}]}`, lastingTasks)
+	if code, answer := f.request(f.entries[0], http.MethodPost, lastingJob, body); code != http.StatusOK {
+		t.Fatal(code, answer)
+	}
+	time.Sleep(2 * time.Second)
+	if running := f.checker.RunningTaskCount(lastingJob); running != lastingTasks {
+		t.Fatalf("%d of %d tasks run", running, lastingTasks)
+	}
+	return f
+}
+
+// otherHost returns a host that is not the owner's.
+func (f *virtualFleet) otherHost() *virtualMachine {
+	if f.hosts[0] == f.owner() {
+		return f.hosts[1]
+	}
+	return f.hosts[0]
+}
+
+// awaitLastingTasks waits until all perpetual tasks run, and fails the test if that takes longer than the limit.
+func (f *virtualFleet) awaitLastingTasks(limit time.Duration) {
+	since := time.Now()
+	for f.checker.RunningTaskCount(lastingJob) < lastingTasks && time.Since(since) < 3*limit {
+		time.Sleep(50 * time.Millisecond)
+	}
+	if took := time.Since(since); took > limit {
+		f.t.Errorf("all tasks run after %s, want %s", took, limit)
+	}
+}
+
+// restartLimit is the time since its last run from which the operators count a perpetual task as missing.
+const restartLimit = 6 * time.Second
+
+func playRemovedHost(t *testing.T, seed uint64) {
+	f := newLastingFleet(t, seed)
+	defer f.close()
+	owner, removed := f.owner(), f.otherHost()
+	f.network.setLink(owner.ip, owner.storeIP, linkFaults{cut: true})
+	for _, m := range f.machines() {
+		if m != owner {
+			f.network.setLink(owner.ip, m.ip, linkFaults{cut: true})
+			f.network.setLink(m.ip, owner.ip, linkFaults{cut: true})
+		}
+	}
+	removed.left = true
+	removed.stopRegister()
+	removed.worker.Crash()
+	removed.workerServer.Close()
+	removed.worker.Unregister(f.client, removed.cfg.Listen.Registrations)
+	time.Sleep(300 * time.Millisecond)
+	f.stop(removed)
+	if f.checker.RunningTaskCount(lastingJob) == lastingTasks {
+		t.Fatal("no task ran on the removed host")
+	}
+	f.awaitLastingTasks(restartLimit)
+}
+
+// Guards against tasks that are started twice, or not at all, because the agent of their worker came back at another address.
+func TestAgentAtAnotherAddressKeepsItsRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLastingFleet(t, 1)
+		defer f.close()
+		moved := f.otherHost()
+		starts := f.checker.StartCount()
+		moved.stopRegister()
+		f.kill(moved, true)
+		time.Sleep(time.Second)
+		const ip = "10.0.0.99"
+		moved.ip, moved.cfg.Listen.Peers, moved.cfg.Listen.Registrations, moved.cfg.Listen.Metrics = ip, ip+":7000", ip+":7001", ip
+		f.launch(moved)
+		ctx, cancel := context.WithCancel(context.Background())
+		moved.stopRegister = cancel
+		f.wg.Go(func() {
+			app.Every(ctx, 200*time.Millisecond, func() { moved.worker.Register(f.client, ip+":7001", moved.cfg.Worker) })
+		})
+		time.Sleep(20 * time.Second)
+		if f.checker.StartCount() != starts || f.checker.RunningTaskCount(lastingJob) != lastingTasks {
+			t.Errorf("%d starts, want %d; %d tasks run", f.checker.StartCount(), starts, f.checker.RunningTaskCount(lastingJob))
+		}
+		moved.worker.Crash()
+		f.awaitLastingTasks(restartLimit)
+	})
+}
+
+// Guards against perpetual tasks that stay away while a worker goes down and up by turns.
+func TestTasksOfAFlappingWorkerAreRestarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLastingFleet(t, 2)
+		defer f.close()
+		flapping := f.otherHost()
+		for range 8 {
+			flapping.worker.Crash()
+			f.awaitLastingTasks(restartLimit)
+			time.Sleep(f.between(100*time.Millisecond, 2*time.Second))
+		}
+		if violations := f.checker.Violations(); len(violations) > 0 {
+			t.Error(violations)
+		}
+	})
+}
