--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -56,6 +56,11 @@
 func (k *Key) Read(ctx context.Context) (Owner, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	return k.read(ctx)
+}
+
+// read is Read without a timeout of its own.
+func (k *Key) read(ctx context.Context) (Owner, int64, error) {
 	kv, err := k.store.Get(ctx, k.name)
 	if err != nil || kv.ModRevision == 0 {
 		return Owner{}, 0, err
@@ -77,6 +82,9 @@
 	confirmUnreplaced func(ctx context.Context) error
 	leaseID           store.LeaseID
 	validUntil        time.Duration // time on key.clock at which the lease counts as expired
+	confirmedAt       time.Duration // time on key.clock at which the call was sent that confirmed the lease last
+	confirmedRevision int64         // of the key as this owner wrote it last, after confirmUnreplaced
+	rewrittenAt       time.Duration // time on key.clock at which the key was written again during the term; 0: never
 	resigned          bool          // Resign was called; the lease is not renewed any more
 }
 
@@ -108,9 +116,10 @@
 		return eris.Wrap(err, "encode owner")
 	}
 	res, err := o.key.store.CompareAndSwap(ctx, o.key.name, revision, value, lease)
+	written := res.Current.ModRevision
 	switch {
 	case errors.Is(err, store.ErrUncertain):
-		err = o.resolveUncertainWrite(ctx, lease)
+		written, err = o.resolveUncertainWrite(ctx, lease)
 	case err == nil && !res.Swapped:
 		err = ErrTaken
 	}
@@ -120,6 +129,12 @@
 	if err := o.runConfirmUnreplaced(termCtx, lease); err != nil {
 		return err
 	}
+	o.mu.Lock()
+	if o.confirmedRevision != 0 {
+		o.rewrittenAt = o.key.clock()
+	}
+	o.confirmedRevision = written
+	o.mu.Unlock()
 	return o.adoptLease(lease, sentAt)
 }
 
@@ -141,16 +156,16 @@
 }
 
 // resolveUncertainWrite reads the key after the response to a write was lost. The write took effect if the key is attached to
-// the new lease; otherwise it returns ErrTaken.
-func (o *Ownership) resolveUncertainWrite(ctx context.Context, lease store.LeaseID) error {
+// the new lease; otherwise it returns ErrTaken. It returns the revision of the key.
+func (o *Ownership) resolveUncertainWrite(ctx context.Context, lease store.LeaseID) (int64, error) {
 	kv, err := o.key.store.Get(ctx, o.key.name)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if kv.ModRevision == 0 || kv.Lease != lease {
-		return ErrTaken
+		return 0, ErrTaken
 	}
-	return nil
+	return kv.ModRevision, nil
 }
 
 // adoptLease stores the new lease of the key. It ends the lease at once if the owner has resigned while the key was written.
@@ -171,7 +186,7 @@
 	if o.resigned {
 		return false
 	}
-	o.leaseID = lease
+	o.leaseID, o.confirmedAt = lease, sentAt
 	o.validUntil = sentAt + time.Duration(float64(LeaseTTL)*(1-driftMarginFraction))
 	return true
 }
@@ -182,6 +197,14 @@
 	return o.resigned
 }
 
+// RewrittenAt returns the time on the clock of the key at which the key was written again during the term, or 0. Another owner may
+// have held the key before that, and may count its lease as valid for up to LeaseTTL after it.
+func (o *Ownership) RewrittenAt() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.rewrittenAt
+}
+
 // LeaseValid reports whether the lease is still valid on a clock that includes the time during which the host was suspended.
 func (o *Ownership) LeaseValid() bool {
 	o.mu.Lock()
@@ -189,6 +212,34 @@
 	return o.key.clock() < o.validUntil
 }
 
+// ConfirmedAt returns the time on the clock of the key after which the lease and the key were confirmed last.
+func (o *Ownership) ConfirmedAt() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.confirmedAt
+}
+
+// ErrNotHeld is returned when the key does not name this process, or was written by this process without a check for other owners. A
+// renewal writes the key again.
+var ErrNotHeld = errors.New("the owner's key is not held")
+
+// CheckHeld reads the key and returns nil if this process holds it. It returns ErrTaken when another process is the owner.
+func (o *Ownership) CheckHeld(ctx context.Context) error {
+	owner, revision, err := o.key.read(ctx)
+	if err != nil {
+		return err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case revision != 0 && owner.Incarnation != o.self.Incarnation:
+		return ErrTaken
+	case revision == 0 || revision != o.confirmedRevision:
+		return ErrNotHeld
+	}
+	return nil
+}
+
 // KeepAlive renews the lease until ctx is done or the owner has resigned, and then returns nil. It returns ErrTaken when another
 // process has become the owner. It has to run from the moment of Acquire: recovery of a large log may take longer than the lease.
 func (o *Ownership) KeepAlive(ctx context.Context) error {
@@ -211,12 +262,12 @@
 
 // renew renews the lease once and confirms that the key still names this process. A candidate with evidence that this process
 // is dead or cannot reach the store overwrites the key without ending the lease, so a renewed lease alone proves nothing. If the
-// store has ended the lease, renew acquires the key with a new lease.
+// store has ended the lease, or the key belongs to a lease that did not become valid, renew acquires the key with a new lease.
 func (o *Ownership) renew(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	o.mu.Lock()
-	lease := o.leaseID
+	lease, confirmedRevision := o.leaseID, o.confirmedRevision
 	o.mu.Unlock()
 	sentAt := o.key.clock()
 	_, err := o.key.store.KeepAlive(callCtx, lease)
@@ -234,6 +285,8 @@
 		return o.acquire(ctx, 0)
 	case owner.Incarnation != o.self.Incarnation:
 		return ErrTaken
+	case revision != confirmedRevision && !o.hasResigned(): // written again, but the response or the check failed
+		return o.acquire(ctx, revision)
 	}
 	o.setLease(lease, sentAt)
 	return nil
--- a/internal/jobowner/commit_test.go
+++ b/internal/jobowner/commit_test.go
@@ -163,6 +163,40 @@
 	qt.Check(t, answer(o.cancelJob), qt.HasLen, 0)
 }
 
+// Guards against the same answer after the store has answered again: a candidate that was told of the silence may have taken the key
+// while the last write was under way, which the owner learns from its next renewal.
+func TestOwnerWhoseStoreAnswersAgainCallsNoJobUnknown(t *testing.T) {
+	st := memstore.New()
+	o := newTestOwner(t, st)
+	o.setAppendStart(boottime.Now() - 2*storeStallTimeout)
+	o.setAppendStart(0)
+	successor := replaceOwner(t, st)
+	accepted := submitTo(successor, "aaaaaaaaaaaaaaaa")
+	qt.Assert(t, commitsNothing(t, successor), qt.IsFalse)
+	qt.Assert(t, (<-accepted).Code, qt.Equals, session.CodeOK)
+
+	qt.Assert(t, o.ownership.LeaseValid(), qt.IsTrue)
+	var replies []session.Reply
+	o.mu.Lock()
+	o.getJob(&session.Request{JobID: "aaaaaaaaaaaaaaaa"}, func(r session.Reply) { replies = append(replies, r) })
+	o.cancelJob(&session.Request{JobID: "aaaaaaaaaaaaaaaa"}, func(r session.Reply) { replies = append(replies, r) })
+	o.mu.Unlock()
+	qt.Assert(t, replies, qt.HasLen, 1)
+	qt.Check(t, replies[0].Code, qt.Equals, session.CodeRejected)
+}
+
+// Guards against an owner that calls no job unknown any more after a short silence of its store.
+func TestOwnerIsCurrentAgainAfterARenewal(t *testing.T) {
+	o := newTestOwner(t, memstore.New())
+	o.setAppendStart(boottime.Now() - 2*storeStallTimeout)
+	o.setAppendStart(0)
+	qt.Check(t, o.isCurrent(), qt.IsFalse)
+	ctx, cancel := context.WithTimeout(t.Context(), election.LeaseTTL/2)
+	defer cancel()
+	qt.Assert(t, o.ownership.KeepAlive(ctx), qt.IsNil)
+	qt.Check(t, o.isCurrent(), qt.IsTrue)
+}
+
 // Guards against a job that a replaced owner acknowledges although no successor knows it. The successor's snapshot frees the position
 // of its fence, so it must wait until no lease of a predecessor can count as valid.
 func TestReplacedOwnerWithValidLeaseAppendsNothingAtAFreedPosition(t *testing.T) {
@@ -194,15 +228,60 @@
 
 // replaceOwner returns an owner that has taken the key from the owner of newTestOwner and writes a snapshot with each record.
 func replaceOwner(t *testing.T, st store.Store) *Owner {
+	o, err := recoverSuccessor(t, st, replaceKey(t, st))
+	qt.Assert(t, err, qt.IsNil)
+	return o
+}
+
+// replaceKey takes the key from the owner of newTestOwner.
+func replaceKey(t *testing.T, st store.Store) *election.Ownership {
 	key := election.NewKey(st, "owner", boottime.Now)
 	_, revision, err := key.Read(t.Context())
 	qt.Assert(t, err, qt.IsNil)
 	ownership, err := key.Acquire(t.Context(), election.Owner{Name: "host-1", Incarnation: "host-1-1"}, revision)
 	qt.Assert(t, err, qt.IsNil)
-	o, err := Recover(t.Context(), Config{Name: "host-1", Prefix: "jobs", Log: zerolog.Nop(), Metrics: telemetry.New(), Store: st,
+	return ownership
+}
+
+func recoverSuccessor(t *testing.T, st store.Store, ownership *election.Ownership) (*Owner, error) {
+	return Recover(t.Context(), Config{Name: "host-1", Prefix: "jobs", Log: zerolog.Nop(), Metrics: telemetry.New(), Store: st,
 		Network: network.TCP, Retention: time.Minute, MaxHold: 5 * time.Second, RecordsPerSnapshot: 1}, ownership, "host-1-1")
+}
+
+// removeKeyAndRenew removes the owner's key without ending its lease, and returns after the ownership has been renewed once.
+func removeKeyAndRenew(t *testing.T, st store.Store, ownership *election.Ownership) {
+	_, err := st.DeleteRange(t.Context(), "owner", "owner0")
 	qt.Assert(t, err, qt.IsNil)
-	return o
+	ctx, cancel := context.WithTimeout(t.Context(), election.LeaseTTL/4)
+	defer cancel()
+	qt.Assert(t, ownership.KeepAlive(ctx), qt.IsNil)
+}
+
+// Guards against a job that is acknowledged and lost, and against tasks that run twice: while a successor recovers, its key is removed,
+// and the owner before it writes its key again and keeps a valid lease.
+func TestSuccessorDoesNotServeBesideItsPredecessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := &slowLogStore{Store: memstore.New()}
+		predecessor := newTestOwner(t, st)
+		successorship := replaceKey(t, st)
+		duringRecovery := func(run func()) {
+			st.onRead = func() { st.onRead = nil; run() }
+		}
+		duringRecovery(func() { removeKeyAndRenew(t, st, predecessor.ownership) })
+		_, err := recoverSuccessor(t, st, successorship)
+		qt.Assert(t, predecessor.ownership.LeaseValid(), qt.IsTrue)
+		qt.Check(t, err, qt.ErrorIs, election.ErrTaken)
+
+		var keyRemovedAgain time.Duration
+		duringRecovery(func() {
+			keyRemovedAgain = boottime.Now()
+			removeKeyAndRenew(t, st, successorship)
+		})
+		successor, err := recoverSuccessor(t, st, successorship)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, predecessor.ownership.LeaseValid(), qt.IsTrue)
+		qt.Check(t, successor.startedAt > keyRemovedAgain, qt.IsTrue) // the predecessor may have renewed its lease until then
+	})
 }
 
 // commitsNothing makes the owner commit its pending changes, and reports whether there were none.
@@ -259,3 +338,65 @@
 	qt.Check(t, accepted.State, qt.Not(qt.Equals), jobs.Cancelled)
 	qt.Check(t, (<-cancelled).Code, qt.Equals, session.CodeRejected)
 }
+
+// Guards against changes of which a successor knows a later one and not an earlier one, or which are acknowledged although they were
+// cut off: the successor takes over while the changes of its predecessor are written as several records.
+func TestTakeoverBetweenRecordsOfOneCommitKeepsThePrefix(t *testing.T) {
+	st := &gatedStore{Store: memstore.New()}
+	o := newTestOwner(t, st)
+	st.gate = make(chan struct{})
+	const jobCount = 400
+	acknowledged := make(chan session.Reply, jobCount)
+	o.mu.Lock()
+	for i := range jobCount {
+		request := submission(fmt.Sprintf("%016x", i))
+		request.Spec.Payload = strings.Repeat("x", jobs.MaxPayload)
+		o.submitJob(request, func(r session.Reply) { acknowledged <- r })
+	}
+	o.cancelJob(&session.Request{JobID: fmt.Sprintf("%016x", jobCount-1)}, func(r session.Reply) { acknowledged <- r })
+	o.mu.Unlock()
+	committed := make(chan error, 1)
+	go func() {
+		_, err := o.commit(context.Background())
+		committed <- err
+	}()
+	st.gate <- struct{}{} // the first record
+	log := caslog.New(st.Store, "jobs", "reader")
+	for records, err := log.Read(t.Context(), 2); len(records) == 0; records, err = log.Read(t.Context(), 2) {
+		qt.Assert(t, err, qt.IsNil)
+	}
+
+	successor := replaceOwner(t, st.Store)
+	known := len(successor.jobsState.Jobs)
+	qt.Check(t, known > 0 && known < jobCount, qt.IsTrue, qt.Commentf("%d jobs", known))
+	for i := range known {
+		job := successor.jobsState.Jobs[fmt.Sprintf("%016x", i)]
+		qt.Assert(t, job, qt.IsNotNil, qt.Commentf("job %d of %d", i, known))
+		qt.Check(t, job.Ended(), qt.IsFalse)
+	}
+	st.gate <- struct{}{} // the second record
+	qt.Check(t, <-committed, qt.ErrorIs, caslog.ErrConflict)
+	qt.Check(t, acknowledged, qt.HasLen, 0)
+}
+
+// Guards against a snapshot that frees positions while the lease of another owner may count as valid: that owner has held the key for
+// a part of this owner's term, which began longer ago than a lease.
+func TestNoSnapshotSoonAfterTheKeyWasWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now().Add(-time.Hour)
+		bootClock := boottime.SetClock(func() time.Duration { return time.Since(start) })
+		defer func() { boottime.SetClock(bootClock) }()
+		st := memstore.New()
+		o := newTestOwner(t, st)
+		o.startedAt -= 2 * election.LeaseTTL // a long recovery
+		_, err := st.DeleteRange(t.Context(), "owner", "owner\x00")
+		qt.Assert(t, err, qt.IsNil)
+		ctx, cancel := context.WithTimeout(t.Context(), election.LeaseTTL/2)
+		defer cancel()
+		qt.Assert(t, o.ownership.KeepAlive(ctx), qt.IsNil) // writes the key again
+		qt.Assert(t, o.ownership.LeaseValid(), qt.IsTrue)
+		qt.Check(t, o.maySnapshot(), qt.IsFalse)
+		time.Sleep(election.LeaseTTL)
+		qt.Check(t, o.maySnapshot(), qt.IsTrue)
+	})
+}
