--- a/internal/deployed/virtual_test.go
+++ b/internal/deployed/virtual_test.go
@@ -813,10 +813,10 @@
 		f.t.Fatal(err)
 	}
 	req.Host = standin.QueueHost
-	var sentAt time.Time
-	trace := &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { sentAt = time.Now() }}
+	var sent atomic.Pointer[time.Time] // nil: not sent
+	trace := &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { now := time.Now(); sent.Store(&now) }}
 	resp, err := f.client.Do(req.WithContext(httptrace.WithClientTrace(context.Background(), trace)))
-	if errors.Is(err, syscall.ECONNREFUSED) && sentAt.IsZero() {
+	if errors.Is(err, syscall.ECONNREFUSED) && sent.Load() == nil {
 		return -1, ""
 	}
 	var b []byte
@@ -825,21 +825,28 @@
 		b, err = io.ReadAll(resp.Body)
 	}
 	if err != nil {
-		f.mu.Lock()
-		disturbed := !sentAt.After(entry.disturbedUntil)
-		f.mu.Unlock()
-		readFor := lossSlack
-		if errors.Is(err, context.DeadlineExceeded) { // the caller has given up; its client may have sent the request again meanwhile
-			readFor = callerDeadline - lossSlack
-		}
-		if !sentAt.IsZero() && !disturbed && time.Since(sentAt) > readFor {
-			f.violation("LOST: %s %s, sent to %s at %.3f, has no answer: %v", method, id, entry.cfg.Name, sentAt.Sub(f.start).Seconds(), err)
+		if sentAt := sent.Load(); sentAt != nil {
+			f.checkUnanswered(entry, method+" "+id, *sentAt, err)
 		}
 		return 0, ""
 	}
 	return resp.StatusCode, string(b)
 }
 
+// checkUnanswered checks that a request without an answer needed none.
+func (f *virtualFleet) checkUnanswered(entry *virtualMachine, request string, sentAt time.Time, err error) {
+	f.mu.Lock()
+	disturbed := !sentAt.After(entry.disturbedUntil)
+	f.mu.Unlock()
+	minWait := lossSlack
+	if errors.Is(err, context.DeadlineExceeded) { // the caller has given up; its client may have sent the request again meanwhile
+		minWait = callerDeadline - lossSlack
+	}
+	if !disturbed && time.Since(sentAt) > minWait {
+		f.violation("LOST: %s, sent to %s at %.3f, has no answer: %v", request, entry.cfg.Name, sentAt.Sub(f.start).Seconds(), err)
+	}
+}
+
 // submit makes one attempt to submit a job and returns the status code.
 func (f *virtualFleet) submit(job *virtualJob, entry *virtualMachine) int {
 	code, body := f.request(entry, http.MethodPost, job.id, job.body)
