--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -82,6 +82,7 @@
 	confirmUnreplaced func(ctx context.Context) error
 	leaseID           store.LeaseID
 	validUntil        time.Duration // time on key.clock at which the lease counts as expired
+	confirmedAt       time.Duration // time on key.clock at which the call was sent that confirmed the lease last
 	confirmedRevision int64         // of the key as this owner wrote it last, after confirmUnreplaced
 	rewrittenAt       time.Duration // time on key.clock at which the key was written again during the term; 0: never
 	resigned          bool          // Resign was called; the lease is not renewed any more
@@ -185,7 +186,7 @@
 	if o.resigned {
 		return false
 	}
-	o.leaseID = lease
+	o.leaseID, o.confirmedAt = lease, sentAt
 	o.validUntil = sentAt + time.Duration(float64(LeaseTTL)*(1-driftMarginFraction))
 	return true
 }
@@ -211,6 +212,13 @@
 	return o.key.clock() < o.validUntil
 }
 
+// ConfirmedAt returns the time on the clock of the key after which the lease and the key were confirmed last.
+func (o *Ownership) ConfirmedAt() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.confirmedAt
+}
+
 // ErrNotHeld is returned when the key does not name this process, or was written by this process without a check for other owners. A
 // renewal writes the key again.
 var ErrNotHeld = errors.New("the owner's key is not held")
