--- a/internal/deployed/virtual_test.go
+++ b/internal/deployed/virtual_test.go
@@ -422,6 +422,7 @@
 		{4, f.restartAgentsBesideOwner},
 		{2, f.changeManifest},
 		{4, f.stopEntryWithoutOwner},
+		{4, f.replaceOwnerSlowly},
 	}
 	total := 0
 	for _, c := range choices {
@@ -509,6 +510,29 @@
 	}
 }
 
+// replaceOwnerSlowly removes the owner's key while the stores of the other hosts are slow. The owner may write records and snapshots
+// while its successor reads the log. With a good chance the fleet is divided meanwhile.
+func (f *virtualFleet) replaceOwnerSlowly() {
+	owner, length := f.owner(), f.between(time.Second, 4*time.Second)
+	for _, m := range f.hosts {
+		if m != owner {
+			m.endpoint.SetFaults(standin.StoreFaults{Delay: f.between(30*time.Millisecond, 300*time.Millisecond)})
+		}
+	}
+	f.after(length, func() {
+		for _, m := range f.hosts {
+			m.endpoint.SetFaults(standin.StoreFaults{})
+		}
+	})
+	f.note("stores of all but %s are slow for %s; revoke leases", owner.cfg.Name, length)
+	for range 1 + f.rng.IntN(2) {
+		f.strikeAfter(f.between(0, 600*time.Millisecond), f.store.RevokeLeases)
+	}
+	if f.chance(0.7) {
+		f.divide()
+	}
+}
+
 // stopEntryWithoutOwner ends the owner while no process can take over, and stops an entry meanwhile or soon before.
 func (f *virtualFleet) stopEntryWithoutOwner() {
 	f.stopAndRestart(f.anyEntry())
