Acknowledge no ends of runs to a worker that was not heard of for a second

The processes of host-2 were paused, its worker crashed and restarted under the same ID meanwhile. The agent noticed nothing: its first Hold call after the pause acknowledged ends by a number from before the restart. The worker answered with its new lifetime (2715, "another lifetime of the worker answered"), but had taken the number, and from then on forgot the ends of the first runs of the new lifetime before they were read. The runs were started at 9.05 s, showed no progress, were stopped at 10.57 s, not found in the list (2712, run_refused, "stopped"), recorded as lost, and run again.

Change: a Hold call acknowledges ends only if the last answered call was sent within the last second on the boot clock, which runs on while the process is paused. Otherwise it acknowledges nothing, and the next one does if the lifetime is the same. Evidence: TestPausedAgentAcknowledgesNoEndsBeforeItReadsTheList failed without the condition and passes now. A pause between the check and the call, or a restart within a second that no call notices, is not covered.

--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -171,6 +171,9 @@
 	holdTimeout = holdPollMs*time.Millisecond + 400*time.Millisecond
 	// maxTokenStepMs is the maximum of tokenStepMs: 37 hours, because tokens are readings of the worker's clock.
 	maxTokenStepMs = 1 << 27
+	// maxAckAge is the time after the request of the last response within which ended runs are acknowledged to the worker. While the
+	// worker responds, Hold calls follow each other within holdPollMs and ackTimeout.
+	maxAckAge = time.Second
 	// ackTimeout is how long the agent waits for the owner to acknowledge ended runs before it calls Hold again. Without the wait
 	// the worker would respond at once with the same ends.
 	ackTimeout = 150 * time.Millisecond
@@ -208,9 +211,10 @@
 	if token == 0 || len(a.unackedEnds) > 0 || a.recheckPending() {
 		waitMs = 0
 	}
-	if a.workerUnreachable {
+	if a.workerUnreachable || boottime.Now()-a.clockReadAt > maxAckAge {
 		// The worker may have restarted under the same ID, and then numbers its ends from the start again. An acknowledgement
-		// with a previous number would make the worker forget ends that were never read.
+		// with a previous number would make the worker forget ends that were never read. If this process was paused, it has not
+		// noticed the restart.
 		lastAckedEndSeq, waitMs = 0, 0
 	}
 	if token != 0 && a.grantedUntilMs > 0 && !a.workerUnreachable {
--- a/internal/hostagent/token_test.go
+++ b/internal/hostagent/token_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"bamboofork/internal/boottime"
 	"bamboofork/internal/session"
 )
 
@@ -60,3 +61,15 @@
 	qt.Assert(t, a.renewHold(context.Background()), qt.IsNil)
 	qt.Check(t, r.ackedEndSeqs, qt.DeepEquals, []int64{0, 40})
 }
+
+// Guards against unread ends of runs that a restarted worker forgets, because the agent's process was paused over the restart and
+// acknowledged ends with a number from before it.
+func TestPausedAgentAcknowledgesNoEndsBeforeItReadsTheList(t *testing.T) {
+	worker := &fencedRunner{}
+	a := newTestAgent(worker)
+	a.token, a.ackedEndSeq, a.clockMs, a.clockReadAt = 5, 9, 500, boottime.Now()-2*maxAckAge
+	qt.Assert(t, a.renewHold(context.Background()), qt.IsNil)
+	qt.Check(t, worker.ackedEndSeqs, qt.DeepEquals, []int64{0})
+	qt.Assert(t, a.renewHold(context.Background()), qt.IsNil)
+	qt.Check(t, worker.ackedEndSeqs, qt.DeepEquals, []int64{0, 9})
+}
