--- a/internal/fleetsoak/soak_test.go
+++ b/internal/fleetsoak/soak_test.go
@@ -93,6 +93,7 @@
 	{2, "ends of runs on a restarted worker were acknowledged with sequence numbers from before the restart"},
 	{11, "as seed 2, and runs were started after a worker restart that the agent had not detected"},
 	{13, "as seed 2 and seed 11"},
+	{5002, "as seed 2, after a pause of the agent in which its worker restarted"},
 }
 
 func runSeed(t *testing.T, seed uint64) {
