Handle signals that arrive while a process starts

A SIGHUP between the load of the settings and app.Run was ignored, so that a reload was lost (review, by reading).

Change: SIGTERM and SIGHUP are held from the start of the process, and app.Run handles them like later ones.

--- a/internal/app/signals.go
+++ b/internal/app/signals.go
@@ -12,6 +12,34 @@
 	"bamboofork/internal/events"
 )
 
+// heldSignals receives the signals that arrive between HoldSignals and Run.
+var heldSignals = make(chan os.Signal, 4)
+
+// HoldSignals keeps SIGTERM and SIGHUP for Run, which handles them like later ones. Their default actions would end a process that is
+// starting. The program must have settings to reload.
+func HoldSignals() { signal.Notify(heldSignals, syscall.SIGTERM, syscall.SIGHUP) }
+
+// forwardHeldSignals delivers the held signals. It is called after the channels were registered, so that none is lost; one that
+// arrives meanwhile may be delivered twice.
+func forwardHeldSignals(stops, reloads chan<- os.Signal) {
+	signal.Stop(heldSignals)
+	for {
+		select {
+		case s := <-heldSignals:
+			target := stops
+			if s == syscall.SIGHUP {
+				target = reloads
+			}
+			select {
+			case target <- s:
+			default: // as many are waiting as matter
+			}
+		default:
+			return
+		}
+	}
+}
+
 // watchSignals handles the signals of a program until the process exits. They are never given back to their default action, which
 // would end a process that is shutting down, without answers to its open requests.
 //
@@ -29,6 +57,7 @@
 	} else {
 		reloads := make(chan os.Signal, 1) // signals that arrive during a reload cause one more
 		signal.Notify(reloads, syscall.SIGHUP)
+		forwardHeldSignals(stops, reloads)
 		go func() {
 			for range reloads {
 				reload()
--- a/internal/app/signals_test.go
+++ b/internal/app/signals_test.go
@@ -14,9 +14,12 @@
 	"github.com/rs/zerolog"
 )
 
-// programVariable makes the test binary act as a program: "reload" for one with settings, "plain" for one without.
+// programVariable makes the test binary act as a program: "reload" for one with settings, "plain" for one without, "starting" for one
+// with settings that takes startTime to load them.
 const programVariable = "APP_TEST_PROGRAM"
 
+const startTime = 300 * time.Millisecond
+
 // drainTime is how long the component of the test program needs to shut down.
 const drainTime = 400 * time.Millisecond
 
@@ -34,6 +37,12 @@
 		reload = func() {}
 	}
 	log := zerolog.New(os.Stdout)
+	if kind == "starting" {
+		HoldSignals()
+		log.Info().Msg("starting")
+		time.Sleep(startTime)
+		reload = func() { log.Info().Msg("reloaded") }
+	}
 	err := Run(context.Background(), log, reload, Component{Name: "drains", Run: func(ctx context.Context) error {
 		<-ctx.Done()
 		for end := time.Now().Add(drainTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
@@ -124,3 +133,15 @@
 	go io.Copy(io.Discard, out)
 	qt.Check(t, cmd.Wait(), qt.IsNil)
 }
+
+// Guards against a program that a signal ends while it starts, and against a reload signal that is lost then.
+func TestSignalsDuringTheStartAreHandled(t *testing.T) {
+	cmd, out := startProgram(t, "starting")
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+		qt.Assert(t, cmd.Process.Signal(s), qt.IsNil)
+	}
+	output, err := io.ReadAll(out)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, cmd.Wait(), qt.IsNil)
+	qt.Check(t, string(output), qt.Contains, "reloaded")
+}
--- a/internal/deployed/deployed.go
+++ b/internal/deployed/deployed.go
@@ -8,10 +8,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -55,7 +53,7 @@
 // RunProcess parses the command line, runs the components of an agent or entry until they end, and returns the exit code of the
 // process. isAgent tells whether the settings file is validated as that of an agent or of an entry.
 func RunProcess(name, description string, isAgent bool, components func(p *process) ([]app.Component, error)) int {
-	signal.Ignore(syscall.SIGHUP) // until the process can reload; its default action would end a process that is starting
+	app.HoldSignals()
 	settingsPath, checkOnly, level := platform.SettingsPath(), false, "info"
 	flaggy.SetName(name)
 	flaggy.SetDescription(description)
--- a/internal/fleetsoak/soak_test.go
+++ b/internal/fleetsoak/soak_test.go
@@ -94,6 +94,8 @@
 	{11, "as seed 2, and runs were started after a worker restart that the agent had not detected"},
 	{13, "as seed 2 and seed 11"},
 	{5002, "as seed 2, after a pause of the agent in which its worker restarted"},
+	{5081, "SIGTERM ended a process that had not loaded its settings yet"},
+	{5102, "as seed 5081"},
 }
 
 func runSeed(t *testing.T, seed uint64) {
