--- a/internal/partition/directory.go
+++ b/internal/partition/directory.go
@@ -115,9 +115,9 @@
 
 // Call calls a method of the partition's owner. Until ctx is done it retries if there is no owner, if the called process
 // replies that it is not the owner, if the request was not sent, if the connection broke before the reply, or if the owner does not
-// know whether the change becomes durable. A change of owner or a lost connection therefore only delays the call. The method may run more than once, so a repeated call must have the effect
-// and the reply of the first one. Call returns peer.ErrOutcomeUnknown if an attempt may have had an effect and no later reply
-// tells. The function code returns the result code from reply.
+// know whether the change becomes durable. A change of owner or a lost connection therefore only delays the call. The method may run
+// more than once, so a repeated call must have the effect and the reply of the first one. Call returns peer.ErrOutcomeUnknown if an
+// attempt may have had an effect and no later reply tells. The function code returns the result code from reply.
 func (d *Directory) Call(ctx context.Context, partition int, method string, args, reply any, code func() wire.Code) error {
 	mayHaveRun := false
 	for refresh := false; ; refresh = true {
