--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -218,7 +218,8 @@
 	step, shortage := &longest.Spec.Steps[longestID.Step], snapshot.ShortageOf(longest, longestID.Occurrence, longestID.Step)
 	events.TaskWaits.Log(&o.cfg.Log).Str("job", longest.ID).Str("task", longestID.String()).Int("waiting", waiting).
 		Int64("waits_ms", longestMs).Int("cpu", step.CPU).Int("mem_mb", step.MemMB).Int("max_per_worker", step.MaxPerWorker).
-		Int("workers", shortage.Workers).Int("fitting", shortage.Fitting).Int("beside_short", shortage.BesideShort).Int("held", shortage.Held).Int("fits", shortage.Fits).Int("full", shortage.Full).
+		Int("workers", shortage.Workers).Int("fitting", shortage.Fitting).Int("beside_short", shortage.BesideShort).
+		Int("held", shortage.Held).Int("fits", shortage.Fits).Int("full", shortage.Full).
 		Int("free_cpu", shortage.FreeCPU).Int("max_free_cpu", shortage.MaxFreeCPU).Int("max_free_mem_mb", shortage.MaxFreeMemMB).Send()
 }
 
