Share the contexts that end early or late in a shutdown

The same lines stood in agent/drain.go, entry/shutdown.go and deployed/front.go (a context that also ends when another is done), and in entry/keyed.go and deployed/host.go (a context that ends some time after another). They call app.UntilEither and app.Extend now.

--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"bamboofork/internal/app"
 	"bamboofork/internal/events"
 	"bamboofork/internal/membership"
 )
@@ -74,12 +75,7 @@
 
 // UntilPartitionsDue returns a context that ends with parent, or when the partitions are to be released in a graceful shutdown.
 func (a *Agent) UntilPartitionsDue(parent context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(parent)
-	stopWatching := context.AfterFunc(a.drainSignals.partitionsDue, cancel)
-	return ctx, func() {
-		stopWatching()
-		cancel()
-	}
+	return app.UntilEither(parent, a.drainSignals.partitionsDue)
 }
 
 // streamContext returns a context that is cancelled at a random moment of the drain timeout, so that the callers whose streams
--- a/internal/deployed/front.go
+++ b/internal/deployed/front.go
@@ -122,10 +122,8 @@
 // endWaitsWith returns a handler that passes requests to next. Their contexts also end when due is done.
 func endWaitsWith(due context.Context, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ctx, cancel := context.WithCancel(r.Context())
+		ctx, cancel := app.UntilEither(r.Context(), due)
 		defer cancel()
-		stop := context.AfterFunc(due, cancel)
-		defer stop()
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
--- a/internal/deployed/host.go
+++ b/internal/deployed/host.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"bamboofork/internal/app"
 	"bamboofork/internal/boottime"
@@ -71,7 +70,7 @@
 // the same to the owner, but a host that is removed may be gone before the next owner connects. An announcement that the store has not
 // taken by then is continued for half of the grace period.
 func announceDepartures(ctx context.Context, p *process, st store.Store, agent *hostagent.Agent, member jobowner.Member) {
-	announceCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	announceCtx, cancel := app.Extend(ctx, p.cfg.Bounds.Grace()/2)
 	defer cancel()
 	for {
 		select {
@@ -79,10 +78,7 @@
 			return
 		case member.EndedLifetime = <-agent.Departed():
 		}
-		stop := context.AfterFunc(ctx, func() { time.AfterFunc(p.cfg.Bounds.Grace()/2, cancel) })
-		err := ownerconn.Announce(announceCtx, st, &p.log, jobowner.MemberPrefix+p.cfg.Name, member)
-		stop()
-		if err != nil {
+		if err := ownerconn.Announce(announceCtx, st, &p.log, jobowner.MemberPrefix+p.cfg.Name, member); err != nil {
 			events.AnnouncementFailed.Log(&p.log).Str("key", jobowner.MemberPrefix+p.cfg.Name).Err(err).Send()
 		}
 	}
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"bamboofork/internal/app"
 	"bamboofork/internal/events"
 	"bamboofork/internal/invariant"
 	"bamboofork/internal/ledger"
@@ -236,10 +237,8 @@
 	claim.Done = !release
 	var reply wire.CompleteReply
 	args := wire.CompleteArgs{Partition: k.partitionID, Claim: claim, Release: release}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := app.Extend(k.entry.shutdown.answersDue, lateRecordTimeout)
 	defer cancel()
-	stopWatching := context.AfterFunc(k.entry.shutdown.answersDue, func() { time.AfterFunc(lateRecordTimeout, cancel) })
-	defer stopWatching()
 	err := k.entry.callOwner(ctx, k.partitionID, "Partition.Complete", args, &reply, func() wire.Code { return reply.Code })
 	if err == nil && reply.Code == wire.CodeOK {
 		return
--- a/internal/entry/shutdown.go
+++ b/internal/entry/shutdown.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"bamboofork/internal/app"
 	"bamboofork/internal/events"
 	"bamboofork/internal/membership"
 )
@@ -74,12 +75,7 @@
 
 // untilAnswersDue returns a context that also ends when the answers are due in a graceful shutdown.
 func (e *Entry) untilAnswersDue(parent context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(parent)
-	stopWatching := context.AfterFunc(e.shutdown.answersDue, cancel)
-	return ctx, func() {
-		stopWatching()
-		cancel()
-	}
+	return app.UntilEither(parent, e.shutdown.answersDue)
 }
 
 // streamContext returns a context that ends at a random time within the drain period of a graceful shutdown. The random times
