Hold early signals in the channels that Run reads

HoldSignals collected the signals in a channel of its own, and Run moved them to others, with a loop and a signal that could arrive twice. Both register the same two channels now, so nothing is moved. The once-wrapper of the stop, which is called once and cancels a context, is gone. TestSignalsDuringTheStartAreHandled and the other tests of internal/app pass; no other change of behaviour.

--- a/internal/app/signals.go
+++ b/internal/app/signals.go
@@ -3,7 +3,6 @@
 import (
 	"os"
 	"os/signal"
-	"sync"
 	"syscall"
 	"time"
 
@@ -12,32 +11,17 @@
 	"bamboofork/internal/events"
 )
 
-// heldSignals receives the signals that arrive between HoldSignals and Run.
-var heldSignals = make(chan os.Signal, 4)
+// The signals of the program, from HoldSignals or Run until the process exits.
+var (
+	stopSignals   = make(chan os.Signal, 2)
+	reloadSignals = make(chan os.Signal, 1) // signals that arrive during a reload cause one more
+)
 
 // HoldSignals keeps SIGTERM and SIGHUP for Run, which handles them like later ones. Their default actions would end a process that is
 // starting. The program must have settings to reload.
-func HoldSignals() { signal.Notify(heldSignals, syscall.SIGTERM, syscall.SIGHUP) }
-
-// forwardHeldSignals delivers the held signals. It is called after the channels were registered, so that none is lost; one that
-// arrives meanwhile may be delivered twice.
-func forwardHeldSignals(stops, reloads chan<- os.Signal) {
-	signal.Stop(heldSignals)
-	for {
-		select {
-		case s := <-heldSignals:
-			target := stops
-			if s == syscall.SIGHUP {
-				target = reloads
-			}
-			select {
-			case target <- s:
-			default: // as many are waiting as matter
-			}
-		default:
-			return
-		}
-	}
+func HoldSignals() {
+	signal.Notify(stopSignals, syscall.SIGTERM)
+	signal.Notify(reloadSignals, syscall.SIGHUP)
 }
 
 // watchSignals handles the signals of a program until the process exits. They are never given back to their default action, which
@@ -48,23 +32,20 @@
 // process.
 func watchSignals(log zerolog.Logger, requestStop, reload func()) {
 	signal.Ignore(syscall.SIGPIPE)
-	stops := make(chan os.Signal, 2)
-	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(stopSignals, syscall.SIGTERM, syscall.SIGINT)
 	if reload == nil {
 		if !signal.Ignored(syscall.SIGHUP) { // as under nohup
-			signal.Notify(stops, syscall.SIGHUP)
+			signal.Notify(stopSignals, syscall.SIGHUP)
 		}
 	} else {
-		reloads := make(chan os.Signal, 1) // signals that arrive during a reload cause one more
-		signal.Notify(reloads, syscall.SIGHUP)
-		forwardHeldSignals(stops, reloads)
+		signal.Notify(reloadSignals, syscall.SIGHUP)
 		go func() {
-			for range reloads {
+			for range reloadSignals {
 				reload()
 			}
 		}()
 	}
-	go handleStops(stops, log, sync.OnceFunc(requestStop))
+	go handleStops(log, requestStop)
 }
 
 // logWriteDelay is the time for the log writer of a program, which joins lines, to write the last one.
@@ -72,11 +53,11 @@
 
 // handleStops requests a stop at the first signal. Of the signals that follow, SIGINT terminates the process at once and the others
 // are ignored: a platform or an operator may repeat a request to stop, and the open requests still need their answers.
-func handleStops(stops <-chan os.Signal, log zerolog.Logger, requestStop func()) {
-	s := <-stops
+func handleStops(log zerolog.Logger, requestStop func()) {
+	s := <-stopSignals
 	events.ProcessStopping.Log(&log).Str("signal", s.String()).Send()
 	requestStop()
-	for s := range stops {
+	for s := range stopSignals {
 		if s == syscall.SIGINT {
 			events.StopForced.Log(&log).Send()
 			time.Sleep(logWriteDelay)
