Retry the steps of a recovery in one loop

The confirmation of a term repeated the loop that reads and fences the log. Both run in Owner.retryRecovery now.

--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -124,23 +124,15 @@
 		interference: placement.NewInterference(),
 	}
 	recovery := logRecovery{jobLog: o.jobLog, attemptTimeout: bulkCallTimeout}
-	for {
-		err := recovery.attempt(ctx)
-		if err == nil {
-			break
-		}
-		if ctx.Err() != nil {
-			return nil, context.Cause(ctx)
-		}
-		events.RecoveryRetried.Log(&cfg.Log).Err(err).Send()
-		app.Sleep(ctx, retryDelay)
+	if err := o.retryRecovery(ctx, recovery.attempt); err != nil {
+		return nil, err
 	}
 	fence := recovery.fence
 	o.jobsState, o.lastRecordSeq, o.epoch, o.snapshotSeq = recovery.state, fence.Seq, fence.Epoch, recovery.snapshotSeq
 	o.rebuildIndexes()
 	ownership.ConfirmUnreplaced(o.confirmUnreplaced)
 	recoveryStart := o.startedAt
-	if err := o.confirmTerm(ctx); err != nil {
+	if err := o.retryRecovery(ctx, o.confirmTerm); err != nil {
 		return nil, err
 	}
 	o.loadInterference(ctx)
@@ -154,15 +146,20 @@
 // which no other process has held it. The previous owner may have written its key again before the fence, if the store had removed the
 // key of this process. After the fence it no longer can (confirmUnreplaced).
 func (o *Owner) confirmTerm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, bulkCallTimeout)
+	defer cancel()
+	err := o.ownership.CheckHeld(ctx)
+	if err == nil {
+		o.startedAt = max(o.startedAt, o.ownership.RewrittenAt())
+	}
+	return err
+}
+
+// retryRecovery repeats attempt until it succeeds, another process is the owner, or ctx is done. It then returns the cause.
+func (o *Owner) retryRecovery(ctx context.Context, attempt func(ctx context.Context) error) error {
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, bulkCallTimeout)
-		err := o.ownership.CheckHeld(callCtx)
-		cancel()
-		if err == nil {
-			o.startedAt = max(o.startedAt, o.ownership.RewrittenAt())
-			return nil
-		}
-		if errors.Is(err, election.ErrTaken) {
+		err := attempt(ctx)
+		if err == nil || errors.Is(err, election.ErrTaken) {
 			return err
 		}
 		if ctx.Err() != nil {
