Tests: share the set-up of isolated owners, departed workers, large submissions and removed keys

Two tests of departures and the fault of a leaving worker repeated the same steps, as did two tests of several records and two of the key's check.

--- a/internal/deployed/lasting_test.go
+++ b/internal/deployed/lasting_test.go
@@ -67,17 +67,8 @@
 	f := newLastingFleet(t, seed)
 	defer f.close()
 	owner, removed := f.owner(), f.otherHost()
-	f.network.setLink(owner.ip, owner.storeIP, linkFaults{cut: true})
-	for _, m := range f.machines() {
-		if m != owner {
-			f.network.setLink(owner.ip, m.ip, linkFaults{cut: true})
-			f.network.setLink(m.ip, owner.ip, linkFaults{cut: true})
-		}
-	}
-	removed.left = true
-	removed.stopRegister()
-	removed.worker.Crash()
-	removed.workerServer.Close()
+	f.isolate(owner)
+	f.endWorker(removed)
 	removed.worker.Unregister(f.client, removed.cfg.Listen.Registrations)
 	time.Sleep(300 * time.Millisecond)
 	f.stop(removed)
--- a/internal/deployed/virtual_faults_test.go
+++ b/internal/deployed/virtual_faults_test.go
@@ -375,9 +375,7 @@
 	m.left = true
 	leave := func(withNotice bool) {
 		f.note("worker of %s leaves", m.cfg.Name)
-		m.stopRegister()
-		m.worker.Crash()
-		m.workerServer.Close()
+		f.endWorker(m)
 		if withNotice {
 			f.wg.Go(func() { m.worker.Unregister(f.client, m.cfg.Listen.Registrations) })
 		}
--- a/internal/deployed/virtual_fleet_test.go
+++ b/internal/deployed/virtual_fleet_test.go
@@ -362,15 +362,26 @@
 	return f.anyHost()
 }
 
-// ipsExcept returns the addresses of all machines but one.
-func (f *virtualFleet) ipsExcept(except *virtualMachine) []string {
-	var ips []string
-	for _, m := range f.machines() {
-		if m != except {
-			ips = append(ips, m.ip)
+// isolate cuts a machine off from the store and from all other machines.
+func (f *virtualFleet) isolate(m *virtualMachine) {
+	others := []string{m.storeIP}
+	for _, other := range f.machines() {
+		if other != m {
+			others = append(others, other.ip)
 		}
 	}
-	return ips
+	for _, ip := range others {
+		f.network.setLink(m.ip, ip, linkFaults{cut: true})
+		f.network.setLink(ip, m.ip, linkFaults{cut: true})
+	}
+}
+
+// endWorker ends the worker of a machine for good. The agent is not told.
+func (f *virtualFleet) endWorker(m *virtualMachine) {
+	m.left = true
+	m.stopRegister()
+	m.worker.Crash()
+	m.workerServer.Close()
 }
 
 func (f *virtualFleet) anyHost() *virtualMachine  { return f.hosts[f.rng.IntN(len(f.hosts))] }
--- a/internal/deployed/virtual_test.go
+++ b/internal/deployed/virtual_test.go
@@ -378,15 +378,9 @@
 		i := slices.IndexFunc(f.hosts, func(m *virtualMachine) bool { return m != owner && m.worker.StartedRunCount() > 0 })
 		qt.Assert(t, i >= 0, qt.IsTrue)
 		departing := f.hosts[i]
-		for _, ip := range append(f.ipsExcept(owner), owner.storeIP) {
-			f.network.setLink(owner.ip, ip, linkFaults{cut: true})
-			f.network.setLink(ip, owner.ip, linkFaults{cut: true})
-		}
+		f.isolate(owner)
 		departing.endpoint.SetFaults(faults)
-		departing.left = true
-		departing.stopRegister()
-		departing.worker.Crash()
-		departing.workerServer.Close()
+		f.endWorker(departing)
 		departing.worker.Unregister(f.client, departing.cfg.Listen.Registrations)
 		time.Sleep(time.Second)
 		f.stop(departing)
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -93,20 +93,26 @@
 	}
 }
 
-// Guards against an owner that counts its lease as valid although it could not find out whether another owner has served since: the
-// store removed the key and not the lease, the check after the key was written again failed, and the next renewal skipped it.
-func TestRenewalAfterAFailedCheckDoesNotSkipTheCheck(t *testing.T) {
+// ownershipWithoutKey returns an ownership whose lease counts as expired. The store has removed its key, but not its lease.
+func ownershipWithoutKey(t *testing.T) (*Key, *Ownership) {
 	now := time.Hour
 	st := memstore.New()
 	key := NewKey(st, "owner", func() time.Duration { return now })
 	ownership, err := key.Acquire(t.Context(), Owner{Name: "a", Incarnation: "a-1"}, 0)
 	qt.Assert(t, err, qt.IsNil)
-	checkErr := store.ErrUncertain
-	ownership.ConfirmUnreplaced(func(context.Context) error { return checkErr })
-
 	_, err = st.DeleteRange(t.Context(), "owner", "owner\x00")
 	qt.Assert(t, err, qt.IsNil)
 	now += LeaseTTL
+	return key, ownership
+}
+
+// Guards against an owner that counts its lease as valid although it could not find out whether another owner has served since: the
+// store removed the key and not the lease, the check after the key was written again failed, and the next renewal skipped it.
+func TestRenewalAfterAFailedCheckDoesNotSkipTheCheck(t *testing.T) {
+	key, ownership := ownershipWithoutKey(t)
+	checkErr := store.ErrUncertain
+	ownership.ConfirmUnreplaced(func(context.Context) error { return checkErr })
+
 	qt.Check(t, ownership.renew(t.Context()), qt.ErrorIs, store.ErrUncertain)
 	qt.Check(t, ownership.renew(t.Context()), qt.ErrorIs, store.ErrUncertain)
 	qt.Check(t, ownership.LeaseValid(), qt.IsFalse)
@@ -142,15 +148,9 @@
 
 // Guards against the same omission of the check after a write of the key whose response was lost.
 func TestRenewalAfterALostKeyWriteDoesNotSkipTheCheck(t *testing.T) {
-	now := time.Hour
-	st := memstore.New()
-	key := NewKey(st, "owner", func() time.Duration { return now })
-	ownership, err := key.Acquire(t.Context(), Owner{Name: "a", Incarnation: "a-1"}, 0)
-	qt.Assert(t, err, qt.IsNil)
+	key, ownership := ownershipWithoutKey(t)
 	ownership.ConfirmUnreplaced(func(context.Context) error { return ErrTaken })
-	_, err = st.DeleteRange(t.Context(), "owner", "owner\x00")
-	qt.Assert(t, err, qt.IsNil)
-	now += LeaseTTL
+	st := key.store
 
 	key.store = &silentStore{Store: st}
 	qt.Check(t, ownership.renew(t.Context()), qt.ErrorIs, store.ErrUnavailable)
--- a/internal/jobowner/commit_test.go
+++ b/internal/jobowner/commit_test.go
@@ -120,19 +120,26 @@
 	qt.Assert(t, (<-repeated).Code, qt.Equals, session.CodeOK)
 }
 
+// submitLargeJobs submits jobs whose IDs are the numbers below count, with the largest payload, and returns the channel of the replies.
+// The caller holds o.mu.
+func submitLargeJobs(o *Owner, count int) chan session.Reply {
+	replies := make(chan session.Reply, count)
+	for i := range count {
+		request := submission(fmt.Sprintf("%016x", i))
+		request.Spec.Payload = strings.Repeat("x", jobs.MaxPayload)
+		o.submitJob(request, func(r session.Reply) { replies <- r })
+	}
+	return replies
+}
+
 // Guards against an owner that writes nothing any more: more changes have become due at once than a value of the store takes, for
 // instance the ends of all runs after a long outage of the store.
 func TestMoreChangesThanAValueTakesAreWritten(t *testing.T) {
 	engine := memstore.New()
 	o := newTestOwner(t, engine)
 	const jobCount = 400
-	replies := make(chan session.Reply, jobCount)
 	o.mu.Lock()
-	for i := range jobCount {
-		request := submission(fmt.Sprintf("%016x", i))
-		request.Spec.Payload = strings.Repeat("x", jobs.MaxPayload)
-		o.submitJob(request, func(r session.Reply) { replies <- r })
-	}
+	replies := submitLargeJobs(o, jobCount)
 	o.mu.Unlock()
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 	defer cancel()
@@ -346,13 +353,8 @@
 	o := newTestOwner(t, st)
 	st.gate = make(chan struct{})
 	const jobCount = 400
-	acknowledged := make(chan session.Reply, jobCount)
 	o.mu.Lock()
-	for i := range jobCount {
-		request := submission(fmt.Sprintf("%016x", i))
-		request.Spec.Payload = strings.Repeat("x", jobs.MaxPayload)
-		o.submitJob(request, func(r session.Reply) { acknowledged <- r })
-	}
+	acknowledged := submitLargeJobs(o, jobCount)
 	o.cancelJob(&session.Request{JobID: fmt.Sprintf("%016x", jobCount-1)}, func(r session.Reply) { acknowledged <- r })
 	o.mu.Unlock()
 	committed := make(chan error, 1)
