--- a/internal/deployed/lost_host_test.go
+++ b/internal/deployed/lost_host_test.go
@@ -1,14 +1,18 @@
 package deployed
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"bamboofork/platform/standin"
 )
 
 // lostTaskLimit is the bound of the operators on the time for which a perpetual task is away, if the last virtualCalm of it was calm.
@@ -50,16 +54,35 @@
 	}
 }
 
-// restartHostsInTurn kills each host that has not been lost and starts it again, beginning with the owner.
-func restartHostsInTurn(f *virtualFleet) {
+// startPerpetualJobs submits as many perpetual jobs as the fleet takes. It returns them, and a host that runs tasks and is not the owner's.
+func (f *virtualFleet) startPerpetualJobs() ([]*virtualJob, *virtualMachine) {
+	time.Sleep(time.Second)
+	var perpetual []*virtualJob
+	for rng := rand.New(rand.NewPCG(1, 1)); len(perpetual) < maxPerpetualJobs; {
+		if job := f.newJob(rng); job.isPerpetual {
+			qt.Check(f.t, f.submit(job, f.entries[0]), qt.Equals, http.StatusOK)
+			perpetual = append(perpetual, job)
+		}
+	}
+	time.Sleep(time.Second)
 	owner := f.owner()
-	for _, m := range append([]*virtualMachine{owner}, f.hosts...) {
+	i := slices.IndexFunc(f.hosts, func(m *virtualMachine) bool { return m != owner && m.worker.StartedRunCount() > 0 })
+	qt.Assert(f.t, i >= 0, qt.IsTrue)
+	return perpetual, f.hosts[i]
+}
+
+// restartHostsInTurn stops each host that has not been lost, beginning with the owner, and starts it again before the next one stops.
+func restartHostsInTurn(f *virtualFleet) {
+	for _, m := range append([]*virtualMachine{f.owner()}, f.hosts...) {
 		if m.left {
 			continue
 		}
 		f.stop(m)
-		time.Sleep(300 * time.Millisecond)
-		f.restart(m)
+		f.after(100*time.Millisecond, func() { f.restart(m) })
+		for m.running == nil {
+			f.runScheduled(time.Now().Add(100 * time.Millisecond))
+		}
+		f.runScheduled(time.Now().Add(500 * time.Millisecond))
 	}
 }
 
@@ -68,19 +91,8 @@
 func playLostHost(t *testing.T, changeOwner func(f *virtualFleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newVirtualFleet(t, 1)
-		time.Sleep(time.Second)
-		var perpetual []*virtualJob
-		for rng := rand.New(rand.NewPCG(1, 1)); len(perpetual) < maxPerpetualJobs; {
-			if job := f.newJob(rng); job.isPerpetual {
-				qt.Check(t, f.submit(job, f.entries[0]), qt.Equals, http.StatusOK)
-				perpetual = append(perpetual, job)
-			}
-		}
-		time.Sleep(time.Second)
-		owner := f.owner()
-		i := slices.IndexFunc(f.hosts, func(m *virtualMachine) bool { return m != owner && m.worker.StartedRunCount() > 0 })
-		qt.Assert(t, i >= 0, qt.IsTrue)
-		lost, lostAt := f.hosts[i], time.Now()
+		perpetual, lost := f.startPerpetualJobs()
+		lostAt := time.Now()
 		f.endWorker(lost)
 		f.kill(lost, true)
 		time.Sleep(1500 * time.Millisecond)
@@ -97,3 +109,84 @@
 		qt.Check(t, f.checker.Violations(), qt.HasLen, 0)
 	})
 }
+
+// Guards against tasks that run twice: an agent that comes and goes may have its hold extended by one owner while the next owner counts
+// the hold from an earlier silence.
+func TestTasksOfASilentHostRunOnceOverTakeovers(t *testing.T) {
+	for seed := *virtualFirst; seed < *virtualFirst+*virtualSeeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { playSilentHost(t, seed) })
+		})
+	}
+}
+
+// playSilentHost cuts a host with running tasks off from other machines several times, for the last time for longer than a hold, while
+// owners end, are cut off and lose their key.
+func playSilentHost(t *testing.T, seed uint64) {
+	f := newVirtualFleet(t, seed)
+	_, silent := f.startPerpetualJobs()
+	cut := func(length time.Duration) {
+		faults := linkFaults{cut: true}
+		onlyOwner, owner := f.chance(0.5), f.owner()
+		directions := 1 + f.rng.IntN(3) // bits: outgoing, incoming
+		set := func(faults linkFaults) {
+			for _, m := range f.machines() {
+				if m == silent || (onlyOwner && m != owner) {
+					continue
+				}
+				if directions&1 != 0 {
+					f.network.setLink(silent.ip, m.ip, faults)
+				}
+				if directions&2 != 0 {
+					f.network.setLink(m.ip, silent.ip, faults)
+				}
+			}
+		}
+		f.note("cut %s, only from %s: %t, directions %d, for %s", silent.cfg.Name, owner.cfg.Name, onlyOwner, directions, length)
+		set(faults)
+		f.after(length, func() { f.note("%s is connected", silent.cfg.Name); set(linkFaults{}) })
+	}
+	changeOwner := func() {
+		owner := f.owner()
+		if owner == silent {
+			return
+		}
+		switch f.rng.IntN(5) {
+		case 0:
+			f.kill(owner, false)
+			f.after(f.between(100*time.Millisecond, time.Second), func() { f.restart(owner) })
+		case 1:
+			f.stop(owner)
+			f.after(f.between(100*time.Millisecond, time.Second), func() { f.restart(owner) })
+		case 2:
+			f.note("isolate %s", owner.cfg.Name)
+			f.isolate(owner)
+			f.after(f.between(500*time.Millisecond, 4*time.Second), func() { f.note("links are well"); f.network.healLinks() })
+		case 3:
+			f.note("store of %s is unresponsive", owner.cfg.Name)
+			owner.endpoint.SetFaults(standin.StoreFaults{Unresponsive: true})
+			f.after(f.between(500*time.Millisecond, 4*time.Second), func() { owner.endpoint.SetFaults(standin.StoreFaults{}) })
+		case 4:
+			f.note("revoke leases")
+			f.store.RevokeLeases()
+		}
+	}
+	end := time.Now().Add(12 * time.Second)
+	for at := time.Now(); at.Before(end); at = at.Add(f.between(300*time.Millisecond, 3*time.Second)) {
+		f.after(time.Until(at), func() { cut(f.between(200*time.Millisecond, 5*time.Second)) })
+	}
+	for at := time.Now().Add(time.Second); at.Before(end.Add(6 * time.Second)); at = at.Add(f.between(time.Second, 5*time.Second)) {
+		f.after(time.Until(at), changeOwner)
+	}
+	f.runScheduled(end)
+	f.note("%s is isolated", silent.cfg.Name)
+	for until := end.Add(14 * time.Second); time.Now().Before(until); {
+		f.isolate(silent) // again, because other faults end
+		f.runScheduled(time.Now().Add(50 * time.Millisecond))
+	}
+	f.close()
+	if violations := f.checker.Violations(); len(violations) > 0 {
+		t.Errorf("seed %d: %v\n%s", seed, violations, strings.Join(f.history, "\n"))
+	}
+}
--- a/internal/events/jobowner.go
+++ b/internal/events/jobowner.go
@@ -20,6 +20,7 @@
 	LearnedFailed    = register(3618, "learned_failed", zerolog.WarnLevel, "The interference estimates could not be stored; the write is retried.")
 	RunPaced         = register(3619, "run_paced", zerolog.InfoLevel, "The owner changed the share of full speed allowed to a best-effort run, to protect the serving runs on its host.")
 	TaskWaits        = register(3620, "task_waits", zerolog.InfoLevel, "Perpetual tasks wait for a worker; once a second the line has the one that waits for longest and the free resources after the planning pass.")
+	AgentSilent      = register(3621, "agent_silent", zerolog.WarnLevel, "The owner has not heard from an agent with runs; it confirms no report of the agent before this is over.")
 	JobRejected      = register(3615, "job_rejected", zerolog.InfoLevel, "A job was rejected and will not run; the line has the reason.")
 
 	OwnerSeen     = register(2701, "owner_seen", zerolog.InfoLevel, "An entry or agent follows a new job owner.")
--- a/internal/jobowner/commit.go
+++ b/internal/jobowner/commit.go
@@ -164,6 +164,7 @@
 	o.cfg.Metrics.Counter("owner_changes").Inc(int64(len(changes)))
 	if snapshot != nil {
 		o.snapshotSeq = lastSeq
+		o.repeatSilences()
 		go o.writeSnapshot(ctx, lastSeq, snapshot)
 	}
 	return true, nil
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -53,6 +53,7 @@
 	sentAckSeq       int64         // newest ackedEndSeq sent on this connection
 	lastMoveAtMs     int64         // boot time of the last move of a best-effort run to another worker
 	lastPollSeq      int64         // number of the newest worker poll that the interference model has observed
+	announcedSilence int64         // number of the newest silence that was announced on this connection
 	bestEffortPaused bool          // the agent slows best-effort runs; no further ones are placed on its worker
 	blockedUntil     time.Duration // boot time before which nothing is placed here, after a refused start
 
@@ -245,6 +246,7 @@
 	o.mu.Lock()
 	member.close()
 	member.conn, member.runsListed, member.commandSeq, member.sentAckSeq, member.lastPollSeq = c, false, 0, 0, 0
+	member.announcedSilence = 0
 	for _, placed := range o.placedByAgent[member.Name] {
 		placed.task.CommandSeq = 0 // the first list of runs on this connection reflects all earlier commands
 	}
@@ -281,6 +283,7 @@
 	}
 	if msg.ReportSeq > 0 {
 		member.lastReportAt = boottime.Now()
+		o.endSilence(member.Name)
 	}
 	if msg.ReportSeq > member.lastReportSeq || !member.runsListed {
 		member.lastReportSeq = msg.ReportSeq
@@ -315,10 +318,11 @@
 	}
 }
 
-// sendCommands sends the commands and acknowledgements queued for the member. If nothing is queued, it sends a message only if
-// evenIfEmpty is set. The runs of start commands that cannot be sent end as lost.
+// sendCommands sends the commands, acknowledgements and silences queued for the member. If nothing is queued, it sends a message only
+// if evenIfEmpty is set. The runs of start commands that cannot be sent end as lost.
 func (o *Owner) sendCommands(member *memberView, evenIfEmpty bool) {
-	if !evenIfEmpty && !member.hasQueuedCommands() {
+	silences := o.unannouncedSilences(member)
+	if !evenIfEmpty && len(silences) == 0 && !member.hasQueuedCommands() {
 		return
 	}
 	starts, stops, startTasks := member.starts, member.stops, member.startTasks
@@ -332,11 +336,11 @@
 		return
 	}
 	msg := session.ToMember{LeaseValid: leaseValid, StoreUnreachable: o.storeStalled(), Starts: starts, Stops: stops,
-		RunResources: member.runResources, Paces: member.paces, AckLifetime: member.ackLifetime, AckEndSeq: member.ackedEndSeq}
+		RunResources: member.runResources, Paces: member.paces, Silences: silences, AckLifetime: member.ackLifetime, AckEndSeq: member.ackedEndSeq}
 	if evenIfEmpty {
 		msg.AgentCount = o.agentCount
 	}
-	if o.isCurrent() {
+	if o.isCurrent() && o.silences[member.Name] == nil {
 		// An acknowledged report extends the holds on the worker, which must not outlast the time at which a successor assumes that
 		// they have expired.
 		msg.AckReportSeq = member.lastReportSeq
@@ -347,7 +351,7 @@
 	for _, placed := range startTasks {
 		placed.task.StartMaybeSent, placed.task.CommandSeq = true, member.commandSeq
 	}
-	member.sentAckSeq, member.lastSentAt = member.ackedEndSeq, boottime.Now()
+	member.sentAckSeq, member.announcedSilence, member.lastSentAt = member.ackedEndSeq, o.durableSilence, boottime.Now()
 	member.conn.Send(msg)
 }
 
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -40,6 +40,9 @@
 	MaxHold   time.Duration   // maximum time that a worker keeps its runs while its reports do not reach the owner
 	// RecordsPerSnapshot is the number of records after which a snapshot replaces them; 0: defaultRecordsPerSnapshot.
 	RecordsPerSnapshot int64
+	// SilentSince returns the boot time since which the owner of an epoch has not heard from the agent of a silence, and whether this
+	// process knows it. nil: it knows none.
+	SilentSince func(epoch, number int64) (time.Duration, bool)
 }
 
 func (c *Config) recordsPerSnapshot() int64 {
@@ -64,11 +67,15 @@
 	mu             sync.Mutex
 	endTerm        context.CancelCauseFunc // ends the term; set by Run
 	jobsState      *jobs.State
-	activeJobs     map[string]*jobs.Job   // jobs that have not ended, by ID
-	pendingChanges []jobs.Change          // applied in memory, not yet in a record
-	pendingEffects []func()               // run under mu when the pending changes are durable
-	members        map[string]*memberView // by name
-	agentCount     int                    // number of agents among members
+	activeJobs     map[string]*jobs.Job     // jobs that have not ended, by ID
+	pendingChanges []jobs.Change            // applied in memory, not yet in a record
+	pendingEffects []func()                 // run under mu when the pending changes are durable
+	members        map[string]*memberView   // by name
+	agentCount     int                      // number of agents among members
+	silences       map[string]*agentSilence // recorded silences, by agent name
+	silenceCount   int64                    // number of silences recorded in this term
+	durableSilence int64                    // number of the newest silence whose record is durable
+	servedSince    time.Duration            // boot time at the start of Run; 0: not started
 	// submitReplies holds the callbacks that reply to submissions once the job's record is durable. The key is the submitted job
 	// and not its ID: a caller may repeat a submission that was rejected, while the effects of the rejected one are still pending.
 	submitReplies    map[*jobs.Job][]func(session.Reply)
@@ -120,6 +127,7 @@
 		startedAt: boottime.Now(), wakeCommit: make(chan struct{}, 1), appendTimeout: minAppendTimeout,
 		activeJobs: map[string]*jobs.Job{}, submitReplies: map[*jobs.Job][]func(session.Reply){}, adviceByStep: map[string]*stepAdvice{},
 		adviceRequests: make(chan adviceRequest, maxAdviceRequests), members: map[string]*memberView{},
+		silences:      map[string]*agentSilence{},
 		placedByAgent: map[string]map[string]*placedTask{}, workerHealth: placement.NewHealthTracker(),
 		interference: placement.NewInterference(),
 	}
@@ -130,6 +138,7 @@
 	fence := recovery.fence
 	o.jobsState, o.lastRecordSeq, o.epoch, o.snapshotSeq = recovery.state, fence.Seq, fence.Epoch, recovery.snapshotSeq
 	o.rebuildIndexes()
+	o.inheritSilences(recovery.lastEpoch)
 	ownership.ConfirmUnreplaced(o.confirmUnreplaced)
 	recoveryStart := o.startedAt
 	if err := o.retryRecovery(ctx, o.confirmTerm); err != nil {
@@ -222,7 +231,7 @@
 	ctx, endTerm := context.WithCancelCause(ctx)
 	defer endTerm(nil)
 	o.mu.Lock()
-	o.endTerm = endTerm
+	o.endTerm, o.servedSince = endTerm, boottime.Now()
 	o.mu.Unlock()
 	var wg sync.WaitGroup
 	wg.Go(func() {
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -28,6 +28,7 @@
 		return
 	}
 	o.timeoutsCheckedAt = now
+	o.updateSilences()
 	for name, tasks := range o.placedByAgent {
 		if len(tasks) > 0 {
 			o.endRunsOfLostWorker(name, tasks)
@@ -119,13 +120,10 @@
 // came back after its worker had ended is connected, but knows no worker and reports no runs. The runs of a worker that has left end
 // without that wait.
 func (o *Owner) endRunsOfLostWorker(name string, tasks map[string]*placedTask) {
-	lastReportAt := o.startedAt + takeoverMargin
-	if member := o.members[name]; member != nil {
-		lastReportAt = max(lastReportAt, member.lastReportAt)
-		if member.hasDeparted() {
-			o.endRunsOfLifetime(name, member.departedLifetime)
-		}
+	if member := o.members[name]; member != nil && member.hasDeparted() {
+		o.endRunsOfLifetime(name, member.departedLifetime)
 	}
+	lastReportAt := o.lastReportAt(name)
 	holdTimeout := o.cfg.MaxHold + time.Duration(float64(o.cfg.MaxHold)*session.WorkerClockDrift) + holdMargin
 	if boottime.Now() < lastReportAt+holdTimeout {
 		return
--- a/internal/jobowner/recovery.go
+++ b/internal/jobowner/recovery.go
@@ -24,6 +24,7 @@
 	state          *jobs.State // nil: nothing loaded yet
 	snapshotSeq    int64
 	lastSeq        int64 // newest record that state contains
+	lastEpoch      int64 // epoch of that record; 0: no record follows the snapshot
 	fence          caslog.Record
 	// loadTime is the time spent on reading and decoding; recordCount and snapshotBytes are what was read.
 	loadTime      time.Duration
@@ -70,7 +71,7 @@
 		return err
 	}
 	r.snapshotBytes = len(loaded.Snapshot)
-	r.state, r.snapshotSeq, r.lastSeq = state, loaded.SnapshotSeq, loaded.SnapshotSeq
+	r.state, r.snapshotSeq, r.lastSeq, r.lastEpoch = state, loaded.SnapshotSeq, loaded.SnapshotSeq, 0
 	return r.applyRecords(loaded.Records)
 }
 
@@ -85,7 +86,7 @@
 		for _, change := range changes {
 			r.state.Apply(change)
 		}
-		r.lastSeq = record.Seq
+		r.lastSeq, r.lastEpoch = record.Seq, record.Epoch
 		r.recordCount++
 	}
 	return nil
--- /dev/null
+++ b/internal/jobowner/silence.go
@@ -0,0 +1,131 @@
+package jobowner
+
+import (
+	"time"
+
+	"bamboofork/internal/boottime"
+	"bamboofork/internal/events"
+	"bamboofork/internal/jobs"
+	"bamboofork/internal/session"
+)
+
+// A successor cannot know which reports an owner has confirmed, so it would have to count the hold of a host that is gone from its own
+// start, and each further successor again. Therefore an owner records in the log that it hears nothing from an agent, and confirms no
+// report of the agent before the end of the silence is in the log as well. It tells the other agents, each of which may be its
+// successor, how long the silence has lasted. The successor finds the silence in the log and counts the hold from its beginning.
+
+const (
+	// silenceTimeout is the time without a report after which the silence of an agent is recorded.
+	silenceTimeout = 800 * time.Millisecond
+	// unreachedTimeout is the same for agents that have not reported to this owner yet, from the beginning of its service.
+	unreachedTimeout = session.IdleTimeout
+)
+
+// agentSilence is the recorded silence of one agent.
+type agentSilence struct {
+	number int64
+	// inheritedSince is the boot time since which the previous owner had not heard from the agent; 0: the silence began in this term.
+	inheritedSince time.Duration
+	durable        bool
+	ending         bool // the end of the silence is recorded and not durable yet
+}
+
+// lastReportAt returns a boot time after which no report of the agent was received whose confirmation extends the hold of its worker.
+func (o *Owner) lastReportAt(agent string) time.Duration {
+	at := o.startedAt + takeoverMargin
+	if silence := o.silences[agent]; silence != nil && silence.inheritedSince != 0 {
+		at = silence.inheritedSince
+	}
+	if member := o.members[agent]; member != nil {
+		at = max(at, member.lastReportAt)
+	}
+	return at
+}
+
+// inheritSilences takes over the silences that the previous owner has recorded and of which this process knows the beginning. lastEpoch
+// is the epoch of the newest record before the fence: an owner in between may have confirmed reports of the agents.
+func (o *Owner) inheritSilences(lastEpoch int64) {
+	recorded := o.jobsState.Silences
+	o.jobsState.Silences = map[string]jobs.Silence{}
+	for agent, silence := range recorded {
+		if silence.Epoch != lastEpoch || o.cfg.SilentSince == nil {
+			continue
+		}
+		if since, ok := o.cfg.SilentSince(silence.Epoch, silence.Number); ok {
+			o.recordSilence(agent, since)
+		}
+	}
+}
+
+// updateSilences records the silence of the agents with placed tasks that have not reported for some time. It ends the silences of
+// agents whose runs have all ended.
+func (o *Owner) updateSilences() {
+	if o.servedSince == 0 {
+		return
+	}
+	now := boottime.Now()
+	for agent, tasks := range o.placedByAgent {
+		if len(tasks) == 0 || o.silences[agent] != nil {
+			continue
+		}
+		silentFrom := o.servedSince + unreachedTimeout
+		if member := o.members[agent]; member != nil && member.lastReportAt != 0 {
+			silentFrom = member.lastReportAt + silenceTimeout
+		}
+		if now >= silentFrom {
+			o.recordSilence(agent, 0)
+		}
+	}
+	for agent, silence := range o.silences {
+		if silence.durable && len(o.placedByAgent[agent]) == 0 {
+			o.endSilence(agent)
+		}
+	}
+}
+
+// recordSilence queues the record of an agent's silence.
+func (o *Owner) recordSilence(agent string, inheritedSince time.Duration) {
+	o.silenceCount++
+	silence := &agentSilence{number: o.silenceCount, inheritedSince: inheritedSince}
+	o.silences[agent] = silence
+	events.AgentSilent.Log(&o.cfg.Log).Str("agent", agent).Int("runs", len(o.placedByAgent[agent])).
+		Int64("silent_ms", (boottime.Now()-o.lastReportAt(agent)).Milliseconds()).Bool("inherited", inheritedSince != 0).Send()
+	o.apply(jobs.Change{Silence: &jobs.Silence{Agent: agent, Epoch: o.epoch, Number: silence.number}})
+	o.pendingEffects = append(o.pendingEffects, func() { silence.durable, o.durableSilence = true, silence.number })
+}
+
+// endSilence queues the record of the end of an agent's silence, if there is one. Reports of the agent are confirmed once the record is
+// durable.
+func (o *Owner) endSilence(agent string) {
+	silence := o.silences[agent]
+	if silence == nil || silence.ending {
+		return
+	}
+	silence.ending = true
+	o.apply(jobs.Change{Silence: &jobs.Silence{Agent: agent, Epoch: o.epoch, Number: silence.number, Over: true}})
+	o.pendingEffects = append(o.pendingEffects, func() { delete(o.silences, agent) })
+}
+
+// repeatSilences queues the records of the silences again, after a snapshot that does not contain them.
+func (o *Owner) repeatSilences() {
+	for agent, silence := range o.silences {
+		if !silence.ending {
+			o.apply(jobs.Change{Silence: &jobs.Silence{Agent: agent, Epoch: o.epoch, Number: silence.number}})
+		}
+	}
+}
+
+// unannouncedSilences returns the silences that were not announced on the connection to the agent yet.
+func (o *Owner) unannouncedSilences(member *memberView) []session.Silence {
+	if !member.Agent || member.announcedSilence == o.durableSilence {
+		return nil
+	}
+	var silences []session.Silence
+	now := boottime.Now()
+	for agent, silence := range o.silences {
+		if silence.durable && !silence.ending && silence.number > member.announcedSilence {
+			silences = append(silences, session.Silence{Number: silence.number, ForMs: (now - o.lastReportAt(agent)).Milliseconds()})
+		}
+	}
+	return silences
+}
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -3,7 +3,7 @@
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -file state.go -io=false -tests=false
 //msgp:tag json
 //msgp:limit arrays:65536 maps:256
-//msgp:ignore TaskState Task StepState Occurrence Job Change Cancel Place End State
+//msgp:ignore TaskState Task StepState Occurrence Job Change Cancel Place End Silence State
 
 import (
 	"encoding/json"
@@ -167,15 +167,16 @@
 	EndLost    Outcome = "lost"
 )
 
-// Change is one transition of the state of a job. Exactly one of the pointer fields is set. JobID names the job of all changes but
-// Submit.
+// Change is one transition of the state of a job, or of an agent that its owner does not hear from. Exactly one of the pointer fields
+// is set. JobID names the job of all changes but Submit and Silence.
 type Change struct {
-	Submit *Job      `json:"sub,omitempty"`
-	Cancel *Cancel   `json:"can,omitempty"`
-	Place  *Place    `json:"pl,omitempty"`
-	End    *End      `json:"end,omitempty"`
-	Delete *struct{} `json:"fg,omitempty"`
-	JobID  string    `json:"j,omitempty"`
+	Submit  *Job      `json:"sub,omitempty"`
+	Cancel  *Cancel   `json:"can,omitempty"`
+	Place   *Place    `json:"pl,omitempty"`
+	End     *End      `json:"end,omitempty"`
+	Delete  *struct{} `json:"fg,omitempty"`
+	Silence *Silence  `json:"sil,omitempty"`
+	JobID   string    `json:"j,omitempty"`
 }
 
 // Cancel ends a job at a caller's request.
@@ -204,13 +205,24 @@
 	AtMs       int64   `json:"t,omitempty"`
 }
 
+// Silence records that the owner of an epoch hears nothing from an agent. From the Silence until its end is durable, that owner
+// confirms no report of the agent, so that the hold of the agent's worker cannot be extended.
+type Silence struct {
+	Agent  string `json:"a"`
+	Epoch  int64  `json:"e"`
+	Number int64  `json:"n"`           // unique in the epoch
+	Over   bool   `json:"o,omitempty"` // the owner may confirm reports of the agent again
+}
+
 // State holds all jobs of one owner.
 type State struct {
 	Jobs map[string]*Job
+	// Silences holds the silences that are not over, by agent. They are not part of a snapshot; their owner records them again after it.
+	Silences map[string]Silence
 }
 
 // NewState returns a State without jobs.
-func NewState() *State { return &State{Jobs: map[string]*Job{}} }
+func NewState() *State { return &State{Jobs: map[string]*Job{}, Silences: map[string]Silence{}} }
 
 // Apply applies one change. A change to an unknown job and a second end of a run have no effect.
 func (s *State) Apply(c Change) {
@@ -218,6 +230,10 @@
 		s.submit(c.Submit)
 		return
 	}
+	if c.Silence != nil {
+		s.applySilence(c.Silence)
+		return
+	}
 	j := s.Jobs[c.JobID]
 	if j == nil {
 		return
@@ -234,6 +250,14 @@
 	}
 }
 
+func (s *State) applySilence(silence *Silence) {
+	if silence.Over {
+		delete(s.Silences, silence.Agent)
+		return
+	}
+	s.Silences[silence.Agent] = *silence
+}
+
 // submit adds a copy of the submitted job. The submission itself is encoded into the log later. Without the copy, the encoded
 // submission would contain changes that were applied to the job in the meantime.
 func (s *State) submit(submitted *Job) {
--- a/internal/ownerconn/ownerconn.go
+++ b/internal/ownerconn/ownerconn.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -43,6 +44,8 @@
 	storeUnreachable bool   // the owner cannot reach the store
 	ownerName        string // process name of the owner
 	agentCount       int    // number of agents that the last owner reported; 0: not reported yet
+	// silentSince holds the boot time since which the current owner has heard nothing from an agent, by the number of the silence.
+	silentSince map[int64]time.Duration
 }
 
 // Listen accepts connections from owners on the address until ctx is done.
@@ -113,6 +116,9 @@
 		return false
 	}
 	previousConn := f.conn
+	if msg.Epoch != f.ownerEpoch {
+		f.silentSince = nil // silences are numbered within an epoch
+	}
 	f.conn, f.ownerEpoch, f.ownerName, f.ownerResigned, f.storeUnreachable = conn, msg.Epoch, msg.Owner, false, false
 	f.mu.Unlock()
 	if previousConn != nil {
@@ -149,6 +155,41 @@
 	if msg.AgentCount > 0 {
 		f.agentCount = msg.AgentCount
 	}
+	f.noteSilences(msg.Silences)
+}
+
+// maxSilenceAge is the age from which a silence is forgotten. All holds have expired by then.
+const maxSilenceAge = time.Minute
+
+// noteSilences stores since when the owner has not heard from agents. Each message gives a time that is late by its delay, so the
+// earliest time counts.
+func (f *Follower) noteSilences(silences []session.Silence) {
+	if len(silences) == 0 {
+		return
+	}
+	if f.silentSince == nil {
+		f.silentSince = map[int64]time.Duration{}
+	}
+	now := boottime.Now()
+	for _, silence := range silences {
+		since := now - time.Duration(silence.ForMs)*time.Millisecond
+		if earlier, ok := f.silentSince[silence.Number]; !ok || since < earlier {
+			f.silentSince[silence.Number] = since
+		}
+	}
+	maps.DeleteFunc(f.silentSince, func(_ int64, since time.Duration) bool { return now-since > maxSilenceAge })
+}
+
+// SilentSince returns the boot time since which the owner of the epoch has not heard from the agent of a silence, as that owner has
+// told this process. It returns false if this process does not know.
+func (f *Follower) SilentSince(epoch, number int64) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if epoch != f.ownerEpoch {
+		return 0, false
+	}
+	since, ok := f.silentSince[number]
+	return since, ok
 }
 
 // AgentCount returns the number of agents that the last owner reported, or 0 if this process has heard from no owner yet.
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -10,22 +10,31 @@
 
 // ToMember is a message from the owner of the jobs to an agent or an entry.
 type ToMember struct {
-	Epoch            int64   `json:"e,omitempty"`  // log position of the owner's fence; the owner with the highest epoch is the current one
-	Owner            string  `json:"o,omitempty"`  // name of the owner's process, in the first message only
-	AcceptsBinary    bool    `json:"mp,omitempty"` // the sender decodes binary messages; in the first message only
-	AgentCount       int     `json:"ac,omitempty"` // number of agents that the owner knows, in heartbeats only
-	LeaseValid       bool    `json:"c,omitempty"`  // the owner's lease was valid when this was sent
-	StoreUnreachable bool    `json:"u,omitempty"`  // the owner cannot reach the store; a process that reaches the store may take over
-	Resigned         bool    `json:"z,omitempty"`  // the owner releases ownership; a successor should take over at once
-	AckReportSeq     int64   `json:"b,omitempty"`  // ReportSeq of the newest report that the owner has received
-	Seq              int64   `json:"n,omitempty"`  // number of this message if it carries commands
-	Starts           []Start `json:"st,omitempty"` // agents only
-	Stops            []Stop  `json:"sp,omitempty"` // agents only
-	RunResources     []Start `json:"sz,omitempty"` // resources of the runs that a restarted agent found on its worker
-	Paces            []Pace  `json:"pc,omitempty"` // agents only
-	AckLifetime      int64   `json:"al,omitempty"` // worker lifetime to which AckEndSeq refers
-	AckEndSeq        int64   `json:"ak,omitempty"` // the worker may forget run ends whose Seq is at most this number
-	Replies          []Reply `json:"an,omitempty"` // entries only
+	Epoch         int64  `json:"e,omitempty"`  // log position of the owner's fence; the owner with the highest epoch is the current one
+	Owner         string `json:"o,omitempty"`  // name of the owner's process, in the first message only
+	AcceptsBinary bool   `json:"mp,omitempty"` // the sender decodes binary messages; in the first message only
+	AgentCount    int    `json:"ac,omitempty"` // number of agents that the owner knows, in heartbeats only
+	// Silences are the silences of agents that the owner has recorded and not announced on this connection before; agents only.
+	Silences         []Silence `json:"si,omitempty"`
+	LeaseValid       bool      `json:"c,omitempty"`  // the owner's lease was valid when this was sent
+	StoreUnreachable bool      `json:"u,omitempty"`  // the owner cannot reach the store; a process that reaches the store may take over
+	Resigned         bool      `json:"z,omitempty"`  // the owner releases ownership; a successor should take over at once
+	AckReportSeq     int64     `json:"b,omitempty"`  // ReportSeq of the newest report that the owner has received
+	Seq              int64     `json:"n,omitempty"`  // number of this message if it carries commands
+	Starts           []Start   `json:"st,omitempty"` // agents only
+	Stops            []Stop    `json:"sp,omitempty"` // agents only
+	RunResources     []Start   `json:"sz,omitempty"` // resources of the runs that a restarted agent found on its worker
+	Paces            []Pace    `json:"pc,omitempty"` // agents only
+	AckLifetime      int64     `json:"al,omitempty"` // worker lifetime to which AckEndSeq refers
+	AckEndSeq        int64     `json:"ak,omitempty"` // the worker may forget run ends whose Seq is at most this number
+	Replies          []Reply   `json:"an,omitempty"` // entries only
+}
+
+// Silence states how long ago the owner has last received a report of an agent whose silence it has recorded in the log. A candidate
+// that becomes the next owner counts the hold of the agent's worker from then.
+type Silence struct {
+	Number int64 `json:"n"` // see jobs.Silence
+	ForMs  int64 `json:"f"` // negative: an earlier owner may confirm a report of the agent until that time from now
 }
 
 // Start is the command to start one run of a task.
--- a/internal/session/messages_gen.go
+++ b/internal/session/messages_gen.go
@@ -1259,6 +1259,71 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Silence) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendInt64(o, z.Number)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendInt64(o, z.ForMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Silence) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			z.Number, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Number")
+				return
+			}
+		case "f":
+			z.ForMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ForMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Silence) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Start) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1561,8 +1626,8 @@
 func (z *ToMember) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(16)
-	var zb0001Mask uint16 /* 16 bits */
+	zb0001Len := uint32(17)
+	var zb0001Mask uint32 /* 17 bits */
 	_ = zb0001Mask
 	if z.Epoch == 0 {
 		zb0001Len--
@@ -1580,54 +1645,58 @@
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
-	if z.LeaseValid == false {
+	if z.Silences == nil {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
-	if z.StoreUnreachable == false {
+	if z.LeaseValid == false {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
-	if z.Resigned == false {
+	if z.StoreUnreachable == false {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
-	if z.AckReportSeq == 0 {
+	if z.Resigned == false {
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
-	if z.Seq == 0 {
+	if z.AckReportSeq == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.Starts == nil {
+	if z.Seq == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
-	if z.Stops == nil {
+	if z.Starts == nil {
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
-	if z.RunResources == nil {
+	if z.Stops == nil {
 		zb0001Len--
 		zb0001Mask |= 0x800
 	}
-	if z.Paces == nil {
+	if z.RunResources == nil {
 		zb0001Len--
 		zb0001Mask |= 0x1000
 	}
-	if z.AckLifetime == 0 {
+	if z.Paces == nil {
 		zb0001Len--
 		zb0001Mask |= 0x2000
 	}
-	if z.AckEndSeq == 0 {
+	if z.AckLifetime == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x4000
 	}
-	if z.Replies == nil {
+	if z.AckEndSeq == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x8000
 	}
+	if z.Replies == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -1654,103 +1723,117 @@
 			o = msgp.AppendInt(o, z.AgentCount)
 		}
 		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "si"
+			o = append(o, 0xa2, 0x73, 0x69)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Silences)))
+			for za0001 := range z.Silences {
+				// map header, size 2
+				// string "n"
+				o = append(o, 0x82, 0xa1, 0x6e)
+				o = msgp.AppendInt64(o, z.Silences[za0001].Number)
+				// string "f"
+				o = append(o, 0xa1, 0x66)
+				o = msgp.AppendInt64(o, z.Silences[za0001].ForMs)
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
 			// string "c"
 			o = append(o, 0xa1, 0x63)
 			o = msgp.AppendBool(o, z.LeaseValid)
 		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "u"
 			o = append(o, 0xa1, 0x75)
 			o = msgp.AppendBool(o, z.StoreUnreachable)
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "z"
 			o = append(o, 0xa1, 0x7a)
 			o = msgp.AppendBool(o, z.Resigned)
 		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// string "b"
 			o = append(o, 0xa1, 0x62)
 			o = msgp.AppendInt64(o, z.AckReportSeq)
 		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "n"
 			o = append(o, 0xa1, 0x6e)
 			o = msgp.AppendInt64(o, z.Seq)
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "st"
 			o = append(o, 0xa2, 0x73, 0x74)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Starts)))
-			for za0001 := range z.Starts {
-				o, err = z.Starts[za0001].MarshalMsg(o)
+			for za0002 := range z.Starts {
+				o, err = z.Starts[za0002].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Starts", za0001)
+					err = msgp.WrapError(err, "Starts", za0002)
 					return
 				}
 			}
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// string "sp"
 			o = append(o, 0xa2, 0x73, 0x70)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Stops)))
-			for za0002 := range z.Stops {
+			for za0003 := range z.Stops {
 				// map header, size 2
 				// string "t"
 				o = append(o, 0x82, 0xa1, 0x74)
-				o = msgp.AppendString(o, z.Stops[za0002].Task)
+				o = msgp.AppendString(o, z.Stops[za0003].Task)
 				// string "r"
 				o = append(o, 0xa1, 0x72)
-				o = msgp.AppendInt(o, z.Stops[za0002].Run)
+				o = msgp.AppendInt(o, z.Stops[za0003].Run)
 			}
 		}
-		if (zb0001Mask & 0x800) == 0 { // if not omitted
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
 			// string "sz"
 			o = append(o, 0xa2, 0x73, 0x7a)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.RunResources)))
-			for za0003 := range z.RunResources {
-				o, err = z.RunResources[za0003].MarshalMsg(o)
+			for za0004 := range z.RunResources {
+				o, err = z.RunResources[za0004].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "RunResources", za0003)
+					err = msgp.WrapError(err, "RunResources", za0004)
 					return
 				}
 			}
 		}
-		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
 			// string "pc"
 			o = append(o, 0xa2, 0x70, 0x63)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Paces)))
-			for za0004 := range z.Paces {
+			for za0005 := range z.Paces {
 				// map header, size 3
 				// string "t"
 				o = append(o, 0x83, 0xa1, 0x74)
-				o = msgp.AppendString(o, z.Paces[za0004].Task)
+				o = msgp.AppendString(o, z.Paces[za0005].Task)
 				// string "r"
 				o = append(o, 0xa1, 0x72)
-				o = msgp.AppendInt(o, z.Paces[za0004].Run)
+				o = msgp.AppendInt(o, z.Paces[za0005].Run)
 				// string "p"
 				o = append(o, 0xa1, 0x70)
-				o = msgp.AppendInt(o, z.Paces[za0004].Percent)
+				o = msgp.AppendInt(o, z.Paces[za0005].Percent)
 			}
 		}
-		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
 			// string "al"
 			o = append(o, 0xa2, 0x61, 0x6c)
 			o = msgp.AppendInt64(o, z.AckLifetime)
 		}
-		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
 			// string "ak"
 			o = append(o, 0xa2, 0x61, 0x6b)
 			o = msgp.AppendInt64(o, z.AckEndSeq)
 		}
-		if (zb0001Mask & 0x8000) == 0 { // if not omitted
+		if (zb0001Mask & 0x10000) == 0 { // if not omitted
 			// string "an"
 			o = append(o, 0xa2, 0x61, 0x6e)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Replies)))
-			for za0005 := range z.Replies {
-				o, err = z.Replies[za0005].MarshalMsg(o)
+			for za0006 := range z.Replies {
+				o, err = z.Replies[za0006].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Replies", za0005)
+					err = msgp.WrapError(err, "Replies", za0006)
 					return
 				}
 			}
@@ -1805,6 +1888,62 @@
 				err = msgp.WrapError(err, "AgentCount")
 				return
 			}
+		case "si":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Silences")
+				return
+			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Silences) >= int(zb0002) {
+				z.Silences = (z.Silences)[:zb0002]
+			} else {
+				z.Silences = make([]Silence, zb0002)
+			}
+			for za0001 := range z.Silences {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Silences", za0001)
+					return
+				}
+				if zb0003 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Silences", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "n":
+						z.Silences[za0001].Number, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Silences", za0001, "Number")
+							return
+						}
+					case "f":
+						z.Silences[za0001].ForMs, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Silences", za0001, "ForMs")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Silences", za0001)
+							return
+						}
+					}
+				}
+			}
 		case "c":
 			z.LeaseValid, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -1836,164 +1975,164 @@
 				return
 			}
 		case "st":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Starts")
 				return
 			}
-			if zb0002 > z2c18a699limitArrays {
+			if zb0004 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Starts) >= int(zb0002) {
-				z.Starts = (z.Starts)[:zb0002]
+			if cap(z.Starts) >= int(zb0004) {
+				z.Starts = (z.Starts)[:zb0004]
 			} else {
-				z.Starts = make([]Start, zb0002)
+				z.Starts = make([]Start, zb0004)
 			}
-			for za0001 := range z.Starts {
-				bts, err = z.Starts[za0001].UnmarshalMsg(bts)
+			for za0002 := range z.Starts {
+				bts, err = z.Starts[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Starts", za0001)
+					err = msgp.WrapError(err, "Starts", za0002)
 					return
 				}
 			}
 		case "sp":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Stops")
 				return
 			}
-			if zb0003 > z2c18a699limitArrays {
+			if zb0005 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Stops) >= int(zb0003) {
-				z.Stops = (z.Stops)[:zb0003]
+			if cap(z.Stops) >= int(zb0005) {
+				z.Stops = (z.Stops)[:zb0005]
 			} else {
-				z.Stops = make([]Stop, zb0003)
+				z.Stops = make([]Stop, zb0005)
 			}
-			for za0002 := range z.Stops {
-				var zb0004 uint32
-				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0003 := range z.Stops {
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Stops", za0002)
+					err = msgp.WrapError(err, "Stops", za0003)
 					return
 				}
-				if zb0004 > z2c18a699limitMaps {
+				if zb0006 > z2c18a699limitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0004 > 0 {
-					zb0004--
+				for zb0006 > 0 {
+					zb0006--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Stops", za0002)
+						err = msgp.WrapError(err, "Stops", za0003)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "t":
-						z.Stops[za0002].Task, bts, err = msgp.ReadStringBytes(bts)
+						z.Stops[za0003].Task, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Stops", za0002, "Task")
+							err = msgp.WrapError(err, "Stops", za0003, "Task")
 							return
 						}
 					case "r":
-						z.Stops[za0002].Run, bts, err = msgp.ReadIntBytes(bts)
+						z.Stops[za0003].Run, bts, err = msgp.ReadIntBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Stops", za0002, "Run")
+							err = msgp.WrapError(err, "Stops", za0003, "Run")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Stops", za0002)
+							err = msgp.WrapError(err, "Stops", za0003)
 							return
 						}
 					}
 				}
 			}
 		case "sz":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "RunResources")
 				return
 			}
-			if zb0005 > z2c18a699limitArrays {
+			if zb0007 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.RunResources) >= int(zb0005) {
-				z.RunResources = (z.RunResources)[:zb0005]
+			if cap(z.RunResources) >= int(zb0007) {
+				z.RunResources = (z.RunResources)[:zb0007]
 			} else {
-				z.RunResources = make([]Start, zb0005)
+				z.RunResources = make([]Start, zb0007)
 			}
-			for za0003 := range z.RunResources {
-				bts, err = z.RunResources[za0003].UnmarshalMsg(bts)
+			for za0004 := range z.RunResources {
+				bts, err = z.RunResources[za0004].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "RunResources", za0003)
+					err = msgp.WrapError(err, "RunResources", za0004)
 					return
 				}
 			}
 		case "pc":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Paces")
 				return
 			}
-			if zb0006 > z2c18a699limitArrays {
+			if zb0008 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Paces) >= int(zb0006) {
-				z.Paces = (z.Paces)[:zb0006]
+			if cap(z.Paces) >= int(zb0008) {
+				z.Paces = (z.Paces)[:zb0008]
 			} else {
-				z.Paces = make([]Pace, zb0006)
+				z.Paces = make([]Pace, zb0008)
 			}
-			for za0004 := range z.Paces {
-				var zb0007 uint32
-				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0005 := range z.Paces {
+				var zb0009 uint32
+				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Paces", za0004)
+					err = msgp.WrapError(err, "Paces", za0005)
 					return
 				}
-				if zb0007 > z2c18a699limitMaps {
+				if zb0009 > z2c18a699limitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0007 > 0 {
-					zb0007--
+				for zb0009 > 0 {
+					zb0009--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Paces", za0004)
+						err = msgp.WrapError(err, "Paces", za0005)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "t":
-						z.Paces[za0004].Task, bts, err = msgp.ReadStringBytes(bts)
+						z.Paces[za0005].Task, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Paces", za0004, "Task")
+							err = msgp.WrapError(err, "Paces", za0005, "Task")
 							return
 						}
 					case "r":
-						z.Paces[za0004].Run, bts, err = msgp.ReadIntBytes(bts)
+						z.Paces[za0005].Run, bts, err = msgp.ReadIntBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Paces", za0004, "Run")
+							err = msgp.WrapError(err, "Paces", za0005, "Run")
 							return
 						}
 					case "p":
-						z.Paces[za0004].Percent, bts, err = msgp.ReadIntBytes(bts)
+						z.Paces[za0005].Percent, bts, err = msgp.ReadIntBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Paces", za0004, "Percent")
+							err = msgp.WrapError(err, "Paces", za0005, "Percent")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Paces", za0004)
+							err = msgp.WrapError(err, "Paces", za0005)
 							return
 						}
 					}
@@ -2012,25 +2151,25 @@
 				return
 			}
 		case "an":
-			var zb0008 uint32
-			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0010 uint32
+			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Replies")
 				return
 			}
-			if zb0008 > z2c18a699limitArrays {
+			if zb0010 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Replies) >= int(zb0008) {
-				z.Replies = (z.Replies)[:zb0008]
+			if cap(z.Replies) >= int(zb0010) {
+				z.Replies = (z.Replies)[:zb0010]
 			} else {
-				z.Replies = make([]Reply, zb0008)
+				z.Replies = make([]Reply, zb0010)
 			}
-			for za0005 := range z.Replies {
-				bts, err = z.Replies[za0005].UnmarshalMsg(bts)
+			for za0006 := range z.Replies {
+				bts, err = z.Replies[za0006].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Replies", za0005)
+					err = msgp.WrapError(err, "Replies", za0006)
 					return
 				}
 			}
@@ -2048,25 +2187,25 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ToMember) Msgsize() (s int) {
-	s = 3 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Owner) + 3 + msgp.BoolSize + 3 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.ArrayHeaderSize
-	for za0001 := range z.Starts {
-		s += z.Starts[za0001].Msgsize()
+	s = 3 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Owner) + 3 + msgp.BoolSize + 3 + msgp.IntSize + 3 + msgp.ArrayHeaderSize + (len(z.Silences) * (5 + msgp.Int64Size + msgp.Int64Size)) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.ArrayHeaderSize
+	for za0002 := range z.Starts {
+		s += z.Starts[za0002].Msgsize()
 	}
 	s += 3 + msgp.ArrayHeaderSize
-	for za0002 := range z.Stops {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Stops[za0002].Task) + 2 + msgp.IntSize
+	for za0003 := range z.Stops {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Stops[za0003].Task) + 2 + msgp.IntSize
 	}
 	s += 3 + msgp.ArrayHeaderSize
-	for za0003 := range z.RunResources {
-		s += z.RunResources[za0003].Msgsize()
+	for za0004 := range z.RunResources {
+		s += z.RunResources[za0004].Msgsize()
 	}
 	s += 3 + msgp.ArrayHeaderSize
-	for za0004 := range z.Paces {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Paces[za0004].Task) + 2 + msgp.IntSize + 2 + msgp.IntSize
+	for za0005 := range z.Paces {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Paces[za0005].Task) + 2 + msgp.IntSize + 2 + msgp.IntSize
 	}
 	s += 3 + msgp.Int64Size + 3 + msgp.Int64Size + 3 + msgp.ArrayHeaderSize
-	for za0005 := range z.Replies {
-		s += z.Replies[za0005].Msgsize()
+	for za0006 := range z.Replies {
+		s += z.Replies[za0006].Msgsize()
 	}
 	return
 }
