Bound the hold beside the owner, and let the members tell what they know of the previous owner

The hold of 8 s counted from the takeover. Change: the agent on the owner's host holds its runs for 4.5 s after a report, and announces that in the store; a successor that knows the previous owner counts that hold, but not before one that an earlier owner may have granted.

--- a/internal/deployed/host.go
+++ b/internal/deployed/host.go
@@ -11,6 +11,7 @@
 	"bamboofork/internal/hostagent"
 	"bamboofork/internal/jobowner"
 	"bamboofork/internal/ownerconn"
+	"bamboofork/internal/session"
 	"bamboofork/internal/store"
 	"bamboofork/platform"
 )
@@ -46,7 +47,8 @@
 	if p.cfg.Advice != "" {
 		candidate.Config.Adviser = platform.NewAdviser(p.cfg.Advice, p.network)
 	}
-	member := jobowner.Member{Name: p.cfg.Name, Addr: p.cfg.Listen.PeerAddr(), Agent: true}
+	member := jobowner.Member{Name: p.cfg.Name, Addr: p.cfg.Listen.PeerAddr(), Agent: true,
+		MaxHoldBesideOwnerMs: session.MaxHoldBesideOwner.Milliseconds()}
 	return []app.Component{
 		{Name: "owner", Run: func(ctx context.Context) error { return follower.Listen(ctx, p.network, p.cfg.Listen.Peers) }},
 		{Name: "agent", Run: agent.Run},
--- a/internal/deployed/lost_host_test.go
+++ b/internal/deployed/lost_host_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -88,6 +90,11 @@
 	}
 	f.close()
 	qt.Check(f.t, f.checker.Violations(), qt.HasLen, 0)
+	if f.t.Failed() && *virtualLogs != "" {
+		for _, m := range f.machines() {
+			qt.Check(f.t, os.WriteFile(filepath.Join(*virtualLogs, m.cfg.Name+".log"), m.logs.Bytes(), 0o600), qt.IsNil)
+		}
+	}
 }
 
 // startPerpetualJobs submits as many perpetual jobs as the fleet takes. It returns them, and a host that runs tasks and is not the owner's.
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -249,7 +249,11 @@
 	}
 	a.bindOwner(conn)
 	if sentMs, ok := a.clockMsByReport[message.AckReportSeq]; ok && message.AckReportSeq != 0 {
-		a.grantedUntilMs = max(a.grantedUntilMs, sentMs+a.cfg.MaxHoldDuration.Milliseconds())
+		maxHold := a.cfg.MaxHoldDuration
+		if a.cfg.Follower.IsOwnerLocal() {
+			maxHold = min(maxHold, session.MaxHoldBesideOwner)
+		}
+		a.grantedUntilMs = max(a.grantedUntilMs, sentMs+maxHold.Milliseconds())
 		for reportSeq := range a.clockMsByReport {
 			if reportSeq < message.AckReportSeq {
 				delete(a.clockMsByReport, reportSeq)
--- a/internal/jobowner/candidate.go
+++ b/internal/jobowner/candidate.go
@@ -144,9 +144,7 @@
 	})
 	stopOnShutdown := context.AfterFunc(ctx, func() { endTerm(nil) })
 	tooSlow := time.AfterFunc(maxRecoveryDuration, func() { endTerm(errRecoveryTooSlow) })
-	cfg := c.Config
-	cfg.SilentSince = c.Follower.SilentSince
-	owner, err := Recover(termCtx, cfg, ownership, c.Self.Incarnation)
+	owner, err := Recover(termCtx, c.Config, ownership, c.Self.Incarnation)
 	tooSlow.Stop()
 	if err != nil {
 		events.JobsReleased.Log(&c.Config.Log).AnErr("cause", err).Dur("after_ms", boottime.Now()-start).Send()
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -29,6 +29,8 @@
 	// EndedLifetime is the lifetime of the agent's worker that was over when the worker unregistered; 0: none. The host may leave with
 	// its worker while no owner is connected.
 	EndedLifetime int64 `json:"ended_lifetime,omitempty"`
+	// MaxHoldBesideOwnerMs bounds the hold of the agent's worker while the owner is on the same host; 0: no other bound than for all holds.
+	MaxHoldBesideOwnerMs int64 `json:"max_hold_beside_owner_ms,omitempty"`
 }
 
 type conn = session.Conn[session.ToMember, session.FromMember]
@@ -162,6 +164,7 @@
 	defer o.mu.Unlock()
 	member := o.members[announced.Name]
 	if member != nil && member.Addr == announced.Addr && member.Agent == announced.Agent {
+		member.MaxHoldBesideOwnerMs = announced.MaxHoldBesideOwnerMs
 		member.noteDeparture(announced.EndedLifetime)
 		return
 	}
@@ -281,6 +284,9 @@
 		o.endTerm(election.ErrTaken)
 		return
 	}
+	if msg.Previous != nil {
+		o.learnFromMember(msg.Previous)
+	}
 	if msg.ReportSeq > 0 {
 		member.lastReportAt = boottime.Now()
 		o.endSilence(member.Name)
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -40,9 +40,6 @@
 	MaxHold   time.Duration   // maximum time that a worker keeps its runs while its reports do not reach the owner
 	// RecordsPerSnapshot is the number of records after which a snapshot replaces them; 0: defaultRecordsPerSnapshot.
 	RecordsPerSnapshot int64
-	// SilentSince returns the boot time since which the owner of an epoch has not heard from the agent of a silence, and whether this
-	// process knows it. nil: it knows none.
-	SilentSince func(epoch, number int64) (time.Duration, bool)
 }
 
 func (c *Config) recordsPerSnapshot() int64 {
@@ -76,6 +73,9 @@
 	silenceCount   int64                    // number of silences recorded in this term
 	durableSilence int64                    // number of the newest silence whose record is durable
 	servedSince    time.Duration            // boot time at the start of Run; 0: not started
+	previousEpoch  int64                    // epoch of the previous owner; 0: unknown
+	previousName   string                   // process name of the previous owner, as a member has told; empty: not told yet
+	previousSince  time.Duration            // boot time at which the previous owner had begun its service
 	// submitReplies holds the callbacks that reply to submissions once the job's record is durable. The key is the submitted job
 	// and not its ID: a caller may repeat a submission that was rejected, while the effects of the rejected one are still pending.
 	submitReplies    map[*jobs.Job][]func(session.Reply)
--- a/internal/jobowner/silence.go
+++ b/internal/jobowner/silence.go
@@ -11,8 +11,8 @@
 
 // A successor cannot know which reports an owner has confirmed, so it would have to count the hold of a host that is gone from its own
 // start, and each further successor again. Therefore an owner records in the log that it hears nothing from an agent, and confirms no
-// report of the agent before the end of the silence is in the log as well. It tells the other agents, each of which may be its
-// successor, how long the silence has lasted. The successor finds the silence in the log and counts the hold from its beginning.
+// report of the agent before the end of the silence is in the log as well. It tells the other agents how long the silence has lasted,
+// and they tell the successor, which finds the silence in the log and counts the hold from its beginning.
 
 const (
 	// silenceTimeout is the time without a report after which the silence of an agent is recorded.
@@ -24,35 +24,75 @@
 // agentSilence is the recorded silence of one agent.
 type agentSilence struct {
 	number int64
-	// inheritedSince is the boot time since which the previous owner had not heard from the agent; 0: the silence began in this term.
+	// previousNumber is the number of the silence in the epoch of the previous owner, and inheritedSince the boot time since which that
+	// owner had not heard from the agent, as a member has told; 0: none.
+	previousNumber int64
 	inheritedSince time.Duration
 	durable        bool
 	ending         bool // the end of the silence is recorded and not durable yet
 }
 
-// lastReportAt returns a boot time after which no report of the agent was received whose confirmation extends the hold of its worker.
+// lastReportAt returns a boot time such that the hold of the agent's worker expires at the latest MaxHold after it, by the worker's clock.
+// Without a takeover, that is the time of the last report.
 func (o *Owner) lastReportAt(agent string) time.Duration {
+	member, silence := o.members[agent], o.silences[agent]
 	at := o.startedAt + takeoverMargin
-	if silence := o.silences[agent]; silence != nil && silence.inheritedSince != 0 {
+	switch {
+	case silence != nil && silence.inheritedSince != 0:
 		at = silence.inheritedSince
+	case member != nil && agent == o.previousName && member.MaxHoldBesideOwnerMs > 0:
+		besideOwner := time.Duration(member.MaxHoldBesideOwnerMs) * time.Millisecond
+		// The owner before the previous one may have confirmed a report for the whole hold.
+		at = max(o.previousSince+takeoverMargin, at-max(0, o.cfg.MaxHold-besideOwner))
 	}
-	if member := o.members[agent]; member != nil {
+	if member != nil {
 		at = max(at, member.lastReportAt)
 	}
 	return at
 }
 
-// inheritSilences takes over the silences that the previous owner has recorded and of which this process knows the beginning. lastEpoch
-// is the epoch of the newest record before the fence: an owner in between may have confirmed reports of the agents.
+// inheritSilences takes over the silences that the previous owner has recorded. lastEpoch is the epoch of the newest record before the
+// fence. Silences of earlier epochs do not count, because an owner in between may have confirmed reports of the agents.
 func (o *Owner) inheritSilences(lastEpoch int64) {
+	o.previousEpoch = lastEpoch
 	recorded := o.jobsState.Silences
 	o.jobsState.Silences = map[string]jobs.Silence{}
 	for agent, silence := range recorded {
-		if silence.Epoch != lastEpoch || o.cfg.SilentSince == nil {
+		if silence.Epoch == lastEpoch {
+			o.recordSilence(agent, silence.Number)
+		}
+	}
+}
+
+// minReannouncedGain is by how much earlier a silence must have begun than the agents were told to be announced to them again.
+const minReannouncedGain = 100 * time.Millisecond
+
+// learnFromMember takes over what a member has learned from the previous owner.
+func (o *Owner) learnFromMember(told *session.PreviousOwner) {
+	if told.Epoch != o.previousEpoch || told.Epoch == 0 {
+		return
+	}
+	now := boottime.Now()
+	seenAt := now - time.Duration(told.SeenMs)*time.Millisecond
+	if o.previousName == "" || seenAt < o.previousSince {
+		o.previousName, o.previousSince = told.Name, seenAt
+	}
+	sinceByNumber := make(map[int64]time.Duration, len(told.Silences))
+	for _, silence := range told.Silences {
+		sinceByNumber[silence.Number] = now - time.Duration(silence.ForMs)*time.Millisecond
+	}
+	announceAgain := false
+	for _, silence := range o.silences {
+		since, ok := sinceByNumber[silence.previousNumber]
+		if !ok || (silence.inheritedSince != 0 && since >= silence.inheritedSince) {
 			continue
 		}
-		if since, ok := o.cfg.SilentSince(silence.Epoch, silence.Number); ok {
-			o.recordSilence(agent, since)
+		announceAgain = announceAgain || silence.inheritedSince == 0 || since < silence.inheritedSince-minReannouncedGain
+		silence.inheritedSince = since
+	}
+	if announceAgain {
+		for _, member := range o.members {
+			member.announcedSilence = 0
 		}
 	}
 }
@@ -83,13 +123,13 @@
 	}
 }
 
-// recordSilence queues the record of an agent's silence.
-func (o *Owner) recordSilence(agent string, inheritedSince time.Duration) {
+// recordSilence queues the record of an agent's silence. previousNumber is its number in the epoch of the previous owner; 0: none.
+func (o *Owner) recordSilence(agent string, previousNumber int64) {
 	o.silenceCount++
-	silence := &agentSilence{number: o.silenceCount, inheritedSince: inheritedSince}
+	silence := &agentSilence{number: o.silenceCount, previousNumber: previousNumber}
 	o.silences[agent] = silence
 	events.AgentSilent.Log(&o.cfg.Log).Str("agent", agent).Int("runs", len(o.placedByAgent[agent])).
-		Int64("silent_ms", (boottime.Now()-o.lastReportAt(agent)).Milliseconds()).Bool("inherited", inheritedSince != 0).Send()
+		Int64("silent_ms", (boottime.Now()-o.lastReportAt(agent)).Milliseconds()).Bool("inherited", previousNumber != 0).Send()
 	o.apply(jobs.Change{Silence: &jobs.Silence{Agent: agent, Epoch: o.epoch, Number: silence.number}})
 	o.pendingEffects = append(o.pendingEffects, func() { silence.durable, o.durableSilence = true, silence.number })
 }
--- a/internal/ownerconn/ownerconn.go
+++ b/internal/ownerconn/ownerconn.go
@@ -37,7 +37,8 @@
 	HandleMessage  func(conn *Conn, msg *session.ToMember)
 
 	mu               sync.Mutex
-	ownerEpoch       int64 // highest epoch of any owner so far
+	ownerEpoch       int64         // highest epoch of any owner so far
+	ownerSeenAt      time.Duration // boot time of the first connection of the owner with ownerEpoch
 	conn             *Conn
 	confirmedAt      time.Duration // boot time of the last message with a confirmed lease
 	ownerResigned    bool
@@ -46,6 +47,15 @@
 	agentCount       int    // number of agents that the last owner reported; 0: not reported yet
 	// silentSince holds the boot time since which the current owner has heard nothing from an agent, by the number of the silence.
 	silentSince map[int64]time.Duration
+	previous    followedOwner // the owner before the current one
+}
+
+// followedOwner is what a Follower has learned from an owner that has been replaced.
+type followedOwner struct {
+	epoch       int64 // 0: there was none
+	name        string
+	seenAt      time.Duration
+	silentSince map[int64]time.Duration
 }
 
 // Listen accepts connections from owners on the address until ctx is done.
@@ -93,6 +103,9 @@
 		f.rejectOwner(conn)
 		return
 	}
+	if previous := f.previousOwner(); previous != nil {
+		conn.Send(session.FromMember{Previous: previous})
+	}
 	f.OwnerConnected(conn)
 	msg := &first
 	for {
@@ -117,7 +130,8 @@
 	}
 	previousConn := f.conn
 	if msg.Epoch != f.ownerEpoch {
-		f.silentSince = nil // silences are numbered within an epoch
+		f.previous = followedOwner{epoch: f.ownerEpoch, name: f.ownerName, seenAt: f.ownerSeenAt, silentSince: f.silentSince}
+		f.ownerSeenAt, f.silentSince = boottime.Now(), nil
 	}
 	f.conn, f.ownerEpoch, f.ownerName, f.ownerResigned, f.storeUnreachable = conn, msg.Epoch, msg.Owner, false, false
 	f.mu.Unlock()
@@ -180,16 +194,26 @@
 	maps.DeleteFunc(f.silentSince, func(_ int64, since time.Duration) bool { return now-since > maxSilenceAge })
 }
 
-// SilentSince returns the boot time since which the owner of the epoch has not heard from the agent of a silence, as that owner has
-// told this process. It returns false if this process does not know.
-func (f *Follower) SilentSince(epoch, number int64) (time.Duration, bool) {
+// IsOwnerLocal reports whether the owner is a process on this host.
+func (f *Follower) IsOwnerLocal() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if epoch != f.ownerEpoch {
-		return 0, false
+	return f.ownerName == f.Name
+}
+
+// previousOwner returns what this process has learned from the owner before the current one, or nil if there was none.
+func (f *Follower) previousOwner() *session.PreviousOwner {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.previous.epoch == 0 {
+		return nil
+	}
+	now := boottime.Now()
+	told := &session.PreviousOwner{Epoch: f.previous.epoch, Name: f.previous.name, SeenMs: (now - f.previous.seenAt).Milliseconds()}
+	for number, since := range f.previous.silentSince {
+		told.Silences = append(told.Silences, session.Silence{Number: number, ForMs: (now - since).Milliseconds()})
 	}
-	since, ok := f.silentSince[number]
-	return since, ok
+	return told
 }
 
 // AgentCount returns the number of agents that the last owner reported, or 0 if this process has heard from no owner yet.
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -1,6 +1,10 @@
 package session
 
-import "bamboofork/internal/jobs"
+import (
+	"time"
+
+	"bamboofork/internal/jobs"
+)
 
 // messages_gen.go is generated from this file and has the binary form of the messages, with the field names of the JSON form.
 //
@@ -30,13 +34,21 @@
 	Replies          []Reply   `json:"an,omitempty"` // entries only
 }
 
-// Silence states how long ago the owner has last received a report of an agent whose silence it has recorded in the log. A candidate
-// that becomes the next owner counts the hold of the agent's worker from then.
+// Silence states how long ago the owner has last received a report of an agent whose silence it has recorded in the log. The members
+// tell the next owner, which counts the hold of the agent's worker from then.
 type Silence struct {
 	Number int64 `json:"n"` // see jobs.Silence
 	ForMs  int64 `json:"f"` // negative: an earlier owner may confirm a report of the agent until that time from now
 }
 
+// PreviousOwner is what a member has learned from the owner that it followed before.
+type PreviousOwner struct {
+	Epoch    int64     `json:"e"`
+	Name     string    `json:"n"` // of the process
+	SeenMs   int64     `json:"s"` // time since the owner connected to the member first
+	Silences []Silence `json:"si,omitempty"`
+}
+
 // Start is the command to start one run of a task.
 type Start struct {
 	Task       string `json:"t"`
@@ -77,6 +89,8 @@
 	// NewerEpoch is the epoch of the owner that this member follows, in the answer to an owner with a lower epoch. The connection
 	// is closed after it.
 	NewerEpoch int64 `json:"ne,omitempty"`
+	// Previous is sent to each new owner, once; nil: there was no previous owner.
+	Previous *PreviousOwner `json:"po,omitempty"`
 
 	Agent            bool      `json:"ag,omitempty"`
 	ReportSeq        int64     `json:"b,omitempty"`  // number of this report
@@ -91,6 +105,10 @@
 	Requests         []Request `json:"rq,omitempty"` // entries only
 }
 
+// MaxHoldBesideOwner bounds the hold of the worker on the owner's host. That host may be lost together with the owner, and the takeover
+// adds to the time for which the tasks of the worker are away.
+const MaxHoldBesideOwner = 4500 * time.Millisecond
+
 // WorkerClockDrift is the maximum fraction by which a worker's clock may run slower than the local clock. The computed expiry of
 // a hold includes this drift.
 const WorkerClockDrift = 0.02
--- a/internal/session/messages_gen.go
+++ b/internal/session/messages_gen.go
@@ -46,8 +46,8 @@
 func (z *FromMember) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(15)
-	var zb0001Mask uint16 /* 15 bits */
+	zb0001Len := uint32(16)
+	var zb0001Mask uint16 /* 16 bits */
 	_ = zb0001Mask
 	if z.Name == "" {
 		zb0001Len--
@@ -65,52 +65,56 @@
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
-	if z.Agent == false {
+	if z.Previous == nil {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
-	if z.ReportSeq == 0 {
+	if z.Agent == false {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
-	if z.AckSeq == 0 {
+	if z.ReportSeq == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
-	if z.Worker == nil {
+	if z.AckSeq == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
-	if z.BestEffortPaused == false {
+	if z.Worker == nil {
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.RunsComplete == false {
+	if z.BestEffortPaused == false {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
-	if z.PollSeq == 0 {
+	if z.RunsComplete == false {
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
-	if z.Runs == nil {
+	if z.PollSeq == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x800
 	}
-	if z.Ends == nil {
+	if z.Runs == nil {
 		zb0001Len--
 		zb0001Mask |= 0x1000
 	}
-	if z.Refused == nil {
+	if z.Ends == nil {
 		zb0001Len--
 		zb0001Mask |= 0x2000
 	}
-	if z.Requests == nil {
+	if z.Refused == nil {
 		zb0001Len--
 		zb0001Mask |= 0x4000
 	}
+	if z.Requests == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8000
+	}
 	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
+	o = msgp.AppendMapHeader(o, zb0001Len)
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
@@ -135,21 +139,34 @@
 			o = msgp.AppendInt64(o, z.NewerEpoch)
 		}
 		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "po"
+			o = append(o, 0xa2, 0x70, 0x6f)
+			if z.Previous == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Previous.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Previous")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
 			// string "ag"
 			o = append(o, 0xa2, 0x61, 0x67)
 			o = msgp.AppendBool(o, z.Agent)
 		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "b"
 			o = append(o, 0xa1, 0x62)
 			o = msgp.AppendInt64(o, z.ReportSeq)
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "n"
 			o = append(o, 0xa1, 0x6e)
 			o = msgp.AppendInt64(o, z.AckSeq)
 		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// string "w"
 			o = append(o, 0xa1, 0x77)
 			if z.Worker == nil {
@@ -162,22 +179,22 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "sl"
 			o = append(o, 0xa2, 0x73, 0x6c)
 			o = msgp.AppendBool(o, z.BestEffortPaused)
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "f"
 			o = append(o, 0xa1, 0x66)
 			o = msgp.AppendBool(o, z.RunsComplete)
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// string "lk"
 			o = append(o, 0xa2, 0x6c, 0x6b)
 			o = msgp.AppendInt64(o, z.PollSeq)
 		}
-		if (zb0001Mask & 0x800) == 0 { // if not omitted
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
 			// string "rs"
 			o = append(o, 0xa2, 0x72, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Runs)))
@@ -189,7 +206,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
 			// string "en"
 			o = append(o, 0xa2, 0x65, 0x6e)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Ends)))
@@ -201,7 +218,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
 			// string "rf"
 			o = append(o, 0xa2, 0x72, 0x66)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Refused)))
@@ -218,7 +235,7 @@
 				o = msgp.AppendString(o, z.Refused[za0003].Reason)
 			}
 		}
-		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
 			// string "rq"
 			o = append(o, 0xa2, 0x72, 0x71)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Requests)))
@@ -280,6 +297,23 @@
 				err = msgp.WrapError(err, "NewerEpoch")
 				return
 			}
+		case "po":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Previous = nil
+			} else {
+				if z.Previous == nil {
+					z.Previous = new(PreviousOwner)
+				}
+				bts, err = z.Previous.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Previous")
+					return
+				}
+			}
 		case "ag":
 			z.Agent, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -478,7 +512,13 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FromMember) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.Name) + 3 + msgp.StringPrefixSize + len(z.Incarnation) + 3 + msgp.BoolSize + 3 + msgp.Int64Size + 3 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2
+	s = 3 + 3 + msgp.StringPrefixSize + len(z.Name) + 3 + msgp.StringPrefixSize + len(z.Incarnation) + 3 + msgp.BoolSize + 3 + msgp.Int64Size + 3
+	if z.Previous == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Previous.Msgsize()
+	}
+	s += 3 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2
 	if z.Worker == nil {
 		s += msgp.NilSize
 	} else {
@@ -577,6 +617,163 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *PreviousOwner) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Silences == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "e"
+		o = append(o, 0xa1, 0x65)
+		o = msgp.AppendInt64(o, z.Epoch)
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendString(o, z.Name)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendInt64(o, z.SeenMs)
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "si"
+			o = append(o, 0xa2, 0x73, 0x69)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Silences)))
+			for za0001 := range z.Silences {
+				// map header, size 2
+				// string "n"
+				o = append(o, 0x82, 0xa1, 0x6e)
+				o = msgp.AppendInt64(o, z.Silences[za0001].Number)
+				// string "f"
+				o = append(o, 0xa1, 0x66)
+				o = msgp.AppendInt64(o, z.Silences[za0001].ForMs)
+			}
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PreviousOwner) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "e":
+			z.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "n":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "s":
+			z.SeenMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SeenMs")
+				return
+			}
+		case "si":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Silences")
+				return
+			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Silences) >= int(zb0002) {
+				z.Silences = (z.Silences)[:zb0002]
+			} else {
+				z.Silences = make([]Silence, zb0002)
+			}
+			for za0001 := range z.Silences {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Silences", za0001)
+					return
+				}
+				if zb0003 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Silences", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "n":
+						z.Silences[za0001].Number, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Silences", za0001, "Number")
+							return
+						}
+					case "f":
+						z.Silences[za0001].ForMs, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Silences", za0001, "ForMs")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Silences", za0001)
+							return
+						}
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PreviousOwner) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.Int64Size + 3 + msgp.ArrayHeaderSize + (len(z.Silences) * (5 + msgp.Int64Size + msgp.Int64Size))
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Refusal) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
