--- a/internal/deployed/virtual_calm_test.go
+++ b/internal/deployed/virtual_calm_test.go
@@ -16,6 +16,7 @@
 	"testing/synctest"
 	"time"
 
+	"bamboofork/internal/election"
 	"bamboofork/internal/events"
 	"bamboofork/platform/standin"
 )
@@ -36,9 +37,9 @@
 	watchInterval = 50 * time.Millisecond
 	// holdExpired is the reason with which an owner ends the runs of a worker that it does not reach.
 	holdExpired = "the worker is unreachable and its hold has expired"
-	// holdFromTermStart is the time from the start of a term to the end of the runs of a worker of which the owner has heard nothing: 2.5 s,
-	// the hold, 2% for the clock of the worker, and 300 ms.
-	holdFromTermStart = 2500*time.Millisecond + virtualHoldMs*8/10*102/100*time.Millisecond + 300*time.Millisecond
+	// holdFromTermStart is the time from the start of a term to the end of the runs of a worker of which the owner has heard nothing: the
+	// lease of the previous owner, the hold, 2% for the clock of the worker, and 300 ms.
+	holdFromTermStart = election.LeaseTTL + virtualHoldMs*8/10*102/100*time.Millisecond + 300*time.Millisecond
 )
 
 // taskWatch follows the tasks of jobs, as workers see them, and checks that they run in a calm. Its fields are guarded by
@@ -327,8 +328,8 @@
 		fault  func()
 	}
 	choices := []choice{
-		{10, func() { f.loseHost(w, f.anyStayingHost()) }},
-		{4, func() { f.loseHost(w, f.owner()) }},
+		{10, func() { f.loseHostForGood(w, f.anyStayingHost()) }},
+		{4, func() { f.loseHostForGood(w, f.owner()) }},
 		{6, func() { f.loseWorkerBesideAgent(w) }},
 		{8, func() { f.crashWorkerWithoutAgent(w) }},
 		{10, func() { f.depart(w) }},
@@ -374,8 +375,8 @@
 	return staying[f.rng.IntN(len(staying))]
 }
 
-// loseHost ends a worker and its host for good and without notice. Nothing answers at the address afterwards.
-func (f *virtualFleet) loseHost(w *taskWatch, m *virtualMachine) {
+// loseHostForGood ends a worker and its host for good and without notice. Nothing answers at the address afterwards.
+func (f *virtualFleet) loseHostForGood(w *taskWatch, m *virtualMachine) {
 	if f.anyStayingHost() == nil || m == nil || m.left {
 		return
 	}
