Place no tasks on workers whose agents are silent

Callers saw LOST: a task that had to be placed again was placed on the worker of a host that had gone dark 1.5 s before, and stayed away for another hold: missing for 9 s in a calm, with the owner unchanged. Cause: an agent counts as present until its connection is lost, 1.5 s after its last message, although the owner records its silence after 0.8 s. Agents report at least every 0.5 s. Change: planning passes over workers whose agents have a recorded silence or have not reported for that time.

--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -250,7 +250,8 @@
 	now := boottime.Now()
 	for _, member := range o.members {
 		worker := member.worker
-		if !member.Agent || !member.isReady() || worker == nil || worker.Draining || worker.Gone || now < member.blockedUntil {
+		if !member.Agent || !member.isReady() || worker == nil || worker.Draining || worker.Gone || now < member.blockedUntil ||
+			o.isSilent(member) {
 			continue
 		}
 		maxStarts := o.workerHealth.MaxStarts(member.Name, bootTimeMs())
--- a/internal/jobowner/silence.go
+++ b/internal/jobowner/silence.go
@@ -123,6 +123,12 @@
 	}
 }
 
+// isSilent reports whether the agent of the member has not reported for some time. It may be gone although its connection does not count
+// as lost yet.
+func (o *Owner) isSilent(member *memberView) bool {
+	return o.silences[member.Name] != nil || boottime.Now() >= member.lastReportAt+silenceTimeout
+}
+
 // recordSilence queues the record of an agent's silence. previousNumber is its number in the epoch of the previous owner; 0: none.
 func (o *Owner) recordSilence(agent string, previousNumber int64) {
 	o.silenceCount++
