Report that no worker runs beside an agent with which none has registered

Callers saw LOST: perpetual tasks of a worker that ended for good while its agent was away stayed away for a hold (8 s), after a change of the owner for 10.3 s. The same holds if the worker's notice reaches an agent that started less than a heartbeat before. Cause: the next agent process never hears of the worker, so it lists no runs, and only the hold ends them. Change: an agent with which no worker has registered calls the address of its worker. After three refused connections, the evidence by which it also takes a registered worker for ended, it reports that the worker is gone and an empty list of runs. While a worker answers, it is called every 0.5 s until it registers (heartbeats: 1.5 s). TestTasksOfAWorkerThatEndsWithoutItsAgentAreRestarted fails before (8.05 s with the same owner, 10.3 s with another one, bound 6 s) and passes now. Found by TestTasksRunInEveryCalmInVirtualTime (workers lost beside an agent that restarts).

--- a/internal/deployed/lasting_test.go
+++ b/internal/deployed/lasting_test.go
@@ -123,3 +123,25 @@
 		}
 	})
 }
+
+// Guards against perpetual tasks that stay away for a hold because their worker ended for good while its agent was away: the next agent
+// process never heard of the worker and had nothing to report.
+func TestTasksOfAWorkerThatEndsWithoutItsAgentAreRestarted(t *testing.T) {
+	for name, changesOwner := range map[string]bool{"same owner": false, "another owner": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newLastingFleet(t, 1)
+				defer f.close()
+				owner, m := f.owner(), f.otherHost()
+				f.kill(m, false)
+				f.endWorker(m)
+				time.Sleep(300 * time.Millisecond)
+				f.launch(m)
+				if changesOwner {
+					f.kill(owner, false)
+				}
+				f.awaitLastingTasks(restartLimit)
+			})
+		})
+	}
+}
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -177,6 +177,8 @@
 	// ackTimeout is how long the agent waits for the owner to acknowledge ended runs before it calls Hold again. Without the wait
 	// the worker would respond at once with the same ends.
 	ackTimeout = 150 * time.Millisecond
+	// unknownWorkerProbeDelay is the delay before a worker that runs and has not registered yet is probed again.
+	unknownWorkerProbeDelay = 500 * time.Millisecond
 	// unreachableRetryDelay is the delay before Hold is retried on a worker that did not respond.
 	unreachableRetryDelay = 150 * time.Millisecond
 )
@@ -202,7 +204,12 @@
 
 func (a *Agent) renewHold(ctx context.Context) error {
 	a.mu.Lock()
-	if a.worker == nil || a.worker.Gone {
+	if a.worker == nil {
+		a.mu.Unlock()
+		a.probeUnknownWorker(ctx)
+		return errNoWorker
+	}
+	if a.worker.Gone {
 		a.mu.Unlock()
 		return errNoWorker
 	}
@@ -253,6 +260,30 @@
 	return nil
 }
 
+// probeUnknownWorker checks whether a worker that has not registered with this agent process runs at all. It may have ended for good while
+// no agent ran.
+func (a *Agent) probeUnknownWorker(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := a.cfg.Runner.Hold(callCtx, WorkerIdentity{}, 0, 0, 0, 0)
+	if !errors.Is(err, ErrConnRefused) {
+		a.mu.Lock()
+		a.refusedConns = 0
+		a.mu.Unlock()
+		app.Sleep(ctx, unknownWorkerProbeDelay)
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.worker != nil {
+		return // it has registered meanwhile
+	}
+	if a.refusedConns++; a.refusedConns >= maxRefusedConns {
+		a.worker = &session.Worker{}
+		a.markWorkerGone()
+	}
+}
+
 // recheckPending reports whether any run waits for a list that shows whether it is active. The next list is then requested
 // without waiting for a run to end.
 func (a *Agent) recheckPending() bool {
@@ -428,6 +459,9 @@
 			message.Runs, message.PollSeq = a.runList(), a.listCount
 		}
 	}
+	if a.worker != nil && a.worker.Gone && a.worker.Lifetime == 0 {
+		message.RunsComplete = isComplete // no worker runs, whatever its lifetime was
+	}
 	conn.Send(message)
 }
 
