--- a/internal/deployed/virtual_network_test.go
+++ b/internal/deployed/virtual_network_test.go
@@ -271,9 +271,12 @@
 	c.peer.wake()
 }
 
-// vanish breaks this end without a notice to its peer.
+// vanish breaks this end without a notice to its peer. What a cut link holds back is lost, because nobody sends it again.
 func (c *virtualConn) vanish() {
 	c.broken = true
+	if c.network.link(c.machine, c.peer.machine).cut {
+		c.peer.incoming = nil
+	}
 	delete(c.network.conns, c)
 	c.wake()
 }
