A restarted agent reports that its worker's port is closed

A worker ended for good while its agent was away; the agent came back and knew no worker, so each owner waited for the end of a hold, counted anew after each takeover.

Cause: only the previous process of the agent knew the worker. The new one has nothing to report until a worker registers, and a worker that has ended never does.

Change: an agent without a registered worker calls the worker of its host. After three refused connections in succession, the proof that counts for a registered worker too, it reports that the worker is gone and, in a complete list, that nothing runs there. The knowledge can be had again by any later process, so it needs no store.

--- /dev/null
+++ b/internal/deployed/virtual_takeovers_test.go
@@ -0,0 +1,119 @@
+package deployed
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// ownerChange replaces the owner of a virtual fleet.
+type ownerChange func(f *virtualFleet)
+
+// ownerOutage is how long an owner that is replaced stays away.
+const ownerOutage = 1800 * time.Millisecond
+
+func killOwner(f *virtualFleet) {
+	m := f.owner()
+	f.kill(m, false)
+	f.after(ownerOutage, func() { f.restart(m) })
+}
+
+func stopOwner(f *virtualFleet) {
+	m := f.owner()
+	f.stop(m)
+	f.after(ownerOutage, func() { f.restart(m) })
+}
+
+// cutOffOwner cuts the owner off until its lease has expired, as when its machine is frozen.
+func cutOffOwner(f *virtualFleet) {
+	m := f.owner()
+	f.note("cut %s off", m.cfg.Name)
+	f.isolate(m)
+	f.after(ownerOutage, f.network.healLinks)
+}
+
+// changeOwnersEvery schedules the changes, the first one now.
+func (f *virtualFleet) changeOwnersEvery(interval time.Duration, changes ...ownerChange) {
+	for i, change := range changes {
+		f.after(time.Duration(i)*interval, func() { change(f) })
+	}
+}
+
+// submitPerpetual submits a number of perpetual jobs of two tasks each.
+func (f *virtualFleet) submitPerpetual(count int) []*virtualJob {
+	var submitted []*virtualJob
+	for i := range count {
+		job := &virtualJob{id: fmt.Sprintf("%c%015x", perpetualJob, i+1), isPerpetual: true, taskCount: 2,
+			body: `{"spec":"x","steps":[{"count":2,"cpu":2000,"mem_mb":100,"estimate_ms":300,"perpetual":true}]}`}
+		f.mu.Lock()
+		f.jobs[job.id] = job
+		f.mu.Unlock()
+		qt.Check(f.t, f.submit(job, f.entries[0]), qt.Equals, http.StatusOK)
+		submitted = append(submitted, job)
+	}
+	return submitted
+}
+
+// missingTasks returns the number of tasks of the jobs that are not running.
+func (f *virtualFleet) missingTasks(jobs []*virtualJob) int {
+	missing := 0
+	for _, job := range jobs {
+		missing += job.taskCount - f.checker.RunningTaskCount(job.id)
+	}
+	return missing
+}
+
+// runUntilComplete waits until all tasks of the perpetual jobs are running, but not longer than the limit. It returns the time that passed.
+func (f *virtualFleet) runUntilComplete(jobs []*virtualJob, limit time.Duration) time.Duration {
+	start := time.Now()
+	for f.missingTasks(jobs) > 0 && time.Since(start) < limit {
+		f.runScheduled(time.Now().Add(20 * time.Millisecond))
+	}
+	return time.Since(start)
+}
+
+// Guards against tasks that stay away for the length of a hold, counted anew by each owner, because their worker ended for good while its
+// agent was away: no process knows the worker any more, but its port is closed.
+func TestTasksOfAWorkerThatEndedWithoutItsAgentRunAgain(t *testing.T) {
+	const agentOutage = 500 * time.Millisecond
+	for _, c := range []struct {
+		name    string
+		changes []ownerChange
+		limit   time.Duration // from the end of the worker
+	}{
+		{"same owner", nil, agentOutage + time.Second},
+		{"owner killed", []ownerChange{killOwner}, agentOutage + 2*time.Second},
+		{"owner cut off", []ownerChange{cutOffOwner}, agentOutage + 4*time.Second},
+		{"series of owners", []ownerChange{killOwner, stopOwner, cutOffOwner, killOwner}, agentOutage + 4*time.Second},
+		{"series of owners cut off", []ownerChange{cutOffOwner, cutOffOwner, cutOffOwner, cutOffOwner}, agentOutage + 4*time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newVirtualFleet(t, 1)
+				time.Sleep(time.Second)
+				jobs := f.submitPerpetual(10)
+				qt.Assert(t, f.runUntilComplete(jobs, virtualCalm) < virtualCalm, qt.IsTrue)
+				owner := f.owner()
+				i := slices.IndexFunc(f.hosts, func(m *virtualMachine) bool { return m != owner && m.worker.StartedRunCount() > 0 })
+				qt.Assert(t, i >= 0, qt.IsTrue)
+				m := f.hosts[i]
+				f.kill(m, false)
+				f.endWorker(m)
+				f.after(agentOutage, func() { f.launch(m) })
+				qt.Check(t, f.missingTasks(jobs) > 0, qt.IsTrue)
+				f.changeOwnersEvery(2*time.Second, c.changes...)
+				took := f.runUntilComplete(jobs, 30*time.Second)
+				qt.Check(t, took < c.limit, qt.IsTrue, qt.Commentf("the tasks were away for %s", took))
+				f.runScheduled(time.Now().Add(2 * time.Duration(len(c.changes)) * time.Second))
+				qt.Check(t, f.missingTasks(jobs), qt.Equals, 0)
+				f.close()
+				qt.Check(t, f.checker.Violations(), qt.HasLen, 0)
+			})
+		})
+	}
+}
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -202,7 +202,12 @@
 
 func (a *Agent) renewHold(ctx context.Context) error {
 	a.mu.Lock()
-	if a.worker == nil || a.worker.Gone {
+	if a.worker == nil {
+		a.mu.Unlock()
+		a.probeUnknownWorker(ctx)
+		return errNoWorker
+	}
+	if a.worker.Gone {
 		a.mu.Unlock()
 		return errNoWorker
 	}
@@ -253,6 +258,26 @@
 	return nil
 }
 
+// probeUnknownWorker checks whether a worker runs on this host although none has registered with this agent process. If the worker's port
+// is closed, a worker that an earlier agent process knew has ended, and nobody else can tell the owner so.
+func (a *Agent) probeUnknownWorker(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := a.cfg.Runner.Hold(callCtx, WorkerIdentity{}, 0, 0, 0, 0) // has no effect on a worker
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.worker != nil {
+		return
+	}
+	if !errors.Is(err, ErrConnRefused) {
+		a.refusedConns = 0
+	} else if a.refusedConns++; a.refusedConns >= maxRefusedConns {
+		events.WorkerLost.Log(&a.cfg.Log).Err(err).Msg("no worker has registered, and none listens")
+		a.worker = &session.Worker{}
+		a.markWorkerGone()
+	}
+}
+
 // recheckPending reports whether any run waits for a list that shows whether it is active. The next list is then requested
 // without waiting for a run to end.
 func (a *Agent) recheckPending() bool {
@@ -419,10 +444,12 @@
 	if !isComplete && message.Worker == nil && len(message.Ends) == 0 && len(message.Refused) == 0 {
 		return
 	}
-	if a.worker != nil && a.clockMs != 0 && (a.runsListed || a.worker.Gone) {
+	if a.worker != nil && (a.worker.Gone || (a.clockMs != 0 && a.runsListed)) {
 		a.lastReportSeq++
 		message.ReportSeq = a.lastReportSeq
-		a.clockMsByReport[a.lastReportSeq] = a.workerClockMs()
+		if a.clockMs != 0 {
+			a.clockMsByReport[a.lastReportSeq] = a.workerClockMs()
+		}
 		if isComplete {
 			message.RunsComplete = true
 			message.Runs, message.PollSeq = a.runList(), a.listCount
--- /dev/null
+++ b/internal/hostagent/unknown_worker_test.go
@@ -0,0 +1,60 @@
+package hostagent
+
+import (
+	"context"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"bamboofork/internal/session"
+)
+
+// answeringRunner answers Hold calls with an error.
+type answeringRunner struct {
+	scriptedRunner
+	holdErr error
+}
+
+func (r *answeringRunner) Hold(context.Context, WorkerIdentity, int64, int64, int64, int) (HoldResponse, error) {
+	return HoldResponse{}, r.holdErr
+}
+
+// Guards against tasks that wait for the end of a hold: a restarted agent knows no worker, and the one that its predecessor knew has ended.
+// An open port or a missing response proves nothing.
+func TestRestartedAgentReportsAClosedPortOfItsWorker(t *testing.T) {
+	for _, c := range []struct {
+		holdErr error
+		isGone  bool
+	}{{ErrConnRefused, true}, {ErrNoResponse, false}, {ErrOtherLifetime, false}, {nil, false}} {
+		a := newTestAgent(&answeringRunner{holdErr: c.holdErr})
+		a.worker, a.runsListed, a.token, a.clockMs = nil, false, 0, 0 // as after a restart
+		for range maxRefusedConns {
+			qt.Check(t, a.renewHold(t.Context()), qt.Equals, errNoWorker)
+		}
+		conn, owner := newConnPair(t)
+		a.OwnerConnected(conn)
+		report, err := owner.Receive()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, report.Worker != nil && report.Worker.Gone, qt.Equals, c.isGone, qt.Commentf("%v", c.holdErr))
+		qt.Check(t, report.RunsComplete, qt.Equals, c.isGone)
+		qt.Check(t, report.Runs, qt.HasLen, 0)
+		qt.Check(t, a.clockMsByReport, qt.HasLen, 0, qt.Commentf("an acknowledgement of the report would extend a hold"))
+		a.Register(session.Worker{ID: "i-1", Lifetime: 8})
+		qt.Check(t, a.worker.Gone, qt.IsFalse)
+	}
+}
+
+// Guards against a worker that counts as ended although it answers now and then.
+func TestRefusedConnectionsOfAnUnknownWorkerAreCountedInSuccession(t *testing.T) {
+	runner := &answeringRunner{}
+	a := newTestAgent(runner)
+	a.worker = nil
+	for i := range 4 * maxRefusedConns {
+		runner.holdErr = ErrConnRefused
+		if i%maxRefusedConns == 0 {
+			runner.holdErr = ErrOtherLifetime
+		}
+		qt.Check(t, a.renewHold(t.Context()), qt.Equals, errNoWorker)
+		qt.Check(t, a.worker, qt.IsNil)
+	}
+}
