Announcements of departed workers outlive a restart of the agent

Callers: a perpetual task stays away for the hold of its worker after an announced departure, 9.3 s after the fault (LOST). The worker unregistered while the owner was cut off, the agent was stopped or killed and started again, and the host left before a successor was elected.

Cause: a starting agent announced itself with no ended lifetime and so withdrew what its predecessor had announced. It also took a delayed registration of that lifetime for a worker.

Change: an announcement replaces the stored one and keeps its ended lifetime; the agent learns it with the same read and ignores registrations of that lifetime and of earlier ones, as the process did to which the worker unregistered. No additional store calls.

--- a/internal/deployed/front.go
+++ b/internal/deployed/front.go
@@ -70,9 +70,7 @@
 		{Name: "owner", Run: untilDrained(func(ctx context.Context) error { return front.Follower.Listen(ctx, p.network, p.cfg.Listen.Peers) })},
 		{Name: "heartbeat", Run: untilDrained(front.Heartbeat)},
 		{Name: "announcement", Run: func(ctx context.Context) error {
-			if err := ownerconn.Announce(ctx, store, &p.log, jobowner.MemberPrefix+p.cfg.Name, member); err != nil {
-				return err
-			}
+			ownerconn.Announce(ctx, store, &p.log, jobowner.MemberPrefix+p.cfg.Name, member.Replacing)
 			<-ctx.Done()
 			return nil
 		}},
--- a/internal/deployed/host.go
+++ b/internal/deployed/host.go
@@ -7,7 +7,6 @@
 	"bamboofork/internal/app"
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/election"
-	"bamboofork/internal/events"
 	"bamboofork/internal/hostagent"
 	"bamboofork/internal/jobowner"
 	"bamboofork/internal/ownerconn"
@@ -54,9 +53,11 @@
 			return p.serveInternal(ctx, p.cfg.Listen.Registrations, platform.RegistrationHandler(p.cfg.Worker, agent))
 		}},
 		{Name: "candidate", Run: func(ctx context.Context) error {
-			if err := ownerconn.Announce(ctx, st, &p.log, jobowner.MemberPrefix+p.cfg.Name, member); err != nil {
-				return err
-			}
+			ownerconn.Announce(ctx, st, &p.log, jobowner.MemberPrefix+p.cfg.Name, func(stored []byte) jobowner.Member {
+				member = member.Replacing(stored)
+				agent.RestoreDeparture(member.EndedLifetime)
+				return member
+			})
 			var departures sync.WaitGroup
 			defer departures.Wait()
 			departures.Go(func() { announceDepartures(ctx, p, st, agent, member) })
@@ -78,8 +79,6 @@
 			return
 		case member.EndedLifetime = <-agent.Departed():
 		}
-		if err := ownerconn.Announce(announceCtx, st, &p.log, jobowner.MemberPrefix+p.cfg.Name, member); err != nil {
-			events.AnnouncementFailed.Log(&p.log).Str("key", jobowner.MemberPrefix+p.cfg.Name).Err(err).Send()
-		}
+		ownerconn.Announce(announceCtx, st, &p.log, jobowner.MemberPrefix+p.cfg.Name, member.Replacing)
 	}
 }
--- a/internal/deployed/virtual_takeovers_test.go
+++ b/internal/deployed/virtual_takeovers_test.go
@@ -68,6 +68,14 @@
 	return missing
 }
 
+// hostWithRuns returns the machine of a worker that has run tasks and is not beside the owner.
+func (f *virtualFleet) hostWithRuns() *virtualMachine {
+	owner := f.owner()
+	i := slices.IndexFunc(f.hosts, func(m *virtualMachine) bool { return m != owner && m.worker.StartedRunCount() > 0 })
+	qt.Assert(f.t, i >= 0, qt.IsTrue)
+	return f.hosts[i]
+}
+
 // runUntilComplete waits until all tasks of the perpetual jobs are running, but not longer than the limit. It returns the time that passed.
 func (f *virtualFleet) runUntilComplete(jobs []*virtualJob, limit time.Duration) time.Duration {
 	start := time.Now()
@@ -98,10 +106,7 @@
 				time.Sleep(time.Second)
 				jobs := f.submitPerpetual(10)
 				qt.Assert(t, f.runUntilComplete(jobs, virtualCalm) < virtualCalm, qt.IsTrue)
-				owner := f.owner()
-				i := slices.IndexFunc(f.hosts, func(m *virtualMachine) bool { return m != owner && m.worker.StartedRunCount() > 0 })
-				qt.Assert(t, i >= 0, qt.IsTrue)
-				m := f.hosts[i]
+				m := f.hostWithRuns()
 				f.kill(m, false)
 				f.endWorker(m)
 				f.after(agentOutage, func() { f.launch(m) })
@@ -117,3 +122,40 @@
 		})
 	}
 }
+
+// Guards against a restart of an agent that withdraws what its predecessor has announced: the worker unregistered while the owner was cut
+// off, and its host left before the successor was elected. The predecessor may have told the owner of the departure, too.
+func TestDepartureIsKnownAfterARestartOfTheAgent(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		isStop  bool // the agent is stopped gracefully
+		restart time.Duration
+	}{{"stopped at once", true, 50 * time.Millisecond}, {"stopped", true, 300 * time.Millisecond}, {"killed", false, 300 * time.Millisecond}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newVirtualFleet(t, 1)
+				time.Sleep(time.Second)
+				jobs := f.submitPerpetual(10)
+				qt.Assert(t, f.runUntilComplete(jobs, virtualCalm) < virtualCalm, qt.IsTrue)
+				departing := f.hostWithRuns()
+				cutOffOwner(f)
+				f.endWorker(departing)
+				departing.worker.Unregister(f.client, departing.cfg.Listen.Registrations)
+				f.after(c.restart, func() {
+					if c.isStop {
+						f.stop(departing)
+					} else {
+						f.kill(departing, false)
+					}
+				})
+				f.after(c.restart+100*time.Millisecond, func() { f.launch(departing) })
+				f.after(time.Second, func() { f.kill(departing, true) })
+				f.runScheduled(time.Now().Add(ownerOutage))
+				took := f.runUntilComplete(jobs, 30*time.Second)
+				qt.Check(t, took < virtualCalm, qt.IsTrue, qt.Commentf("the tasks were away for %s after the fault", took))
+				f.close()
+				qt.Check(t, f.checker.Violations(), qt.HasLen, 0)
+			})
+		})
+	}
+}
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -39,7 +39,9 @@
 
 	mu     sync.Mutex
 	worker *session.Worker // latest registration; nil before the first; without an ID if none has come and the worker's port is closed
-	token  int64           // fencing token of this agent process; 0: not chosen yet
+	// departedLifetime is the newest lifetime of the worker that an earlier process of the agent has announced as over; 0: none.
+	departedLifetime int64
+	token            int64 // fencing token of this agent process; 0: not chosen yet
 	// tokenStepMs is added to the fencing token when the worker has seen a higher token.
 	tokenStepMs int64
 	runsListed  bool // the worker has listed its runs to a call with this token, so runByTask is complete
@@ -141,7 +143,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	previous := a.worker
-	if previous != nil && (worker.Lifetime < previous.Lifetime ||
+	if worker.Lifetime <= a.departedLifetime || previous != nil && (worker.Lifetime < previous.Lifetime ||
 		(worker.Lifetime == previous.Lifetime && previous.Gone && a.refusedConns == 0)) {
 		return
 	}
@@ -176,6 +178,18 @@
 // Departed returns the channel that receives the lifetime of the worker each time the worker has unregistered.
 func (a *Agent) Departed() <-chan int64 { return a.departed }
 
+// RestoreDeparture sets the lifetime of the worker that was over when the worker unregistered, as an earlier process of the agent has
+// announced it; 0: none. A registration of that lifetime is a delayed one.
+func (a *Agent) RestoreDeparture(lifetime int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.departedLifetime = max(a.departedLifetime, lifetime)
+	if a.worker != nil && !a.worker.Gone && a.worker.Lifetime <= a.departedLifetime {
+		a.refusedConns = 0
+		a.markWorkerGone()
+	}
+}
+
 // markWorkerGone records that the current lifetime of the worker and all of its runs have ended.
 func (a *Agent) markWorkerGone() {
 	goneWorker := *a.worker
--- a/internal/hostagent/unknown_worker_test.go
+++ b/internal/hostagent/unknown_worker_test.go
@@ -58,3 +58,20 @@
 		qt.Check(t, a.worker, qt.IsNil)
 	}
 }
+
+// Guards against a worker that has left and is used again after a restart of its agent, because a delayed registration arrives before or
+// after the new process knows what its predecessor has announced.
+func TestRestartedAgentIgnoresRegistrationsOfAnAnnouncedDeparture(t *testing.T) {
+	a := newTestAgent(nil) // registers lifetime 7
+	a.RestoreDeparture(0)
+	qt.Check(t, a.worker.Gone, qt.IsFalse)
+	a.RestoreDeparture(7)
+	qt.Check(t, a.worker.Gone, qt.IsTrue)
+	a.Register(session.Worker{ID: "i-1", Lifetime: 7})
+	qt.Check(t, a.worker.Gone, qt.IsTrue)
+	a.worker = nil
+	a.Register(session.Worker{ID: "i-1", Lifetime: 7})
+	qt.Check(t, a.worker, qt.IsNil)
+	a.Register(session.Worker{ID: "i-1", Lifetime: 8})
+	qt.Check(t, a.worker.Gone, qt.IsFalse)
+}
--- a/internal/ownerconn/ownerconn.go
+++ b/internal/ownerconn/ownerconn.go
@@ -210,32 +210,31 @@
 // announceTimeout bounds one attempt to announce the process.
 const announceTimeout = 800 * time.Millisecond
 
-// Announce writes the value as JSON under the key and retries until the value is stored or ctx is done. It returns an error
-// only if the value cannot be encoded.
-func Announce(ctx context.Context, st store.Store, log *zerolog.Logger, key string, v any) error {
-	value, err := json.Marshal(v)
-	if err != nil {
-		return eris.Wrap(err, "encode announcement")
-	}
+// Announce writes an announcement as JSON under the key and retries until it is stored or ctx is done. announcement returns the value
+// that replaces the stored one, which is empty if there is none.
+func Announce[T any](ctx context.Context, st store.Store, log *zerolog.Logger, key string, announcement func(stored []byte) T) {
 	for ctx.Err() == nil {
-		if err := announceOnce(ctx, st, key, value); err == nil {
-			return nil
-		} else {
-			events.AnnouncementFailed.Log(log).Str("key", key).Err(err).Send()
+		err := announceOnce(ctx, st, key, announcement)
+		if err == nil {
+			return
 		}
+		events.AnnouncementFailed.Log(log).Str("key", key).Err(err).Send()
 		app.Sleep(ctx, announceRetryDelay)
 	}
-	return nil
 }
 
-// announceOnce makes one attempt to store the value. It writes nothing if the key already has the value.
-func announceOnce(ctx context.Context, st store.Store, key string, value []byte) error {
+// announceOnce makes one attempt to store the announcement. It writes nothing if the key already has the value.
+func announceOnce[T any](ctx context.Context, st store.Store, key string, announcement func(stored []byte) T) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	kv, err := st.Get(ctx, key)
 	if err != nil {
 		return err
 	}
+	value, err := json.Marshal(announcement(kv.Value))
+	if err != nil {
+		return eris.Wrap(err, "encode announcement")
+	}
 	if kv.ModRevision != 0 && string(kv.Value) == string(value) {
 		return nil
 	}
