Waits of tasks and jobs go on under the next owner

Callers: a perpetual task that finds room only in the reserve of short tasks (after 1.2 s), and a best-effort job that starts anywhere after 1.8 s, do not start while owners follow each other within that time, however long the series is.

Cause: the start of a wait was known to one owner only; each successor counted from its own first check.

--- a/internal/deployed/virtual_takeovers_test.go
+++ b/internal/deployed/virtual_takeovers_test.go
@@ -159,3 +159,33 @@
 		})
 	}
 }
+
+// Guards against perpetual tasks whose wait for the reserve of short tasks begins anew with each owner, so that it has no end while owners
+// follow each other.
+func TestPerpetualTasksStartDuringASeriesOfOwnerChanges(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		interval time.Duration
+		changes  []ownerChange
+	}{
+		{"killed and stopped", 1200 * time.Millisecond, []ownerChange{killOwner, stopOwner, killOwner, stopOwner, killOwner, stopOwner}},
+		{"cut off", 2700 * time.Millisecond, []ownerChange{cutOffOwner, cutOffOwner, cutOffOwner, cutOffOwner}},
+		{"in turn", 2 * time.Second, []ownerChange{killOwner, stopOwner, cutOffOwner, killOwner}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newVirtualFleet(t, 1)
+				time.Sleep(time.Second)
+				jobs := f.submitPerpetual(23) // 46 of the 48 places; 42 leave the reserve for short tasks free
+				f.changeOwnersEvery(c.interval, c.changes...)
+				length := time.Duration(len(c.changes)) * c.interval
+				took := f.runUntilComplete(jobs, length+virtualCalm)
+				qt.Check(t, took < length, qt.IsTrue, qt.Commentf("complete after %s, the series took %s", took, length))
+				f.runScheduled(time.Now().Add(length + virtualCalm - took))
+				qt.Check(t, f.missingTasks(jobs), qt.Equals, 0)
+				f.close()
+				qt.Check(t, f.checker.Violations(), qt.HasLen, 0)
+			})
+		})
+	}
+}
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -78,6 +78,8 @@
 	bestEffortBuffer []*placedTask // used by workerView
 	// interference is loaded from the store at the start of the term and refined by the reports of the agents.
 	interference      *placement.Interference
+	servingSince      time.Duration // boot time at which Run began
+	waitsRestored     bool          // see restoreWaits
 	nextPlanAt        time.Duration // boot time before which no planning pass starts
 	planPostponed     bool          // a pass was due before nextPlanAt
 	timeoutsCheckedAt time.Duration // boot time of the last check of timeouts
@@ -222,7 +224,7 @@
 	ctx, endTerm := context.WithCancelCause(ctx)
 	defer endTerm(nil)
 	o.mu.Lock()
-	o.endTerm = endTerm
+	o.endTerm, o.servingSince = endTerm, boottime.Now()
 	o.mu.Unlock()
 	var wg sync.WaitGroup
 	wg.Go(func() {
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -96,6 +96,7 @@
 		}
 		updateWaitingTimes(job)
 	}
+	o.restoreWaits()
 }
 
 // updateWaitingTimes records for each waiting perpetual task of a job the time since which the task waits.
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -44,6 +44,7 @@
 	Worker     string    `json:"w,omitempty"` // agent of the worker on which the newest run was placed
 	Lifetime   int64     `json:"l,omitempty"` // lifetime number of that worker when the run was placed
 	Checkpoint string    `json:"k,omitempty"` // newest checkpoint, from which the next run continues; empty: none
+	EndedMs    int64     `json:"e,omitempty"` // time in Unix milliseconds at which a waiting task began to wait again; 0: it was never placed
 
 	// PacePercent is the pace that was last sent for a placed task: the share of full speed, in percent.
 	PacePercent     int   `json:"-"`
@@ -96,6 +97,7 @@
 	IsCancelled bool         `json:"x,omitempty"`
 	IsFailed    bool         `json:"fl,omitempty"`
 	EndedMs     int64        `json:"em,omitempty"` // time of the final state in Unix milliseconds; 0: not ended
+	LastEndMs   int64        `json:"le,omitempty"` // time of the newest end of a run in Unix milliseconds; 0: none has ended
 	Occurrences []Occurrence `json:"oc"`
 
 	HasStarted          bool `json:"-"` // a task has been placed at least once
@@ -308,7 +310,7 @@
 	task.State, task.Run, task.Worker, task.Lifetime = TaskPlaced, p.Run, p.Worker, p.Lifetime
 	task.Stopping, task.StartMaybeSent, task.RunStarted, task.ProgressPercent, task.LastProgressMs, task.WaitingSinceMs =
 		false, false, false, 0, 0, 0
-	task.PacePercent, task.SlowSinceMs = FullPacePercent, 0
+	task.PacePercent, task.SlowSinceMs, task.EndedMs = FullPacePercent, 0, 0
 	j.Occurrences[p.Occ].Steps[p.Step].WaitingTasks--
 }
 
@@ -322,7 +324,8 @@
 	}
 	step := &j.Spec.Steps[e.Step]
 	stepState := &j.Occurrences[e.Occ].Steps[e.Step]
-	task.State, task.Stopping = TaskWaiting, false
+	task.State, task.Stopping, task.EndedMs = TaskWaiting, false, e.AtMs
+	j.LastEndMs = max(j.LastEndMs, e.AtMs)
 	switch {
 	case e.Outcome == EndDone && !step.Perpetual:
 		j.completeTask(e, task, stepState)
@@ -336,7 +339,7 @@
 // completeTask marks the task as done. It completes the step, the occurrence and the job where this was their last task.
 func (j *Job) completeTask(e *End, task *Task, stepState *StepState) {
 	task.State = TaskDone
-	task.Checkpoint = ""
+	task.Checkpoint, task.EndedMs = "", 0
 	stepState.DoneTasks++
 	if j.Spec.Steps[e.Step].Gang {
 		for i := range stepState.Tasks { // one task that is done completes the whole gang
@@ -344,7 +347,7 @@
 				if member.State == TaskWaiting {
 					stepState.WaitingTasks--
 				}
-				member.State, member.Checkpoint = TaskDone, ""
+				member.State, member.Checkpoint, member.EndedMs = TaskDone, "", 0
 				stepState.DoneTasks++
 			}
 		}
@@ -370,7 +373,7 @@
 		stepState.WaitingTasks++
 		return
 	}
-	task.State = TaskFailed
+	task.State, task.EndedMs = TaskFailed, 0
 	if !j.Ended() {
 		j.IsFailed = true
 		j.EndedMs = e.AtMs
