Confirm the first report of an agent at once

Callers: 20 of 30 perpetual tasks of healthy workers are started again, with their work lost, while owners follow each other.

Cause: only a confirmed report extends the hold of a worker, and an owner confirmed reports with its heartbeats, from 300 ms after the agent had connected. Owners that are cut off earlier than that, one after the other, confirm none; after 8 s the holds of all workers expire.

Change: an owner confirms the first complete list on a connection at once. That costs one message for each agent and connection. The conditions of a confirmation are the same.

--- a/internal/deployed/virtual_takeovers_test.go
+++ b/internal/deployed/virtual_takeovers_test.go
@@ -189,3 +189,34 @@
 		})
 	}
 }
+
+// Guards against runs of healthy workers that end because the hold expires: no owner of a series lives until its first heartbeat, and none of
+// them confirms a report.
+func TestRunsOutlastASeriesOfShortTerms(t *testing.T) {
+	for _, termLength := range []time.Duration{50 * time.Millisecond, 150 * time.Millisecond, 250 * time.Millisecond} {
+		t.Run(termLength.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newVirtualFleet(t, 1)
+				time.Sleep(time.Second)
+				jobs := f.submitPerpetual(15)
+				qt.Assert(t, f.runUntilComplete(jobs, virtualCalm) < virtualCalm, qt.IsTrue)
+				starts, start := f.checker.StartCount(), time.Now()
+				for previous := ""; time.Since(start) < (virtualHoldMs+3000)*time.Millisecond; {
+					if name := f.store.OwnerName(); name != "" && name != previous {
+						previous = name
+						f.runScheduled(time.Now().Add(termLength))
+						f.network.healLinks()
+						f.isolate(f.owner())
+					}
+					f.runScheduled(time.Now().Add(5 * time.Millisecond))
+				}
+				f.network.healLinks()
+				f.runScheduled(time.Now().Add(virtualCalm))
+				qt.Check(t, f.missingTasks(jobs), qt.Equals, 0)
+				qt.Check(t, f.checker.StartCount(), qt.Equals, starts, qt.Commentf("tasks were started again"))
+				f.close()
+				qt.Check(t, f.checker.Violations(), qt.HasLen, 0)
+			})
+		})
+	}
+}
--- a/internal/jobowner/report.go
+++ b/internal/jobowner/report.go
@@ -183,6 +183,7 @@
 	o.updateColocation(member, msg)
 	if !member.runsListed {
 		member.runsListed = true
+		o.sendCommands(member, true) // confirms the report at once: owners may follow each other faster than heartbeats
 		o.wakeCommitLoop()
 	}
 }
