Agents tell a new owner for how long runs have made no progress

Callers: tasks that hang on a faulty worker are not moved while owners follow each other; 24 short tasks took 7.92 s instead of less than 6 s.

Cause: the owner alone observed the progress of runs, and each successor began anew: 1.2 s for a stalled worker, 4 s and more for a single run.

Change: an agent keeps the time since which the progress and the pace of a run have not changed, as far as the worker has listed the run since, and reports it in the first list on a connection. An owner that has not observed the run continues from there.

--- a/internal/deployed/virtual_takeovers_test.go
+++ b/internal/deployed/virtual_takeovers_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"bamboofork/platform/standin"
 )
 
 // ownerChange replaces the owner of a virtual fleet.
@@ -68,6 +70,12 @@
 	return missing
 }
 
+// hostOtherThanOwner returns the machine of a worker that is not beside the owner.
+func (f *virtualFleet) hostOtherThanOwner() *virtualMachine {
+	owner := f.owner()
+	return f.hosts[slices.IndexFunc(f.hosts, func(m *virtualMachine) bool { return m != owner })]
+}
+
 // hostWithRuns returns the machine of a worker that has run tasks and is not beside the owner.
 func (f *virtualFleet) hostWithRuns() *virtualMachine {
 	owner := f.owner()
@@ -220,3 +228,37 @@
 		})
 	}
 }
+
+// Guards against runs that hang on a faulty worker for as long as owners follow each other: each owner observed them anew.
+func TestStalledRunsAreMovedDuringASeriesOfOwnerChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newVirtualFleet(t, 1)
+		time.Sleep(time.Second)
+		f.hostOtherThanOwner().worker.SetFaults(standin.WorkerFaults{NoProgress: true})
+		var submitted []*virtualJob
+		for i := range 12 {
+			job := &virtualJob{id: fmt.Sprintf("%c%015x", shortJob, i+1), taskCount: 2,
+				body: `{"spec":"x","steps":[{"count":2,"cpu":2000,"mem_mb":100,"estimate_ms":300}]}`}
+			f.jobs[job.id] = job
+			qt.Check(t, f.submit(job, f.entries[0]), qt.Equals, http.StatusOK)
+			submitted = append(submitted, job)
+		}
+		const interval = 1200 * time.Millisecond
+		f.changeOwnersEvery(interval, killOwner, stopOwner, killOwner, stopOwner, killOwner, stopOwner)
+		start := time.Now()
+		done := func() int {
+			count := 0
+			for _, job := range submitted {
+				count += f.checker.DoneTaskCount(job.id)
+			}
+			return count
+		}
+		for done() < 2*len(submitted) && time.Since(start) < 20*time.Second {
+			f.runScheduled(time.Now().Add(20 * time.Millisecond))
+		}
+		took := time.Since(start)
+		qt.Check(t, took < 5*interval, qt.IsTrue, qt.Commentf("%d tasks are done after %s", done(), took))
+		f.close()
+		qt.Check(t, f.checker.Violations(), qt.HasLen, 0)
+	})
+}
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -56,6 +56,7 @@
 	reportedWorker     *session.Worker // state of the worker in the last report to the current owner
 	lastCommandSeq     int64
 	lastReportSeq      int64
+	listedAt           time.Duration   // boot time at which the latest run list was requested from the worker
 	listCount          int64           // number of run lists received from the worker
 	listUnreported     bool            // the latest list has not been reported to the owner yet
 	clockMsByReport    map[int64]int64 // worker's clock in milliseconds when each report was sent, by report number
@@ -79,10 +80,12 @@
 	stopRequested  bool
 	// recheckAfter is a boot time, set after a response that does not show whether the run is active. The first list requested
 	// from the worker after this time shows it. 0: no recheck is needed.
-	recheckAfter     time.Duration
-	refuseReason     string // reported to the owner if the recheck does not find the run
-	checkpoint       string
-	progressPercent  int
+	recheckAfter    time.Duration
+	refuseReason    string // reported to the owner if the recheck does not find the run
+	checkpoint      string
+	progressPercent int
+	// progressedAt is the boot time since which neither the progress nor the pace has changed; 0: the worker has not listed the run.
+	progressedAt     time.Duration
 	recentUsage      int // see session.Run.RecentUsage
 	pacePercent      int // percent of full speed, as confirmed by the worker
 	ownerPacePercent int // percent of full speed that the owner allows
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -296,6 +296,7 @@
 		a.runsListed = true
 		a.signalReport()
 	}
+	a.listedAt = sentAt
 	for _, e := range resp.Ended {
 		a.recordEnd(&e)
 	}
@@ -346,6 +347,9 @@
 	if r.start.Run != listedRun.Run {
 		return
 	}
+	if r.progressedAt == 0 || listedRun.ProgressPercent != r.progressPercent {
+		r.progressedAt = a.listedAt
+	}
 	r.startConfirmed = true
 	if r.recheckAfter != 0 && !r.stopRequested {
 		r.recheckAfter = 0
@@ -429,7 +433,8 @@
 // lists all runs. The first report on a connection is always complete and repeats all unacknowledged ends. A report that would
 // not be complete and has nothing new is not sent.
 func (a *Agent) sendReport(conn *ownerconn.Conn, isComplete bool) {
-	isComplete = a.bindOwner(conn) || isComplete
+	isFirst := a.bindOwner(conn)
+	isComplete = isFirst || isComplete
 	message := session.FromMember{AckSeq: a.lastCommandSeq, Refused: a.unreportedRefusals, BestEffortPaused: a.paceLimitPercent < 100}
 	a.unreportedRefusals = nil
 	for _, e := range a.unackedEnds {
@@ -452,18 +457,24 @@
 		}
 		if isComplete {
 			message.RunsComplete = true
-			message.Runs, message.PollSeq = a.runList(), a.listCount
+			message.Runs, message.PollSeq = a.runList(isFirst), a.listCount
 		}
 	}
 	conn.Send(message)
 }
 
-func (a *Agent) runList() []session.Run {
+// runList returns all runs. The first list on a connection also tells a new owner for how long each run has made no progress. Time in
+// which the worker has listed nothing does not count, because this process may have been paused.
+func (a *Agent) runList(isFirst bool) []session.Run {
 	list := make([]session.Run, 0, len(a.runByTask))
 	for task, r := range a.runByTask {
-		list = append(list, session.Run{
+		listed := session.Run{
 			Task: task, Run: r.start.Run, Started: r.startConfirmed, Checkpoint: r.checkpoint, ProgressPercent: r.progressPercent,
-			RecentUsage: r.recentUsage, PacePercent: max(0, r.pacePercent), ResourcesUnknown: !r.resourcesKnown})
+			RecentUsage: r.recentUsage, PacePercent: max(0, r.pacePercent), ResourcesUnknown: !r.resourcesKnown}
+		if isFirst && r.progressedAt != 0 {
+			listed.StalledMs = max(0, a.listedAt-r.progressedAt).Milliseconds()
+		}
+		list = append(list, listed)
 	}
 	return list
 }
--- a/internal/hostagent/owner_pace_test.go
+++ b/internal/hostagent/owner_pace_test.go
@@ -47,7 +47,7 @@
 	qt.Check(t, r.paces, qt.DeepEquals, []int{40, 80, 20, 80, 100})
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	qt.Check(t, a.runList()[0].PacePercent, qt.Equals, 100)
+	qt.Check(t, a.runList(false)[0].PacePercent, qt.Equals, 100)
 }
 
 // Guards against a run that stays slow permanently. The agent had restarted while the run was slowed, and the new process
@@ -57,9 +57,9 @@
 	a := newTestAgent(r)
 	a.recordActive(&ActiveRun{Task: "j.0.0.0", Run: 1})
 	a.setResources(&session.Start{Task: "j.0.0.0", Run: 1, Lifetime: 7, BestEffort: true})
-	qt.Check(t, a.runList()[0].PacePercent, qt.Equals, 0)
+	qt.Check(t, a.runList(false)[0].PacePercent, qt.Equals, 0)
 	a.applyPaces(context.Background())
 	a.applyPaces(context.Background())
 	qt.Check(t, r.paces, qt.DeepEquals, []int{100})
-	qt.Check(t, a.runList()[0].PacePercent, qt.Equals, 100)
+	qt.Check(t, a.runList(false)[0].PacePercent, qt.Equals, 100)
 }
--- a/internal/hostagent/pace.go
+++ b/internal/hostagent/pace.go
@@ -140,7 +140,7 @@
 			continue
 		}
 		a.mu.Lock()
-		c.run.pacePercent = c.pacePercent
+		c.run.pacePercent, c.run.progressedAt = c.pacePercent, boottime.Now()
 		a.mu.Unlock()
 	}
 }
--- a/internal/jobowner/report.go
+++ b/internal/jobowner/report.go
@@ -194,9 +194,13 @@
 		placed.task.Checkpoint = run.Checkpoint
 	}
 	slowed := placed.task.PacePercent < jobs.FullPacePercent // slow progress of a slowed run does not indicate a stalled worker
+	progressedMs := bootTimeMs()
+	if placed.task.LastProgressMs == 0 && !slowed {
+		progressedMs = max(1, progressedMs-run.StalledMs) // as the agent has observed under earlier owners
+	}
 	if slowed || run.ProgressPercent != placed.task.ProgressPercent || placed.task.LastProgressMs == 0 ||
 		(run.Started && !placed.task.RunStarted) {
 		placed.task.RunStarted = placed.task.RunStarted || run.Started
-		placed.task.ProgressPercent, placed.task.LastProgressMs = run.ProgressPercent, bootTimeMs()
+		placed.task.ProgressPercent, placed.task.LastProgressMs = run.ProgressPercent, progressedMs
 	}
 }
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -111,6 +111,7 @@
 	RecentUsage      int    `json:"u5,omitempty"` // serving tasks: tail latency in milliseconds; others: CPU use in millicores
 	PacePercent      int    `json:"pc,omitempty"` // share of full speed, in percent, that the worker has confirmed
 	ResourcesUnknown bool   `json:"u,omitempty"`  // the agent does not know the resources of the run
+	StalledMs        int64  `json:"sm,omitempty"` // time for which neither progress nor pace had changed when the worker listed the run last; in the first list on a connection only
 }
 
 // RunEnd is the end of a run, as reported by the worker.
--- a/internal/session/messages_gen.go
+++ b/internal/session/messages_gen.go
@@ -979,8 +979,8 @@
 func (z *Run) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
 	_ = zb0001Mask
 	if z.Started == false {
 		zb0001Len--
@@ -1006,6 +1006,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
+	if z.StalledMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1047,6 +1051,11 @@
 			o = append(o, 0xa1, 0x75)
 			o = msgp.AppendBool(o, z.ResourcesUnknown)
 		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "sm"
+			o = append(o, 0xa2, 0x73, 0x6d)
+			o = msgp.AppendInt64(o, z.StalledMs)
+		}
 	}
 	return
 }
@@ -1121,6 +1130,12 @@
 				err = msgp.WrapError(err, "ResourcesUnknown")
 				return
 			}
+		case "sm":
+			z.StalledMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "StalledMs")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1135,7 +1150,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Run) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Task) + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Checkpoint) + 2 + msgp.IntSize + 3 + msgp.IntSize + 3 + msgp.IntSize + 2 + msgp.BoolSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Task) + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Checkpoint) + 2 + msgp.IntSize + 3 + msgp.IntSize + 3 + msgp.IntSize + 2 + msgp.BoolSize + 3 + msgp.Int64Size
 	return
 }
 
