Agents keep the suspicion of their worker for the next owner

Callers: a worker that fails all runs gets the tasks of the fleet again after each change of the owner, and each attempt counts for its job.

Cause: the quarantine and the probation of a worker were known to one owner only; a successor has to see failures of two jobs again.

Change: the owner gives what it remembers about a worker to its agent, with the next message after a change, and the agent returns it in the first report to the next owner, with the time that has passed deducted. Older versions ignore the fields.

--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -53,7 +53,9 @@
 	ownerConn          *ownerconn.Conn
 	reportedEndSeq     int64 // highest number of an end reported to the current owner
 	unreportedRefusals []session.Refusal
-	reportedWorker     *session.Worker // state of the worker in the last report to the current owner
+	suspicion          *session.Suspicion // kept for the next owner; nil: none
+	suspicionAt        time.Duration      // boot time at which suspicion was received
+	reportedWorker     *session.Worker    // state of the worker in the last report to the current owner
 	lastCommandSeq     int64
 	lastReportSeq      int64
 	listedAt           time.Duration   // boot time at which the latest run list was requested from the worker
@@ -273,6 +275,9 @@
 			}
 		}
 	}
+	if message.Suspicion != nil {
+		a.keepSuspicion(message.Suspicion)
+	}
 	for i := range message.RunResources {
 		a.setResources(&message.RunResources[i])
 	}
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -437,6 +437,9 @@
 	isComplete = isFirst || isComplete
 	message := session.FromMember{AckSeq: a.lastCommandSeq, Refused: a.unreportedRefusals, BestEffortPaused: a.paceLimitPercent < 100}
 	a.unreportedRefusals = nil
+	if isFirst {
+		message.Suspicion = a.suspicionForOwner()
+	}
 	for _, e := range a.unackedEnds {
 		if e.Seq > a.reportedEndSeq {
 			message.Ends = append(message.Ends, e)
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -54,6 +54,7 @@
 	lastMoveAtMs     int64         // boot time of the last move of a best-effort run to another worker
 	lastPollSeq      int64         // number of the newest worker poll that the interference model has observed
 	bestEffortPaused bool          // the agent slows best-effort runs; no further ones are placed on its worker
+	sentSuspicion    placement.Suspicion
 	blockedUntil     time.Duration // boot time before which nothing is placed here, after a refused start
 
 	// Commands queued for the next message to the member.
@@ -245,6 +246,7 @@
 	o.mu.Lock()
 	member.close()
 	member.conn, member.runsListed, member.commandSeq, member.sentAckSeq, member.lastPollSeq = c, false, 0, 0, 0
+	member.sentSuspicion = placement.Suspicion{}
 	for _, placed := range o.placedByAgent[member.Name] {
 		placed.task.CommandSeq = 0 // the first list of runs on this connection reflects all earlier commands
 	}
@@ -333,6 +335,7 @@
 	}
 	msg := session.ToMember{LeaseValid: leaseValid, StoreUnreachable: o.storeStalled(), Starts: starts, Stops: stops,
 		RunResources: member.runResources, Paces: member.paces, AckLifetime: member.ackLifetime, AckEndSeq: member.ackedEndSeq}
+	msg.Suspicion = o.changedSuspicion(member)
 	if evenIfEmpty {
 		msg.AgentCount = o.agentCount
 	}
--- a/internal/jobowner/report.go
+++ b/internal/jobowner/report.go
@@ -16,6 +16,9 @@
 // handleReport processes an agent's report about its worker and its runs.
 func (o *Owner) handleReport(member *memberView, msg *session.FromMember) {
 	member.bestEffortPaused = msg.BestEffortPaused
+	if msg.Suspicion != nil {
+		o.restoreSuspicion(member, msg.Suspicion)
+	}
 	for i := range msg.Ends { // before the worker, whose departure ends the runs that have no listed end
 		o.handleRunEnd(member, &msg.Ends[i])
 	}
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -21,17 +21,18 @@
 
 // HealthTracker quarantines workers by the outcomes of their runs. Without a quarantine, a worker that fails every task would
 // attract the work of the whole fleet, because its resources become free sooner than those of healthy workers.
-type HealthTracker struct{ workers map[string]*workerHealth }
+type HealthTracker struct{ workers map[string]*Suspicion }
 
-type workerHealth struct {
-	failedJobCount int // number of distinct jobs with a failed run since the last success
-	lastFailedJob  string
-	quarantineMs   int64 // duration of the last quarantine
-	noStartUntilMs int64 // end of the quarantine or, on probation, of the interval since the last start
+// Suspicion is what a HealthTracker remembers about a worker since its last success.
+type Suspicion struct {
+	FailedJobCount int // number of distinct jobs with a failed run
+	LastFailedJob  string
+	QuarantineMs   int64 // duration of the last quarantine
+	NoStartUntilMs int64 // end of the quarantine or, on probation, of the interval since the last start
 }
 
 // NewHealthTracker returns a HealthTracker that suspects no worker.
-func NewHealthTracker() *HealthTracker { return &HealthTracker{workers: map[string]*workerHealth{}} }
+func NewHealthTracker() *HealthTracker { return &HealthTracker{workers: map[string]*Suspicion{}} }
 
 // Record updates the health of the worker with the outcome of a run. A success ends the suspicion; a failure may start or prolong a
 // quarantine. All other outcomes have no effect.
@@ -47,23 +48,23 @@
 func (h *HealthTracker) recordFailure(worker, job string, nowMs int64) {
 	health := h.workers[worker]
 	if health == nil {
-		health = &workerHealth{}
+		health = &Suspicion{}
 		h.workers[worker] = health
 	}
-	if health.lastFailedJob != job || health.failedJobCount == 0 {
-		health.failedJobCount++
-		health.lastFailedJob = job
+	if health.LastFailedJob != job || health.FailedJobCount == 0 {
+		health.FailedJobCount++
+		health.LastFailedJob = job
 	}
-	if health.failedJobCount >= suspectAfterJobs {
-		health.quarantineMs = min(max(2*health.quarantineMs, initialQuarantineMs), maxQuarantineMs)
-		health.noStartUntilMs = nowMs + health.quarantineMs
+	if health.FailedJobCount >= suspectAfterJobs {
+		health.QuarantineMs = min(max(2*health.QuarantineMs, initialQuarantineMs), maxQuarantineMs)
+		health.NoStartUntilMs = nowMs + health.QuarantineMs
 	}
 }
 
 // Quarantine starts a quarantine of a worker whose runs make no progress. The worker is on probation afterwards.
 func (h *HealthTracker) Quarantine(worker string, nowMs int64) {
-	h.workers[worker] = &workerHealth{failedJobCount: suspectAfterJobs, quarantineMs: initialQuarantineMs,
-		noStartUntilMs: nowMs + initialQuarantineMs}
+	h.workers[worker] = &Suspicion{FailedJobCount: suspectAfterJobs, QuarantineMs: initialQuarantineMs,
+		NoStartUntilMs: nowMs + initialQuarantineMs}
 }
 
 // MaxStarts returns how many tasks may start on the worker now: -1 for no limit, 0 in quarantine, and 1 on probation. A probation
@@ -71,12 +72,12 @@
 func (h *HealthTracker) MaxStarts(worker string, nowMs int64) int {
 	health := h.workers[worker]
 	switch {
-	case health == nil || health.failedJobCount < suspectAfterJobs:
+	case health == nil || health.FailedJobCount < suspectAfterJobs:
 		return -1
-	case nowMs > health.noStartUntilMs+probationTimeoutMs:
+	case nowMs > health.NoStartUntilMs+probationTimeoutMs:
 		delete(h.workers, worker)
 		return -1
-	case nowMs < health.noStartUntilMs:
+	case nowMs < health.NoStartUntilMs:
 		return 0
 	}
 	return 1
@@ -85,7 +86,22 @@
 // RecordStart records the start of a task on the worker. On probation, the next task may start only probationIntervalMs later, when this
 // one has had time to fail.
 func (h *HealthTracker) RecordStart(worker string, nowMs int64) {
-	if health := h.workers[worker]; health != nil && health.failedJobCount >= suspectAfterJobs {
-		health.noStartUntilMs = max(health.noStartUntilMs, nowMs+probationIntervalMs)
+	if health := h.workers[worker]; health != nil && health.FailedJobCount >= suspectAfterJobs {
+		health.NoStartUntilMs = max(health.NoStartUntilMs, nowMs+probationIntervalMs)
+	}
+}
+
+// Suspicion returns what is remembered about the worker; the zero value: nothing.
+func (h *HealthTracker) Suspicion(worker string) Suspicion {
+	if health := h.workers[worker]; health != nil {
+		return *health
+	}
+	return Suspicion{}
+}
+
+// Restore sets what an earlier HealthTracker remembered about the worker, unless this one has observations of its own.
+func (h *HealthTracker) Restore(worker string, s Suspicion) {
+	if h.workers[worker] == nil && s != (Suspicion{}) {
+		h.workers[worker] = &s
 	}
 }
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -26,6 +26,16 @@
 	AckLifetime      int64   `json:"al,omitempty"` // worker lifetime to which AckEndSeq refers
 	AckEndSeq        int64   `json:"ak,omitempty"` // the worker may forget run ends whose Seq is at most this number
 	Replies          []Reply `json:"an,omitempty"` // entries only
+	// Suspicion replaces the Suspicion that the agent keeps for the next owner; nil: it has not changed.
+	Suspicion *Suspicion `json:"su,omitempty"`
+}
+
+// Suspicion is what an owner remembers about the failures on a worker, see placement.Suspicion. The zero value: nothing.
+type Suspicion struct {
+	FailedJobs    int    `json:"j,omitempty"`
+	LastFailedJob string `json:"l,omitempty"`
+	QuarantineMs  int64  `json:"q,omitempty"`
+	NoStartForMs  int64  `json:"n,omitempty"` // remaining time without starts; negative: time since then
 }
 
 // Start is the command to start one run of a task.
@@ -80,6 +90,8 @@
 	Ends             []RunEnd  `json:"en,omitempty"`
 	Refused          []Refusal `json:"rf,omitempty"`
 	Requests         []Request `json:"rq,omitempty"` // entries only
+	// Suspicion is what the previous owners remembered about the worker, in the first report on a connection only; nil: nothing.
+	Suspicion *Suspicion `json:"su,omitempty"`
 }
 
 // WorkerClockDrift is the maximum fraction by which a worker's clock may run slower than the local clock. The computed expiry of
--- a/internal/session/messages_gen.go
+++ b/internal/session/messages_gen.go
@@ -46,8 +46,8 @@
 func (z *FromMember) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(15)
-	var zb0001Mask uint16 /* 15 bits */
+	zb0001Len := uint32(16)
+	var zb0001Mask uint16 /* 16 bits */
 	_ = zb0001Mask
 	if z.Name == "" {
 		zb0001Len--
@@ -109,8 +109,12 @@
 		zb0001Len--
 		zb0001Mask |= 0x4000
 	}
+	if z.Suspicion == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8000
+	}
 	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
+	o = msgp.AppendMapHeader(o, zb0001Len)
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
@@ -230,6 +234,19 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
+			// string "su"
+			o = append(o, 0xa2, 0x73, 0x75)
+			if z.Suspicion == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Suspicion.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Suspicion")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -464,6 +481,23 @@
 					return
 				}
 			}
+		case "su":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Suspicion = nil
+			} else {
+				if z.Suspicion == nil {
+					z.Suspicion = new(Suspicion)
+				}
+				bts, err = z.Suspicion.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Suspicion")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -478,7 +512,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FromMember) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.Name) + 3 + msgp.StringPrefixSize + len(z.Incarnation) + 3 + msgp.BoolSize + 3 + msgp.Int64Size + 3 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2
+	s = 3 + 3 + msgp.StringPrefixSize + len(z.Name) + 3 + msgp.StringPrefixSize + len(z.Incarnation) + 3 + msgp.BoolSize + 3 + msgp.Int64Size + 3 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2
 	if z.Worker == nil {
 		s += msgp.NilSize
 	} else {
@@ -500,6 +534,12 @@
 	for za0004 := range z.Requests {
 		s += z.Requests[za0004].Msgsize()
 	}
+	s += 3
+	if z.Suspicion == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Suspicion.Msgsize()
+	}
 	return
 }
 
@@ -1572,12 +1612,128 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Suspicion) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.FailedJobs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	if z.LastFailedJob == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.QuarantineMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.NoStartForMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "j"
+			o = append(o, 0xa1, 0x6a)
+			o = msgp.AppendInt(o, z.FailedJobs)
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "l"
+			o = append(o, 0xa1, 0x6c)
+			o = msgp.AppendString(o, z.LastFailedJob)
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "q"
+			o = append(o, 0xa1, 0x71)
+			o = msgp.AppendInt64(o, z.QuarantineMs)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "n"
+			o = append(o, 0xa1, 0x6e)
+			o = msgp.AppendInt64(o, z.NoStartForMs)
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Suspicion) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "j":
+			z.FailedJobs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FailedJobs")
+				return
+			}
+		case "l":
+			z.LastFailedJob, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LastFailedJob")
+				return
+			}
+		case "q":
+			z.QuarantineMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "QuarantineMs")
+				return
+			}
+		case "n":
+			z.NoStartForMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NoStartForMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Suspicion) Msgsize() (s int) {
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.LastFailedJob) + 2 + msgp.Int64Size + 2 + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *ToMember) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(16)
-	var zb0001Mask uint16 /* 16 bits */
+	zb0001Len := uint32(17)
+	var zb0001Mask uint32 /* 17 bits */
 	_ = zb0001Mask
 	if z.Epoch == 0 {
 		zb0001Len--
@@ -1643,6 +1799,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x8000
 	}
+	if z.Suspicion == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -1770,6 +1930,19 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+			// string "su"
+			o = append(o, 0xa2, 0x73, 0x75)
+			if z.Suspicion == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Suspicion.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Suspicion")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -2049,6 +2222,23 @@
 					return
 				}
 			}
+		case "su":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Suspicion = nil
+			} else {
+				if z.Suspicion == nil {
+					z.Suspicion = new(Suspicion)
+				}
+				bts, err = z.Suspicion.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Suspicion")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2083,6 +2273,12 @@
 	for za0005 := range z.Replies {
 		s += z.Replies[za0005].Msgsize()
 	}
+	s += 3
+	if z.Suspicion == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Suspicion.Msgsize()
+	}
 	return
 }
 
