A stopping agent tells an owner first that its worker is gone

The worker unregistered while the owner was cut off, its agent had just been restarted and did not know the lifetime yet, so that it could not announce the departure, and the host left.

Cause: what the agent knew, that the port of its worker is closed, was lost with it, because it stopped before a successor was elected.

Change: an agent whose worker is gone, or seems to be, continues after the stop signal until an owner has acknowledged a complete report and the ends in it, for half of the grace period at most, as the announcement of departures does. An agent whose worker runs stops at once.

--- a/internal/deployed/host.go
+++ b/internal/deployed/host.go
@@ -46,9 +46,21 @@
 		candidate.Config.Adviser = platform.NewAdviser(p.cfg.Advice, p.network)
 	}
 	member := jobowner.Member{Name: p.cfg.Name, Addr: p.cfg.Listen.PeerAddr(), Agent: true}
+	untilLastReport := func(run func(ctx context.Context) error) func(ctx context.Context) error {
+		return func(ctx context.Context) error {
+			extended, cancel := app.Extend(ctx, p.cfg.Bounds.Grace()/2)
+			defer cancel()
+			stop := context.AfterFunc(ctx, func() {
+				agent.AwaitLastReport(extended)
+				cancel()
+			})
+			defer stop()
+			return run(extended)
+		}
+	}
 	return []app.Component{
-		{Name: "owner", Run: func(ctx context.Context) error { return follower.Listen(ctx, p.network, p.cfg.Listen.Peers) }},
-		{Name: "agent", Run: agent.Run},
+		{Name: "owner", Run: untilLastReport(func(ctx context.Context) error { return follower.Listen(ctx, p.network, p.cfg.Listen.Peers) })},
+		{Name: "agent", Run: untilLastReport(agent.Run)},
 		{Name: "registrations", Run: func(ctx context.Context) error {
 			return p.serveInternal(ctx, p.cfg.Listen.Registrations, platform.RegistrationHandler(p.cfg.Worker, agent))
 		}},
--- a/internal/deployed/virtual_takeovers_test.go
+++ b/internal/deployed/virtual_takeovers_test.go
@@ -262,3 +262,33 @@
 		qt.Check(t, f.checker.Violations(), qt.HasLen, 0)
 	})
 }
+
+// Guards against an agent that leaves with its host before an owner knows that its worker has left: the worker unregistered right after a
+// restart of the agent, which did not know the worker yet, while the owner was cut off.
+func TestStoppingAgentTellsAnOwnerThatItsWorkerHasLeft(t *testing.T) {
+	for _, sinceStart := range []time.Duration{5 * time.Millisecond, 400 * time.Millisecond} {
+		t.Run(sinceStart.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newVirtualFleet(t, 1)
+				time.Sleep(time.Second)
+				jobs := f.submitPerpetual(10)
+				qt.Assert(t, f.runUntilComplete(jobs, virtualCalm) < virtualCalm, qt.IsTrue)
+				departing := f.hostWithRuns()
+				cutOffOwner(f)
+				f.kill(departing, false)
+				departing.stopRegister() // no registration arrives before the worker unregisters
+				f.after(100*time.Millisecond, func() { f.launch(departing) })
+				f.after(100*time.Millisecond+sinceStart, func() {
+					f.endWorker(departing)
+					departing.worker.Unregister(f.client, departing.cfg.Listen.Registrations)
+					f.after(time.Second, func() { f.stop(departing) })
+				})
+				f.runScheduled(time.Now().Add(ownerOutage))
+				took := f.runUntilComplete(jobs, 30*time.Second)
+				qt.Check(t, took < 2*time.Second, qt.IsTrue, qt.Commentf("the tasks were away for %s after the fault", took))
+				f.close()
+				qt.Check(t, f.checker.Violations(), qt.HasLen, 0)
+			})
+		})
+	}
+}
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -53,6 +53,8 @@
 	ownerConn          *ownerconn.Conn
 	reportedEndSeq     int64 // highest number of an end reported to the current owner
 	unreportedRefusals []session.Refusal
+	goneReportSeq      int64              // number of the first complete report since the worker is gone; 0: none yet
+	goneAcked          bool               // an owner has acknowledged that report or a later one
 	suspicion          *session.Suspicion // kept for the next owner; nil: none
 	suspicionAt        time.Duration      // boot time at which suspicion was received
 	reportedWorker     *session.Worker    // state of the worker in the last report to the current owner
@@ -201,7 +203,7 @@
 	goneWorker.Gone = true
 	a.worker = &goneWorker
 	a.runByTask = map[string]*run{}
-	a.runsListed = false
+	a.runsListed, a.goneReportSeq, a.goneAcked = false, 0, false
 	a.signalReport()
 }
 
@@ -267,14 +269,7 @@
 		return // the connection has been replaced by one to a newer owner
 	}
 	a.bindOwner(conn)
-	if sentMs, ok := a.clockMsByReport[message.AckReportSeq]; ok && message.AckReportSeq != 0 {
-		a.grantedUntilMs = max(a.grantedUntilMs, sentMs+a.cfg.MaxHoldDuration.Milliseconds())
-		for reportSeq := range a.clockMsByReport {
-			if reportSeq < message.AckReportSeq {
-				delete(a.clockMsByReport, reportSeq)
-			}
-		}
-	}
+	a.applyReportAck(message.AckReportSeq)
 	if message.Suspicion != nil {
 		a.keepSuspicion(message.Suspicion)
 	}
@@ -296,6 +291,21 @@
 	a.applyAck(message)
 }
 
+// applyReportAck processes the acknowledgement of a report; 0: none. The number may be that of an earlier process of the agent.
+func (a *Agent) applyReportAck(ackedSeq int64) {
+	if sentMs, ok := a.clockMsByReport[ackedSeq]; ok && ackedSeq != 0 {
+		a.grantedUntilMs = max(a.grantedUntilMs, sentMs+a.cfg.MaxHoldDuration.Milliseconds())
+		for reportSeq := range a.clockMsByReport {
+			if reportSeq < ackedSeq {
+				delete(a.clockMsByReport, reportSeq)
+			}
+		}
+	}
+	if a.goneReportSeq != 0 && a.goneReportSeq <= ackedSeq && ackedSeq <= a.lastReportSeq {
+		a.goneAcked = true
+	}
+}
+
 // applyAck drops the ends that the owner has acknowledged as durable. The next Hold call acknowledges them to the worker,
 // which then forgets them.
 func (a *Agent) applyAck(message *session.ToMember) {
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -460,6 +460,9 @@
 		}
 		if isComplete {
 			message.RunsComplete = true
+			if a.worker.Gone && a.goneReportSeq == 0 {
+				a.goneReportSeq = a.lastReportSeq
+			}
 			message.Runs, message.PollSeq = a.runList(isFirst), a.listCount
 		}
 	}
