--- a/internal/deployed/host.go
+++ b/internal/deployed/host.go
@@ -7,7 +7,6 @@
 	"bamboofork/internal/app"
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/election"
-	"bamboofork/internal/events"
 	"bamboofork/internal/hostagent"
 	"bamboofork/internal/jobowner"
 	"bamboofork/internal/ownerconn"
@@ -49,16 +48,30 @@
 	}
 	member := jobowner.Member{Name: p.cfg.Name, Addr: p.cfg.Listen.PeerAddr(), Agent: true,
 		MaxHoldBesideOwnerMs: session.MaxHoldBesideOwner.Milliseconds()}
+	untilLastReport := func(run func(ctx context.Context) error) func(ctx context.Context) error {
+		return func(ctx context.Context) error {
+			extended, cancel := app.Extend(ctx, p.cfg.Bounds.Grace()/2)
+			defer cancel()
+			stop := context.AfterFunc(ctx, func() {
+				agent.AwaitLastReport(extended)
+				cancel()
+			})
+			defer stop()
+			return run(extended)
+		}
+	}
 	return []app.Component{
-		{Name: "owner", Run: func(ctx context.Context) error { return follower.Listen(ctx, p.network, p.cfg.Listen.Peers) }},
-		{Name: "agent", Run: agent.Run},
+		{Name: "owner", Run: untilLastReport(func(ctx context.Context) error { return follower.Listen(ctx, p.network, p.cfg.Listen.Peers) })},
+		{Name: "agent", Run: untilLastReport(agent.Run)},
 		{Name: "registrations", Run: func(ctx context.Context) error {
 			return p.serveInternal(ctx, p.cfg.Listen.Registrations, platform.RegistrationHandler(p.cfg.Worker, agent))
 		}},
 		{Name: "candidate", Run: func(ctx context.Context) error {
-			if err := ownerconn.Announce(ctx, st, &p.log, jobowner.MemberPrefix+p.cfg.Name, member); err != nil {
-				return err
-			}
+			ownerconn.Announce(ctx, st, &p.log, jobowner.MemberPrefix+p.cfg.Name, func(stored []byte) jobowner.Member {
+				member = member.Replacing(stored)
+				agent.RestoreDeparture(member.EndedLifetime)
+				return member
+			})
 			var departures sync.WaitGroup
 			defer departures.Wait()
 			departures.Go(func() { announceDepartures(ctx, p, st, agent, member) })
@@ -80,8 +93,6 @@
 			return
 		case member.EndedLifetime = <-agent.Departed():
 		}
-		if err := ownerconn.Announce(announceCtx, st, &p.log, jobowner.MemberPrefix+p.cfg.Name, member); err != nil {
-			events.AnnouncementFailed.Log(&p.log).Str("key", jobowner.MemberPrefix+p.cfg.Name).Err(err).Send()
-		}
+		ownerconn.Announce(announceCtx, st, &p.log, jobowner.MemberPrefix+p.cfg.Name, member.Replacing)
 	}
 }
--- a/internal/deployed/lost_host_test.go
+++ b/internal/deployed/lost_host_test.go
@@ -66,8 +66,7 @@
 				f := newVirtualFleet(t, seed)
 				perpetual, _ := f.startPerpetualJobs()
 				time.Sleep(time.Duration(seed) * 50 * time.Millisecond) // phases of the renewals of the lease
-				owner := f.owner()
-				qt.Assert(t, owner.worker.StartedRunCount() > 0, qt.IsTrue)
+				owner := f.ownerWithTasks()
 				f.loseHost(owner)
 				f.checkRunningAfter(perpetual, lostTaskLimit)
 			})
@@ -75,6 +74,20 @@
 	}
 }
 
+// ownerWithTasks changes the owner until its worker runs tasks. It returns when the holds that earlier owners have granted are over.
+func (f *virtualFleet) ownerWithTasks() *virtualMachine {
+	for {
+		owner := f.owner()
+		if owner.worker.StartedRunCount() > 0 {
+			f.runScheduled(time.Now().Add(virtualHoldMs * time.Millisecond))
+			return owner
+		}
+		f.stop(owner)
+		f.after(500*time.Millisecond, func() { f.restart(owner) })
+		f.runScheduled(time.Now().Add(2 * time.Second))
+	}
+}
+
 // loseHost makes a host vanish for good with its worker. Nothing at its addresses answers any more.
 func (f *virtualFleet) loseHost(m *virtualMachine) {
 	f.endWorker(m)
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -38,8 +38,10 @@
 	departed   chan int64    // holds the lifetime of the worker that has unregistered last
 
 	mu     sync.Mutex
-	worker *session.Worker // latest registration; nil before the first; without a lifetime if no worker has registered and none runs
-	token  int64           // fencing token of this agent process; 0: not chosen yet
+	worker *session.Worker // latest registration; nil before the first; without a lifetime if none has come and the worker's port is closed
+	// departedLifetime is the newest lifetime of the worker that an earlier process of the agent has announced as over; 0: none.
+	departedLifetime int64
+	token            int64 // fencing token of this agent process; 0: not chosen yet
 	// tokenStepMs is added to the fencing token when the worker has seen a higher token.
 	tokenStepMs int64
 	runsListed  bool // the worker has listed its runs to a call with this token, so runByTask is complete
@@ -51,9 +53,14 @@
 	ownerConn          *ownerconn.Conn
 	reportedEndSeq     int64 // highest number of an end reported to the current owner
 	unreportedRefusals []session.Refusal
-	reportedWorker     *session.Worker // state of the worker in the last report to the current owner
+	goneReportSeq      int64              // number of the first complete report since the worker is gone; 0: none yet
+	goneAcked          bool               // an owner has acknowledged that report or a later one
+	suspicion          *session.Suspicion // kept for the next owner; nil: none
+	suspicionAt        time.Duration      // boot time at which suspicion was received
+	reportedWorker     *session.Worker    // state of the worker in the last report to the current owner
 	lastCommandSeq     int64
 	lastReportSeq      int64
+	listedAt           time.Duration   // boot time at which the latest run list was requested from the worker
 	listCount          int64           // number of run lists received from the worker
 	listUnreported     bool            // the latest list has not been reported to the owner yet
 	clockMsByReport    map[int64]int64 // worker's clock in milliseconds when each report was sent, by report number
@@ -77,10 +84,12 @@
 	stopRequested  bool
 	// recheckAfter is a boot time, set after a response that does not show whether the run is active. The first list requested
 	// from the worker after this time shows it. 0: no recheck is needed.
-	recheckAfter     time.Duration
-	refuseReason     string // reported to the owner if the recheck does not find the run
-	checkpoint       string
-	progressPercent  int
+	recheckAfter    time.Duration
+	refuseReason    string // reported to the owner if the recheck does not find the run
+	checkpoint      string
+	progressPercent int
+	// progressedAt is the boot time since which neither the progress nor the pace has changed; 0: the worker has not listed the run.
+	progressedAt     time.Duration
 	recentUsage      int // see session.Run.RecentUsage
 	pacePercent      int // percent of full speed, as confirmed by the worker
 	ownerPacePercent int // percent of full speed that the owner allows
@@ -141,7 +150,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	previous := a.worker
-	if previous != nil && (worker.Lifetime < previous.Lifetime ||
+	if worker.Lifetime <= a.departedLifetime || previous != nil && (worker.Lifetime < previous.Lifetime ||
 		(worker.Lifetime == previous.Lifetime && previous.Gone && a.refusedConns == 0)) {
 		return
 	}
@@ -176,13 +185,25 @@
 // Departed returns the channel that receives the lifetime of the worker each time the worker has unregistered.
 func (a *Agent) Departed() <-chan int64 { return a.departed }
 
+// RestoreDeparture sets the lifetime of the worker that was over when the worker unregistered, as an earlier process of the agent has
+// announced it; 0: none. A registration of that lifetime is a delayed one.
+func (a *Agent) RestoreDeparture(lifetime int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.departedLifetime = max(a.departedLifetime, lifetime)
+	if a.worker != nil && !a.worker.Gone && a.worker.Lifetime <= a.departedLifetime {
+		a.refusedConns = 0
+		a.markWorkerGone()
+	}
+}
+
 // markWorkerGone records that the current lifetime of the worker and all of its runs have ended.
 func (a *Agent) markWorkerGone() {
 	goneWorker := *a.worker
 	goneWorker.Gone = true
 	a.worker = &goneWorker
 	a.runByTask = map[string]*run{}
-	a.runsListed = false
+	a.runsListed, a.goneReportSeq, a.goneAcked = false, 0, false
 	a.signalReport()
 }
 
@@ -248,17 +269,9 @@
 		return // the connection has been replaced by one to a newer owner
 	}
 	a.bindOwner(conn)
-	if sentMs, ok := a.clockMsByReport[message.AckReportSeq]; ok && message.AckReportSeq != 0 {
-		maxHold := a.cfg.MaxHoldDuration
-		if a.cfg.Follower.IsOwnerLocal() {
-			maxHold = min(maxHold, session.MaxHoldBesideOwner)
-		}
-		a.grantedUntilMs = max(a.grantedUntilMs, sentMs+maxHold.Milliseconds())
-		for reportSeq := range a.clockMsByReport {
-			if reportSeq < message.AckReportSeq {
-				delete(a.clockMsByReport, reportSeq)
-			}
-		}
+	a.applyReportAck(message.AckReportSeq)
+	if message.Suspicion != nil {
+		a.keepSuspicion(message.Suspicion)
 	}
 	for i := range message.RunResources {
 		a.setResources(&message.RunResources[i])
@@ -278,6 +291,25 @@
 	a.applyAck(message)
 }
 
+// applyReportAck processes the acknowledgement of a report; 0: none. The number may be that of an earlier process of the agent.
+func (a *Agent) applyReportAck(ackedSeq int64) {
+	if sentMs, ok := a.clockMsByReport[ackedSeq]; ok && ackedSeq != 0 {
+		maxHold := a.cfg.MaxHoldDuration
+		if a.cfg.Follower.IsOwnerLocal() {
+			maxHold = min(maxHold, session.MaxHoldBesideOwner)
+		}
+		a.grantedUntilMs = max(a.grantedUntilMs, sentMs+maxHold.Milliseconds())
+		for reportSeq := range a.clockMsByReport {
+			if reportSeq < ackedSeq {
+				delete(a.clockMsByReport, reportSeq)
+			}
+		}
+	}
+	if a.goneReportSeq != 0 && a.goneReportSeq <= ackedSeq && ackedSeq <= a.lastReportSeq {
+		a.goneAcked = true
+	}
+}
+
 // applyAck drops the ends that the owner has acknowledged as durable. The next Hold call acknowledges them to the worker,
 // which then forgets them.
 func (a *Agent) applyAck(message *session.ToMember) {
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -281,6 +281,7 @@
 		return // it has registered meanwhile
 	}
 	if a.refusedConns++; a.refusedConns >= maxRefusedConns {
+		events.WorkerLost.Log(&a.cfg.Log).Err(err).Msg("no worker has registered, and none listens")
 		a.worker = &session.Worker{}
 		a.markWorkerGone()
 	}
@@ -304,6 +305,7 @@
 		a.runsListed = true
 		a.signalReport()
 	}
+	a.listedAt = sentAt
 	for _, e := range resp.Ended {
 		a.recordEnd(&e)
 	}
@@ -354,6 +356,9 @@
 	if r.start.Run != listedRun.Run {
 		return
 	}
+	if r.progressedAt == 0 || listedRun.ProgressPercent != r.progressPercent {
+		r.progressedAt = a.listedAt
+	}
 	r.startConfirmed = true
 	if r.recheckAfter != 0 && !r.stopRequested {
 		r.recheckAfter = 0
@@ -437,9 +442,13 @@
 // lists all runs. The first report on a connection is always complete and repeats all unacknowledged ends. A report that would
 // not be complete and has nothing new is not sent.
 func (a *Agent) sendReport(conn *ownerconn.Conn, isComplete bool) {
-	isComplete = a.bindOwner(conn) || isComplete
+	isFirst := a.bindOwner(conn)
+	isComplete = isFirst || isComplete
 	message := session.FromMember{AckSeq: a.lastCommandSeq, Refused: a.unreportedRefusals, BestEffortPaused: a.paceLimitPercent < 100}
 	a.unreportedRefusals = nil
+	if isFirst {
+		message.Suspicion = a.suspicionForOwner()
+	}
 	for _, e := range a.unackedEnds {
 		if e.Seq > a.reportedEndSeq {
 			message.Ends = append(message.Ends, e)
@@ -452,27 +461,35 @@
 	if !isComplete && message.Worker == nil && len(message.Ends) == 0 && len(message.Refused) == 0 {
 		return
 	}
-	if a.worker != nil && a.clockMs != 0 && (a.runsListed || a.worker.Gone) {
+	if a.worker != nil && (a.worker.Gone || (a.clockMs != 0 && a.runsListed)) {
 		a.lastReportSeq++
 		message.ReportSeq = a.lastReportSeq
-		a.clockMsByReport[a.lastReportSeq] = a.workerClockMs()
+		if a.clockMs != 0 {
+			a.clockMsByReport[a.lastReportSeq] = a.workerClockMs()
+		}
 		if isComplete {
 			message.RunsComplete = true
-			message.Runs, message.PollSeq = a.runList(), a.listCount
+			if a.worker.Gone && a.goneReportSeq == 0 {
+				a.goneReportSeq = a.lastReportSeq
+			}
+			message.Runs, message.PollSeq = a.runList(isFirst), a.listCount
 		}
 	}
-	if a.worker != nil && a.worker.Gone && a.worker.Lifetime == 0 {
-		message.RunsComplete = isComplete // no worker runs, whatever its lifetime was
-	}
 	conn.Send(message)
 }
 
-func (a *Agent) runList() []session.Run {
+// runList returns all runs. The first list on a connection also tells a new owner for how long each run has made no progress. Time in
+// which the worker has listed nothing does not count, because this process may have been paused.
+func (a *Agent) runList(isFirst bool) []session.Run {
 	list := make([]session.Run, 0, len(a.runByTask))
 	for task, r := range a.runByTask {
-		list = append(list, session.Run{
+		listed := session.Run{
 			Task: task, Run: r.start.Run, Started: r.startConfirmed, Checkpoint: r.checkpoint, ProgressPercent: r.progressPercent,
-			RecentUsage: r.recentUsage, PacePercent: max(0, r.pacePercent), ResourcesUnknown: !r.resourcesKnown})
+			RecentUsage: r.recentUsage, PacePercent: max(0, r.pacePercent), ResourcesUnknown: !r.resourcesKnown}
+		if isFirst && r.progressedAt != 0 {
+			listed.StalledMs = max(0, a.listedAt-r.progressedAt).Milliseconds()
+		}
+		list = append(list, listed)
 	}
 	return list
 }
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -72,7 +72,6 @@
 	silences       map[string]*agentSilence // recorded silences, by agent name
 	silenceCount   int64                    // number of silences recorded in this term
 	durableSilence int64                    // number of the newest silence whose record is durable
-	servedSince    time.Duration            // boot time at the start of Run; 0: not started
 	previousEpoch  int64                    // epoch of the previous owner; 0: unknown
 	previousName   string                   // process name of the previous owner, as a member has told; empty: not told yet
 	previousSince  time.Duration            // boot time at which the previous owner had begun its service
@@ -85,6 +84,8 @@
 	bestEffortBuffer []*placedTask // used by workerView
 	// interference is loaded from the store at the start of the term and refined by the reports of the agents.
 	interference      *placement.Interference
+	servingSince      time.Duration // boot time at which Run began
+	waitsRestored     bool          // see restoreWaits
 	nextPlanAt        time.Duration // boot time before which no planning pass starts
 	planPostponed     bool          // a pass was due before nextPlanAt
 	timeoutsCheckedAt time.Duration // boot time of the last check of timeouts
@@ -231,7 +232,7 @@
 	ctx, endTerm := context.WithCancelCause(ctx)
 	defer endTerm(nil)
 	o.mu.Lock()
-	o.endTerm, o.servedSince = endTerm, boottime.Now()
+	o.endTerm, o.servingSince = endTerm, boottime.Now()
 	o.mu.Unlock()
 	var wg sync.WaitGroup
 	wg.Go(func() {
--- a/internal/jobowner/report.go
+++ b/internal/jobowner/report.go
@@ -16,6 +16,9 @@
 // handleReport processes an agent's report about its worker and its runs.
 func (o *Owner) handleReport(member *memberView, msg *session.FromMember) {
 	member.bestEffortPaused = msg.BestEffortPaused
+	if msg.Suspicion != nil {
+		o.restoreSuspicion(member, msg.Suspicion)
+	}
 	for i := range msg.Ends { // before the worker, whose departure ends the runs that have no listed end
 		o.handleRunEnd(member, &msg.Ends[i])
 	}
@@ -183,6 +186,7 @@
 	o.updateColocation(member, msg)
 	if !member.runsListed {
 		member.runsListed = true
+		o.sendCommands(member, true) // confirms the report at once: owners may follow each other faster than heartbeats
 		o.wakeCommitLoop()
 	}
 }
@@ -193,9 +197,13 @@
 		placed.task.Checkpoint = run.Checkpoint
 	}
 	slowed := placed.task.PacePercent < jobs.FullPacePercent // slow progress of a slowed run does not indicate a stalled worker
+	progressedMs := bootTimeMs()
+	if placed.task.LastProgressMs == 0 && !slowed {
+		progressedMs = max(1, progressedMs-run.StalledMs) // as the agent has observed under earlier owners
+	}
 	if slowed || run.ProgressPercent != placed.task.ProgressPercent || placed.task.LastProgressMs == 0 ||
 		(run.Started && !placed.task.RunStarted) {
 		placed.task.RunStarted = placed.task.RunStarted || run.Started
-		placed.task.ProgressPercent, placed.task.LastProgressMs = run.ProgressPercent, bootTimeMs()
+		placed.task.ProgressPercent, placed.task.LastProgressMs = run.ProgressPercent, progressedMs
 	}
 }
--- a/internal/jobowner/silence.go
+++ b/internal/jobowner/silence.go
@@ -100,7 +100,7 @@
 // updateSilences records the silence of the agents with placed tasks that have not reported for some time. It ends the silences of
 // agents whose runs have all ended.
 func (o *Owner) updateSilences() {
-	if o.servedSince == 0 {
+	if o.servingSince == 0 {
 		return
 	}
 	now := boottime.Now()
@@ -108,7 +108,7 @@
 		if len(tasks) == 0 || o.silences[agent] != nil {
 			continue
 		}
-		silentFrom := o.servedSince + unreachedTimeout
+		silentFrom := o.servingSince + unreachedTimeout
 		if member := o.members[agent]; member != nil && member.lastReportAt != 0 {
 			silentFrom = member.lastReportAt + silenceTimeout
 		}
--- a/internal/jobowner/silence_test.go
+++ b/internal/jobowner/silence_test.go
@@ -15,7 +15,7 @@
 // ownerWithSilentAgent returns an owner that has recorded the silence of host-1, on whose worker a perpetual task is placed.
 func ownerWithSilentAgent(t *testing.T) (*Owner, *memberView) {
 	o, member := ownerWithLastingRun(t, 20*time.Second)
-	o.servedSince = o.startedAt
+	o.servingSince = o.startedAt
 	member.lastReportAt = boottime.Now() - 2*silenceTimeout
 	checkTimeoutsNow(o)
 	qt.Assert(t, o.silences["host-1"], qt.IsNotNil)
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -32,6 +32,8 @@
 	AckLifetime      int64     `json:"al,omitempty"` // worker lifetime to which AckEndSeq refers
 	AckEndSeq        int64     `json:"ak,omitempty"` // the worker may forget run ends whose Seq is at most this number
 	Replies          []Reply   `json:"an,omitempty"` // entries only
+	// Suspicion replaces the Suspicion that the agent keeps for the next owner; nil: it has not changed.
+	Suspicion *Suspicion `json:"su,omitempty"`
 }
 
 // Silence states how long ago the owner has last received a report of an agent whose silence it has recorded in the log. The members
@@ -49,6 +51,14 @@
 	Silences []Silence `json:"si,omitempty"`
 }
 
+// Suspicion is what an owner remembers about the failures on a worker, see placement.Suspicion. The zero value: nothing.
+type Suspicion struct {
+	FailedJobs    int    `json:"j,omitempty"`
+	LastFailedJob string `json:"l,omitempty"`
+	QuarantineMs  int64  `json:"q,omitempty"`
+	NoStartForMs  int64  `json:"n,omitempty"` // remaining time without starts; negative: time since then
+}
+
 // Start is the command to start one run of a task.
 type Start struct {
 	Task       string `json:"t"`
@@ -103,6 +113,8 @@
 	Ends             []RunEnd  `json:"en,omitempty"`
 	Refused          []Refusal `json:"rf,omitempty"`
 	Requests         []Request `json:"rq,omitempty"` // entries only
+	// Suspicion is what the previous owners remembered about the worker, in the first report on a connection only; nil: nothing.
+	Suspicion *Suspicion `json:"su,omitempty"`
 }
 
 // MaxHoldBesideOwner bounds the hold of the worker on the owner's host. That host may be lost together with the owner, and the takeover
@@ -138,6 +150,7 @@
 	RecentUsage      int    `json:"u5,omitempty"` // serving tasks: tail latency in milliseconds; others: CPU use in millicores
 	PacePercent      int    `json:"pc,omitempty"` // share of full speed, in percent, that the worker has confirmed
 	ResourcesUnknown bool   `json:"u,omitempty"`  // the agent does not know the resources of the run
+	StalledMs        int64  `json:"sm,omitempty"` // time for which neither progress nor pace had changed when the worker listed the run last; in the first list on a connection only
 }
 
 // RunEnd is the end of a run, as reported by the worker.
