Record the silence of agents before a resignation

Cause: an owner that resigns knew which agents had just become silent and told nobody. Change: before it ends its lease, the owner records the silence of each agent with runs that has not reported for 0.25 s, and waits for at most 0.2 s until that is durable.

--- a/internal/deployed/lost_host_test.go
+++ b/internal/deployed/lost_host_test.go
@@ -52,8 +52,9 @@
 		"all hosts restart in turn":  restartHostsInTurn,
 		"the owner and an entry end": func(f *virtualFleet) { f.kill(f.entries[0], false); endOwner(kill, 1)(f) },
 	} {
-		t.Run(name, func(t *testing.T) { playLostHost(t, changeOwner) })
+		t.Run(name, func(t *testing.T) { playLostHost(t, 1500*time.Millisecond, changeOwner) })
 	}
+	t.Run("the owner stops soon", func(t *testing.T) { playLostHost(t, 400*time.Millisecond, endOwner(stop, 1)) })
 }
 
 // Guards against perpetual tasks that stay away for a hold because the host of the owner is lost without notice together with its worker,
@@ -142,15 +143,15 @@
 	}
 }
 
-// playLostHost makes a worker and its host vanish, and changes the owner a while later. It checks that all perpetual tasks run again as
+// playLostHost makes a worker and its host vanish, and changes the owner after the delay. It checks that all perpetual tasks run again as
 // soon as the operators require it.
-func playLostHost(t *testing.T, changeOwner func(f *virtualFleet)) {
+func playLostHost(t *testing.T, delay time.Duration, changeOwner func(f *virtualFleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newVirtualFleet(t, 1)
 		perpetual, lost := f.startPerpetualJobs()
 		lostAt := time.Now()
 		f.loseHost(lost)
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(delay)
 		changeOwner(f)
 		f.checkRunningAfter(perpetual, max(virtualCalm, time.Until(lostAt.Add(lostTaskLimit))))
 	})
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -270,6 +270,7 @@
 
 // Resign releases ownership voluntarily and notifies the members, so that a successor takes over at once.
 func (o *Owner) Resign() {
+	o.recordSilencesToResign()
 	endLease(o.ownership, &o.cfg.Log)
 	o.mu.Lock()
 	conns := []*session.Conn[session.ToMember, session.FromMember]{}
--- a/internal/jobowner/silence.go
+++ b/internal/jobowner/silence.go
@@ -19,6 +19,11 @@
 	silenceTimeout = 800 * time.Millisecond
 	// unreachedTimeout is the same for agents that have not reported to this owner yet, from the beginning of its service.
 	unreachedTimeout = session.IdleTimeout
+	// resignSilenceTimeout is the same when the owner resigns. Agents report about every 200 ms; the silence of one that only reports late
+	// ends with its first report to the successor.
+	resignSilenceTimeout = 250 * time.Millisecond
+	// resignRecordTimeout bounds the time for which the record of these silences delays a resignation.
+	resignRecordTimeout = 200 * time.Millisecond
 )
 
 // agentSilence is the recorded silence of one agent.
@@ -123,6 +128,35 @@
 	}
 }
 
+// recordSilencesToResign records the silences of all agents that have not reported lately, because this owner does not stay to find out
+// whether they will, and waits until the record is durable and announced.
+func (o *Owner) recordSilencesToResign() {
+	o.mu.Lock()
+	if o.servingSince == 0 {
+		o.mu.Unlock()
+		return
+	}
+	recorded, now := false, boottime.Now()
+	for agent, tasks := range o.placedByAgent {
+		member := o.members[agent]
+		if len(tasks) > 0 && o.silences[agent] == nil && member != nil && now >= max(o.servingSince, member.lastReportAt)+resignSilenceTimeout {
+			o.recordSilence(agent, 0)
+			recorded = true
+		}
+	}
+	announced := make(chan struct{})
+	if !recorded {
+		close(announced)
+	} else {
+		o.pendingEffects = append(o.pendingEffects, func() { close(announced) })
+	}
+	o.mu.Unlock()
+	select {
+	case <-announced:
+	case <-time.After(resignRecordTimeout):
+	}
+}
+
 // isSilent reports whether the agent of the member has not reported for some time. It may be gone although its connection does not count
 // as lost yet.
 func (o *Owner) isSilent(member *memberView) bool {
