Bound the hold of runs that a restarted agent finds

Callers: perpetual tasks stay away for as long as their worker is silent. An agent started again while no owner confirmed holds (a takeover, or the redial of the owner), listed the runs of its worker, and then the worker stopped answering. The runs lapse on the worker, but nobody places them again.

Cause: holdExpired takes a deadline of 0, none sent by this process, for a hold without an end. The agent keeps the runs and goes on reporting them, and each report renews the owner's own bound on the hold.

Fix: with its token the process takes the latest deadline that an earlier process can have sent: the clock of the worker, one call by which an estimate of that clock is ahead, and the longest hold. A later grant extends it as before.

--- a/internal/deployed/lasting_test.go
+++ b/internal/deployed/lasting_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bamboofork/internal/app"
+	"bamboofork/platform/standin"
 )
 
 // Guards against a perpetual task that stays away for the whole hold after its worker has said that it ends: the host was removed while
@@ -121,3 +122,36 @@
 		}
 	})
 }
+
+// Guards against tasks that wait for as long as their worker is silent: the agent had started again and no owner had granted it a hold yet,
+// so that it took the runs that it found for held without an end, and its reports confirmed them.
+func TestTasksOfASilentWorkerAreRestartedAfterARestartOfItsAgent(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newLastingFleet(t, seed)
+				defer f.close()
+				owner, silent := f.owner(), f.otherHost()
+				f.isolate(owner)
+				f.kill(silent, false)
+				f.launch(silent)
+				time.Sleep(700 * time.Millisecond)
+				silent.worker.SetFaults(standin.WorkerFaults{Unresponsive: true})
+				f.awaitLapse()
+				f.awaitLastingTasks(restartLimit)
+				if violations := f.checker.Violations(); len(violations) > 0 {
+					t.Error(violations)
+				}
+			})
+		})
+	}
+}
+
+// awaitLapse waits until the worker of a perpetual task has ended it because its hold has expired.
+func (f *virtualFleet) awaitLapse() {
+	for since := time.Now(); f.checker.RunningTaskCount(lastingJob) == lastingTasks; time.Sleep(50 * time.Millisecond) {
+		if time.Since(since) > virtualHoldMs*time.Millisecond {
+			f.t.Fatal("no hold expires")
+		}
+	}
+}
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -61,7 +61,7 @@
 
 	clockMs           int64         // latest reading of the worker's clock
 	clockReadAt       time.Duration // boot time at which the call that returned clockMs was sent
-	heldUntilMs       int64         // latest hold deadline sent to the worker, on the worker's clock
+	heldUntilMs       int64         // latest hold deadline that this or an earlier agent process has sent, on the worker's clock
 	workerUnreachable bool          // the worker does not respond
 	// paceLimitPercent caps the pace of best-effort runs, in percent of full speed. A best-effort run uses only the CPU time that
 	// other runs leave.
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -241,6 +241,8 @@
 		a.token = max(resp.ClockMs, a.token+a.tokenStepMs)
 		a.tokenStepMs = min(2*a.tokenStepMs, maxTokenStepMs)
 		a.recordClock(workerID.Lifetime, resp.ClockMs, sentAt)
+		// An earlier agent process may have held the runs by an estimate of the clock, which is ahead by at most one call.
+		a.heldUntilMs = max(a.heldUntilMs, resp.ClockMs+(a.cfg.MaxHoldDuration+holdTimeout).Milliseconds())
 		events.WorkerLife.Log(&a.cfg.Log).Str("worker", workerID.ID).Int64("life", workerID.Lifetime).Int64("token", a.token).Send()
 		return nil
 	}
