An agent that starts after its worker has ended reports that end

Callers: the perpetual tasks of a worker stay away for a whole hold, and 2.5 s longer with a takeover, because the worker ended for good between two processes of its agent, or unregistered before it had registered at the second one, which ignores that.

Cause: only an agent that knows its worker from a registration notices that the worker's port is closed.

Fix: before the first registration the agent calls the worker without a token, a deadline or an acknowledgement. A port that is closed three times in succession, as for a registered worker, proves that nothing runs there; the agent reports a worker without a lifetime that is gone, and the owner ends the runs of all lifetimes.

--- a/internal/deployed/lasting_test.go
+++ b/internal/deployed/lasting_test.go
@@ -155,3 +155,28 @@
 		}
 	}
 }
+
+// Guards against perpetual tasks that stay away for a whole hold: their worker ended for good while its agent was away, so that the next
+// agent process never hears of it.
+func TestTasksOfAWorkerThatEndsWhileItsAgentIsAwayAreRestarted(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		t.Run(fmt.Sprint("takeover=", takeover), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newLastingFleet(t, 3)
+				defer f.close()
+				owner, ended := f.owner(), f.otherHost()
+				if takeover {
+					f.isolate(owner)
+				}
+				f.kill(ended, false)
+				f.endWorker(ended)
+				time.Sleep(500 * time.Millisecond)
+				f.launch(ended)
+				f.awaitLastingTasks(restartLimit)
+				if violations := f.checker.Violations(); len(violations) > 0 {
+					t.Error(violations)
+				}
+			})
+		})
+	}
+}
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -38,7 +38,7 @@
 	departed   chan int64    // holds the lifetime of the worker that has unregistered last
 
 	mu     sync.Mutex
-	worker *session.Worker // latest registration; nil before the first
+	worker *session.Worker // latest registration; nil before the first, unless the worker's port was found closed
 	token  int64           // fencing token of this agent process; 0: not chosen yet
 	// tokenStepMs is added to the fencing token when the worker has seen a higher token.
 	tokenStepMs int64
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -202,7 +202,12 @@
 
 func (a *Agent) renewHold(ctx context.Context) error {
 	a.mu.Lock()
-	if a.worker == nil || a.worker.Gone {
+	if a.worker == nil {
+		a.mu.Unlock()
+		a.probeUnknownWorker(ctx)
+		return errNoWorker
+	}
+	if a.worker.Gone {
 		a.mu.Unlock()
 		return errNoWorker
 	}
@@ -255,6 +260,25 @@
 	return nil
 }
 
+// probeUnknownWorker calls the worker before it has registered at this agent process. If the worker's port stays closed, everything that
+// ran on it is over: the worker may have ended while no agent process ran, and then it never registers here.
+func (a *Agent) probeUnknownWorker(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	_, err := a.cfg.Runner.Hold(callCtx, WorkerIdentity{}, 0, 0, 0, 0) // changes nothing on a worker that answers
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.worker != nil {
+		return
+	}
+	if !errors.Is(err, ErrConnRefused) {
+		a.refusedConns = 0
+	} else if a.refusedConns++; a.refusedConns >= maxRefusedConns {
+		a.worker = &session.Worker{}
+		a.markWorkerGone()
+	}
+}
+
 // recheckPending reports whether any run waits for a list that shows whether it is active. The next list is then requested
 // without waiting for a run to end.
 func (a *Agent) recheckPending() bool {
--- a/internal/hostagent/calls_test.go
+++ b/internal/hostagent/calls_test.go
@@ -136,3 +136,35 @@
 	qt.Check(t, a.nextDeadlineMs() <= 5000, qt.IsTrue)
 	qt.Check(t, a.workerClockMs() > 5000, qt.IsTrue)
 }
+
+// closedRunner is a worker whose port is closed, except for the calls with the given numbers, which get no response.
+type closedRunner struct {
+	scriptedRunner
+	unanswered map[int]bool
+	holdCalls  int
+}
+
+func (r *closedRunner) Hold(context.Context, WorkerIdentity, int64, int64, int64, int) (HoldResponse, error) {
+	r.holdCalls++
+	if r.unanswered[r.holdCalls] {
+		return HoldResponse{}, ErrNoResponse
+	}
+	return HoldResponse{}, ErrConnRefused
+}
+
+// Guards against a worker that is used as gone although it only does not answer, or that is not used when it registers after its port was
+// found closed.
+func TestWorkerBeforeItsRegistrationIsGoneOnlyWhileItsPortIsClosed(t *testing.T) {
+	r := &closedRunner{unanswered: map[int]bool{maxRefusedConns: true}}
+	a := New(newTestAgent(r).cfg)
+	for range 2*maxRefusedConns - 1 {
+		qt.Assert(t, a.renewHold(t.Context()), qt.ErrorIs, errNoWorker)
+		qt.Check(t, a.worker, qt.IsNil)
+	}
+	qt.Assert(t, a.renewHold(t.Context()), qt.ErrorIs, errNoWorker)
+	qt.Check(t, a.worker, qt.DeepEquals, &session.Worker{Gone: true})
+	registered := session.Worker{ID: "i-2", Lifetime: 9, Service: "s"}
+	a.Register(registered)
+	qt.Check(t, a.worker, qt.DeepEquals, &registered)
+	qt.Check(t, a.refusedConns, qt.Equals, 0)
+}
--- a/internal/jobowner/report.go
+++ b/internal/jobowner/report.go
@@ -1,6 +1,7 @@
 package jobowner
 
 import (
+	"math"
 	"time"
 
 	"bamboofork/internal/boottime"
@@ -50,7 +51,10 @@
 		member.ackLifetime, member.ackedEndSeq, member.sentAckSeq = worker.Lifetime, 0, 0
 	}
 	endedLifetime := worker.Lifetime - 1
-	if worker.Gone {
+	switch {
+	case worker.Gone && worker.Lifetime == 0: // found closed by an agent process that started after its end
+		endedLifetime = math.MaxInt64
+	case worker.Gone:
 		endedLifetime = worker.Lifetime
 	}
 	o.endRunsOfLifetime(member.Name, endedLifetime)
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -89,7 +89,7 @@
 // Worker describes the worker of an agent.
 type Worker struct {
 	ID          string   `json:"id"`
-	Lifetime    int64    `json:"l"` // Unix milliseconds of the start of its current lifetime
+	Lifetime    int64    `json:"l"` // Unix milliseconds of the start of its current lifetime; 0: none is known, and its port is closed
 	Service     string   `json:"s"`
 	Zone        string   `json:"z,omitempty"`
 	CPU         int      `json:"c"` // millicores
