Keep the announced departure when an agent starts again

Callers: perpetual tasks stay away for a whole hold and the margin of a takeover. Their worker had unregistered and its agent had announced that, but the agent started again, was then removed with its host, and no owner was connected in the meantime.

Cause: an agent process announces itself without the ended lifetime that the process before it has announced.

Fix: it reads its announcement first and keeps the lifetime. Lifetimes of a worker rise, so the runs of a later one are not affected.

TestDepartureSurvivesARestartOfTheAgent (virtual time) failed before: all tasks run after 10.7 s, want 6 s. It passes now.

--- a/internal/deployed/host.go
+++ b/internal/deployed/host.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
+	"time"
 
 	"bamboofork/internal/app"
 	"bamboofork/internal/boottime"
@@ -54,6 +56,7 @@
 			return p.serveInternal(ctx, p.cfg.Listen.Registrations, platform.RegistrationHandler(p.cfg.Worker, agent))
 		}},
 		{Name: "candidate", Run: func(ctx context.Context) error {
+			member.EndedLifetime = announcedDeparture(ctx, st, p.cfg.Name)
 			if err := ownerconn.Announce(ctx, st, &p.log, jobowner.MemberPrefix+p.cfg.Name, member); err != nil {
 				return err
 			}
@@ -66,6 +69,32 @@
 	}, nil
 }
 
+const (
+	// departureReadTimeout bounds one attempt to read the announcement of an earlier process, and departureReadDelay is the delay before
+	// the next one.
+	departureReadTimeout = 800 * time.Millisecond
+	departureReadDelay   = 250 * time.Millisecond
+)
+
+// announcedDeparture returns the ended lifetime that an earlier process of the agent has announced, or 0 if there is none or ctx is done. No
+// owner may have read it yet.
+func announcedDeparture(ctx context.Context, st store.Store, name string) int64 {
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, departureReadTimeout)
+		kv, err := st.Get(callCtx, jobowner.MemberPrefix+name)
+		cancel()
+		if err == nil {
+			var announced jobowner.Member
+			if err := json.Unmarshal(kv.Value, &announced); err != nil {
+				return 0 // absent or unreadable
+			}
+			return announced.EndedLifetime
+		}
+		app.Sleep(ctx, departureReadDelay)
+	}
+	return 0
+}
+
 // announceDepartures announces each lifetime of the worker that has ended because the worker left, until ctx is done. The agent reports
 // the same to the owner, but a host that is removed may be gone before the next owner connects. An announcement that the store has not
 // taken by then is continued for half of the grace period.
--- a/internal/deployed/lasting_test.go
+++ b/internal/deployed/lasting_test.go
@@ -180,3 +180,25 @@
 		})
 	}
 }
+
+// Guards against a departure that is forgotten, so that perpetual tasks stay away for a whole hold: the agent of the departed worker started
+// again and announced itself anew before there was an owner.
+func TestDepartureSurvivesARestartOfTheAgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLastingFleet(t, 4)
+		defer f.close()
+		owner, removed := f.owner(), f.otherHost()
+		f.isolate(owner)
+		f.endWorker(removed)
+		removed.worker.Unregister(f.client, removed.cfg.Listen.Registrations)
+		time.Sleep(100 * time.Millisecond)
+		f.kill(removed, false)
+		f.launch(removed)
+		time.Sleep(400 * time.Millisecond)
+		f.stop(removed)
+		if f.checker.RunningTaskCount(lastingJob) == lastingTasks {
+			t.Fatal("no task ran on the removed host")
+		}
+		f.awaitLastingTasks(restartLimit)
+	})
+}
