Announce a departure that comes with the beginning of a shutdown

Callers: perpetual tasks stay away for a whole hold when a worker and its host leave and no owner is connected.

Cause: the loop that announces departures ended with the context of the process. A departure that was recorded at that time, or by a request that the registrations' server still answered, was announced only if select chose it.

Fix: the loop ends after that server, and announces what is recorded by then.

TestDepartureAtTheBeginningOfAShutdownIsAnnounced failed before (about every second lifetime is not announced) and passes now.

--- a/internal/deployed/host.go
+++ b/internal/deployed/host.go
@@ -49,10 +49,12 @@
 		candidate.Config.Adviser = platform.NewAdviser(p.cfg.Advice, p.network)
 	}
 	member := jobowner.Member{Name: p.cfg.Name, Addr: p.cfg.Listen.PeerAddr(), Agent: true}
+	registrationsCtx, endRegistrations := context.WithCancel(context.Background()) // done when the worker can no longer unregister
 	return []app.Component{
 		{Name: "owner", Run: func(ctx context.Context) error { return follower.Listen(ctx, p.network, p.cfg.Listen.Peers) }},
 		{Name: "agent", Run: agent.Run},
 		{Name: "registrations", Run: func(ctx context.Context) error {
+			defer endRegistrations()
 			return p.serveInternal(ctx, p.cfg.Listen.Registrations, platform.RegistrationHandler(p.cfg.Worker, agent))
 		}},
 		{Name: "candidate", Run: func(ctx context.Context) error {
@@ -62,7 +64,7 @@
 			}
 			var departures sync.WaitGroup
 			defer departures.Wait()
-			departures.Go(func() { announceDepartures(ctx, p, st, agent, member) })
+			departures.Go(func() { announceDepartures(registrationsCtx, p, st, agent, member) })
 			return candidate.Run(ctx)
 		}},
 		p.metricsComponent(hostMetricsPort),
@@ -95,7 +97,7 @@
 	return 0
 }
 
-// announceDepartures announces each lifetime of the worker that has ended because the worker left, until ctx is done. The agent reports
+// announceDepartures announces each lifetime of the worker that has ended because the worker left before ctx is done. The agent reports
 // the same to the owner, but a host that is removed may be gone before the next owner connects. An announcement that the store has not
 // taken by then is continued for half of the grace period.
 func announceDepartures(ctx context.Context, p *process, st store.Store, agent *hostagent.Agent, member jobowner.Member) {
@@ -103,9 +105,13 @@
 	defer cancel()
 	for {
 		select {
-		case <-ctx.Done():
-			return
 		case member.EndedLifetime = <-agent.Departed():
+		case <-ctx.Done():
+			select {
+			case member.EndedLifetime = <-agent.Departed():
+			default:
+				return
+			}
 		}
 		if err := ownerconn.Announce(announceCtx, st, &p.log, jobowner.MemberPrefix+p.cfg.Name, member); err != nil {
 			events.AnnouncementFailed.Log(&p.log).Str("key", jobowner.MemberPrefix+p.cfg.Name).Err(err).Send()
