Let bf-entry and bf-agent run over a network in memory

The network in memory moves from the tests of internal/deployed to internal/network/memnet, with names for other packages and a free port for port 0. The nodes, the clients of the store, the worker, the backend server and the peers, and dev.Fleet open their connections through network.Network. The programs pass network.TCPWithKeepAlive, which has the keep-alive probes that net.Dialer had given them, so nothing changes for them.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -4,6 +4,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -13,6 +14,7 @@
 	"bamboofork/internal/events"
 	"bamboofork/internal/gate"
 	"bamboofork/internal/membership"
+	"bamboofork/internal/network"
 	"bamboofork/internal/partition"
 	"bamboofork/internal/scheduler"
 	"bamboofork/internal/settings"
@@ -26,6 +28,7 @@
 	ID           string
 	BackendName  string
 	BackendAddr  string
+	Network      network.Network // of the connections to the backend server; nil: TCP
 	Gate         gate.Config
 	DrainTimeout time.Duration // maximum wait for requests in flight during a graceful shutdown
 }
@@ -51,7 +54,7 @@
 	metrics *telemetry.Registry, log zerolog.Logger) *Agent {
 	a := &Agent{
 		cfg: cfg, log: log, liveSettings: liveSettings, gate: gate.New(cfg.Gate),
-		backend: backend.NewClient(cfg.BackendAddr, cfg.Gate.Conns),
+		backend: backend.NewClient(cmp.Or(cfg.Network, network.TCPWithKeepAlive), cfg.BackendAddr, cfg.Gate.Conns),
 		table:   table, metrics: metrics, startedAt: time.Now(), history: scheduler.NewHistory(), drainSignals: newDrainSignals(),
 	}
 	a.fences = newFenceTable(a.clock)
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"bamboofork/internal/network"
 )
 
 // DialTimeout is the timeout of a connection attempt to the backend server, which is on the same host.
@@ -30,8 +32,9 @@
 }
 
 // NewClient returns a client that opens at most conns connections for requests and one for probes.
-func NewClient(addr string, conns int) *Client {
-	return &Client{addr: addr, prober: newProber(addr), transport: &http.Transport{
+func NewClient(n network.Network, addr string, conns int) *Client {
+	dial := dialFunc(n)
+	return &Client{addr: addr, prober: newProber(addr, dial), transport: &http.Transport{
 		DialContext:         dial,
 		MaxConnsPerHost:     conns,
 		MaxIdleConnsPerHost: conns,
@@ -40,13 +43,17 @@
 	}}
 }
 
-// dial opens a connection to the backend server. All errors match ErrNotSent.
-func dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	conn, err := (&net.Dialer{Timeout: DialTimeout}).DialContext(ctx, network, addr)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+type dialContext func(ctx context.Context, _, addr string) (net.Conn, error)
+
+// dialFunc returns a function that opens a connection to the backend server. All its errors match ErrNotSent.
+func dialFunc(n network.Network) dialContext {
+	return func(ctx context.Context, _, addr string) (net.Conn, error) {
+		conn, err := network.DialWithin(ctx, n, addr, DialTimeout)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+		return conn, nil
 	}
-	return conn, nil
 }
 
 // Do sends the request to the backend server. ErrNotSent guarantees that the request was not run. ErrUnresponsive means that
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"bamboofork/internal/faultnet"
+	"bamboofork/internal/network"
 )
 
 func newRequest(ctx context.Context, t *testing.T) *http.Request {
@@ -30,7 +31,7 @@
 	relay, err := faultnet.NewRelay(srv.Listener.Addr().String(), 1)
 	qt.Assert(t, err, qt.IsNil)
 	defer relay.Close()
-	c := NewClient(relay.Addr(), 4)
+	c := NewClient(network.TCPWithKeepAlive, relay.Addr(), 4)
 	defer c.Close()
 	go func() {
 		<-arrived
@@ -52,7 +53,7 @@
 		time.Sleep(ProbeInterval + ProbeTimeout + 500*time.Millisecond)
 	}))
 	defer srv.Close()
-	c := NewClient(srv.Listener.Addr().String(), 4)
+	c := NewClient(network.TCPWithKeepAlive, srv.Listener.Addr().String(), 4)
 	defer c.Close()
 	resp, err := c.Do(newRequest(context.Background(), t))
 	qt.Assert(t, err, qt.IsNil)
@@ -65,7 +66,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	addr := l.Addr().String()
 	l.Close()
-	c := NewClient(addr, 4)
+	c := NewClient(network.TCPWithKeepAlive, addr, 4)
 	defer c.Close()
 	_, err = c.Do(newRequest(context.Background(), t))
 	qt.Check(t, errors.Is(err, ErrNotSent), qt.IsTrue)
--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -32,7 +32,7 @@
 	stopLoop      context.CancelFunc              // stops the running loop; nil if none runs
 }
 
-func newProber(addr string) *prober {
+func newProber(addr string, dial dialContext) *prober {
 	return &prober{
 		url:        "http://" + addr,
 		cancelByID: map[int]context.CancelCauseFunc{},
--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -12,12 +12,13 @@
 
 	"bamboofork/internal/app"
 	"bamboofork/internal/config"
+	"bamboofork/internal/network"
 	"bamboofork/internal/node"
 )
 
 // RunNode runs an entry or an agent until it stops, and returns the exit code. If forAgent is true, the settings file must have
 // the settings of an agent, otherwise those of an entry. The build function creates the node from these settings.
-func RunNode(name, description string, forAgent bool, build func(config.Process, zerolog.Logger) (*node.Node, error)) int {
+func RunNode(name, description string, forAgent bool, build func(network.Network, config.Process, zerolog.Logger) (*node.Node, error)) int {
 	file, checkOnly := "", false
 	flaggy.SetName(name)
 	flaggy.SetDescription(description)
@@ -39,7 +40,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return app.ExitSettings
 	}
-	n, err := build(cfg, log)
+	n, err := build(network.TCPWithKeepAlive, cfg, log)
 	if err == nil {
 		err = app.Run(context.Background(), log, nil, app.Component{Name: name, Run: n.Run})
 	}
--- a/internal/deployed/virtual_faults_test.go
+++ b/internal/deployed/virtual_faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bamboofork/internal/network/memnet"
 	"bamboofork/platform/standin"
 )
 
@@ -233,9 +234,9 @@
 // cutLinks cuts or delays links of one machine: to the store, to one other machine or to all others, in one or both directions.
 func (f *virtualFleet) cutLinks() {
 	m := f.anyMachine()
-	faults := linkFaults{cut: true}
+	faults := memnet.LinkFaults{Cut: true}
 	if f.chance(0.2) {
-		faults = linkFaults{delay: f.between(20*time.Millisecond, 700*time.Millisecond)}
+		faults = memnet.LinkFaults{Delay: f.between(20*time.Millisecond, 700*time.Millisecond)}
 	}
 	var others []string
 	what := ""
@@ -258,16 +259,16 @@
 	}
 	directions := 1 + f.rng.IntN(3) // bits: outgoing, incoming
 	f.note("link of %s to %s, directions %d: %+v", m.cfg.Name, what, directions, faults)
-	set := func(faults linkFaults) {
+	set := func(faults memnet.LinkFaults) {
 		for _, ip := range others {
 			if ip == m.ip {
 				continue
 			}
 			if directions&1 != 0 {
-				f.network.setLink(m.ip, ip, faults)
+				f.network.SetLink(m.ip, ip, faults)
 			}
 			if directions&2 != 0 {
-				f.network.setLink(ip, m.ip, faults)
+				f.network.SetLink(ip, m.ip, faults)
 			}
 		}
 	}
@@ -276,7 +277,7 @@
 	if what == "everything" {
 		f.disturb(m, length+time.Second)
 	}
-	f.after(length, func() { f.note("link of %s to %s is well", m.cfg.Name, what); set(linkFaults{}) })
+	f.after(length, func() { f.note("link of %s to %s is well", m.cfg.Name, what); set(memnet.LinkFaults{}) })
 }
 
 func (f *virtualFleet) resetLinks() {
@@ -284,7 +285,7 @@
 	toAll := f.chance(0.5)
 	f.disturb(m, 0)
 	f.note("reset connections of %s with %s, with all: %t", m.cfg.Name, other.cfg.Name, toAll)
-	f.network.resetConns(func(a, b string) bool { return a == m.ip && (toAll || b == other.ip) && b != m.ip })
+	f.network.ResetConns(func(a, b string) bool { return a == m.ip && (toAll || b == other.ip) && b != m.ip })
 }
 
 func (f *virtualFleet) disturbWorker() {
@@ -329,12 +330,12 @@
 		sides[side] = append(sides[side], m)
 	}
 	oneWay := f.chance(0.3)
-	set := func(faults linkFaults) {
+	set := func(faults memnet.LinkFaults) {
 		for _, a := range sides[0] {
 			for _, b := range sides[1] {
-				f.network.setLink(a.ip, b.ip, faults)
+				f.network.SetLink(a.ip, b.ip, faults)
 				if !oneWay {
-					f.network.setLink(b.ip, a.ip, faults)
+					f.network.SetLink(b.ip, a.ip, faults)
 				}
 			}
 		}
@@ -344,9 +345,9 @@
 		names = append(names, m.cfg.Name)
 	}
 	f.note("divide %v from the others, one way: %t", names, oneWay)
-	set(linkFaults{cut: true})
+	set(memnet.LinkFaults{Cut: true})
 	length := f.between(500*time.Millisecond, 7*time.Second)
-	f.after(length, func() { f.note("no longer divided"); set(linkFaults{}) })
+	f.after(length, func() { f.note("no longer divided"); set(memnet.LinkFaults{}) })
 	if f.chance(0.6) {
 		f.strikeAfter(f.between(0, 1500*time.Millisecond), func() { f.note("revoke leases"); f.store.RevokeLeases() })
 	}
@@ -400,7 +401,7 @@
 func (f *virtualFleet) endFaults() {
 	f.note("all faults end")
 	f.onlySubmitAt.Store(nil)
-	f.network.healLinks()
+	f.network.HealLinks()
 	for _, m := range f.machines() {
 		m.endpoint.SetFaults(standin.StoreFaults{})
 		if m.worker != nil {
--- a/internal/deployed/virtual_fleet_test.go
+++ b/internal/deployed/virtual_fleet_test.go
@@ -21,6 +21,7 @@
 	"bamboofork/internal/app"
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/hostconfig"
+	"bamboofork/internal/network/memnet"
 	"bamboofork/internal/telemetry"
 	"bamboofork/platform/standin"
 )
@@ -93,7 +94,7 @@
 
 // virtualIncarnation is one process.
 type virtualIncarnation struct {
-	network *virtualProcess
+	network *memnet.Process
 	cancel  context.CancelFunc
 	ended   chan struct{}
 }
@@ -113,13 +114,13 @@
 	t       *testing.T
 	rng     *rand.Rand
 	start   time.Time
-	network *virtualNetwork
+	network *memnet.Network
 	store   *standin.Store
 	checker *standin.RunChecker
 	hosts   []*virtualMachine
 	entries []*virtualMachine
 	servers []*http.Server
-	outside *virtualProcess // callers and the operators' side of the workers
+	outside *memnet.Process // callers and the operators' side of the workers
 	client  *http.Client
 	acked   chan struct{}
 	pending []scheduled // by time
@@ -168,7 +169,7 @@
 }
 
 func (f *virtualFleet) serve(addr string, handler http.Handler) *http.Server {
-	l, err := f.network.process(machineOf(addr)).Listen(addr)
+	l, err := f.network.Process(memnet.MachineOf(addr)).Listen(addr)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -179,13 +180,13 @@
 }
 
 func newVirtualFleet(t *testing.T, seed uint64) *virtualFleet {
-	f := &virtualFleet{t: t, rng: rand.New(rand.NewPCG(seed, 21)), start: time.Now(), network: newVirtualNetwork(),
+	f := &virtualFleet{t: t, rng: rand.New(rand.NewPCG(seed, 21)), start: time.Now(), network: memnet.New(),
 		store: standin.NewStore(seed + 1), checker: standin.NewRunChecker(), acked: make(chan struct{}, 1), jobs: map[string]*virtualJob{}}
 	f.recordsPerSnapshot = []int64{2, 6, 25, 150}[f.rng.IntN(4)]
 	f.manifestVersion = 7
 	f.ownerShare = []float64{0.5, 0.5, 0.8}[f.rng.IntN(3)]
 	f.store.PutManifestVersion(f.manifestVersion)
-	f.outside = f.network.process("10.0.3.1")
+	f.outside = f.network.Process("10.0.3.1")
 	f.client = &http.Client{Timeout: callerDeadline, Transport: &http.Transport{MaxIdleConnsPerHost: 16,
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			dialCtx, cancel := context.WithTimeout(ctx, callerDeadline)
@@ -232,7 +233,7 @@
 // launch starts the process of a machine.
 func (f *virtualFleet) launch(m *virtualMachine) {
 	m.incarnations++
-	in := &virtualIncarnation{network: f.network.process(m.ip), ended: make(chan struct{})}
+	in := &virtualIncarnation{network: f.network.Process(m.ip), ended: make(chan struct{})}
 	p := &process{cfg: m.cfg, isAgent: m.worker != nil, network: in.network, metrics: telemetry.New(), recordsPerSnapshot: f.recordsPerSnapshot,
 		log:         zerolog.New(m.logs).Level(zerolog.InfoLevel).With().Timestamp().Str("process", m.cfg.Name).Logger(),
 		incarnation: fmt.Sprintf("%s-%d", m.cfg.Name, m.incarnations)}
@@ -266,7 +267,7 @@
 	m.running = nil
 	f.disturb(m, 0)
 	in.cancel()
-	in.network.kill(silent)
+	in.network.Kill(silent)
 	f.client.CloseIdleConnections() // the peers of a silent connection would use it for ever
 	f.note("kill %s silent=%t", m.cfg.Name, silent)
 }
@@ -295,7 +296,7 @@
 		case <-in.ended:
 		case <-time.After(m.cfg.Bounds.Grace()):
 		}
-		in.network.kill(false)
+		in.network.Kill(false)
 		close(stopping)
 	})
 }
@@ -371,8 +372,8 @@
 		}
 	}
 	for _, ip := range others {
-		f.network.setLink(m.ip, ip, linkFaults{cut: true})
-		f.network.setLink(ip, m.ip, linkFaults{cut: true})
+		f.network.SetLink(m.ip, ip, memnet.LinkFaults{Cut: true})
+		f.network.SetLink(ip, m.ip, memnet.LinkFaults{Cut: true})
 	}
 }
 
--- a/internal/deployed/virtual_test.go
+++ b/internal/deployed/virtual_test.go
@@ -298,7 +298,7 @@
 	for _, srv := range f.servers {
 		srv.Close()
 	}
-	f.outside.kill(false)
+	f.outside.Kill(false)
 	f.client.CloseIdleConnections()
 	f.wg.Wait()
 	time.Sleep(callerDeadline) // for dials that nobody waits for any more
@@ -387,7 +387,7 @@
 		time.Sleep(200 * time.Millisecond)
 		departing.endpoint.SetFaults(standin.StoreFaults{})
 		time.Sleep(1300 * time.Millisecond)
-		f.network.healLinks()
+		f.network.HealLinks()
 		time.Sleep(virtualCalm)
 		for _, job := range perpetual {
 			qt.Check(t, f.checker.RunningTaskCount(job.id), qt.Equals, job.taskCount)
--- a/internal/dev/demo.go
+++ b/internal/dev/demo.go
@@ -260,7 +260,7 @@
 
 // editSettings commits an edit and returns the time from its acceptance until it is active in every process.
 func (d *Demo) editSettings(ctx context.Context) (time.Duration, error) {
-	st := etcdgw.NewClient(d.fleet.StoreURL, 0)
+	st := etcdgw.NewClientOn(d.fleet.Profile.Network, d.fleet.StoreURL, 0)
 	defer st.Close()
 	repo := settings.NewRepository(st, "demo-operator")
 	_, base, err := repo.Load(ctx)
--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -21,6 +21,7 @@
 
 	"bamboofork/internal/app"
 	"bamboofork/internal/config"
+	"bamboofork/internal/network"
 	"bamboofork/internal/node"
 	"bamboofork/internal/sample"
 	"bamboofork/internal/settings"
@@ -48,9 +49,10 @@
 	LeaseTTL        time.Duration        // as in config.Process, like OutageHold and Drain
 	OutageHold      time.Duration
 	Drain           time.Duration
-	FirstPort       int    // port of the store; the entries use the ports after it; 0: any free ports
-	Routing         string // routing policy of the entries; "": the default
-	MaxQueue        int    // maximum number of queued requests of one branch at a gate; 0: the default
+	Network         network.Network // nil: TCP on loopback; UseRelays needs TCP
+	FirstPort       int             // port of the store; the entries use the ports after it; 0: any free ports
+	Routing         string          // routing policy of the entries; "": the default
+	MaxQueue        int             // maximum number of queued requests of one branch at a gate; 0: the default
 	// UseRelays puts a faultnet relay in front of the control and data address of each process. RelaySeed is the seed of the
 	// random delays and losses of the relays.
 	UseRelays bool
@@ -91,6 +93,7 @@
 // Start starts the simulated platform and all hosts. WaitReady waits until the fleet serves requests. After an error, the returned
 // fleet holds what was started so far.
 func Start(p Profile, log zerolog.Logger) (*Fleet, error) {
+	p.Network = cmp.Or(p.Network, network.TCPWithKeepAlive)
 	f := &Fleet{Profile: p, log: log, Agents: map[string]*Host{}, Entries: map[string]*Host{}, Store: standin.NewStoreServer(1)}
 	storeEcho := newEcho()
 	f.Store.Register(storeEcho)
@@ -131,7 +134,7 @@
 
 // serve serves HTTP requests with h on addr until the fleet stops. It returns the base URL.
 func (f *Fleet) serve(h http.Handler, addr string) (string, error) {
-	l, err := net.Listen("tcp", addr)
+	l, err := f.Profile.Network.Listen(addr)
 	if err != nil {
 		return "", eris.Wrap(err, "listen for simulated server")
 	}
@@ -151,7 +154,7 @@
 }
 
 func (f *Fleet) commitInitialSettings() error {
-	st := etcdgw.NewClient(f.StoreURL, 0)
+	st := etcdgw.NewClientOn(f.Profile.Network, f.StoreURL, 0)
 	defer st.Close()
 	repo := settings.NewRepository(st, "bf-dev")
 	edit := settings.Edit{Author: "bf-dev", Comment: "initial tree", Changes: settings.NewTree().Diff(f.Profile.InitialSettings)}
@@ -164,11 +167,13 @@
 
 // FreeAddr returns an address to listen on later. Each address has its own loopback IP. Until the caller listens, neither another
 // call of FreeAddr nor an outgoing connection can take the port, because outgoing connections come from 127.0.0.1.
-func FreeAddr() (string, error) {
+func FreeAddr() (string, error) { return freeAddr(network.TCPWithKeepAlive) }
+
+func freeAddr(n network.Network) (string, error) {
 	const octets = 250
 	pid := os.Getpid()
 	host := fmt.Sprintf("127.%d.%d.%d", 1+pid/octets%octets, 1+pid%octets, 1+freeAddrCalls.Add(1)%octets)
-	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	l, err := n.Listen(net.JoinHostPort(host, "0"))
 	if err != nil {
 		return "", eris.Wrap(err, "find a free port")
 	}
@@ -178,7 +183,7 @@
 
 func (f *Fleet) processConfig(id string, i int) (config.Process, error) {
 	p := f.Profile
-	control, err := FreeAddr()
+	control, err := freeAddr(p.Network)
 	if err != nil {
 		return config.Process{}, err
 	}
@@ -218,7 +223,7 @@
 	if err := f.addRelays(h); err != nil {
 		return err
 	}
-	n, err := node.NewEntry(h.Config, f.log)
+	n, err := node.NewEntry(p.Network, h.Config, f.log)
 	if err != nil {
 		return err
 	}
@@ -234,7 +239,7 @@
 	if f.Profile.FirstPort > 0 {
 		return f.listenAddr(1 + i), nil
 	}
-	return FreeAddr()
+	return freeAddr(f.Profile.Network)
 }
 
 func (f *Fleet) startAgent(i int) error {
@@ -260,7 +265,7 @@
 	if err != nil {
 		return err
 	}
-	if cfg.Listen.Data, err = FreeAddr(); err != nil {
+	if cfg.Listen.Data, err = freeAddr(p.Network); err != nil {
 		return err
 	}
 	cfg.Backend = config.Backend{Name: p.BackendName, Addr: backendURL[len("http://"):], Slots: p.Slots, Conns: p.MaxConns, MaxQueue: cmp.Or(p.MaxQueue, config.DefaultMaxQueue)}
@@ -272,7 +277,7 @@
 	if err := f.addRelays(h); err != nil {
 		return err
 	}
-	n, err := node.NewAgent(h.Config, f.log)
+	n, err := node.NewAgent(f.Profile.Network, h.Config, f.log)
 	if err != nil {
 		return err
 	}
--- a/internal/dev/hosts.go
+++ b/internal/dev/hosts.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"bamboofork/internal/config"
+	"bamboofork/internal/network"
 	"bamboofork/internal/node"
 	"bamboofork/internal/standin"
 )
@@ -51,7 +52,8 @@
 	return f.Agents[id].Worker
 }
 
-func (f *Fleet) hostByID(id string) *Host {
+// Host returns the host of the process with the ID, or nil.
+func (f *Fleet) Host(id string) *Host {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if h := f.Entries[id]; h != nil {
@@ -63,7 +65,7 @@
 // EndProcess ends the process on a host. The host's worker and backend server keep running. With EndGracefully, the process has ended when
 // EndProcess returns. With EndByAbort, the process may still be draining requests when End returns.
 func (f *Fleet) EndProcess(id string, kind EndKind) error {
-	h := f.hostByID(id)
+	h := f.Host(id)
 	if h == nil {
 		return eris.Errorf("unknown host %q", id)
 	}
@@ -79,7 +81,7 @@
 
 // StartProcess starts a new process on a host whose process was ended with EndProcess.
 func (f *Fleet) StartProcess(id string) error {
-	h := f.hostByID(id)
+	h := f.Host(id)
 	build := node.NewAgent
 	if f.IsEntry(id) {
 		build = node.NewEntry
@@ -90,8 +92,8 @@
 }
 
 // startNode builds and runs the node of a host. The caller holds f.mu. After an error, Host.Stop returns nil immediately.
-func (f *Fleet) startNode(h *Host, build func(config.Process, zerolog.Logger) (*node.Node, error)) error {
-	n, err := build(h.Config, f.log)
+func (f *Fleet) startNode(h *Host, build func(network.Network, config.Process, zerolog.Logger) (*node.Node, error)) error {
+	n, err := build(f.Profile.Network, h.Config, f.log)
 	if err != nil {
 		h.cancel, h.done = func() {}, make(chan error, 1)
 		h.done <- nil
--- a/internal/entry/dial.go
+++ b/internal/entry/dial.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"bamboofork/internal/network"
 	"bamboofork/internal/security"
 )
 
@@ -25,7 +26,7 @@
 
 // newTransport returns an HTTP/2 transport for requests to agents. The transport uses mutual TLS if identity is not nil, and
 // checks idle connections with PING frames.
-func newTransport(identity *security.Identity) *http.Transport {
+func newTransport(n network.Network, identity *security.Identity) *http.Transport {
 	protocols := new(http.Protocols)
 	transport := &http.Transport{
 		Protocols:          protocols,
@@ -36,29 +37,28 @@
 	}
 	if identity == nil {
 		protocols.SetUnencryptedHTTP2(true)
-		transport.DialContext = dialPlain
+		transport.DialContext = func(ctx context.Context, _, addr string) (net.Conn, error) { return dialPlain(ctx, n, addr) }
 		return transport
 	}
 	protocols.SetHTTP2(true)
-	transport.DialTLSContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
-		return dialTLS(ctx, network, addr, identity.ClientConfig("h2"))
+	transport.DialTLSContext = func(ctx context.Context, _, addr string) (net.Conn, error) {
+		return dialTLS(ctx, n, addr, identity.ClientConfig("h2"))
 	}
 	return transport
 }
 
-func dialPlain(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+func dialPlain(ctx context.Context, n network.Network, addr string) (net.Conn, error) {
+	conn, err := network.DialWithin(ctx, n, addr, dialTimeout)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
 	return conn, nil
 }
 
-func dialTLS(ctx context.Context, network, address string, cfg *tls.Config) (net.Conn, error) {
+func dialTLS(ctx context.Context, n network.Network, addr string, cfg *tls.Config) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	d := tls.Dialer{Config: cfg}
-	conn, err := d.DialContext(ctx, network, address)
+	conn, err := security.Dial(ctx, n, addr, cfg)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -12,6 +13,7 @@
 	"bamboofork/internal/callers"
 	"bamboofork/internal/limit"
 	"bamboofork/internal/membership"
+	"bamboofork/internal/network"
 	"bamboofork/internal/partition"
 	"bamboofork/internal/peer"
 	"bamboofork/internal/retry"
@@ -34,6 +36,7 @@
 	metrics        *telemetry.Registry
 	agentTransport *http.Transport
 	agentScheme    string // of agents' data addresses
+	network        network.Network
 	bodyBudget     bufferBudget
 	// shuttingDownAgents holds the agents that announced their shutdown in a response. The announcement reaches this entry
 	// even if it receives no membership updates.
@@ -53,22 +56,24 @@
 	Domain         string                 // failure domain of the entry
 	RoutingPolicy  string                 // routing policy, see route.Policies; "" selects the default
 	TrustedProxies callers.TrustedProxies // proxies whose X-Forwarded-For header is trusted
+	Network        network.Network        // of the connections to agents; nil: TCP
 }
 
 // New returns an entry.
 func New(id string, opts Options, liveSettings *settings.ActiveSnapshot, table *membership.Table, directory *partition.Directory,
 	peerPool *peer.Pool, metrics *telemetry.Registry, log zerolog.Logger) *Entry {
+	opts.Network = cmp.Or(opts.Network, network.TCPWithKeepAlive)
 	return &Entry{
 		ID: id, log: log, liveSettings: liveSettings, table: table, directory: directory, peerPool: peerPool, metrics: metrics,
 		balancer:    route.New(route.Config{Domain: opts.Domain, Policy: opts.RoutingPolicy, Log: log}, table),
-		retryBudget: retry.NewBudget(), agentTransport: newTransport(nil),
-		trustedProxies: opts.TrustedProxies, limiter: limit.New(), agentScheme: "http", shutdown: newShutdownSignal(),
+		retryBudget: retry.NewBudget(), agentTransport: newTransport(opts.Network, nil),
+		trustedProxies: opts.TrustedProxies, limiter: limit.New(), agentScheme: "http", network: opts.Network, shutdown: newShutdownSignal(),
 	}
 }
 
 // EnableTLS makes the entry use mutual TLS to agents, with the given identity. It must be called before Run.
 func (e *Entry) EnableTLS(identity *security.Identity) {
-	e.agentTransport, e.agentScheme = newTransport(identity), "https"
+	e.agentTransport, e.agentScheme = newTransport(e.network, identity), "https"
 }
 
 // Run publishes the active settings revision in the membership record every second until ctx is done. It then announces the
--- a/internal/deployed/virtual_network_test.go
+++ b/internal/network/memnet/memnet.go
@@ -1,4 +1,5 @@
-package deployed
+// Package memnet is a network in memory, over which several processes run in virtual time (testing/synctest).
+package memnet
 
 import (
 	"context"
@@ -11,37 +12,43 @@
 	"time"
 )
 
-// virtualNetwork is a network in memory for virtual time. Each machine has an IP address. A cut direction between two machines
+// Network is a network in memory for virtual time. Each machine has an IP address. A cut direction between two machines
 // carries nothing; like TCP, it carries later what was sent meanwhile, if both ends still wait for it. mu guards all state of the
 // network and its connections; nobody blocks while holding it.
-type virtualNetwork struct {
+type Network struct {
 	mu        sync.Mutex
-	listeners map[string]*virtualListener
-	links     map[machinePair]linkFaults
-	conns     map[*virtualConn]bool // one of the two ends of each open connection per machine
-	changed   chan struct{}         // closed and replaced when a link changes
+	listeners map[string]*listener
+	links     map[machinePair]LinkFaults
+	conns     map[*conn]bool // one of the two ends of each open connection per machine
+	changed   chan struct{}  // closed and replaced when a link changes
+	lastPort  uint16         // the last port chosen for a listener that asked for any
 }
 
 // machinePair is a direction between two machines, each given by its IP address.
 type machinePair struct{ from, to string }
 
-// linkFaults are the faults of one direction.
-type linkFaults struct {
-	cut   bool
-	delay time.Duration
+// LinkFaults are the faults of one direction.
+type LinkFaults struct {
+	Cut   bool
+	Delay time.Duration
 }
 
 const linkDelay = time.Millisecond
 
-func newVirtualNetwork() *virtualNetwork {
-	return &virtualNetwork{listeners: map[string]*virtualListener{}, links: map[machinePair]linkFaults{}, conns: map[*virtualConn]bool{},
-		changed: make(chan struct{})}
+// New returns a network without faults.
+func New() *Network {
+	return &Network{listeners: map[string]*listener{}, links: map[machinePair]LinkFaults{}, conns: map[*conn]bool{},
+		changed: make(chan struct{}), lastPort: firstFreePort - 1}
 }
 
-func machineOf(addr string) string { return netip.MustParseAddrPort(addr).Addr().String() }
+// firstFreePort is the first port for listeners that ask for any port.
+const firstFreePort = 50_000
 
-// setLink replaces the faults of the direction from one machine to another.
-func (n *virtualNetwork) setLink(from, to string, faults linkFaults) {
+// MachineOf returns the IP address in addr.
+func MachineOf(addr string) string { return netip.MustParseAddrPort(addr).Addr().String() }
+
+// SetLink replaces the faults of the direction from one machine to another.
+func (n *Network) SetLink(from, to string, faults LinkFaults) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.links[machinePair{from, to}] = faults
@@ -49,8 +56,8 @@
 	n.changed = make(chan struct{})
 }
 
-// healLinks removes the faults of all links.
-func (n *virtualNetwork) healLinks() {
+// HealLinks removes the faults of all links.
+func (n *Network) HealLinks() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	clear(n.links)
@@ -58,8 +65,8 @@
 	n.changed = make(chan struct{})
 }
 
-// resetConns resets the connections of which both ends satisfy the condition.
-func (n *virtualNetwork) resetConns(matches func(a, b string) bool) {
+// ResetConns resets the connections of which both ends satisfy the condition.
+func (n *Network) ResetConns(matches func(a, b string) bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for c := range n.conns {
@@ -69,19 +76,20 @@
 	}
 }
 
-// virtualProcess is the network as one process sees it. It implements network.Network. After kill, it connects to nothing.
-type virtualProcess struct {
-	network *virtualNetwork
+// Process is the network as one process sees it. It implements network.Network. After Kill, it connects to nothing.
+type Process struct {
+	network *Network
 	machine string
 	dead    bool // guarded by network.mu
 }
 
-func (n *virtualNetwork) process(machine string) *virtualProcess {
-	return &virtualProcess{network: n, machine: machine}
+// Process returns the network as a new process on the machine sees it.
+func (n *Network) Process(machine string) *Process {
+	return &Process{network: n, machine: machine}
 }
 
-// kill resets the connections of the process and closes its ports. If silent is set, its peers are not told, as at a power loss.
-func (p *virtualProcess) kill(silent bool) {
+// Kill resets the connections of the process and closes its ports. If silent is set, its peers are not told, as at a power loss.
+func (p *Process) Kill(silent bool) {
 	p.network.mu.Lock()
 	defer p.network.mu.Unlock()
 	p.dead = true
@@ -105,21 +113,25 @@
 
 var errDead = &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ENETUNREACH}
 
-// Listen implements network.Network.
-func (p *virtualProcess) Listen(addr string) (net.Listener, error) {
+// Listen implements network.Network. Port 0 stands for a port that was not used before.
+func (p *Process) Listen(addr string) (net.Listener, error) {
 	p.network.mu.Lock()
 	defer p.network.mu.Unlock()
+	if at := netip.MustParseAddrPort(addr); at.Port() == 0 {
+		p.network.lastPort++
+		addr = netip.AddrPortFrom(at.Addr(), p.network.lastPort).String()
+	}
 	if p.dead || p.network.listeners[addr] != nil {
 		return nil, &net.OpError{Op: "listen", Net: "tcp", Err: syscall.EADDRINUSE}
 	}
-	l := &virtualListener{network: p.network, owner: p, addr: addr, backlog: make(chan net.Conn, 1024), done: make(chan struct{})}
+	l := &listener{network: p.network, owner: p, addr: addr, backlog: make(chan net.Conn, 1024), done: make(chan struct{})}
 	p.network.listeners[addr] = l
 	return l, nil
 }
 
 // Dial implements network.Network. The handshake needs both directions; an address where nothing listens refuses the connection.
-func (p *virtualProcess) Dial(ctx context.Context, addr string) (net.Conn, error) {
-	to := machineOf(addr)
+func (p *Process) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	to := MachineOf(addr)
 	for {
 		n := p.network
 		n.mu.Lock()
@@ -129,7 +141,7 @@
 		if dead {
 			return nil, errDead
 		}
-		if there.cut || back.cut {
+		if there.Cut || back.Cut {
 			select {
 			case <-changed:
 				continue
@@ -138,7 +150,7 @@
 			}
 		}
 		select {
-		case <-time.After(2*linkDelay + there.delay + back.delay):
+		case <-time.After(2*linkDelay + there.Delay + back.Delay):
 		case <-ctx.Done():
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
 		}
@@ -146,7 +158,7 @@
 	}
 }
 
-func (p *virtualProcess) connect(addr string) (net.Conn, error) {
+func (p *Process) connect(addr string) (net.Conn, error) {
 	n := p.network
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -157,24 +169,24 @@
 	if listener == nil || len(listener.backlog) == cap(listener.backlog) {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 	}
-	local := &virtualConn{network: n, owner: p, machine: p.machine, addr: p.machine + ":40000", notify: make(chan struct{})}
-	remote := &virtualConn{network: n, owner: listener.owner, machine: machineOf(addr), addr: addr, notify: make(chan struct{})}
+	local := &conn{network: n, owner: p, machine: p.machine, addr: p.machine + ":40000", notify: make(chan struct{})}
+	remote := &conn{network: n, owner: listener.owner, machine: MachineOf(addr), addr: addr, notify: make(chan struct{})}
 	local.peer, remote.peer = remote, local
 	n.conns[local], n.conns[remote] = true, true
 	listener.backlog <- remote
 	return local, nil
 }
 
-type virtualListener struct {
-	network *virtualNetwork
-	owner   *virtualProcess
+type listener struct {
+	network *Network
+	owner   *Process
 	addr    string
 	backlog chan net.Conn
 	done    chan struct{}
 	closed  bool
 }
 
-func (l *virtualListener) Accept() (net.Conn, error) {
+func (l *listener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.backlog:
 		return c, nil
@@ -184,7 +196,7 @@
 }
 
 // close closes the listener and resets the connections that nobody has accepted. The caller holds network.mu.
-func (l *virtualListener) close() {
+func (l *listener) close() {
 	if l.closed {
 		return
 	}
@@ -196,7 +208,7 @@
 	for {
 		select {
 		case c := <-l.backlog:
-			c.(*virtualConn).reset()
+			c.(*conn).reset()
 		default:
 			return
 		}
@@ -204,7 +216,7 @@
 }
 
 // Close implements net.Listener.
-func (l *virtualListener) Close() error {
+func (l *listener) Close() error {
 	l.network.mu.Lock()
 	defer l.network.mu.Unlock()
 	l.close()
@@ -212,20 +224,20 @@
 }
 
 // Addr implements net.Listener.
-func (l *virtualListener) Addr() net.Addr { return virtualAddr(l.addr) }
+func (l *listener) Addr() net.Addr { return address(l.addr) }
 
-type virtualAddr string
+type address string
 
-func (virtualAddr) Network() string  { return "tcp" }
-func (a virtualAddr) String() string { return string(a) }
+func (address) Network() string  { return "tcp" }
+func (a address) String() string { return string(a) }
 
-// virtualConn is one end of a connection. Its fields are guarded by network.mu.
-type virtualConn struct {
-	network  *virtualNetwork
-	owner    *virtualProcess
+// conn is one end of a connection. Its fields are guarded by network.mu.
+type conn struct {
+	network  *Network
+	owner    *Process
 	machine  string
 	addr     string
-	peer     *virtualConn
+	peer     *conn
 	incoming []segment
 	deadline time.Time
 	notify   chan struct{} // closed and replaced when something changes for the reader
@@ -239,13 +251,13 @@
 	readyAt time.Time
 }
 
-func (c *virtualConn) wake() {
+func (c *conn) wake() {
 	close(c.notify)
 	c.notify = make(chan struct{})
 }
 
 // reset breaks both ends.
-func (c *virtualConn) reset() {
+func (c *conn) reset() {
 	c.broken, c.peer.broken = true, true
 	delete(c.network.conns, c)
 	delete(c.network.conns, c.peer)
@@ -254,14 +266,14 @@
 }
 
 // vanish breaks this end without a notice to its peer.
-func (c *virtualConn) vanish() {
+func (c *conn) vanish() {
 	c.broken = true
 	delete(c.network.conns, c)
 	c.wake()
 }
 
 // Read implements net.Conn.
-func (c *virtualConn) Read(p []byte) (int, error) {
+func (c *conn) Read(p []byte) (int, error) {
 	for {
 		c.network.mu.Lock()
 		now := time.Now()
@@ -277,7 +289,7 @@
 		case c.broken:
 			c.network.mu.Unlock()
 			return 0, &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET}
-		case len(c.incoming) > 0 && !link.cut && !c.incoming[0].readyAt.After(now):
+		case len(c.incoming) > 0 && !link.Cut && !c.incoming[0].readyAt.After(now):
 			head := &c.incoming[0]
 			if head.data == nil {
 				c.network.mu.Unlock()
@@ -289,7 +301,7 @@
 			}
 			c.network.mu.Unlock()
 			return read, nil
-		case len(c.incoming) > 0 && !link.cut:
+		case len(c.incoming) > 0 && !link.Cut:
 			wait = c.incoming[0].readyAt.Sub(now)
 		}
 		if !c.deadline.IsZero() && (wait < 0 || c.deadline.Sub(now) < wait) {
@@ -315,7 +327,7 @@
 }
 
 // Write implements net.Conn. It never blocks.
-func (c *virtualConn) Write(p []byte) (int, error) {
+func (c *conn) Write(p []byte) (int, error) {
 	c.network.mu.Lock()
 	defer c.network.mu.Unlock()
 	link := c.network.links[machinePair{c.machine, c.peer.machine}]
@@ -324,7 +336,7 @@
 		return 0, net.ErrClosed
 	case c.broken:
 		return 0, &net.OpError{Op: "write", Net: "tcp", Err: syscall.ECONNRESET}
-	case c.peer.closed && !link.cut:
+	case c.peer.closed && !link.Cut:
 		return 0, &net.OpError{Op: "write", Net: "tcp", Err: syscall.EPIPE}
 	case c.peer.closed || c.peer.broken:
 		return len(p), nil // lost
@@ -334,8 +346,8 @@
 }
 
 // send queues data, or the end of the stream if data is nil, for the peer.
-func (c *virtualConn) send(data []byte, link linkFaults) {
-	readyAt := time.Now().Add(linkDelay + link.delay)
+func (c *conn) send(data []byte, link LinkFaults) {
+	readyAt := time.Now().Add(linkDelay + link.Delay)
 	if n := len(c.peer.incoming); n > 0 && c.peer.incoming[n-1].readyAt.After(readyAt) {
 		readyAt = c.peer.incoming[n-1].readyAt
 	}
@@ -344,7 +356,7 @@
 }
 
 // Close implements net.Conn.
-func (c *virtualConn) Close() error {
+func (c *conn) Close() error {
 	c.network.mu.Lock()
 	defer c.network.mu.Unlock()
 	if c.closed {
@@ -359,14 +371,14 @@
 	return nil
 }
 
-func (c *virtualConn) LocalAddr() net.Addr  { return virtualAddr(c.addr) }
-func (c *virtualConn) RemoteAddr() net.Addr { return virtualAddr(c.peer.addr) }
+func (c *conn) LocalAddr() net.Addr  { return address(c.addr) }
+func (c *conn) RemoteAddr() net.Addr { return address(c.peer.addr) }
 
 // SetDeadline implements net.Conn.
-func (c *virtualConn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
+func (c *conn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
 
 // SetReadDeadline implements net.Conn.
-func (c *virtualConn) SetReadDeadline(t time.Time) error {
+func (c *conn) SetReadDeadline(t time.Time) error {
 	c.network.mu.Lock()
 	defer c.network.mu.Unlock()
 	if c.closed {
@@ -378,4 +390,4 @@
 }
 
 // SetWriteDeadline implements net.Conn. Writes do not block.
-func (c *virtualConn) SetWriteDeadline(time.Time) error { return nil }
+func (c *conn) SetWriteDeadline(time.Time) error { return nil }
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"time"
 )
 
 // Network is what a process listens on and connects through.
@@ -15,15 +16,24 @@
 	Dial(ctx context.Context, addr string) (net.Conn, error)
 }
 
-// TCP is the network of the host.
-var TCP Network = tcp{}
+// TCP is the network of the host. It sends no keep-alive probes, for programs that detect silent connections themselves.
+var TCP Network = tcp{keepAlive: -1}
 
-type tcp struct{}
+// TCPWithKeepAlive is the network of the host with the default keep-alive probes.
+var TCPWithKeepAlive Network = tcp{}
+
+type tcp struct{ keepAlive time.Duration }
 
 func (tcp) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 
-// Dial sends no keep-alive probes, because all programs detect silent connections themselves.
-func (tcp) Dial(ctx context.Context, addr string) (net.Conn, error) {
-	dialer := net.Dialer{KeepAlive: -1}
+func (t tcp) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAlive: t.keepAlive}
 	return dialer.DialContext(ctx, "tcp", addr)
 }
+
+// DialWithin connects to addr and gives up after the timeout.
+func DialWithin(ctx context.Context, n Network, addr string, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return n.Dial(ctx, addr)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"bamboofork/internal/gate"
 	"bamboofork/internal/lease"
 	"bamboofork/internal/membership"
+	"bamboofork/internal/network"
 	"bamboofork/internal/operatorapi"
 	"bamboofork/internal/partition"
 	"bamboofork/internal/peer"
@@ -35,6 +36,7 @@
 // Node is one entry or agent. It is usually a process of its own; bf-dev runs several in one process.
 type Node struct {
 	Config       config.Process
+	network      network.Network
 	LiveSettings *settings.ActiveSnapshot
 	Table        *membership.Table
 	Metrics      *telemetry.Registry
@@ -62,6 +64,7 @@
 // sharedComponents holds the components that entries and agents have in common.
 type sharedComponents struct {
 	cfg          config.Process
+	network      network.Network
 	log          zerolog.Logger
 	store        *detachableStore
 	pool         *peer.Pool
@@ -75,7 +78,7 @@
 	security     *nodeSecurity
 }
 
-func newSharedComponents(cfg config.Process, role membership.Role, log zerolog.Logger) (*sharedComponents, error) {
+func newSharedComponents(n network.Network, cfg config.Process, role membership.Role, log zerolog.Logger) (*sharedComponents, error) {
 	log = log.With().Str("node", cfg.ID).Logger()
 	registry := telemetry.New()
 	limits := budget.AgentLimits
@@ -90,14 +93,14 @@
 	if err != nil {
 		return nil, err
 	}
-	detachable := &detachableStore{Store: budget.New(etcdgw.NewClient(cfg.Store, 0).WithCredentials(storeCredentials), limits, registry, log)}
-	pool := peer.NewPool(cfg.ID, log, nodeSec.dialFunc())
+	detachable := &detachableStore{Store: budget.New(etcdgw.NewClientOn(n, cfg.Store, 0).WithCredentials(storeCredentials), limits, registry, log)}
+	pool := peer.NewPool(cfg.ID, log, nodeSec.dialFunc(n))
 	self := membership.Member{
 		ID: cfg.ID, Role: role, Region: cfg.Region, Domain: cfg.Domain, Rack: cfg.Rack,
 		Addr: cfg.ControlAddr(), DataAddr: cfg.DataAddr(),
 	}
 	shared := &sharedComponents{
-		cfg: cfg, log: log, security: nodeSec, store: detachable, pool: pool, server: peer.NewServer(cfg.ID, log),
+		cfg: cfg, network: n, log: log, security: nodeSec, store: detachable, pool: pool, server: peer.NewServer(cfg.ID, log),
 		liveSettings: settings.NewActiveSnapshot(), directory: partition.NewDirectory(detachable, pool, cfg.PartitionCount),
 		metrics: registry,
 	}
@@ -131,8 +134,8 @@
 }
 
 // NewEntry assembles an entry and opens its listeners.
-func NewEntry(cfg config.Process, log zerolog.Logger) (*Node, error) {
-	shared, err := newSharedComponents(cfg, membership.RoleEntry, log)
+func NewEntry(n network.Network, cfg config.Process, log zerolog.Logger) (*Node, error) {
+	shared, err := newSharedComponents(n, cfg, membership.RoleEntry, log)
 	if err != nil {
 		return nil, err
 	}
@@ -141,7 +144,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "trusted_proxies")
 	}
-	options := entry.Options{Domain: cfg.Domain, RoutingPolicy: cfg.Routing, TrustedProxies: trusted}
+	options := entry.Options{Domain: cfg.Domain, RoutingPolicy: cfg.Routing, TrustedProxies: trusted, Network: n}
 	entryComponent := entry.New(cfg.ID, options, shared.liveSettings, shared.table, shared.directory, shared.pool, shared.metrics, shared.log)
 	node := shared.newNode()
 	node.Entry = entryComponent
@@ -161,12 +164,12 @@
 }
 
 // NewAgent assembles an agent and opens its listeners.
-func NewAgent(cfg config.Process, log zerolog.Logger) (*Node, error) {
-	shared, err := newSharedComponents(cfg, membership.RoleAgent, log)
+func NewAgent(n network.Network, cfg config.Process, log zerolog.Logger) (*Node, error) {
+	shared, err := newSharedComponents(n, cfg, membership.RoleAgent, log)
 	if err != nil {
 		return nil, err
 	}
-	workerClient := worker.NewHTTPClient(cfg.Worker.URL)
+	workerClient := worker.NewHTTPClient(n, cfg.Worker.URL)
 	capacity, err := taskCapacity(workerClient, cfg.Worker.Reserve)
 	if err != nil {
 		return nil, err
@@ -181,7 +184,7 @@
 	shared.operatorAPI.OwnedPartitions = manager.Owned
 	shared.table.SetWantsCandidates(func() bool { return len(manager.Owned()) > 0 })
 	agentComponent := agent.New(agent.Config{
-		ID: cfg.ID, BackendName: cfg.Backend.Name, BackendAddr: cfg.Backend.Addr, DrainTimeout: cfg.DrainTimeout,
+		ID: cfg.ID, BackendName: cfg.Backend.Name, BackendAddr: cfg.Backend.Addr, Network: n, DrainTimeout: cfg.DrainTimeout,
 		Gate: gate.Config{Slots: cfg.Backend.Slots, Conns: maxRequestConns(cfg.Backend), MaxQueue: cfg.Backend.MaxQueue, Resources: capacity},
 	}, workerClient, shared.liveSettings, shared.directory, shared.table, shared.metrics, shared.log)
 	if err := errors.Join(shared.server.Register("Agent", agentComponent.Service()),
@@ -247,7 +250,7 @@
 }
 
 func (b *sharedComponents) newNode() *Node {
-	return &Node{Config: b.cfg, LiveSettings: b.liveSettings, Table: b.table, Metrics: b.metrics, peerPool: b.pool,
+	return &Node{Config: b.cfg, network: b.network, LiveSettings: b.liveSettings, Table: b.table, Metrics: b.metrics, peerPool: b.pool,
 		detachableStore: b.store, aborted: make(chan struct{})}
 }
 
--- a/internal/node/security.go
+++ b/internal/node/security.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"bamboofork/internal/config"
+	"bamboofork/internal/network"
 	"bamboofork/internal/peer"
 	"bamboofork/internal/security"
 )
@@ -46,13 +47,12 @@
 }
 
 // dialFunc returns the function that opens control connections over TLS, or nil if they use plain TCP.
-func (s *nodeSecurity) dialFunc() peer.DialFunc {
+func (s *nodeSecurity) dialFunc(n network.Network) peer.DialFunc {
 	if s.peers == nil {
-		return nil
+		return n.Dial
 	}
 	return func(ctx context.Context, addr string) (net.Conn, error) {
-		d := tls.Dialer{Config: s.peers.ClientConfig(controlALPN)}
-		return d.DialContext(ctx, "tcp", addr)
+		return security.Dial(ctx, n, addr, s.peers.ClientConfig(controlALPN))
 	}
 }
 
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -29,7 +29,7 @@
 
 // listen opens a TCP listener and registers it with the node, so that Abort closes it. name is used in the error.
 func (n *Node) listen(name, addr string) (net.Listener, error) {
-	l, err := net.Listen("tcp", addr)
+	l, err := n.network.Listen(addr)
 	if err != nil {
 		return nil, eris.Wrapf(err, "%s listener", name)
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"bamboofork/internal/events"
+	"bamboofork/internal/network"
 )
 
 // ProtocolVersion is exchanged in the handshake and must be the same at both ends of a connection.
@@ -124,9 +125,7 @@
 // NewPool returns an empty pool for the process with the given ID. If dial is nil, the pool uses plain TCP.
 func NewPool(id string, log zerolog.Logger, dial DialFunc) *Pool {
 	if dial == nil {
-		dial = func(ctx context.Context, addr string) (net.Conn, error) {
-			return (&net.Dialer{Timeout: DialTimeout}).DialContext(ctx, "tcp", addr)
-		}
+		dial = network.TCPWithKeepAlive.Dial
 	}
 	return &Pool{id: id, log: log, dial: dial, clientByAddr: map[string]*client{}}
 }
--- a/internal/security/identity.go
+++ b/internal/security/identity.go
@@ -4,9 +4,11 @@
 package security
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
+	"net"
 	"os"
 	"sync"
 	"time"
@@ -15,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"bamboofork/internal/events"
+	"bamboofork/internal/network"
 )
 
 // DefaultName is the DNS name in the certificates of the project's processes. Certificates name the system and not the
@@ -169,3 +172,17 @@
 	}
 	return s
 }
+
+// Dial connects to addr and makes the TLS handshake.
+func Dial(ctx context.Context, n network.Network, addr string, cfg *tls.Config) (net.Conn, error) {
+	conn, err := n.Dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	secured := tls.Client(conn, cfg)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return secured, nil
+}
--- a/internal/store/etcdgw/client.go
+++ b/internal/store/etcdgw/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"bamboofork/internal/network"
 	"bamboofork/internal/store"
 )
 
@@ -36,11 +37,18 @@
 // NewClient returns a client for the gateway at the base URL ("http://127.0.0.1:2379").
 // A timeout of 0 means DefaultCallTimeout.
 func NewClient(baseURL string, timeout time.Duration) *Client {
+	return NewClientOn(network.TCPWithKeepAlive, baseURL, timeout)
+}
+
+// NewClientOn is NewClient on a given network.
+func NewClientOn(n network.Network, baseURL string, timeout time.Duration) *Client {
 	if timeout == 0 {
 		timeout = DefaultCallTimeout
 	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return network.DialWithin(ctx, n, addr, timeout)
+		},
 		MaxIdleConnsPerHost: maxIdleConns,
 	}
 	return &Client{baseURL: baseURL, timeout: timeout, httpClient: &http.Client{Transport: transport}}
--- a/internal/worker/http.go
+++ b/internal/worker/http.go
@@ -6,10 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"bamboofork/internal/network"
 )
 
 // Paths of the worker's HTTP interface.
@@ -56,8 +59,9 @@
 }
 
 // NewHTTPClient returns a client of the worker at baseURL.
-func NewHTTPClient(baseURL string) *HTTPClient {
-	return &HTTPClient{baseURL: baseURL, client: &http.Client{Timeout: DefaultTimeout, Transport: &http.Transport{}}}
+func NewHTTPClient(n network.Network, baseURL string) *HTTPClient {
+	dial := func(ctx context.Context, _, addr string) (net.Conn, error) { return n.Dial(ctx, addr) }
+	return &HTTPClient{baseURL: baseURL, client: &http.Client{Timeout: DefaultTimeout, Transport: &http.Transport{DialContext: dial}}}
 }
 
 var (
