An entry is ready only once it has settings

A started entry turned /readyz to 200 as soon as it listened. Until the first settings revision arrived (here within 40 ms), it knew no branches, so a load balancer that had seen it ready sent it requests that it refused for good: 404 not_run, "unknown branch". Callers saw this after a planned restart of an entry, without any shortage of processor time.

/readyz is now 503 until the process has applied a settings revision. It stays ready from then on, because a revision is never taken back.

--- a/internal/dev/helpers_test.go
+++ b/internal/dev/helpers_test.go
@@ -21,14 +21,25 @@
 	watchPath = "/v1/run/workshop/liner-heating/-/stream"
 )
 
-// startSmallFleet starts a fleet of two entries and three agents behind relays and waits until the fleet is ready.
+// startSmallFleet starts a small fleet behind relays and waits until the fleet is ready.
 func startSmallFleet(t *testing.T) *dev.Fleet {
+	p := smallProfile(t)
+	p.UseRelays, p.RelaySeed = true, 1
+	return startReadyFleet(t, p)
+}
+
+// smallProfile returns the profile of a fleet of two entries and three agents.
+func smallProfile(t *testing.T) dev.Profile {
 	p, err := dev.Workshop()
 	qt.Assert(t, err, qt.IsNil)
-	p.Entries, p.Agents, p.UseRelays, p.RelaySeed = 2, 3, true, 1
+	p.Entries, p.Agents = 2, 3
 	p.ServiceTime = 2 * time.Millisecond
 	p.InitialSettings.Branches["workshop/foot-scan"]["deadline"] = "20s"
 	p.InitialSettings.Branches["workshop/moulding-orders"]["deadline"] = "20s"
+	return p
+}
+
+func startReadyFleet(t *testing.T, p dev.Profile) *dev.Fleet {
 	f, err := dev.Start(p, zerolog.Nop())
 	qt.Assert(t, err, qt.IsNil)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
@@ -46,6 +57,10 @@
 }
 
 func call(method, url, key string, body io.Reader) response {
+	return callWith(http.DefaultClient, method, url, key, body)
+}
+
+func callWith(client *http.Client, method, url, key string, body io.Reader) response {
 	req, err := http.NewRequest(method, url, body)
 	if err != nil {
 		return response{err: err}
@@ -54,7 +69,7 @@
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return response{err: err}
 	}
--- a/internal/operatorapi/operatorapi.go
+++ b/internal/operatorapi/operatorapi.go
@@ -29,14 +29,16 @@
 	LiveSettings    *settings.ActiveSnapshot
 	Metrics         *telemetry.Registry
 	OwnedPartitions func() []int // partitions that the process owns; nil: none
-	IsReady         atomic.Bool
+	// IsReady is set while the process serves. The process reports that it is ready once it has settings as well, because a process
+	// without settings knows no branches.
+	IsReady atomic.Bool
 }
 
 // Register adds the endpoints /healthz, /readyz, /metrics and /v1/status to e.
 func (a *API) Register(e *echo.Echo) {
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", func(c echo.Context) error {
-		if !a.IsReady.Load() {
+		if !a.IsReady.Load() || a.LiveSettings.Current().Revision == 0 {
 			return c.String(http.StatusServiceUnavailable, "not ready\n")
 		}
 		return c.String(http.StatusOK, "ready\n")
