--- a/internal/dev/leave_measure_test.go
+++ b/internal/dev/leave_measure_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"flag"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -77,7 +78,7 @@
 			qt.Assert(t, f.WaitReady(ctx), qt.IsNil)
 			cancel()
 			time.Sleep(4 * time.Second) // until partitions have owners
-			load := startLoad(f, 8)
+			load := startLoad(f, http.DefaultClient, nil)
 			time.Sleep(500 * time.Millisecond)
 			start := time.Now()
 			apply(f)
