--- a/internal/deployed/lost_host_test.go
+++ b/internal/deployed/lost_host_test.go
@@ -14,6 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"bamboofork/internal/network/memnet"
 	"bamboofork/platform/standin"
 )
 
@@ -26,7 +27,7 @@
 	cutOff := func(f *virtualFleet) {
 		f.isolate(f.owner())
 		time.Sleep(2500 * time.Millisecond)
-		f.network.healLinks()
+		f.network.HealLinks()
 	}
 	endOwner := func(end func(f *virtualFleet, owner *virtualMachine), count int) func(f *virtualFleet) {
 		return func(f *virtualFleet) {
@@ -174,25 +175,25 @@
 	f := newVirtualFleet(t, seed)
 	_, silent := f.startPerpetualJobs()
 	cut := func(length time.Duration) {
-		faults := linkFaults{cut: true}
+		faults := memnet.LinkFaults{Cut: true}
 		onlyOwner, owner := f.chance(0.5), f.owner()
 		directions := 1 + f.rng.IntN(3) // bits: outgoing, incoming
-		set := func(faults linkFaults) {
+		set := func(faults memnet.LinkFaults) {
 			for _, m := range f.machines() {
 				if m == silent || (onlyOwner && m != owner) {
 					continue
 				}
 				if directions&1 != 0 {
-					f.network.setLink(silent.ip, m.ip, faults)
+					f.network.SetLink(silent.ip, m.ip, faults)
 				}
 				if directions&2 != 0 {
-					f.network.setLink(m.ip, silent.ip, faults)
+					f.network.SetLink(m.ip, silent.ip, faults)
 				}
 			}
 		}
 		f.note("cut %s, only from %s: %t, directions %d, for %s", silent.cfg.Name, owner.cfg.Name, onlyOwner, directions, length)
 		set(faults)
-		f.after(length, func() { f.note("%s is connected", silent.cfg.Name); set(linkFaults{}) })
+		f.after(length, func() { f.note("%s is connected", silent.cfg.Name); set(memnet.LinkFaults{}) })
 	}
 	changeOwner := func() {
 		owner := f.owner()
@@ -209,7 +210,7 @@
 		case 2:
 			f.note("isolate %s", owner.cfg.Name)
 			f.isolate(owner)
-			f.after(f.between(500*time.Millisecond, 4*time.Second), func() { f.note("links are well"); f.network.healLinks() })
+			f.after(f.between(500*time.Millisecond, 4*time.Second), func() { f.note("links are well"); f.network.HealLinks() })
 		case 3:
 			f.note("store of %s is unresponsive", owner.cfg.Name)
 			owner.endpoint.SetFaults(standin.StoreFaults{Unresponsive: true})
--- a/internal/deployed/virtual_calm_test.go
+++ b/internal/deployed/virtual_calm_test.go
@@ -312,7 +312,7 @@
 		ip := fmt.Sprint("10.0.0.", 10+len(f.hosts))
 		if len(free) > 0 && f.chance(0.4) {
 			ip, free = free[0], free[1:]
-			f.network.setDark(ip, false)
+			f.network.SetDark(ip, false)
 		}
 		f.mu.Lock()
 		m := f.addHost(ip, f.rng.Uint64())
@@ -383,7 +383,7 @@
 	w.left(m, "lost with its host")
 	f.endWorker(m)
 	f.kill(m, true)
-	f.network.setDark(m.ip, true)
+	f.network.SetDark(m.ip, true)
 }
 
 // loseWorkerBesideAgent ends a worker for good and without notice. Its agent may be away, or start again, around that time, and stays.
@@ -482,7 +482,7 @@
 	f.note("isolate %s", m.cfg.Name)
 	f.isolate(m)
 	f.disturb(m, 3*time.Second)
-	f.after(f.between(500*time.Millisecond, 2500*time.Millisecond), func() { f.note("links are well"); f.network.healLinks() })
+	f.after(f.between(500*time.Millisecond, 2500*time.Millisecond), func() { f.note("links are well"); f.network.HealLinks() })
 }
 
 func playCalms(t *testing.T, seed uint64) {
--- a/internal/deployed/virtual_takeovers_test.go
+++ b/internal/deployed/virtual_takeovers_test.go
@@ -36,7 +36,7 @@
 	m := f.owner()
 	f.note("cut %s off", m.cfg.Name)
 	f.isolate(m)
-	f.after(ownerOutage, f.network.healLinks)
+	f.after(ownerOutage, f.network.HealLinks)
 }
 
 // changeOwnersEvery schedules the changes, the first one now.
@@ -213,12 +213,12 @@
 					if name := f.store.OwnerName(); name != "" && name != previous {
 						previous = name
 						f.runScheduled(time.Now().Add(termLength))
-						f.network.healLinks()
+						f.network.HealLinks()
 						f.isolate(f.owner())
 					}
 					f.runScheduled(time.Now().Add(5 * time.Millisecond))
 				}
-				f.network.healLinks()
+				f.network.HealLinks()
 				f.runScheduled(time.Now().Add(virtualCalm))
 				qt.Check(t, f.missingTasks(jobs), qt.Equals, 0)
 				qt.Check(t, f.checker.StartCount(), qt.Equals, starts, qt.Commentf("tasks were started again"))
