--- a/internal/caslog/caslog.go
+++ b/internal/caslog/caslog.go
@@ -37,9 +37,10 @@
 
 // State is the content of a log: the newest snapshot and the records after that snapshot.
 type State struct {
-	SnapshotSeq int64  // position of the last record that the snapshot covers; 0 without a snapshot
-	Snapshot    []byte // nil without a snapshot
-	Records     []Record
+	SnapshotSeq   int64  // position of the last record that the snapshot covers; 0 without a snapshot
+	SnapshotEpoch int64  // epoch of the writer of the snapshot
+	Snapshot      []byte // nil without a snapshot
+	Records       []Record
 }
 
 // LastSeq returns the position of the newest record in the state, or of the snapshot if no records follow it.
@@ -205,7 +206,7 @@
 	if err != nil {
 		return State{}, err
 	}
-	state := State{SnapshotSeq: m.Seq}
+	state := State{SnapshotSeq: m.Seq, SnapshotEpoch: m.Epoch}
 	if state.Snapshot, err = l.readChunks(ctx, m); err != nil {
 		return State{}, err
 	}
--- a/internal/deployed/lost_host_test.go
+++ b/internal/deployed/lost_host_test.go
@@ -237,3 +237,24 @@
 		t.Errorf("seed %d: %v\n%s", seed, violations, strings.Join(f.history, "\n"))
 	}
 }
+
+// Guards against tasks that stay away for a hold because the host of the owner was lost right after a snapshot: the successor read no record
+// and did not know the previous owner.
+func TestTasksBesideAnOwnerLostAfterASnapshotRunAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newVirtualFleet(t, 1)
+		time.Sleep(time.Second)
+		f.recordsPerSnapshot = 1
+		for _, m := range f.hosts {
+			f.kill(m, false)
+			f.launch(m)
+		}
+		time.Sleep(3 * time.Second)
+		perpetual, _ := f.startPerpetualJobs()
+		owner := f.owner()
+		qt.Assert(t, owner.worker.StartedRunCount() > 0, qt.IsTrue)
+		time.Sleep(5 * time.Second)
+		f.loseHost(owner)
+		f.checkRunningAfter(perpetual, lostTaskLimit)
+	})
+}
--- a/internal/jobowner/recovery.go
+++ b/internal/jobowner/recovery.go
@@ -24,7 +24,7 @@
 	state          *jobs.State // nil: nothing loaded yet
 	snapshotSeq    int64
 	lastSeq        int64 // newest record that state contains
-	lastEpoch      int64 // epoch of that record; 0: no record follows the snapshot
+	lastEpoch      int64 // epoch of that record; an owner writes snapshots of its own records only
 	fence          caslog.Record
 	// loadTime is the time spent on reading and decoding; recordCount and snapshotBytes are what was read.
 	loadTime      time.Duration
@@ -71,7 +71,7 @@
 		return err
 	}
 	r.snapshotBytes = len(loaded.Snapshot)
-	r.state, r.snapshotSeq, r.lastSeq, r.lastEpoch = state, loaded.SnapshotSeq, loaded.SnapshotSeq, 0
+	r.state, r.snapshotSeq, r.lastSeq, r.lastEpoch = state, loaded.SnapshotSeq, loaded.SnapshotSeq, loaded.SnapshotEpoch
 	return r.applyRecords(loaded.Records)
 }
 
