Repeat the fence of a recovery soon after a lost answer

Callers: no owner for 3 s, and for 6 s and 12 s more if it happens again, while the store takes writes and loses their answers.

Cause: the write of the fence had only the timeout of the whole attempt, which allows for reading a large log and doubles. The owner's records have a timeout for each write.

Fix: each write of the fence has that timeout, 250 ms to 2 s. A repeated write finds its own record.

TestLostAnswerToTheFenceDelaysATakeoverBriefly (virtual time) failed before: 3 s, want 1 s. It passes now.

--- a/internal/jobowner/recovery.go
+++ b/internal/jobowner/recovery.go
@@ -96,9 +96,11 @@
 // the fence; appendFence then returns caslog.ErrConflict and the next attempt loads the snapshot.
 func (r *logRecovery) appendFence(ctx context.Context) error {
 	fence := caslog.Record{Seq: r.lastSeq + 1, Epoch: r.lastSeq + 1, Time: time.Now()}
-	for {
+	for timeout := minAppendTimeout; ; timeout = min(2*timeout, maxAppendTimeout) {
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		var err error
-		fence, err = r.jobLog.Append(ctx, fence)
+		fence, err = r.jobLog.Append(callCtx, fence)
+		cancel()
 		if err == nil {
 			r.fence = fence
 			return r.confirmFence(ctx)
--- a/internal/jobowner/takeover_test.go
+++ b/internal/jobowner/takeover_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -139,3 +140,30 @@
 	qt.Check(t, recovery.state.Jobs, qt.HasLen, 2)
 	qt.Check(t, recovery.fence.Seq, qt.Equals, int64(3))
 }
+
+// lossyLogStore does not answer the first writes of the log, which take effect.
+type lossyLogStore struct {
+	store.Store
+	unanswered atomic.Int64
+}
+
+func (s *lossyLogStore) CompareAndSwap(ctx context.Context, key string, expect int64, value []byte, lease store.LeaseID) (store.CASResult, error) {
+	res, err := s.Store.CompareAndSwap(ctx, key, expect, value, lease)
+	if strings.Contains(key, "/log/") && s.unanswered.Add(-1) >= 0 {
+		<-ctx.Done()
+		return store.CASResult{}, store.ErrUncertain
+	}
+	return res, err
+}
+
+// Guards against a takeover that takes as long as the whole log may take to be read, because the answer to the fence was lost.
+func TestLostAnswerToTheFenceDelaysATakeoverBriefly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := &lossyLogStore{Store: memstore.New()}
+		st.unanswered.Store(2)
+		recovery := logRecovery{jobLog: caslog.New(st, "jobs", "host-0-1"), attemptTimeout: bulkCallTimeout}
+		start := time.Now()
+		qt.Check(t, recovery.attempt(t.Context()), qt.IsNil)
+		qt.Check(t, time.Since(start) < time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(start)))
+	})
+}
