--- a/internal/deployed/lasting_test.go
+++ b/internal/deployed/lasting_test.go
@@ -202,3 +202,44 @@
 		f.awaitLastingTasks(restartLimit)
 	})
 }
+
+// Guards against a new owner that waits for the answer to a call of a past outage of the store, for as long as it allows for reading the
+// whole log, while nothing is accepted and nothing starts.
+func TestRecoveryGoesOnWhenTheStoreReturns(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playSilentRecovery(t, seed) })
+		})
+	}
+}
+
+// recoveryLimit is the time after the return of the store in which a recovery has to be completed.
+const recoveryLimit = 2 * time.Second
+
+func playSilentRecovery(t *testing.T, seed uint64) {
+	f := newLastingFleet(t, seed)
+	defer f.close()
+	previous := f.owner()
+	f.kill(previous, false)
+	for name := previous.cfg.Name; name == previous.cfg.Name || name == ""; name = f.store.OwnerName() {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(f.between(0, 6*time.Millisecond))
+	setFaults := func(faults standin.StoreFaults) {
+		for _, m := range f.machines() {
+			m.endpoint.SetFaults(faults)
+		}
+	}
+	setFaults(standin.StoreFaults{Unresponsive: true})
+	time.Sleep(4500 * time.Millisecond)
+	setFaults(standin.StoreFaults{})
+	since := time.Now()
+	for code, i := 0, 0; code != http.StatusOK; i++ {
+		body := `{"spec":"x","steps":[{"count":1,"cpu":2000,"mem_mb":100,"estimate_ms":300}]}`
+		code, _ = f.request(f.entries[0], http.MethodPost, fmt.Sprintf("a%015x", i), body)
+		time.Sleep(10 * time.Millisecond)
+	}
+	if took := time.Since(since); took > recoveryLimit {
+		t.Errorf("a job is accepted after %s, want %s", took, recoveryLimit)
+	}
+}
