A registration ends the wait of the agent for the next probe

Callers: after each start of an agent its worker gets no tasks for up to 0.65 s after its registration, 0.15 s before; in virtual time the first worker of a new fleet was ready 1.16 s after the start, although all had registered after 0.2 s.

Cause: the probe of a worker that has not registered sleeps for 0.5 s in the loop that calls the registered worker, too.

Change: the registration of a lifetime ends the sleep.

Measured: TestRegisteredWorkerIsCalledWithoutWaitingForTheNextProbe failed before (first call after 640 ms, bound 150 ms) and passes. go test ./internal/hostagent passes.

--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -35,6 +35,7 @@
 	reportDue  chan struct{} // wakes reportLoop
 	endsAcked  chan struct{} // signals that the owner has acknowledged ended runs
 	paceDue    chan struct{} // wakes paceLoop: the pace of a run may differ from its target
+	registered chan struct{} // signals that a worker, or its next lifetime, has registered
 	departed   chan int64    // holds the lifetime of the worker that has unregistered last
 
 	mu     sync.Mutex
@@ -101,6 +102,7 @@
 		cfg: cfg, startQueue: make(chan *run, 4096), stopQueue: make(chan *run, 4096),
 		reportDue: make(chan struct{}, 1), endsAcked: make(chan struct{}, 1), paceDue: make(chan struct{}, 1),
 		departed:         make(chan int64, 1),
+		registered:       make(chan struct{}, 1),
 		paceLimitPercent: jobs.FullPacePercent, tokenStepMs: 1,
 		runByTask: map[string]*run{}, clockMsByReport: map[int64]int64{},
 	}
@@ -160,6 +162,10 @@
 	a.worker = &worker
 	if previous == nil || previous.Lifetime != worker.Lifetime {
 		a.resetLifetime()
+		select {
+		case a.registered <- struct{}{}:
+		default:
+		}
 	}
 	if previous == nil || previous.Lifetime != worker.Lifetime || previous.Draining != worker.Draining {
 		a.signalReport()
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -272,7 +272,7 @@
 		a.mu.Lock()
 		a.refusedConns = 0
 		a.mu.Unlock()
-		app.Sleep(ctx, unknownWorkerProbeDelay)
+		app.SleepOrSignal(ctx, a.registered, unknownWorkerProbeDelay)
 		return
 	}
 	a.mu.Lock()
--- a/internal/hostagent/unknown_worker_test.go
+++ b/internal/hostagent/unknown_worker_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -75,3 +77,41 @@
 	a.Register(session.Worker{ID: "i-1", Lifetime: 8})
 	qt.Check(t, a.worker.Gone, qt.IsFalse)
 }
+
+// holdRecorder answers probes and sends the times of the other Hold calls.
+type holdRecorder struct {
+	scriptedRunner
+	calledAt chan time.Time
+}
+
+func (r *holdRecorder) Hold(_ context.Context, id WorkerIdentity, _, _, _ int64, _ int) (HoldResponse, error) {
+	if id.ID != "" {
+		r.calledAt <- time.Now()
+		return HoldResponse{}, ErrNoResponse
+	}
+	return HoldResponse{}, ErrOtherLifetime
+}
+
+// Guards against a worker that gets no tasks for longer than necessary after its agent was started: the agent was waiting for the time of
+// the next probe when the worker registered.
+func TestRegisteredWorkerIsCalledWithoutWaitingForTheNextProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runner := &holdRecorder{calledAt: make(chan time.Time, 100)}
+		a := newTestAgent(runner)
+		a.worker = nil // as after a restart
+		<-a.registered
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			a.renewHolds(ctx)
+		}()
+		time.Sleep(10 * time.Millisecond)
+		registeredAt := time.Now()
+		a.Register(session.Worker{ID: "i-1", Lifetime: 8})
+		took := (<-runner.calledAt).Sub(registeredAt)
+		qt.Check(t, took <= unreachableRetryDelay, qt.IsTrue, qt.Commentf("first call after %s", took))
+		cancel()
+		<-done
+	})
+}
