An entry without settings asks callers to repeat

Requests that reached a started entry before its first settings revision got 404 (requests) or 400 (jobs), not_run, "unknown branch": an answer that callers take for good. Load balancers that poll /readyz rarely, and callers with a fixed address, still reach such an entry.

It now answers 503, not_run, with Retry-After, as in other passing states.

TestEntryWithoutSettingsAsksCallersToRepeat, go test -run EntryWithoutSettings ./internal/dev: before 2 of 2 runs failed (404 and 400, "unknown branch"), after 10 of 10 passed with -race. internal/entry passes.

--- a/internal/dev/virtual_test.go
+++ b/internal/dev/virtual_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"bamboofork/internal/dev"
+	"bamboofork/internal/entry"
 	"bamboofork/internal/network/memnet"
 )
 
@@ -67,3 +68,26 @@
 		qt.Check(t, resp.outcome, qt.Equals, "done", qt.Commentf("%d %v %s", resp.status, resp.err, resp.body))
 	})
 }
+
+// Guards against an entry without settings that refuses requests for good, as if their branches did not exist.
+func TestEntryWithoutSettingsAsksCallersToRepeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, client := startVirtualFleet(t, rand.New(rand.NewPCG(1, 10)), 3)
+		defer stopVirtualFleet(t, f, client)
+		id := f.EntryIDs()[0]
+		qt.Assert(t, f.EndProcess(id, dev.EndGracefully), qt.IsNil)
+		qt.Assert(t, f.StartProcess(id), qt.IsNil)
+		job := []byte(`{"branch":"workshop/moulding-plans","tasks":1,"need":{"cores":1},"run_ms":10}`)
+		early := make(chan response, 2)
+		for path, body := range map[string][]byte{scanPath: []byte("x"), entry.PathJobs: job} {
+			go func() {
+				early <- callWith(client, http.MethodPost, f.EntryURL(0)+path, "early", bytes.NewReader(body))
+			}()
+		}
+		for range cap(early) {
+			resp := <-early
+			checkProblem(t, resp, http.StatusServiceUnavailable, "not_run")
+			qt.Check(t, resp.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+		}
+	})
+}
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -41,8 +41,8 @@
 func (e *Entry) RegisterRoutes(router *echo.Echo) {
 	router.HTTPErrorHandler = handleHTTPError
 	router.Use(e.closeDuringShutdown)
-	router.Any(PathRun+"*", e.handleRun)
-	router.POST(PathJobs, e.handleSubmit)
+	router.Any(PathRun+"*", e.handleRun, e.requireSettings)
+	router.POST(PathJobs, e.handleSubmit, e.requireSettings)
 	router.GET(PathJobs, e.handleJobs)
 	router.GET(PathJobs+"/:id", e.handleJob)
 	router.DELETE(PathJobs+"/:id", e.handleCancel)
@@ -81,6 +81,16 @@
 	}
 }
 
+// requireSettings is middleware that refuses requests while this entry has no settings. It would know none of their branches.
+func (e *Entry) requireSettings(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if e.liveSettings.Current().Revision == 0 {
+			return writeProblem(c, http.StatusServiceUnavailable, wire.OutcomeNotRun, NewID(), "this entry has no settings yet")
+		}
+		return next(c)
+	}
+}
+
 // retryAfterSpreadSeconds is the range over which Retry-After is randomized if the handler has not set the header. The
 // random delay keeps refused callers from retrying all at once.
 const retryAfterSpreadSeconds = 4
