--- a/internal/jobowner/commit.go
+++ b/internal/jobowner/commit.go
@@ -138,7 +138,7 @@
 	records, err := encodeChanges(changes)
 	lastSeq := o.lastRecordSeq + int64(len(records))
 	var snapshot []byte // state after these records, without later changes
-	if err == nil && lastSeq-o.snapshotSeq >= o.cfg.recordsPerSnapshot() && o.maySnapshot() {
+	if err == nil && lastSeq-o.snapshotSeq >= o.recordsUntilSnapshot() && o.maySnapshot() {
 		snapshot, err = o.jobsState.Encode()
 	}
 	firstSeq := o.lastRecordSeq + 1
--- a/internal/jobowner/silence.go
+++ b/internal/jobowner/silence.go
@@ -186,6 +186,16 @@
 	o.pendingEffects = append(o.pendingEffects, func() { delete(o.silences, agent) })
 }
 
+// recordsUntilSnapshot returns the number of records after which a snapshot replaces them. It is higher during silences, which are not part
+// of a snapshot: a successor that finds the snapshot before they are recorded again would count the holds anew.
+func (o *Owner) recordsUntilSnapshot() int64 {
+	const factorDuringSilences = 4
+	if len(o.silences) > 0 {
+		return factorDuringSilences * o.cfg.recordsPerSnapshot()
+	}
+	return o.cfg.recordsPerSnapshot()
+}
+
 // repeatSilences queues the records of the silences again, after a snapshot that does not contain them.
 func (o *Owner) repeatSilences() {
 	for agent, silence := range o.silences {
--- a/internal/jobowner/silence_test.go
+++ b/internal/jobowner/silence_test.go
@@ -1,6 +1,7 @@
 package jobowner
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -63,10 +64,16 @@
 }
 
 // Guards against silences that are lost with the records that a snapshot replaces.
-func TestSilencesAreRecordedAgainAfterASnapshot(t *testing.T) {
+func TestSilencesPutOffASnapshotAndAreRecordedAgainAfterIt(t *testing.T) {
 	o, _ := ownerWithSilentAgent(t)
-	o.cfg.RecordsPerSnapshot = 1
+	o.cfg.RecordsPerSnapshot = 2
 	o.startedAt = boottime.Now() - 10*time.Second // no predecessor can append
+	for o.lastRecordSeq < 7 {
+		qt.Assert(t, o.snapshotSeq, qt.Equals, int64(0))
+		o.apply(submitChange(fmt.Sprint("job-", o.lastRecordSeq)))
+		mustCommit(t, o)
+	}
+	o.apply(submitChange("job-last"))
 	mustCommit(t, o)
 	qt.Assert(t, o.snapshotSeq, qt.Equals, o.lastRecordSeq)
 	qt.Assert(t, o.pendingChanges, qt.HasLen, 1)
