--- a/internal/deployed/lost_host_test.go
+++ b/internal/deployed/lost_host_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -70,7 +68,7 @@
 				time.Sleep(time.Duration(seed) * 50 * time.Millisecond) // phases of the renewals of the lease
 				owner := f.ownerWithTasks()
 				f.loseHost(owner)
-				f.checkRunningAfter(perpetual, lostTaskLimit)
+				f.checkRunningAfter(seed, perpetual, lostTaskLimit)
 			})
 		})
 	}
@@ -97,18 +95,16 @@
 	f.isolate(m)
 }
 
-// checkRunningAfter checks that all tasks of the jobs run after the time, and ends the fleet.
-func (f *virtualFleet) checkRunningAfter(perpetual []*virtualJob, wait time.Duration) {
+// checkRunningAfter checks that all tasks of the jobs run after the time, and ends the fleet of the seed.
+func (f *virtualFleet) checkRunningAfter(seed uint64, perpetual []*virtualJob, wait time.Duration) {
 	f.runScheduled(time.Now().Add(wait))
 	for _, job := range perpetual {
 		qt.Check(f.t, f.checker.RunningTaskCount(job.id), qt.Equals, job.taskCount)
 	}
 	f.close()
 	qt.Check(f.t, f.checker.Violations(), qt.HasLen, 0)
-	if f.t.Failed() && *virtualLogs != "" {
-		for _, m := range f.machines() {
-			qt.Check(f.t, os.WriteFile(filepath.Join(*virtualLogs, m.cfg.Name+".log"), m.logs.Bytes(), 0o600), qt.IsNil)
-		}
+	if f.t.Failed() {
+		f.writeLogs(seed)
 	}
 }
 
@@ -154,7 +150,7 @@
 		f.loseHost(lost)
 		time.Sleep(delay)
 		changeOwner(f)
-		f.checkRunningAfter(perpetual, max(virtualCalm, time.Until(lostAt.Add(lostTaskLimit))))
+		f.checkRunningAfter(1, perpetual, max(virtualCalm, time.Until(lostAt.Add(lostTaskLimit))))
 	})
 }
 
@@ -256,6 +252,6 @@
 		qt.Assert(t, owner.worker.StartedRunCount() > 0, qt.IsTrue)
 		time.Sleep(5 * time.Second)
 		f.loseHost(owner)
-		f.checkRunningAfter(perpetual, lostTaskLimit)
+		f.checkRunningAfter(1, perpetual, lostTaskLimit)
 	})
 }
--- a/internal/deployed/virtual_faults_test.go
+++ b/internal/deployed/virtual_faults_test.go
@@ -19,11 +19,7 @@
 
 // randomFault returns a random fault. It strikes when the function is called, and schedules its own end.
 func (f *virtualFleet) randomFault() func() {
-	type choice struct {
-		weight int
-		fault  func()
-	}
-	choices := []choice{
+	choices := []weightedFault{
 		{12, func() { f.killAndRestart(f.owner()) }},
 		{4, func() { f.killAndRestart(f.anyHost()) }},
 		{4, func() { f.killAndRestart(f.anyEntry()) }},
@@ -50,17 +46,7 @@
 		{4, f.stopEntryWithoutOwner},
 		{4, f.replaceOwnerSlowly},
 	}
-	total := 0
-	for _, c := range choices {
-		total += c.weight
-	}
-	pick := f.rng.IntN(total)
-	for _, c := range choices {
-		if pick -= c.weight; pick < 0 {
-			return c.fault
-		}
-	}
-	return func() {}
+	return f.randomFaultOf(choices)
 }
 
 func (f *virtualFleet) killAndRestart(m *virtualMachine) {
