--- a/review/lab/scenarios.go
+++ b/review/lab/scenarios.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"strings"
 	"time"
 )
@@ -244,7 +245,7 @@
 		numHosts   = 5
 		numJobs    = 20
 		gap        = 500 * time.Millisecond
-		hugeCount  = 1 << 62
+		hugeCount  = math.MaxInt64
 		maxOwnEnds = 2 // of a process; three count
 	)
 	if err := l.startFleet(1, numHosts); err != nil {
