--- a/review/lab/scenarios.go
+++ b/review/lab/scenarios.go
@@ -149,6 +149,8 @@
 		runTime  = 12 * time.Second
 		downFor  = 4500 * time.Millisecond
 		contact  = 3 * time.Second
+		// The crash comes right after a checkpoint, which the owner then knows from the other members only.
+		crashAfter = 2*checkpointEvery + 30*time.Millisecond
 	)
 	if err := l.startFleet(1, numHosts); err != nil {
 		return nil, err
@@ -162,7 +164,7 @@
 	}
 	calm := time.Now()
 	if l.trouble {
-		time.Sleep(5 * time.Second)
+		time.Sleep(crashAfter)
 		victim := l.nonOwner()
 		for i, w := range l.workers {
 			if l.runs.startedCount(id, w.name) > 0 && fmt.Sprintf("side-%d", i+1) != l.store.OwnerName() {
