hostagent: a cut-off list of ends proves nothing about runs that it lacks

Cause: a worker lists its ends 500 at a time.

Change: the platform client marks a response as incomplete if its list of ends is full or a row cannot be decoded. The agent reports a complete list only after a complete response, and a recheck of a start or stop waits for one. Ends are reported and holds extended meanwhile.

--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -45,10 +45,14 @@
 	token            int64 // fencing token of this agent process; 0: not chosen yet
 	// tokenStepMs is added to the fencing token when the worker has seen a higher token.
 	tokenStepMs int64
-	runsListed  bool // the worker has listed its runs to a call with this token, so runByTask is complete
-	runByTask   map[string]*run
-	unackedEnds []session.RunEnd // ends that the worker has listed and the owner has not acknowledged yet
-	ackedEndSeq int64
+	// activeListed is true once the worker has listed its active runs to a call with this token. runsListed is true once it has also
+	// listed all ends: from then on, each run of the worker is in runByTask or unackedEnds.
+	activeListed   bool
+	runsListed     bool
+	listIncomplete bool // the latest lists were incomplete
+	runByTask      map[string]*run
+	unackedEnds    []session.RunEnd // ends that the worker has listed and the owner has not acknowledged yet
+	ackedEndSeq    int64
 
 	// ownerConn is the connection to the current owner. reportedEndSeq and lastCommandSeq count on this connection only.
 	ownerConn          *ownerconn.Conn
@@ -75,6 +79,8 @@
 	// other runs leave.
 	paceLimitPercent int
 	refusedConns     int // number of consecutive calls whose connection was refused
+	// unreadableRowsLogged is true once a list of the worker's lifetime with rows that cannot be decoded was logged.
+	unreadableRowsLogged bool
 }
 
 // run is a run that this agent is responsible for.
@@ -209,14 +215,14 @@
 	goneWorker.Gone = true
 	a.worker = &goneWorker
 	a.runByTask = map[string]*run{}
-	a.runsListed, a.goneReportSeq, a.goneAcked = false, 0, false
+	a.activeListed, a.runsListed, a.listIncomplete, a.goneReportSeq, a.goneAcked = false, false, false, 0, false
 	a.signalReport()
 }
 
 // resetLifetime discards the state of the worker's previous lifetime.
 func (a *Agent) resetLifetime() {
 	a.token, a.ackedEndSeq, a.reportedEndSeq, a.grantedUntilMs, a.clockMs, a.heldUntilMs = 0, 0, 0, 0, 0, 0
-	a.runsListed, a.refusedConns = false, 0
+	a.activeListed, a.runsListed, a.listIncomplete, a.unreadableRowsLogged, a.refusedConns = false, false, false, false, 0
 	a.runByTask, a.clockMsByReport, a.unackedEnds = map[string]*run{}, map[int64]int64{}, nil
 }
 
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -192,9 +192,9 @@
 			continue
 		}
 		a.mu.Lock()
-		hasUnackedEnds := len(a.unackedEnds) > 0
+		awaitsAck := len(a.unackedEnds) > 0 || a.listIncomplete
 		a.mu.Unlock()
-		if hasUnackedEnds {
+		if awaitsAck {
 			app.SleepOrSignal(ctx, a.endsAcked, ackTimeout)
 		}
 	}
@@ -299,9 +299,12 @@
 }
 
 // reconcileRuns updates the agent's runs from the worker's lists of active and ended runs. sentAt is the boot time at which the
-// lists were requested.
+// lists were requested. A run that is in neither list has ended or was never started only if the lists are complete: the end of a run
+// may be listed only after the owner has acknowledged the ends before it.
 func (a *Agent) reconcileRuns(resp *HoldResponse, sentAt time.Duration) {
-	if !a.runsListed {
+	a.noteUnreadableRows(resp)
+	a.activeListed, a.listIncomplete = true, resp.Incomplete
+	if !a.runsListed && !resp.Incomplete {
 		a.runsListed = true
 		a.signalReport()
 	}
@@ -316,7 +319,7 @@
 		a.recordActive(listedRun)
 	}
 	for task, r := range a.runByTask {
-		if r.recheckAfter == 0 || sentAt < r.recheckAfter || activeRunNumbers[task] == r.start.Run {
+		if resp.Incomplete || r.recheckAfter == 0 || sentAt < r.recheckAfter || activeRunNumbers[task] == r.start.Run {
 			continue
 		}
 		a.removeRun(r)
@@ -327,6 +330,18 @@
 	a.signalReport()
 }
 
+// noteUnreadableRows counts the rows that could not be decoded, and logs the first list with such rows of each lifetime of the worker.
+func (a *Agent) noteUnreadableRows(resp *HoldResponse) {
+	if resp.UnreadableRows == 0 {
+		return
+	}
+	a.cfg.Metrics.Counter("agent_rows_unreadable").Inc(int64(resp.UnreadableRows))
+	if !a.unreadableRowsLogged {
+		a.unreadableRowsLogged = true
+		events.WorkerRowsUnreadable.Log(&a.cfg.Log).Int("rows", resp.UnreadableRows).AnErr("cause", resp.UnreadableCause).Send()
+	}
+}
+
 func (a *Agent) recordEnd(e *EndedRun) {
 	if e.Seq <= a.ackedEndSeq {
 		return
@@ -461,13 +476,13 @@
 	if !isComplete && message.Worker == nil && len(message.Ends) == 0 && len(message.Refused) == 0 {
 		return
 	}
-	if a.worker != nil && (a.worker.Gone || (a.clockMs != 0 && a.runsListed)) {
+	if a.worker != nil && (a.worker.Gone || (a.clockMs != 0 && a.activeListed)) {
 		a.lastReportSeq++
 		message.ReportSeq = a.lastReportSeq
 		if a.clockMs != 0 {
 			a.clockMsByReport[a.lastReportSeq] = a.workerClockMs()
 		}
-		if isComplete {
+		if isComplete && (a.worker.Gone || a.runsListed) {
 			message.RunsComplete = true
 			if a.worker.Gone && a.goneReportSeq == 0 {
 				a.goneReportSeq = a.lastReportSeq
--- a/internal/hostagent/calls_test.go
+++ b/internal/hostagent/calls_test.go
@@ -109,7 +109,7 @@
 // registration of the worker may still arrive. Nothing starts before the worker itself has listed its runs.
 func TestRestartedAgentStartsNothingOnAWorkerThatHasLeft(t *testing.T) {
 	a := newTestAgent(nil)
-	a.runsListed, a.token, a.clockMs = false, 0, 0 // as after a restart; the registration is a delayed one
+	a.activeListed, a.runsListed, a.token, a.clockMs = false, false, 0, 0 // as after a restart; the registration is a delayed one
 	a.mu.Lock()
 	a.queueStart(&session.Start{Task: "j.0.0.0", Run: 1, Lifetime: 7, CPU: 1000})
 	qt.Check(t, a.runByTask, qt.HasLen, 0)
--- a/internal/hostagent/runner.go
+++ b/internal/hostagent/runner.go
@@ -44,14 +44,20 @@
 	Lifetime int64 // start time of this lifetime in Unix milliseconds
 }
 
-// HoldResponse is a worker's response to a Hold call, with complete lists of its active and its unacknowledged ended runs.
-// Times are on the worker's clock.
+// HoldResponse is a worker's response to a Hold call, with lists of its active and its unacknowledged ended runs. Times are on the
+// worker's clock.
 type HoldResponse struct {
 	Lifetime int64
 	ClockMs  int64
 	Fenced   bool // the token was too low; only ClockMs is valid
-	Active   []ActiveRun
-	Ended    []EndedRun
+	// Incomplete means that the worker may have runs or ends that are not listed: the list of ended runs was cut off, or a row could
+	// not be decoded. The absence of a run then proves nothing.
+	Incomplete bool
+	// UnreadableRows is the number of rows that could not be decoded, and UnreadableCause the error of the first of them.
+	UnreadableRows  int
+	UnreadableCause error
+	Active          []ActiveRun
+	Ended           []EndedRun // oldest first
 }
 
 // ActiveRun is a run on the worker.
