--- a/internal/deployed/large_lists_test.go
+++ b/internal/deployed/large_lists_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,3 +56,35 @@
 		})
 	}
 }
+
+// Guards against starts that are never executed because they are sent in one message that the agent refuses for its size, and against
+// agents that cannot start anything any more after a restart, because the description of their runs is as large.
+func TestStartsOfALargeJobExceedNoFrame(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newVirtualFleet(t, 1)
+		time.Sleep(time.Second)
+		wide := f.wideJob(13_800, 6, strings.Repeat("x", 4000), 4*time.Second) // 2,300 on each worker
+		qt.Assert(t, f.submit(wide, f.entries[0]), qt.Equals, http.StatusOK)
+		small := f.newJob(rand.New(rand.NewPCG(1, 1)))
+		qt.Assert(t, f.submit(small, f.entries[1]), qt.Equals, http.StatusOK)
+		f.runScheduled(time.Now().Add(3 * time.Second))
+		qt.Check(t, f.checker.StartCount() > 12_000, qt.IsTrue, qt.Commentf("%d starts", f.checker.StartCount()))
+		owner := f.owner()
+		for _, m := range f.hosts {
+			if m != owner {
+				f.kill(m, false)
+				f.after(200*time.Millisecond, func() { f.restart(m) })
+			}
+		}
+		f.runScheduled(time.Now().Add(12 * time.Second))
+		for _, job := range []*virtualJob{wide, small} {
+			_, state := f.get(job, f.entries[0])
+			qt.Check(t, state, qt.Equals, "completed")
+		}
+		f.close()
+		qt.Check(t, f.checker.Violations(), qt.HasLen, 0)
+		if t.Failed() {
+			f.writeLogs(1)
+		}
+	})
+}
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -300,6 +300,9 @@
 	if message.Seq > a.lastCommandSeq {
 		a.lastCommandSeq = message.Seq
 	}
+	if message.AckNow {
+		conn.Send(session.FromMember{AckSeq: a.lastCommandSeq, BestEffortPaused: a.paceLimitPercent < 100})
+	}
 	a.applyAck(message)
 }
 
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -490,7 +490,9 @@
 			message.Runs, message.PollSeq = a.runList(isFirst), a.listCount
 		}
 	}
-	conn.Send(message)
+	for _, part := range message.Parts(conn.PeerJoinsParts()) {
+		conn.Send(part)
+	}
 }
 
 // runList returns all runs. The first list on a connection also tells a new owner for how long each run has made no progress. Time in
--- a/internal/jobowner/commit.go
+++ b/internal/jobowner/commit.go
@@ -200,8 +200,8 @@
 			}
 			return nil
 		}
-		if errors.Is(err, caslog.ErrConflict) {
-			return err
+		if errors.Is(err, caslog.ErrConflict) || errors.Is(err, store.ErrTooLarge) {
+			return err // the next owner does not know the changes; the same record would fail for ever
 		}
 		if ctx.Err() != nil {
 			return ctx.Err()
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/election"
 	"bamboofork/internal/events"
+	"bamboofork/internal/jobs"
 	"bamboofork/internal/network"
 	"bamboofork/internal/placement"
 	"bamboofork/internal/session"
@@ -60,13 +62,51 @@
 	sentSuspicion    placement.Suspicion
 	blockedUntil     time.Duration // boot time before which nothing is placed here, after a refused start
 
-	// Commands queued for the next message to the member.
+	runList         session.RunList // the parts of a list of runs that have arrived on this connection
+	oversizedLogged bool            // a dropped message of this connection was logged
+
+	// Commands queued for the next messages to the member.
 	starts []session.Start
 	stops  []session.Stop
 	// runResources holds the resources of runs that the agent found on its worker.
 	runResources []session.Start
 	paces        []session.Pace
 	startTasks   []*placedTask // tasks of starts, in the same order
+	// unackedStarts are the messages with starts that the agent has not acknowledged on this connection, oldest first.
+	unackedStarts []sentStarts
+}
+
+// sentStarts is a message with starts: its number, and the size of the starts in bytes.
+type sentStarts struct {
+	seq   int64
+	bytes int
+}
+
+// maxUnackedStartBytes bounds the starts that are on the way to an agent. Over a thin link, what follows them must not wait longer than
+// the connection may be idle.
+const maxUnackedStartBytes = 512 << 10
+
+// sendableStarts returns the number of queued starts that may be sent now. One is sent whatever its size if none is on the way.
+func (m *memberView) sendableStarts() int {
+	window := maxUnackedStartBytes
+	for _, sent := range m.unackedStarts {
+		window -= sent.bytes
+	}
+	count, _ := session.StartsWithin(m.starts, window)
+	if count == 0 && len(m.starts) > 0 && len(m.unackedStarts) == 0 {
+		return 1
+	}
+	return count
+}
+
+// handleCommandAck notes that the agent has processed the commands up to the number, and reports whether starts that are queued may be sent.
+func (m *memberView) handleCommandAck(seq int64) bool {
+	acked := 0
+	for acked < len(m.unackedStarts) && m.unackedStarts[acked].seq <= seq {
+		acked++
+	}
+	m.unackedStarts = m.unackedStarts[acked:]
+	return acked > 0 && len(m.starts) > 0
 }
 
 // close closes the connection to the member, if there is one. The caller holds Owner.mu.
@@ -251,10 +291,11 @@
 	member.close()
 	member.conn, member.runsListed, member.commandSeq, member.sentAckSeq, member.lastPollSeq = c, false, 0, 0, 0
 	member.announcedSilence, member.sentSuspicion = 0, placement.Suspicion{}
+	member.runList, member.unackedStarts, member.oversizedLogged = session.RunList{}, nil, false
 	for _, placed := range o.placedByAgent[member.Name] {
 		placed.task.CommandSeq = 0 // the first list of runs on this connection reflects all earlier commands
 	}
-	c.Send(session.ToMember{Epoch: o.epoch, Owner: o.cfg.Name, AcceptsBinary: true, LeaseValid: o.ownership.LeaseValid()})
+	c.Send(session.ToMember{Epoch: o.epoch, Owner: o.cfg.Name, AcceptsBinary: true, AcceptsParts: true, LeaseValid: o.ownership.LeaseValid()})
 	o.mu.Unlock()
 	events.MemberReached.Log(&o.cfg.Log).Str("member", member.Name).Str("addr", member.Addr).Send()
 	var err error
@@ -296,7 +337,11 @@
 		member.lastReportSeq = msg.ReportSeq
 	}
 	if member.Agent {
+		mayStart := member.handleCommandAck(msg.AckSeq)
 		o.handleReport(member, msg)
+		if mayStart {
+			o.sendCommands(member, false)
+		}
 	}
 	for i := range msg.Requests {
 		o.handleRequest(member, &msg.Requests[i])
@@ -332,18 +377,24 @@
 	if !evenIfEmpty && len(silences) == 0 && !member.hasQueuedCommands() {
 		return
 	}
-	starts, stops, startTasks := member.starts, member.stops, member.startTasks
-	member.starts, member.stops, member.startTasks = nil, nil, nil
 	leaseValid := o.ownership.LeaseValid()
-	if member.conn == nil || (len(starts) > 0 && !leaseValid) {
-		o.endUnsentStarts(member, startTasks)
-		starts = nil
+	if member.conn == nil || !leaseValid {
+		o.endUnsentStarts(member)
 	}
 	if member.conn == nil {
+		member.stops = nil
 		return
 	}
-	msg := session.ToMember{LeaseValid: leaseValid, StoreUnreachable: o.storeStalled(), Starts: starts, Stops: stops,
+	o.dropObsoleteStarts(member)
+	if dropped := member.conn.OversizedCount(); dropped > 0 && !member.oversizedLogged {
+		member.oversizedLogged = true
+		events.MessageTooLarge.Log(&o.cfg.Log).Str("to", member.Name).Int64("dropped", dropped).Send()
+	}
+	startCount := member.sendableStarts()
+	msg := session.ToMember{LeaseValid: leaseValid, StoreUnreachable: o.storeStalled(), Starts: member.starts[:startCount], Stops: member.stops,
 		RunResources: member.runResources, Paces: member.paces, Silences: silences, AckLifetime: member.ackLifetime, AckEndSeq: member.ackedEndSeq}
+	startTasks := member.startTasks[:startCount]
+	member.starts, member.startTasks = member.starts[startCount:], member.startTasks[startCount:]
 	msg.Suspicion = o.changedSuspicion(member)
 	if evenIfEmpty {
 		msg.AgentCount = o.agentCount
@@ -353,19 +404,47 @@
 		// they have expired.
 		msg.AckReportSeq = member.lastReportSeq
 	}
-	member.runResources, member.paces = nil, nil
-	member.commandSeq++
-	msg.Seq = member.commandSeq
-	for _, placed := range startTasks {
-		placed.task.StartMaybeSent, placed.task.CommandSeq = true, member.commandSeq
-	}
+	member.stops, member.runResources, member.paces = nil, nil, nil
 	member.sentAckSeq, member.announcedSilence, member.lastSentAt = member.ackedEndSeq, o.durableSilence, boottime.Now()
-	member.conn.Send(msg)
+	parts := msg.Parts()
+	for i := range parts {
+		part := &parts[i]
+		member.commandSeq++
+		part.Seq = member.commandSeq
+		for _, placed := range startTasks[:len(part.Starts)] {
+			placed.task.StartMaybeSent, placed.task.CommandSeq = true, member.commandSeq
+		}
+		startTasks = startTasks[len(part.Starts):]
+		if len(part.Starts) > 0 {
+			_, bytes := session.StartsWithin(part.Starts, math.MaxInt)
+			member.unackedStarts = append(member.unackedStarts, sentStarts{seq: member.commandSeq, bytes: bytes})
+		}
+		part.AckNow = i == len(parts)-1 && len(member.starts) > 0
+		member.conn.Send(*part)
+	}
+}
+
+// dropObsoleteStarts ends the runs whose start is queued although they are to be stopped. Their tasks need no start and no stop.
+func (o *Owner) dropObsoleteStarts(member *memberView) {
+	kept := 0
+	for i, placed := range member.startTasks {
+		isQueued := o.placedByAgent[member.Name][placed.id.String()] == placed && placed.task.Run == member.starts[i].Run
+		if isQueued && placed.task.Stopping && !placed.task.StartMaybeSent {
+			o.endRun(placed, jobs.EndLost, "", "stopped before the start command was sent")
+			isQueued = false
+		}
+		if isQueued {
+			member.starts[kept], member.startTasks[kept] = member.starts[i], placed
+			kept++
+		}
+	}
+	member.starts, member.startTasks = member.starts[:kept], member.startTasks[:kept]
 }
 
-// hasQueuedCommands reports whether commands or acknowledgements are queued for the member.
+// hasQueuedCommands reports whether commands or acknowledgements are queued for the member. Starts that wait for the agent to acknowledge
+// earlier ones do not count.
 func (m *memberView) hasQueuedCommands() bool {
-	return len(m.starts) > 0 || len(m.stops) > 0 || len(m.runResources) > 0 || len(m.paces) > 0 || m.ackedEndSeq > m.sentAckSeq
+	return (len(m.starts) > 0 && (m.conn == nil || m.sendableStarts() > 0)) || len(m.stops) > 0 || len(m.runResources) > 0 || len(m.paces) > 0 || m.ackedEndSeq > m.sentAckSeq
 }
 
 // rackOf returns the last of a worker's labels, which names its rack, or "" if the worker has no labels.
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -350,8 +350,10 @@
 	member.startTasks = append(member.startTasks, placed)
 }
 
-// endUnsentStarts ends the runs whose start commands were never sent as lost, so that their tasks can be placed again.
-func (o *Owner) endUnsentStarts(member *memberView, startTasks []*placedTask) {
+// endUnsentStarts ends the runs whose start commands were not sent and are dropped, so that their tasks can be placed again.
+func (o *Owner) endUnsentStarts(member *memberView) {
+	startTasks := member.startTasks
+	member.starts, member.startTasks = nil, nil
 	for _, placed := range startTasks {
 		if o.placedByAgent[member.Name][placed.id.String()] == placed && !placed.task.StartMaybeSent {
 			o.endRun(placed, jobs.EndLost, "", "the start command could not be sent")
@@ -359,12 +361,18 @@
 	}
 }
 
-// startCommand returns the command that describes a run to the agent, without ticket and pace.
+// startCommand returns the command to start a run, without ticket and pace.
 func startCommand(placed *placedTask, run int) session.Start {
+	start := resourcesOf(placed, run)
+	start.Payload, start.Checkpoint = placed.job.Spec.Payload, placed.task.Checkpoint
+	return start
+}
+
+// resourcesOf describes a run that its agent has found on the worker.
+func resourcesOf(placed *placedTask, run int) session.Start {
 	step := placed.step
 	return session.Start{
-		Task: placed.id.String(), Run: run, Payload: placed.job.Spec.Payload,
-		Checkpoint: placed.task.Checkpoint, Lifetime: placed.task.Lifetime,
+		Task: placed.id.String(), Run: run, Lifetime: placed.task.Lifetime,
 		CPU: step.CPU, MemMB: step.MemMB, GPU: step.GPU, TargetMs: step.TargetMs, BestEffort: step.BestEffort, Label: step.Label,
 	}
 }
--- a/internal/jobowner/report.go
+++ b/internal/jobowner/report.go
@@ -28,7 +28,8 @@
 	for _, refusal := range msg.Refused {
 		o.handleRefusal(member, refusal)
 	}
-	if msg.RunsComplete {
+	if runs, ok := member.runList.Join(msg); ok {
+		msg.Runs = runs
 		o.reconcile(member, msg)
 	}
 	if len(msg.Ends) > 0 || len(msg.Refused) > 0 {
@@ -49,9 +50,7 @@
 	if previous == nil || previous.Lifetime != worker.Lifetime {
 		member.runsListed = false // the runs of the new lifetime are unknown until the next complete list
 	}
-	if member.ackLifetime != worker.Lifetime {
-		member.ackLifetime, member.ackedEndSeq, member.sentAckSeq = worker.Lifetime, 0, 0
-	}
+	member.acknowledgeLifetime(worker.Lifetime)
 	endedLifetime := worker.Lifetime - 1
 	if worker.Gone {
 		endedLifetime = worker.Lifetime
@@ -82,6 +81,9 @@
 		}
 	}
 	lifetime, seq := runEnd.Lifetime, runEnd.Seq
+	if lifetime > member.ackLifetime {
+		member.acknowledgeLifetime(lifetime) // the message that describes the worker follows
+	}
 	o.pendingEffects = append(o.pendingEffects, func() {
 		if member.ackLifetime == lifetime && seq > member.ackedEndSeq {
 			member.ackedEndSeq = seq
@@ -89,6 +91,13 @@
 	})
 }
 
+// acknowledgeLifetime makes the acknowledgements of ends refer to a lifetime of the worker.
+func (m *memberView) acknowledgeLifetime(lifetime int64) {
+	if m.ackLifetime != lifetime {
+		m.ackLifetime, m.ackedEndSeq, m.sentAckSeq = lifetime, 0, 0
+	}
+}
+
 // endRun records the end of a placed run and releases its resources.
 func (o *Owner) endRun(placed *placedTask, outcome jobs.Outcome, checkpoint, reason string) {
 	delete(o.placedByAgent[placed.task.Worker], placed.id.String())
@@ -171,7 +180,7 @@
 		}
 		o.updateProgress(placed, &run)
 		if run.ResourcesUnknown {
-			member.runResources = append(member.runResources, startCommand(placed, run.Run))
+			member.runResources = append(member.runResources, resourcesOf(placed, run.Run))
 		}
 		if placed.job.Ended() || placed.task.Stopping {
 			member.stops = append(member.stops, session.Stop{Task: run.Task, Run: run.Run}) // the earlier stop command may have been lost
--- a/internal/ownerconn/ownerconn.go
+++ b/internal/ownerconn/ownerconn.go
@@ -107,10 +107,14 @@
 		conn.Send(session.FromMember{Previous: previous})
 	}
 	f.OwnerConnected(conn)
-	msg := &first
+	msg, oversizedLogged := &first, false
 	for {
 		f.updateOwnerStatus(conn, msg)
 		f.HandleMessage(conn, msg)
+		if dropped := conn.OversizedCount(); dropped > 0 && !oversizedLogged {
+			oversizedLogged = true
+			events.MessageTooLarge.Log(&f.Log).Str("to", first.Owner).Int64("dropped", dropped).Send()
+		}
 		next, err := conn.Receive()
 		if err != nil {
 			f.handleDisconnect(conn, err)
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -17,6 +17,8 @@
 	Epoch         int64  `json:"e,omitempty"`  // log position of the owner's fence; the owner with the highest epoch is the current one
 	Owner         string `json:"o,omitempty"`  // name of the owner's process, in the first message only
 	AcceptsBinary bool   `json:"mp,omitempty"` // the sender decodes binary messages; in the first message only
+	AcceptsParts  bool   `json:"ap,omitempty"` // the sender joins a list of runs that comes in several messages; in the first message only
+	AckNow        bool   `json:"aw,omitempty"` // the agent confirms Seq at once, because further starts wait for it
 	AgentCount    int    `json:"ac,omitempty"` // number of agents that the owner knows, in heartbeats only
 	// Silences are the silences of agents that the owner has recorded and not announced on this connection before; agents only.
 	Silences         []Silence `json:"si,omitempty"`
@@ -32,6 +34,8 @@
 	AckLifetime      int64     `json:"al,omitempty"` // worker lifetime to which AckEndSeq refers
 	AckEndSeq        int64     `json:"ak,omitempty"` // the worker may forget run ends whose Seq is at most this number
 	Replies          []Reply   `json:"an,omitempty"` // entries only
+	// Departures are lifetimes of workers that have ended and were not announced on this connection before.
+	Departures []Departure `json:"dp,omitempty"`
 	// Suspicion replaces the Suspicion that the agent keeps for the next owner; nil: it has not changed.
 	Suspicion *Suspicion `json:"su,omitempty"`
 }
@@ -43,7 +47,14 @@
 	ForMs  int64 `json:"f"` // negative: an earlier owner may confirm a report of the agent until that time from now
 }
 
-// PreviousOwner is what a member has learned from the owner that it followed before.
+// Departure states that a lifetime of the agent's worker has ended, and with it all runs of that lifetime and of those before. Since that
+// remains true, every process passes it on to each owner.
+type Departure struct {
+	Agent    string `json:"a"`
+	Lifetime int64  `json:"l"`
+}
+
+// PreviousOwner is what a member has learned from an owner that it followed before.
 type PreviousOwner struct {
 	Epoch    int64     `json:"e"`
 	Name     string    `json:"n"` // of the process
@@ -99,15 +110,20 @@
 	// NewerEpoch is the epoch of the owner that this member follows, in the answer to an owner with a lower epoch. The connection
 	// is closed after it.
 	NewerEpoch int64 `json:"ne,omitempty"`
-	// Previous is sent to each new owner, once; nil: there was no previous owner.
-	Previous *PreviousOwner `json:"po,omitempty"`
+	// Previous is sent to each new owner, once; nil: there was no previous owner. Earlier are the owners before that one, newest first.
+	// Departures are what the owners have announced.
+	Previous   *PreviousOwner  `json:"po,omitempty"`
+	Earlier    []PreviousOwner `json:"eo,omitempty"`
+	Departures []Departure     `json:"dp,omitempty"`
 
 	Agent            bool      `json:"ag,omitempty"`
 	ReportSeq        int64     `json:"b,omitempty"`  // number of this report
 	AckSeq           int64     `json:"n,omitempty"`  // Seq of the newest commands that the agent has processed
 	Worker           *Worker   `json:"w,omitempty"`  // nil: no worker is known yet
 	BestEffortPaused bool      `json:"sl,omitempty"` // best-effort runs are slowed for a serving run; no further ones may be placed
-	RunsComplete     bool      `json:"f,omitempty"`  // Runs is the complete list of runs
+	RunsComplete     bool      `json:"f,omitempty"`  // Runs is the complete list of runs, or the last part of it
+	RunsBefore       int       `json:"rb,omitempty"` // number of runs in the earlier parts of the list; 0: Runs is the first part
+	RunsContinue     bool      `json:"rc,omitempty"` // the list of runs continues in the next message
 	PollSeq          int64     `json:"lk,omitempty"` // number of the worker status poll on which Runs is based
 	Runs             []Run     `json:"rs,omitempty"`
 	Ends             []RunEnd  `json:"en,omitempty"`
--- a/internal/session/messages_gen.go
+++ b/internal/session/messages_gen.go
@@ -42,12 +42,77 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Departure) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "a"
+	o = append(o, 0x82, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Agent)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendInt64(o, z.Lifetime)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Departure) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Agent, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Agent")
+				return
+			}
+		case "l":
+			z.Lifetime, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Lifetime")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Departure) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Agent) + 2 + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *FromMember) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(17)
-	var zb0001Mask uint32 /* 17 bits */
+	zb0001Len := uint32(21)
+	var zb0001Mask uint32 /* 21 bits */
 	_ = zb0001Mask
 	if z.Name == "" {
 		zb0001Len--
@@ -69,54 +134,70 @@
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
-	if z.Agent == false {
+	if z.Earlier == nil {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
-	if z.ReportSeq == 0 {
+	if z.Departures == nil {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
-	if z.AckSeq == 0 {
+	if z.Agent == false {
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
-	if z.Worker == nil {
+	if z.ReportSeq == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.BestEffortPaused == false {
+	if z.AckSeq == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
-	if z.RunsComplete == false {
+	if z.Worker == nil {
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
-	if z.PollSeq == 0 {
+	if z.BestEffortPaused == false {
 		zb0001Len--
 		zb0001Mask |= 0x800
 	}
-	if z.Runs == nil {
+	if z.RunsComplete == false {
 		zb0001Len--
 		zb0001Mask |= 0x1000
 	}
-	if z.Ends == nil {
+	if z.RunsBefore == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x2000
 	}
-	if z.Refused == nil {
+	if z.RunsContinue == false {
 		zb0001Len--
 		zb0001Mask |= 0x4000
 	}
-	if z.Requests == nil {
+	if z.PollSeq == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x8000
 	}
-	if z.Suspicion == nil {
+	if z.Runs == nil {
 		zb0001Len--
 		zb0001Mask |= 0x10000
 	}
+	if z.Ends == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20000
+	}
+	if z.Refused == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40000
+	}
+	if z.Requests == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80000
+	}
+	if z.Suspicion == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -156,21 +237,47 @@
 			}
 		}
 		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "eo"
+			o = append(o, 0xa2, 0x65, 0x6f)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Earlier)))
+			for za0001 := range z.Earlier {
+				o, err = z.Earlier[za0001].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Earlier", za0001)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "dp"
+			o = append(o, 0xa2, 0x64, 0x70)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Departures)))
+			for za0002 := range z.Departures {
+				// map header, size 2
+				// string "a"
+				o = append(o, 0x82, 0xa1, 0x61)
+				o = msgp.AppendString(o, z.Departures[za0002].Agent)
+				// string "l"
+				o = append(o, 0xa1, 0x6c)
+				o = msgp.AppendInt64(o, z.Departures[za0002].Lifetime)
+			}
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "ag"
 			o = append(o, 0xa2, 0x61, 0x67)
 			o = msgp.AppendBool(o, z.Agent)
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// string "b"
 			o = append(o, 0xa1, 0x62)
 			o = msgp.AppendInt64(o, z.ReportSeq)
 		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "n"
 			o = append(o, 0xa1, 0x6e)
 			o = msgp.AppendInt64(o, z.AckSeq)
 		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "w"
 			o = append(o, 0xa1, 0x77)
 			if z.Worker == nil {
@@ -183,75 +290,85 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// string "sl"
 			o = append(o, 0xa2, 0x73, 0x6c)
 			o = msgp.AppendBool(o, z.BestEffortPaused)
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
 			// string "f"
 			o = append(o, 0xa1, 0x66)
 			o = msgp.AppendBool(o, z.RunsComplete)
 		}
-		if (zb0001Mask & 0x800) == 0 { // if not omitted
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// string "rb"
+			o = append(o, 0xa2, 0x72, 0x62)
+			o = msgp.AppendInt(o, z.RunsBefore)
+		}
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+			// string "rc"
+			o = append(o, 0xa2, 0x72, 0x63)
+			o = msgp.AppendBool(o, z.RunsContinue)
+		}
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
 			// string "lk"
 			o = append(o, 0xa2, 0x6c, 0x6b)
 			o = msgp.AppendInt64(o, z.PollSeq)
 		}
-		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+		if (zb0001Mask & 0x10000) == 0 { // if not omitted
 			// string "rs"
 			o = append(o, 0xa2, 0x72, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Runs)))
-			for za0001 := range z.Runs {
-				o, err = z.Runs[za0001].MarshalMsg(o)
+			for za0003 := range z.Runs {
+				o, err = z.Runs[za0003].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Runs", za0001)
+					err = msgp.WrapError(err, "Runs", za0003)
 					return
 				}
 			}
 		}
-		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+		if (zb0001Mask & 0x20000) == 0 { // if not omitted
 			// string "en"
 			o = append(o, 0xa2, 0x65, 0x6e)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Ends)))
-			for za0002 := range z.Ends {
-				o, err = z.Ends[za0002].MarshalMsg(o)
+			for za0004 := range z.Ends {
+				o, err = z.Ends[za0004].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Ends", za0002)
+					err = msgp.WrapError(err, "Ends", za0004)
 					return
 				}
 			}
 		}
-		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+		if (zb0001Mask & 0x40000) == 0 { // if not omitted
 			// string "rf"
 			o = append(o, 0xa2, 0x72, 0x66)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Refused)))
-			for za0003 := range z.Refused {
+			for za0005 := range z.Refused {
 				// map header, size 3
 				// string "t"
 				o = append(o, 0x83, 0xa1, 0x74)
-				o = msgp.AppendString(o, z.Refused[za0003].Task)
+				o = msgp.AppendString(o, z.Refused[za0005].Task)
 				// string "r"
 				o = append(o, 0xa1, 0x72)
-				o = msgp.AppendInt(o, z.Refused[za0003].Run)
+				o = msgp.AppendInt(o, z.Refused[za0005].Run)
 				// string "w"
 				o = append(o, 0xa1, 0x77)
-				o = msgp.AppendString(o, z.Refused[za0003].Reason)
+				o = msgp.AppendString(o, z.Refused[za0005].Reason)
 			}
 		}
-		if (zb0001Mask & 0x8000) == 0 { // if not omitted
+		if (zb0001Mask & 0x80000) == 0 { // if not omitted
 			// string "rq"
 			o = append(o, 0xa2, 0x72, 0x71)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Requests)))
-			for za0004 := range z.Requests {
-				o, err = z.Requests[za0004].MarshalMsg(o)
+			for za0006 := range z.Requests {
+				o, err = z.Requests[za0006].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Requests", za0004)
+					err = msgp.WrapError(err, "Requests", za0006)
 					return
 				}
 			}
 		}
-		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+		if (zb0001Mask & 0x100000) == 0 { // if not omitted
 			// string "su"
 			o = append(o, 0xa2, 0x73, 0x75)
 			if z.Suspicion == nil {
@@ -331,6 +448,85 @@
 					return
 				}
 			}
+		case "eo":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Earlier")
+				return
+			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Earlier) >= int(zb0002) {
+				z.Earlier = (z.Earlier)[:zb0002]
+			} else {
+				z.Earlier = make([]PreviousOwner, zb0002)
+			}
+			for za0001 := range z.Earlier {
+				bts, err = z.Earlier[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Earlier", za0001)
+					return
+				}
+			}
+		case "dp":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Departures")
+				return
+			}
+			if zb0003 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Departures) >= int(zb0003) {
+				z.Departures = (z.Departures)[:zb0003]
+			} else {
+				z.Departures = make([]Departure, zb0003)
+			}
+			for za0002 := range z.Departures {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Departures", za0002)
+					return
+				}
+				if zb0004 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Departures", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "a":
+						z.Departures[za0002].Agent, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Departures", za0002, "Agent")
+							return
+						}
+					case "l":
+						z.Departures[za0002].Lifetime, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Departures", za0002, "Lifetime")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Departures", za0002)
+							return
+						}
+					}
+				}
+			}
 		case "ag":
 			z.Agent, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -378,6 +574,18 @@
 				err = msgp.WrapError(err, "RunsComplete")
 				return
 			}
+		case "rb":
+			z.RunsBefore, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RunsBefore")
+				return
+			}
+		case "rc":
+			z.RunsContinue, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RunsContinue")
+				return
+			}
 		case "lk":
 			z.PollSeq, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -385,133 +593,133 @@
 				return
 			}
 		case "rs":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Runs")
 				return
 			}
-			if zb0002 > z2c18a699limitArrays {
+			if zb0005 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Runs) >= int(zb0002) {
-				z.Runs = (z.Runs)[:zb0002]
+			if cap(z.Runs) >= int(zb0005) {
+				z.Runs = (z.Runs)[:zb0005]
 			} else {
-				z.Runs = make([]Run, zb0002)
+				z.Runs = make([]Run, zb0005)
 			}
-			for za0001 := range z.Runs {
-				bts, err = z.Runs[za0001].UnmarshalMsg(bts)
+			for za0003 := range z.Runs {
+				bts, err = z.Runs[za0003].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Runs", za0001)
+					err = msgp.WrapError(err, "Runs", za0003)
 					return
 				}
 			}
 		case "en":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Ends")
 				return
 			}
-			if zb0003 > z2c18a699limitArrays {
+			if zb0006 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Ends) >= int(zb0003) {
-				z.Ends = (z.Ends)[:zb0003]
+			if cap(z.Ends) >= int(zb0006) {
+				z.Ends = (z.Ends)[:zb0006]
 			} else {
-				z.Ends = make([]RunEnd, zb0003)
+				z.Ends = make([]RunEnd, zb0006)
 			}
-			for za0002 := range z.Ends {
-				bts, err = z.Ends[za0002].UnmarshalMsg(bts)
+			for za0004 := range z.Ends {
+				bts, err = z.Ends[za0004].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Ends", za0002)
+					err = msgp.WrapError(err, "Ends", za0004)
 					return
 				}
 			}
 		case "rf":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Refused")
 				return
 			}
-			if zb0004 > z2c18a699limitArrays {
+			if zb0007 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Refused) >= int(zb0004) {
-				z.Refused = (z.Refused)[:zb0004]
+			if cap(z.Refused) >= int(zb0007) {
+				z.Refused = (z.Refused)[:zb0007]
 			} else {
-				z.Refused = make([]Refusal, zb0004)
+				z.Refused = make([]Refusal, zb0007)
 			}
-			for za0003 := range z.Refused {
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0005 := range z.Refused {
+				var zb0008 uint32
+				zb0008, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Refused", za0003)
+					err = msgp.WrapError(err, "Refused", za0005)
 					return
 				}
-				if zb0005 > z2c18a699limitMaps {
+				if zb0008 > z2c18a699limitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
+				for zb0008 > 0 {
+					zb0008--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Refused", za0003)
+						err = msgp.WrapError(err, "Refused", za0005)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "t":
-						z.Refused[za0003].Task, bts, err = msgp.ReadStringBytes(bts)
+						z.Refused[za0005].Task, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Refused", za0003, "Task")
+							err = msgp.WrapError(err, "Refused", za0005, "Task")
 							return
 						}
 					case "r":
-						z.Refused[za0003].Run, bts, err = msgp.ReadIntBytes(bts)
+						z.Refused[za0005].Run, bts, err = msgp.ReadIntBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Refused", za0003, "Run")
+							err = msgp.WrapError(err, "Refused", za0005, "Run")
 							return
 						}
 					case "w":
-						z.Refused[za0003].Reason, bts, err = msgp.ReadStringBytes(bts)
+						z.Refused[za0005].Reason, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Refused", za0003, "Reason")
+							err = msgp.WrapError(err, "Refused", za0005, "Reason")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Refused", za0003)
+							err = msgp.WrapError(err, "Refused", za0005)
 							return
 						}
 					}
 				}
 			}
 		case "rq":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0009 uint32
+			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Requests")
 				return
 			}
-			if zb0006 > z2c18a699limitArrays {
+			if zb0009 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Requests) >= int(zb0006) {
-				z.Requests = (z.Requests)[:zb0006]
+			if cap(z.Requests) >= int(zb0009) {
+				z.Requests = (z.Requests)[:zb0009]
 			} else {
-				z.Requests = make([]Request, zb0006)
+				z.Requests = make([]Request, zb0009)
 			}
-			for za0004 := range z.Requests {
-				bts, err = z.Requests[za0004].UnmarshalMsg(bts)
+			for za0006 := range z.Requests {
+				bts, err = z.Requests[za0006].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Requests", za0004)
+					err = msgp.WrapError(err, "Requests", za0006)
 					return
 				}
 			}
@@ -552,27 +760,35 @@
 	} else {
 		s += z.Previous.Msgsize()
 	}
+	s += 3 + msgp.ArrayHeaderSize
+	for za0001 := range z.Earlier {
+		s += z.Earlier[za0001].Msgsize()
+	}
+	s += 3 + msgp.ArrayHeaderSize
+	for za0002 := range z.Departures {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Departures[za0002].Agent) + 2 + msgp.Int64Size
+	}
 	s += 3 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2
 	if z.Worker == nil {
 		s += msgp.NilSize
 	} else {
 		s += z.Worker.Msgsize()
 	}
-	s += 3 + msgp.BoolSize + 2 + msgp.BoolSize + 3 + msgp.Int64Size + 3 + msgp.ArrayHeaderSize
-	for za0001 := range z.Runs {
-		s += z.Runs[za0001].Msgsize()
+	s += 3 + msgp.BoolSize + 2 + msgp.BoolSize + 3 + msgp.IntSize + 3 + msgp.BoolSize + 3 + msgp.Int64Size + 3 + msgp.ArrayHeaderSize
+	for za0003 := range z.Runs {
+		s += z.Runs[za0003].Msgsize()
 	}
 	s += 3 + msgp.ArrayHeaderSize
-	for za0002 := range z.Ends {
-		s += z.Ends[za0002].Msgsize()
+	for za0004 := range z.Ends {
+		s += z.Ends[za0004].Msgsize()
 	}
 	s += 3 + msgp.ArrayHeaderSize
-	for za0003 := range z.Refused {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Refused[za0003].Task) + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Refused[za0003].Reason)
+	for za0005 := range z.Refused {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Refused[za0005].Task) + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Refused[za0005].Reason)
 	}
 	s += 3 + msgp.ArrayHeaderSize
-	for za0004 := range z.Requests {
-		s += z.Requests[za0004].Msgsize()
+	for za0006 := range z.Requests {
+		s += z.Requests[za0006].Msgsize()
 	}
 	s += 3
 	if z.Suspicion == nil {
@@ -1994,8 +2210,8 @@
 func (z *ToMember) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(18)
-	var zb0001Mask uint32 /* 18 bits */
+	zb0001Len := uint32(21)
+	var zb0001Mask uint32 /* 21 bits */
 	_ = zb0001Mask
 	if z.Epoch == 0 {
 		zb0001Len--
@@ -2009,66 +2225,78 @@
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
-	if z.AgentCount == 0 {
+	if z.AcceptsParts == false {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
-	if z.Silences == nil {
+	if z.AckNow == false {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
-	if z.LeaseValid == false {
+	if z.AgentCount == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
-	if z.StoreUnreachable == false {
+	if z.Silences == nil {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
-	if z.Resigned == false {
+	if z.LeaseValid == false {
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
-	if z.AckReportSeq == 0 {
+	if z.StoreUnreachable == false {
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.Seq == 0 {
+	if z.Resigned == false {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
-	if z.Starts == nil {
+	if z.AckReportSeq == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
-	if z.Stops == nil {
+	if z.Seq == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x800
 	}
-	if z.RunResources == nil {
+	if z.Starts == nil {
 		zb0001Len--
 		zb0001Mask |= 0x1000
 	}
-	if z.Paces == nil {
+	if z.Stops == nil {
 		zb0001Len--
 		zb0001Mask |= 0x2000
 	}
-	if z.AckLifetime == 0 {
+	if z.RunResources == nil {
 		zb0001Len--
 		zb0001Mask |= 0x4000
 	}
-	if z.AckEndSeq == 0 {
+	if z.Paces == nil {
 		zb0001Len--
 		zb0001Mask |= 0x8000
 	}
-	if z.Replies == nil {
+	if z.AckLifetime == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x10000
 	}
-	if z.Suspicion == nil {
+	if z.AckEndSeq == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x20000
 	}
+	if z.Replies == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40000
+	}
+	if z.Departures == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80000
+	}
+	if z.Suspicion == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -2090,11 +2318,21 @@
 			o = msgp.AppendBool(o, z.AcceptsBinary)
 		}
 		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "ap"
+			o = append(o, 0xa2, 0x61, 0x70)
+			o = msgp.AppendBool(o, z.AcceptsParts)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "aw"
+			o = append(o, 0xa2, 0x61, 0x77)
+			o = msgp.AppendBool(o, z.AckNow)
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
 			// string "ac"
 			o = append(o, 0xa2, 0x61, 0x63)
 			o = msgp.AppendInt(o, z.AgentCount)
 		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "si"
 			o = append(o, 0xa2, 0x73, 0x69)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Silences)))
@@ -2108,32 +2346,32 @@
 				o = msgp.AppendInt64(o, z.Silences[za0001].ForMs)
 			}
 		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "c"
 			o = append(o, 0xa1, 0x63)
 			o = msgp.AppendBool(o, z.LeaseValid)
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// string "u"
 			o = append(o, 0xa1, 0x75)
 			o = msgp.AppendBool(o, z.StoreUnreachable)
 		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "z"
 			o = append(o, 0xa1, 0x7a)
 			o = msgp.AppendBool(o, z.Resigned)
 		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "b"
 			o = append(o, 0xa1, 0x62)
 			o = msgp.AppendInt64(o, z.AckReportSeq)
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// string "n"
 			o = append(o, 0xa1, 0x6e)
 			o = msgp.AppendInt64(o, z.Seq)
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
 			// string "st"
 			o = append(o, 0xa2, 0x73, 0x74)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Starts)))
@@ -2145,7 +2383,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x800) == 0 { // if not omitted
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
 			// string "sp"
 			o = append(o, 0xa2, 0x73, 0x70)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Stops)))
@@ -2159,7 +2397,7 @@
 				o = msgp.AppendInt(o, z.Stops[za0003].Run)
 			}
 		}
-		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
 			// string "sz"
 			o = append(o, 0xa2, 0x73, 0x7a)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.RunResources)))
@@ -2171,7 +2409,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
 			// string "pc"
 			o = append(o, 0xa2, 0x70, 0x63)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Paces)))
@@ -2188,17 +2426,17 @@
 				o = msgp.AppendInt(o, z.Paces[za0005].Percent)
 			}
 		}
-		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+		if (zb0001Mask & 0x10000) == 0 { // if not omitted
 			// string "al"
 			o = append(o, 0xa2, 0x61, 0x6c)
 			o = msgp.AppendInt64(o, z.AckLifetime)
 		}
-		if (zb0001Mask & 0x8000) == 0 { // if not omitted
+		if (zb0001Mask & 0x20000) == 0 { // if not omitted
 			// string "ak"
 			o = append(o, 0xa2, 0x61, 0x6b)
 			o = msgp.AppendInt64(o, z.AckEndSeq)
 		}
-		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+		if (zb0001Mask & 0x40000) == 0 { // if not omitted
 			// string "an"
 			o = append(o, 0xa2, 0x61, 0x6e)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Replies)))
@@ -2210,7 +2448,21 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x20000) == 0 { // if not omitted
+		if (zb0001Mask & 0x80000) == 0 { // if not omitted
+			// string "dp"
+			o = append(o, 0xa2, 0x64, 0x70)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Departures)))
+			for za0007 := range z.Departures {
+				// map header, size 2
+				// string "a"
+				o = append(o, 0x82, 0xa1, 0x61)
+				o = msgp.AppendString(o, z.Departures[za0007].Agent)
+				// string "l"
+				o = append(o, 0xa1, 0x6c)
+				o = msgp.AppendInt64(o, z.Departures[za0007].Lifetime)
+			}
+		}
+		if (zb0001Mask & 0x100000) == 0 { // if not omitted
 			// string "su"
 			o = append(o, 0xa2, 0x73, 0x75)
 			if z.Suspicion == nil {
@@ -2267,6 +2519,18 @@
 				err = msgp.WrapError(err, "AcceptsBinary")
 				return
 			}
+		case "ap":
+			z.AcceptsParts, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AcceptsParts")
+				return
+			}
+		case "aw":
+			z.AckNow, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AckNow")
+				return
+			}
 		case "ac":
 			z.AgentCount, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -2558,6 +2822,62 @@
 					return
 				}
 			}
+		case "dp":
+			var zb0011 uint32
+			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Departures")
+				return
+			}
+			if zb0011 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Departures) >= int(zb0011) {
+				z.Departures = (z.Departures)[:zb0011]
+			} else {
+				z.Departures = make([]Departure, zb0011)
+			}
+			for za0007 := range z.Departures {
+				var zb0012 uint32
+				zb0012, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Departures", za0007)
+					return
+				}
+				if zb0012 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0012 > 0 {
+					zb0012--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Departures", za0007)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "a":
+						z.Departures[za0007].Agent, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Departures", za0007, "Agent")
+							return
+						}
+					case "l":
+						z.Departures[za0007].Lifetime, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Departures", za0007, "Lifetime")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Departures", za0007)
+							return
+						}
+					}
+				}
+			}
 		case "su":
 			if msgp.IsNil(bts) {
 				bts, err = msgp.ReadNilBytes(bts)
@@ -2589,7 +2909,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ToMember) Msgsize() (s int) {
-	s = 3 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Owner) + 3 + msgp.BoolSize + 3 + msgp.IntSize + 3 + msgp.ArrayHeaderSize + (len(z.Silences) * (5 + msgp.Int64Size + msgp.Int64Size)) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.ArrayHeaderSize
+	s = 3 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Owner) + 3 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.IntSize + 3 + msgp.ArrayHeaderSize + (len(z.Silences) * (5 + msgp.Int64Size + msgp.Int64Size)) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.ArrayHeaderSize
 	for za0002 := range z.Starts {
 		s += z.Starts[za0002].Msgsize()
 	}
@@ -2609,6 +2929,10 @@
 	for za0006 := range z.Replies {
 		s += z.Replies[za0006].Msgsize()
 	}
+	s += 3 + msgp.ArrayHeaderSize
+	for za0007 := range z.Departures {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Departures[za0007].Agent) + 2 + msgp.Int64Size
+	}
 	s += 3
 	if z.Suspicion == nil {
 		s += msgp.NilSize
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -11,6 +11,7 @@
 	"context"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"slices"
@@ -49,17 +50,27 @@
 	closeOnce  sync.Once
 	unwritten  atomic.Int64 // number of messages that were queued and are not written yet
 	sendBinary atomic.Bool  // the peer has stated that it decodes binary messages
+	joinsParts atomic.Bool  // the peer has stated that it joins lists that come in parts
+	oversized  atomic.Int64 // number of messages that were dropped because they exceed maxFrameBytes
 	body       []byte       // buffer of the received frame, used by Receive only
 }
 
 // jsonStart is the first byte of a JSON message. No binary message begins with this byte, because a message is a map.
 const jsonStart = '{'
 
-// handshake is implemented by messages that can state that their sender decodes binary messages.
-type handshake interface{ acceptsBinary() bool }
+// handshake is implemented by messages that can state what their sender decodes.
+type handshake interface {
+	acceptsBinary() bool
+	acceptsParts() bool
+}
 
 func (m *ToMember) acceptsBinary() bool   { return m.AcceptsBinary }
+func (m *ToMember) acceptsParts() bool    { return m.AcceptsParts }
 func (m *FromMember) acceptsBinary() bool { return m.AcceptsBinary }
+func (m *FromMember) acceptsParts() bool  { return false }
+
+// errTooLarge is returned for a message that the peer would refuse.
+var errTooLarge = errors.New("message exceeds the maximum size of a frame")
 
 // Dial connects to a peer.
 func Dial[Out, In any](ctx context.Context, through network.Network, addr string) (*Conn[Out, In], error) {
@@ -119,8 +130,13 @@
 		return msg, err
 	}
 	err := decode(s.body, &msg)
-	if h, ok := any(&msg).(handshake); ok && err == nil && h.acceptsBinary() {
-		s.sendBinary.Store(true)
+	if h, ok := any(&msg).(handshake); ok && err == nil {
+		if h.acceptsBinary() {
+			s.sendBinary.Store(true)
+		}
+		if h.acceptsParts() {
+			s.joinsParts.Store(true)
+		}
 	}
 	if cap(s.body) > maxKeptBytes {
 		s.body = nil
@@ -153,10 +169,30 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "encode message")
 	}
+	if len(buf)-start-headerBytes > maxFrameBytes {
+		return buf[:start], errTooLarge
+	}
 	binary.BigEndian.PutUint32(buf[start:], uint32(len(buf)-start-headerBytes))
 	return buf, nil
 }
 
+// appendMessage appends the frame of the message to buf. It drops and counts a message that is too large: the peer would refuse it, and
+// the connection with it, each time that it is sent.
+func (s *Conn[Out, In]) appendMessage(buf []byte, msg *Out) ([]byte, error) {
+	buf, err := appendFrame(buf, msg, s.sendBinary.Load())
+	if errors.Is(err, errTooLarge) {
+		s.oversized.Add(1)
+		return buf, nil
+	}
+	return buf, err
+}
+
+// PeerJoinsParts reports whether the peer has stated that it joins lists that come in parts.
+func (s *Conn[Out, In]) PeerJoinsParts() bool { return s.joinsParts.Load() }
+
+// OversizedCount returns the number of messages that were dropped because the peer would have refused their size.
+func (s *Conn[Out, In]) OversizedCount() int64 { return s.oversized.Load() }
+
 // Done returns a channel that is closed when this side closes the connection.
 func (s *Conn[Out, In]) Done() <-chan struct{} { return s.done }
 
@@ -203,11 +239,11 @@
 // writeBatch writes the message and the queued messages together, to save system calls. It returns the buffer for reuse.
 func (s *Conn[Out, In]) writeBatch(buf []byte, msg *Out) ([]byte, error) {
 	messages := int64(1)
-	buf, err := appendFrame(buf, msg, s.sendBinary.Load())
+	buf, err := s.appendMessage(buf, msg)
 	for err == nil && len(buf) < maxBatchBytes && len(s.writeQueue) > 0 { // writeLoop is the only receiver
 		msg = <-s.writeQueue
 		messages++
-		buf, err = appendFrame(buf, msg, s.sendBinary.Load())
+		buf, err = s.appendMessage(buf, msg)
 	}
 	if err != nil {
 		return nil, err
