jobowner: write the record again once the store answers renewals

Cause: a silent store never answers the calls of that time, and the timeout of an attempt to write a record has grown to 2 s by then. Candidates replace an owner that has not reached the store 0.8 s after they are served again.

Change: an attempt is cancelled once a renewal of the lease that was sent 250 ms or more after it was answered, once for each record.

--- a/internal/jobowner/commit.go
+++ b/internal/jobowner/commit.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -183,11 +184,18 @@
 	o.setAppendStart(start)
 	defer o.setAppendStart(0)
 	failureLogged := false
+	var overtaken atomic.Bool // once for each record: over a thin link, a large record takes longer than many renewals
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, o.appendTimeout)
 		var err error
 		attemptStart := boottime.Now()
+		watch := time.AfterFunc(minAppendTimeout, func() {
+			if !overtaken.Load() {
+				overtaken.Store(o.cancelOvertakenAttempt(callCtx, cancel, attemptStart))
+			}
+		})
 		rec, err = o.jobLog.Append(callCtx, rec)
+		watch.Stop()
 		cancel()
 		o.adjustAppendTimeout(err, boottime.Now()-attemptStart)
 		if err == nil && !o.ownership.LeaseValid() {
@@ -214,6 +222,23 @@
 	}
 }
 
+// overtakenCheckInterval is how often an unanswered attempt to write a record is compared with the renewals of the lease.
+const overtakenCheckInterval = 50 * time.Millisecond
+
+// cancelOvertakenAttempt cancels an attempt to write a record once the store has answered a renewal of the lease that was sent
+// minAppendTimeout or more after the attempt, and reports whether it did. A store that was silent never answers the calls of that time,
+// and the owner would wait for the rest of a timeout that has grown meanwhile. ctx is the context of the attempt.
+func (o *Owner) cancelOvertakenAttempt(ctx context.Context, cancel context.CancelFunc, attemptStart time.Duration) bool {
+	for ctx.Err() == nil {
+		if o.ownership.ConfirmedAt() >= attemptStart+minAppendTimeout {
+			cancel()
+			return true
+		}
+		app.Sleep(ctx, overtakenCheckInterval)
+	}
+	return false
+}
+
 // adjustAppendTimeout sets the timeout of the next attempt from the error and the response time of the last attempt.
 func (o *Owner) adjustAppendTimeout(err error, responseTime time.Duration) {
 	switch {
