jobowner: what is known of losses and departures outlives a silent store

Change: an owner records each agent that it hears from before it confirms a report of it, and its fence says so. A successor counts the hold of an agent from the end of the last term that may have heard it; a term whose records are not all in the log counts as one that has. Members remember eight owners and pass on ended lifetimes of workers, which are final.

--- a/internal/jobowner/commit.go
+++ b/internal/jobowner/commit.go
@@ -61,7 +61,7 @@
 	return append(first, second...), err
 }
 
-// decodeRecord returns the changes in a record. A fence has no data and therefore no changes.
+// decodeRecord returns the changes in a record. A fence of an older version has no data and therefore no changes.
 func decodeRecord(r caslog.Record) ([]jobs.Change, error) {
 	if len(r.Data) == 0 {
 		return nil, nil
--- a/internal/jobowner/hold_test.go
+++ b/internal/jobowner/hold_test.go
@@ -96,12 +96,15 @@
 func TestAnnouncedDepartureEndsOnlyRunsOfItsLifetime(t *testing.T) {
 	o, member := ownerWithLastingRun(t, 0)
 	conn := member.conn
+	member.Addr = "127.0.0.1:7000"
 	for lifetime := int64(6); lifetime <= 7; lifetime++ {
-		value, err := json.Marshal(Member{Name: "host-1", Agent: true, EndedLifetime: lifetime})
+		value, err := json.Marshal(Member{Name: "host-1", Addr: member.Addr, Agent: true, EndedLifetime: lifetime})
 		qt.Assert(t, err, qt.IsNil)
 		o.updateMember(t.Context(), &sync.WaitGroup{}, value)
 		qt.Check(t, checkTimeoutsNow(o), qt.IsFalse, qt.Commentf("the last report may follow"))
-		member.departureSeenAt -= departureReportTimeout
+		left := o.departures["host-1"]
+		left.learned -= departureReportTimeout
+		o.departures["host-1"] = left
 		qt.Check(t, checkTimeoutsNow(o), qt.Equals, lifetime == 7)
 		qt.Check(t, member.conn, qt.Equals, conn)
 	}
@@ -112,7 +115,8 @@
 func TestEndsInTheLastReportOfADepartedWorkerCount(t *testing.T) {
 	o, member := ownerWithLastingRun(t, 0)
 	o.jobsState.Jobs["aaaaaaaaaaaaaaaa"].Spec.Steps[0].Perpetual = false
-	value, err := json.Marshal(map[string]any{"name": "host-1", "agent": true, "ended_lifetime": 7})
+	member.Addr = "127.0.0.1:7000"
+	value, err := json.Marshal(map[string]any{"name": "host-1", "addr": member.Addr, "agent": true, "ended_lifetime": 7})
 	qt.Assert(t, err, qt.IsNil)
 	o.updateMember(t.Context(), &sync.WaitGroup{}, value)
 	o.handleMessage(member, &session.FromMember{ReportSeq: 1, Worker: &session.Worker{Lifetime: 7, Gone: true},
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -43,9 +43,8 @@
 	addrReplaced chan struct{} // closed when the address is replaced
 	conn         *conn
 	worker       *session.Worker
-	// departedLifetime is the newest EndedLifetime that was announced, and departureSeenAt the boot time at which this owner has read it.
-	departedLifetime int64
-	departureSeenAt  time.Duration
+	// heardRecorded is true once it is queued for the log that the agent has reported in this term, heardDurable once that is durable.
+	heardRecorded, heardDurable bool
 	// runsListed is true once the current connection has delivered a complete list of runs.
 	runsListed       bool
 	lastReportAt     time.Duration // boot time of the last report whose confirmation extends the hold; 0: none in this term
@@ -58,9 +57,11 @@
 	lastMoveAtMs     int64         // boot time of the last move of a best-effort run to another worker
 	lastPollSeq      int64         // number of the newest worker poll that the interference model has observed
 	announcedSilence int64         // number of the newest silence that was announced on this connection
-	bestEffortPaused bool          // the agent slows best-effort runs; no further ones are placed on its worker
-	sentSuspicion    placement.Suspicion
-	blockedUntil     time.Duration // boot time before which nothing is placed here, after a refused start
+	// announcedDeparture is the number of the newest departure that was announced on this connection.
+	announcedDeparture int64
+	bestEffortPaused   bool // the agent slows best-effort runs; no further ones are placed on its worker
+	sentSuspicion      placement.Suspicion
+	blockedUntil       time.Duration // boot time before which nothing is placed here, after a refused start
 
 	runList         session.RunList // the parts of a list of runs that have arrived on this connection
 	oversizedLogged bool            // a dropped message of this connection was logged
@@ -206,7 +207,7 @@
 	member := o.members[announced.Name]
 	if member != nil && member.Addr == announced.Addr && member.Agent == announced.Agent {
 		member.MaxHoldBesideOwnerMs = announced.MaxHoldBesideOwnerMs
-		member.noteDeparture(announced.EndedLifetime)
+		o.noteDeparture(announced.Name, announced.EndedLifetime)
 		return
 	}
 	if member == nil {
@@ -219,28 +220,12 @@
 		close(member.addrReplaced)
 		member.close()
 	}
-	member.noteDeparture(announced.EndedLifetime)
+	o.noteDeparture(announced.Name, announced.EndedLifetime)
 	member.Member, member.addrReplaced = announced, make(chan struct{})
 	addrReplaced := member.addrReplaced
 	wg.Go(func() { o.keepConnected(ctx, member, announced.Addr, addrReplaced) })
 }
 
-// departureReportTimeout is how long the agent of a departed worker has for its last report, which contains the ends of runs that no
-// owner has acknowledged. The other runs of the lifetime then end as lost.
-const departureReportTimeout = time.Second
-
-// noteDeparture stores the announced end of a lifetime of the member's worker.
-func (m *memberView) noteDeparture(endedLifetime int64) {
-	if endedLifetime > m.departedLifetime {
-		m.departedLifetime, m.departureSeenAt = endedLifetime, boottime.Now()
-	}
-}
-
-// hasDeparted reports whether the worker has left, departureReportTimeout ago.
-func (m *memberView) hasDeparted() bool {
-	return m.departedLifetime != 0 && boottime.Now() >= m.departureSeenAt+departureReportTimeout
-}
-
 // keepConnected keeps a connection to the member until its address is replaced or ctx is done.
 func (o *Owner) keepConnected(ctx context.Context, member *memberView, addr string, addrReplaced <-chan struct{}) {
 	delay, failureLogged := minRedialDelay, false
@@ -290,7 +275,7 @@
 	o.mu.Lock()
 	member.close()
 	member.conn, member.runsListed, member.commandSeq, member.sentAckSeq, member.lastPollSeq = c, false, 0, 0, 0
-	member.announcedSilence, member.sentSuspicion = 0, placement.Suspicion{}
+	member.announcedSilence, member.announcedDeparture, member.sentSuspicion = 0, 0, placement.Suspicion{}
 	member.runList, member.unackedStarts, member.oversizedLogged = session.RunList{}, nil, false
 	for _, placed := range o.placedByAgent[member.Name] {
 		placed.task.CommandSeq = 0 // the first list of runs on this connection reflects all earlier commands
@@ -329,9 +314,16 @@
 	if msg.Previous != nil {
 		o.learnFromMember(msg.Previous)
 	}
+	for i := range msg.Earlier {
+		o.learnFromMember(&msg.Earlier[i])
+	}
+	for _, told := range msg.Departures {
+		o.noteDeparture(told.Agent, told.Lifetime)
+	}
 	if msg.ReportSeq > 0 {
 		member.lastReportAt = boottime.Now()
 		o.endSilence(member.Name)
+		o.noteHeard(member)
 	}
 	if msg.ReportSeq > member.lastReportSeq || !member.runsListed {
 		member.lastReportSeq = msg.ReportSeq
@@ -373,8 +365,8 @@
 // sendCommands sends the commands, acknowledgements and silences queued for the member. If nothing is queued, it sends a message only
 // if evenIfEmpty is set. The runs of start commands that cannot be sent end as lost.
 func (o *Owner) sendCommands(member *memberView, evenIfEmpty bool) {
-	silences := o.unannouncedSilences(member)
-	if !evenIfEmpty && len(silences) == 0 && !member.hasQueuedCommands() {
+	silences, departures := o.unannouncedSilences(member), o.unannouncedDepartures(member)
+	if !evenIfEmpty && len(silences)+len(departures) == 0 && !member.hasQueuedCommands() {
 		return
 	}
 	leaseValid := o.ownership.LeaseValid()
@@ -392,20 +384,21 @@
 	}
 	startCount := member.sendableStarts()
 	msg := session.ToMember{LeaseValid: leaseValid, StoreUnreachable: o.storeStalled(), Starts: member.starts[:startCount], Stops: member.stops,
-		RunResources: member.runResources, Paces: member.paces, Silences: silences, AckLifetime: member.ackLifetime, AckEndSeq: member.ackedEndSeq}
+		RunResources: member.runResources, Paces: member.paces, Silences: silences, Departures: departures, AckLifetime: member.ackLifetime, AckEndSeq: member.ackedEndSeq}
 	startTasks := member.startTasks[:startCount]
 	member.starts, member.startTasks = member.starts[startCount:], member.startTasks[startCount:]
 	msg.Suspicion = o.changedSuspicion(member)
 	if evenIfEmpty {
 		msg.AgentCount = o.agentCount
 	}
-	if o.isCurrent() && o.silences[member.Name] == nil {
+	if o.isCurrent() && o.silences[member.Name] == nil && member.heardDurable {
 		// An acknowledged report extends the holds on the worker, which must not outlast the time at which a successor assumes that
 		// they have expired.
 		msg.AckReportSeq = member.lastReportSeq
 	}
 	member.stops, member.runResources, member.paces = nil, nil, nil
 	member.sentAckSeq, member.announcedSilence, member.lastSentAt = member.ackedEndSeq, o.durableSilence, boottime.Now()
+	member.announcedDeparture = o.departureCount
 	parts := msg.Parts()
 	for i := range parts {
 		part := &parts[i]
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -73,8 +73,11 @@
 	silenceCount   int64                    // number of silences recorded in this term
 	durableSilence int64                    // number of the newest silence whose record is durable
 	previousEpoch  int64                    // epoch of the previous owner; 0: unknown
-	previousName   string                   // process name of the previous owner, as a member has told; empty: not told yet
-	previousSince  time.Duration            // boot time at which the previous owner had begun its service
+	recordedEpochs []recordedEpoch          // of earlier owners, oldest first
+	heardEpochs    map[string]int64         // by agent: newest of recordedEpochs whose owner has heard from the agent
+	earlierOwners  map[int64]earlierOwner   // by epoch, as members have told
+	departures     map[string]departure     // newest ended lifetime of each agent's worker, by agent name
+	departureCount int64                    // number of the newest departure
 	// submitReplies holds the callbacks that reply to submissions once the job's record is durable. The key is the submitted job
 	// and not its ID: a caller may repeat a submission that was rejected, while the effects of the rejected one are still pending.
 	submitReplies    map[*jobs.Job][]func(session.Reply)
@@ -128,7 +131,7 @@
 		startedAt: boottime.Now(), wakeCommit: make(chan struct{}, 1), appendTimeout: minAppendTimeout,
 		activeJobs: map[string]*jobs.Job{}, submitReplies: map[*jobs.Job][]func(session.Reply){}, adviceByStep: map[string]*stepAdvice{},
 		adviceRequests: make(chan adviceRequest, maxAdviceRequests), members: map[string]*memberView{},
-		silences:      map[string]*agentSilence{},
+		silences: map[string]*agentSilence{}, earlierOwners: map[int64]earlierOwner{}, departures: map[string]departure{},
 		placedByAgent: map[string]map[string]*placedTask{}, workerHealth: placement.NewHealthTracker(),
 		interference: placement.NewInterference(),
 	}
@@ -139,6 +142,8 @@
 	fence := recovery.fence
 	o.jobsState, o.lastRecordSeq, o.epoch, o.snapshotSeq = recovery.state, fence.Seq, fence.Epoch, recovery.snapshotSeq
 	o.rebuildIndexes()
+	o.recordedEpochs, o.heardEpochs = recovery.epochs, o.jobsState.HeardEpochs
+	o.jobsState.HeardEpochs = map[string]int64{}
 	o.inheritSilences(recovery.lastEpoch)
 	ownership.ConfirmUnreplaced(o.confirmUnreplaced)
 	recoveryStart := o.startedAt
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -123,9 +123,7 @@
 // came back after its worker had ended is connected, but knows no worker and reports no runs. The runs of a worker that has left end
 // without that wait.
 func (o *Owner) endRunsOfLostWorker(name string, tasks map[string]*placedTask) {
-	if member := o.members[name]; member != nil && member.hasDeparted() {
-		o.endRunsOfLifetime(name, member.departedLifetime)
-	}
+	o.endRunsOfDepartedWorker(name)
 	lastReportAt := o.lastReportAt(name)
 	holdTimeout := o.cfg.MaxHold + time.Duration(float64(o.cfg.MaxHold)*session.WorkerClockDrift) + holdMargin
 	if boottime.Now() < lastReportAt+holdTimeout {
--- a/internal/jobowner/recovery.go
+++ b/internal/jobowner/recovery.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"bamboofork/internal/app"
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/caslog"
@@ -23,8 +26,9 @@
 	attemptTimeout time.Duration
 	state          *jobs.State // nil: nothing loaded yet
 	snapshotSeq    int64
-	lastSeq        int64 // newest record that state contains
-	lastEpoch      int64 // epoch of that record; an owner writes snapshots of its own records only
+	lastSeq        int64           // newest record that state contains
+	lastEpoch      int64           // epoch of that record; an owner writes snapshots of its own records only
+	epochs         []recordedEpoch // of the records after the snapshot, oldest first
 	fence          caslog.Record
 	// loadTime is the time spent on reading and decoding; recordCount and snapshotBytes are what was read.
 	loadTime      time.Duration
@@ -32,6 +36,16 @@
 	snapshotBytes int
 }
 
+// recordedEpoch is the epoch of an owner whose records follow the snapshot.
+type recordedEpoch struct {
+	epoch int64
+	// previous is the epoch of the owner before; 0: there was none.
+	previous int64
+	// complete means that all records of the epoch are in the log, and that its owner has recorded which agents it has heard from. Only
+	// then it is known which agents it has not heard from.
+	complete bool
+}
+
 // attempt loads what is missing and appends the fence. It returns caslog.ErrConflict if another owner has appended a record in
 // the meantime; the next attempt continues with that record.
 func (r *logRecovery) attempt(ctx context.Context) error {
@@ -72,6 +86,7 @@
 	}
 	r.snapshotBytes = len(loaded.Snapshot)
 	r.state, r.snapshotSeq, r.lastSeq, r.lastEpoch = state, loaded.SnapshotSeq, loaded.SnapshotSeq, loaded.SnapshotEpoch
+	r.epochs = nil
 	return r.applyRecords(loaded.Records)
 }
 
@@ -86,6 +101,10 @@
 		for _, change := range changes {
 			r.state.Apply(change)
 		}
+		if len(r.epochs) == 0 || record.Epoch != r.lastEpoch {
+			isFence := record.Seq == record.Epoch
+			r.epochs = append(r.epochs, recordedEpoch{epoch: record.Epoch, previous: r.lastEpoch, complete: isFence && r.state.Terms[record.Epoch]})
+		}
 		r.lastSeq, r.lastEpoch = record.Seq, record.Epoch
 		r.recordCount++
 	}
@@ -96,7 +115,12 @@
 // uncertain. The previous owner may have replaced the records by a snapshot since they were read, which frees the position of
 // the fence; appendFence then returns caslog.ErrConflict and the next attempt loads the snapshot.
 func (r *logRecovery) appendFence(ctx context.Context) error {
-	fence := caslog.Record{Seq: r.lastSeq + 1, Epoch: r.lastSeq + 1, Time: time.Now()}
+	epoch := r.lastSeq + 1
+	data, err := json.Marshal([]jobs.Change{{Term: &jobs.Term{Epoch: epoch}}})
+	if err != nil {
+		return eris.Wrap(err, "encode fence")
+	}
+	fence := caslog.Record{Seq: epoch, Epoch: epoch, Time: time.Now(), Data: data}
 	for timeout := minAppendTimeout; ; timeout = min(2*timeout, maxAppendTimeout) {
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		var err error
--- a/internal/jobowner/report.go
+++ b/internal/jobowner/report.go
@@ -54,6 +54,7 @@
 	endedLifetime := worker.Lifetime - 1
 	if worker.Gone {
 		endedLifetime = worker.Lifetime
+		o.noteDeparture(member.Name, worker.Lifetime)
 	}
 	o.endRunsOfLifetime(member.Name, endedLifetime)
 }
--- a/internal/jobowner/silence.go
+++ b/internal/jobowner/silence.go
@@ -13,6 +13,9 @@
 // start, and each further successor again. Therefore an owner records in the log that it hears nothing from an agent, and confirms no
 // report of the agent before the end of the silence is in the log as well. It tells the other agents how long the silence has lasted,
 // and they tell the successor, which finds the silence in the log and counts the hold from its beginning.
+//
+// An owner whose term is short records no silence. Therefore it records each agent that it hears from before it confirms a report of the
+// agent. If all records of a term are in the log and the agent is not among them, the hold counts from an earlier term.
 
 const (
 	// silenceTimeout is the time without a report after which the silence of an agent is recorded.
@@ -29,9 +32,9 @@
 // agentSilence is the recorded silence of one agent.
 type agentSilence struct {
 	number int64
-	// previousNumber is the number of the silence in the epoch of the previous owner, and inheritedSince the boot time since which that
-	// owner had not heard from the agent, as a member has told; 0: none.
-	previousNumber int64
+	// inherited is the silence that an earlier owner has recorded; zero: none. inheritedSince is the boot time since which that owner had
+	// not heard from the agent, as a member has told; 0: not told yet.
+	inherited      jobs.Silence
 	inheritedSince time.Duration
 	durable        bool
 	ending         bool // the end of the silence is recorded and not durable yet
@@ -41,14 +44,15 @@
 // Without a takeover, that is the time of the last report.
 func (o *Owner) lastReportAt(agent string) time.Duration {
 	member, silence := o.members[agent], o.silences[agent]
-	at := o.startedAt + takeoverMargin
+	at, epoch := o.confirmedUntil(agent)
+	owner, isKnown := o.earlierOwners[epoch]
 	switch {
 	case silence != nil && silence.inheritedSince != 0:
-		at = silence.inheritedSince
-	case member != nil && agent == o.previousName && member.MaxHoldBesideOwnerMs > 0:
+		at = min(at, silence.inheritedSince)
+	case member != nil && isKnown && agent == owner.name && member.MaxHoldBesideOwnerMs > 0:
 		besideOwner := time.Duration(member.MaxHoldBesideOwnerMs) * time.Millisecond
-		// The owner before the previous one may have confirmed a report for the whole hold.
-		at = max(o.previousSince+takeoverMargin, at-max(0, o.cfg.MaxHold-besideOwner))
+		// The owner before that one may have confirmed a report for the whole hold.
+		at = max(owner.since+takeoverMargin, at-max(0, o.cfg.MaxHold-besideOwner))
 	}
 	if member != nil {
 		at = max(at, member.lastReportAt)
@@ -56,15 +60,43 @@
 	return at
 }
 
-// inheritSilences takes over the silences that the previous owner has recorded. lastEpoch is the epoch of the newest record before the
-// fence. Silences of earlier epochs do not count, because an owner in between may have confirmed reports of the agents.
+// earlierOwner is what members have told about the owner of an earlier epoch: its process, and a boot time at which it had begun its
+// service.
+type earlierOwner struct {
+	name  string
+	since time.Duration
+}
+
+// confirmedUntil returns a boot time before which earlier owners have confirmed the last report of the agent, and the epoch of the last of
+// them that may have done so. The owners of the epochs after that have not heard from the agent.
+func (o *Owner) confirmedUntil(agent string) (time.Duration, int64) {
+	until, epoch := o.startedAt+takeoverMargin, o.previousEpoch
+	for i := len(o.recordedEpochs) - 1; i >= 0 && o.hasNotHeard(o.recordedEpochs[i], agent); i-- {
+		if owner, ok := o.earlierOwners[o.recordedEpochs[i].epoch]; ok {
+			until, epoch = min(until, owner.since+takeoverMargin), o.recordedEpochs[i].previous
+		}
+	}
+	return until, epoch
+}
+
+// hasNotHeard reports whether it is certain that the owner of the epoch has confirmed no report of the agent.
+func (o *Owner) hasNotHeard(recorded recordedEpoch, agent string) bool {
+	return recorded.complete && o.heardEpochs[agent] < recorded.epoch
+}
+
+// inheritSilences takes over the silences that earlier owners have recorded. lastEpoch is the epoch of the newest record before the
+// fence. A silence does not count if the owner of a later epoch may have confirmed reports of the agent.
 func (o *Owner) inheritSilences(lastEpoch int64) {
 	o.previousEpoch = lastEpoch
 	recorded := o.jobsState.Silences
 	o.jobsState.Silences = map[string]jobs.Silence{}
 	for agent, silence := range recorded {
-		if silence.Epoch == lastEpoch {
-			o.recordSilence(agent, silence.Number)
+		lastHeard := lastEpoch // newest epoch whose owner may have heard from the agent
+		for i := len(o.recordedEpochs) - 1; i >= 0 && o.hasNotHeard(o.recordedEpochs[i], agent); i-- {
+			lastHeard = o.recordedEpochs[i].previous
+		}
+		if silence.Epoch >= lastHeard {
+			o.recordSilence(agent, silence)
 		}
 	}
 }
@@ -72,15 +104,15 @@
 // minReannouncedGain is by how much earlier a silence must have begun than the agents were told to be announced to them again.
 const minReannouncedGain = 100 * time.Millisecond
 
-// learnFromMember takes over what a member has learned from the previous owner.
+// learnFromMember takes over what a member has learned from an earlier owner.
 func (o *Owner) learnFromMember(told *session.PreviousOwner) {
-	if told.Epoch != o.previousEpoch || told.Epoch == 0 {
+	if told.Epoch <= 0 || told.Epoch >= o.epoch {
 		return
 	}
 	now := boottime.Now()
 	seenAt := now - time.Duration(told.SeenMs)*time.Millisecond
-	if o.previousName == "" || seenAt < o.previousSince {
-		o.previousName, o.previousSince = told.Name, seenAt
+	if known, ok := o.earlierOwners[told.Epoch]; !ok || seenAt < known.since {
+		o.earlierOwners[told.Epoch] = earlierOwner{name: told.Name, since: seenAt}
 	}
 	sinceByNumber := make(map[int64]time.Duration, len(told.Silences))
 	for _, silence := range told.Silences {
@@ -88,8 +120,8 @@
 	}
 	announceAgain := false
 	for _, silence := range o.silences {
-		since, ok := sinceByNumber[silence.previousNumber]
-		if !ok || (silence.inheritedSince != 0 && since >= silence.inheritedSince) {
+		since, ok := sinceByNumber[silence.inherited.Number]
+		if !ok || silence.inherited.Epoch != told.Epoch || (silence.inheritedSince != 0 && since >= silence.inheritedSince) {
 			continue
 		}
 		announceAgain = announceAgain || silence.inheritedSince == 0 || since < silence.inheritedSince-minReannouncedGain
@@ -118,7 +150,7 @@
 			silentFrom = member.lastReportAt + silenceTimeout
 		}
 		if now >= silentFrom {
-			o.recordSilence(agent, 0)
+			o.recordSilence(agent, jobs.Silence{})
 		}
 	}
 	for agent, silence := range o.silences {
@@ -140,7 +172,7 @@
 	for agent, tasks := range o.placedByAgent {
 		member := o.members[agent]
 		if len(tasks) > 0 && o.silences[agent] == nil && member != nil && now >= max(o.servingSince, member.lastReportAt)+resignSilenceTimeout {
-			o.recordSilence(agent, 0)
+			o.recordSilence(agent, jobs.Silence{})
 			recorded = true
 		}
 	}
@@ -163,13 +195,13 @@
 	return o.silences[member.Name] != nil || boottime.Now() >= member.lastReportAt+silenceTimeout
 }
 
-// recordSilence queues the record of an agent's silence. previousNumber is its number in the epoch of the previous owner; 0: none.
-func (o *Owner) recordSilence(agent string, previousNumber int64) {
+// recordSilence queues the record of an agent's silence. inherited is the silence that an earlier owner has recorded; zero: none.
+func (o *Owner) recordSilence(agent string, inherited jobs.Silence) {
 	o.silenceCount++
-	silence := &agentSilence{number: o.silenceCount, previousNumber: previousNumber}
+	silence := &agentSilence{number: o.silenceCount, inherited: inherited}
 	o.silences[agent] = silence
 	events.AgentSilent.Log(&o.cfg.Log).Str("agent", agent).Int("runs", len(o.placedByAgent[agent])).
-		Int64("silent_ms", (boottime.Now()-o.lastReportAt(agent)).Milliseconds()).Bool("inherited", previousNumber != 0).Send()
+		Int64("silent_ms", (boottime.Now()-o.lastReportAt(agent)).Milliseconds()).Bool("inherited", inherited.Number != 0).Send()
 	o.apply(jobs.Change{Silence: &jobs.Silence{Agent: agent, Epoch: o.epoch, Number: silence.number}})
 	o.pendingEffects = append(o.pendingEffects, func() { silence.durable, o.durableSilence = true, silence.number })
 }
@@ -219,3 +251,17 @@
 	}
 	return silences
 }
+
+// noteHeard records that the agent has reported to this owner, unless that is recorded already. Its reports are confirmed once the record
+// is durable, and the first of them at once.
+func (o *Owner) noteHeard(member *memberView) {
+	if member.heardRecorded {
+		return
+	}
+	member.heardRecorded = true
+	o.apply(jobs.Change{Heard: &jobs.Heard{Agent: member.Name, Epoch: o.epoch}})
+	o.pendingEffects = append(o.pendingEffects, func() {
+		member.heardDurable = true
+		o.sendCommands(member, true)
+	})
+}
--- a/internal/jobowner/silence_test.go
+++ b/internal/jobowner/silence_test.go
@@ -1,6 +1,7 @@
 package jobowner
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"bamboofork/internal/boottime"
+	"bamboofork/internal/caslog"
 	"bamboofork/internal/jobs"
 	"bamboofork/internal/session"
 	"bamboofork/internal/store/memstore"
@@ -55,6 +57,7 @@
 	} {
 		o := newTestOwner(t, memstore.New())
 		o.jobsState.Apply(jobs.Change{Silence: &jobs.Silence{Agent: "host-1", Epoch: 5, Number: 1}})
+		o.epoch = 9
 		o.inheritSilences(test.lastEpoch)
 		o.learnFromMember(&session.PreviousOwner{Epoch: test.toldEpoch, Name: "host-0",
 			Silences: []session.Silence{{Number: test.toldNumber, ForMs: (boottime.Now() - since).Milliseconds()}}})
@@ -98,6 +101,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			o := newTestOwner(t, memstore.New())
+			o.epoch = 9
 			o.inheritSilences(test.lastEpoch)
 			o.learnFromMember(&session.PreviousOwner{Epoch: 5, Name: "host-0", SeenMs: test.previousAge.Milliseconds()})
 			o.members["host-0"] = &memberView{Member: Member{Name: "host-0", Agent: true, MaxHoldBesideOwnerMs: test.besideOwnerMs}}
@@ -107,3 +111,88 @@
 		})
 	}
 }
+
+// testTerm is the term of an earlier owner in the log.
+type testTerm struct {
+	heard     []string // agents whose reports it may have confirmed
+	isOld     bool     // the owner has an older version, which records no Term
+	snapshots bool     // it has replaced its records by a snapshot
+	isUnseen  bool     // no member has followed it
+}
+
+// Guards against a hold that is counted from too early, or from the start of the newest owner although the owners before it have not heard
+// from the agent.
+func TestHoldCountsFromTheEndOfTheLastTermThatHeardTheAgent(t *testing.T) {
+	const termLength = 3 * time.Second
+	for _, test := range []struct {
+		name  string
+		terms []testTerm
+		from  int // index of the term from whose beginning the hold counts; len(terms): the newest owner
+	}{
+		{"heard by the previous owner", []testTerm{{}, {heard: []string{"host-1"}}}, 2},
+		{"not heard by the previous owner", []testTerm{{heard: []string{"host-1"}}, {heard: []string{"host-2"}}}, 1},
+		{"not heard by two owners", []testTerm{{heard: []string{"host-1"}}, {}, {heard: []string{"host-2"}}}, 1},
+		{"heard by the one but last", []testTerm{{heard: []string{"host-1"}}, {heard: []string{"host-1"}}, {}}, 2},
+		{"an owner that nobody followed", []testTerm{{heard: []string{"host-1"}}, {isUnseen: true}, {}}, 2},
+		{"an owner of an older version", []testTerm{{heard: []string{"host-1"}}, {isOld: true}, {}}, 2},
+		{"the last owner has an older version", []testTerm{{heard: []string{"host-1"}}, {}, {isOld: true}}, 3},
+		{"records replaced by a snapshot", []testTerm{{heard: []string{"host-1"}}, {snapshots: true}}, 2},
+		{"records replaced before the last term", []testTerm{{heard: []string{"host-1"}, snapshots: true}, {}}, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			st := memstore.New()
+			log := caslog.New(st, "jobs", "writer")
+			seq := int64(0)
+			write := func(epoch int64, changes ...jobs.Change) {
+				data, err := json.Marshal(changes)
+				qt.Assert(t, err, qt.IsNil)
+				seq++
+				_, err = log.Append(t.Context(), caslog.Record{Seq: seq, Epoch: epoch, Data: data})
+				qt.Assert(t, err, qt.IsNil)
+			}
+			var epochs []int64
+			for _, term := range test.terms {
+				epoch := seq + 1
+				epochs = append(epochs, epoch)
+				if term.isOld {
+					write(epoch)
+				} else {
+					write(epoch, jobs.Change{Term: &jobs.Term{Epoch: epoch}})
+				}
+				for _, agent := range term.heard {
+					write(epoch, jobs.Change{Heard: &jobs.Heard{Agent: agent, Epoch: epoch}})
+				}
+				if term.snapshots {
+					qt.Assert(t, log.Snapshot(t.Context(), seq, epoch, []byte("[]"), seq+1), qt.IsNil)
+				}
+			}
+			o := newTestOwner(t, st)
+			var sinces []time.Duration
+			for i, epoch := range epochs {
+				age := time.Duration(len(epochs)-i) * termLength
+				sinces = append(sinces, boottime.Now()-age)
+				if !test.terms[i].isUnseen {
+					o.learnFromMember(&session.PreviousOwner{Epoch: epoch, Name: fmt.Sprint("owner-", i), SeenMs: age.Milliseconds()})
+				}
+			}
+			want := append(sinces, o.startedAt)[test.from] + takeoverMargin
+			got := o.lastReportAt("host-1")
+			qt.Check(t, (got-want).Abs() < 100*time.Millisecond, qt.IsTrue, qt.Commentf("%s from the expected time", got-want))
+		})
+	}
+}
+
+// Guards against reports that are confirmed before it is durable that this owner hears from the agent: a successor would count the hold from
+// an earlier term.
+func TestReportsAreConfirmedAfterItIsDurableThatTheAgentWasHeard(t *testing.T) {
+	o, member := ownerWithLastingRun(t, 0)
+	mustCommit(t, o)
+	o.handleMessage(member, &session.FromMember{ReportSeq: 3})
+	qt.Check(t, member.heardDurable, qt.IsFalse)
+	qt.Assert(t, o.pendingChanges, qt.HasLen, 1)
+	qt.Check(t, o.pendingChanges[0].Heard, qt.DeepEquals, &jobs.Heard{Agent: "host-1", Epoch: o.epoch})
+	mustCommit(t, o)
+	qt.Check(t, member.heardDurable, qt.IsTrue)
+	o.handleMessage(member, &session.FromMember{ReportSeq: 4})
+	qt.Check(t, o.pendingChanges, qt.HasLen, 0)
+}
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -3,7 +3,7 @@
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -file state.go -io=false -tests=false
 //msgp:tag json
 //msgp:limit arrays:65536 maps:256
-//msgp:ignore TaskState Task StepState Occurrence Job Change Cancel Place End Silence State
+//msgp:ignore TaskState Task StepState Occurrence Job Change Cancel Place End Silence Term Heard State
 
 import (
 	"encoding/json"
@@ -169,8 +169,8 @@
 	EndLost    Outcome = "lost"
 )
 
-// Change is one transition of the state of a job, or of an agent that its owner does not hear from. Exactly one of the pointer fields
-// is set. JobID names the job of all changes but Submit and Silence.
+// Change is one transition of the state of a job, or of what an owner has to do with agents. Exactly one of the pointer fields is set.
+// JobID names the job of the changes that concern one, except for Submit.
 type Change struct {
 	Submit  *Job      `json:"sub,omitempty"`
 	Cancel  *Cancel   `json:"can,omitempty"`
@@ -178,6 +178,8 @@
 	End     *End      `json:"end,omitempty"`
 	Delete  *struct{} `json:"fg,omitempty"`
 	Silence *Silence  `json:"sil,omitempty"`
+	Term    *Term     `json:"tm,omitempty"`
+	Heard   *Heard    `json:"hd,omitempty"`
 	JobID   string    `json:"j,omitempty"`
 }
 
@@ -216,15 +218,33 @@
 	Over   bool   `json:"o,omitempty"` // the owner may confirm reports of the agent again
 }
 
+// Term begins the records of an epoch whose owner records that it has heard from an agent before it confirms a report of the agent. An
+// owner of an older version records no Term.
+type Term struct {
+	Epoch int64 `json:"e"`
+}
+
+// Heard records that the owner of an epoch has heard from an agent and may confirm its reports from now on.
+type Heard struct {
+	Agent string `json:"a"`
+	Epoch int64  `json:"e"`
+}
+
 // State holds all jobs of one owner.
 type State struct {
 	Jobs map[string]*Job
+	// Terms holds the epochs of the Term changes, and HeardEpochs the newest epoch whose owner has heard from an agent, by agent. Neither
+	// is part of a snapshot, so they only tell about epochs all of whose records are in the log.
+	Terms       map[int64]bool
+	HeardEpochs map[string]int64
 	// Silences holds the silences that are not over, by agent. They are not part of a snapshot; their owner records them again after it.
 	Silences map[string]Silence
 }
 
 // NewState returns a State without jobs.
-func NewState() *State { return &State{Jobs: map[string]*Job{}, Silences: map[string]Silence{}} }
+func NewState() *State {
+	return &State{Jobs: map[string]*Job{}, Silences: map[string]Silence{}, Terms: map[int64]bool{}, HeardEpochs: map[string]int64{}}
+}
 
 // Apply applies one change. A change to an unknown job and a second end of a run have no effect.
 func (s *State) Apply(c Change) {
@@ -232,9 +252,16 @@
 		s.submit(c.Submit)
 		return
 	}
-	if c.Silence != nil {
+	switch {
+	case c.Silence != nil:
 		s.applySilence(c.Silence)
 		return
+	case c.Term != nil:
+		s.Terms[c.Term.Epoch] = true
+		return
+	case c.Heard != nil:
+		s.HeardEpochs[c.Heard.Agent] = max(s.HeardEpochs[c.Heard.Agent], c.Heard.Epoch)
+		return
 	}
 	j := s.Jobs[c.JobID]
 	if j == nil {
--- a/internal/ownerconn/ownerconn.go
+++ b/internal/ownerconn/ownerconn.go
@@ -9,6 +9,7 @@
 	"errors"
 	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,12 +48,22 @@
 	agentCount       int    // number of agents that the last owner reported; 0: not reported yet
 	// silentSince holds the boot time since which the current owner has heard nothing from an agent, by the number of the silence.
 	silentSince map[int64]time.Duration
-	previous    followedOwner // the owner before the current one
+	earlier     []followedOwner          // the owners before the current one, newest first, at most maxEarlierOwners
+	departures  map[string]endedLifetime // by agent
+}
+
+// maxEarlierOwners is the number of earlier owners that a Follower remembers.
+const maxEarlierOwners = 8
+
+// endedLifetime is a lifetime of a worker that an owner has announced as over.
+type endedLifetime struct {
+	lifetime int64
+	notedAt  time.Duration // boot time
 }
 
 // followedOwner is what a Follower has learned from an owner that has been replaced.
 type followedOwner struct {
-	epoch       int64 // 0: there was none
+	epoch       int64
 	name        string
 	seenAt      time.Duration
 	silentSince map[int64]time.Duration
@@ -103,8 +114,8 @@
 		f.rejectOwner(conn)
 		return
 	}
-	if previous := f.previousOwner(); previous != nil {
-		conn.Send(session.FromMember{Previous: previous})
+	if told, ok := f.knowledgeForOwner(); ok {
+		conn.Send(told)
 	}
 	f.OwnerConnected(conn)
 	msg, oversizedLogged := &first, false
@@ -134,7 +145,10 @@
 	}
 	previousConn := f.conn
 	if msg.Epoch != f.ownerEpoch {
-		f.previous = followedOwner{epoch: f.ownerEpoch, name: f.ownerName, seenAt: f.ownerSeenAt, silentSince: f.silentSince}
+		if f.ownerEpoch != 0 {
+			replaced := followedOwner{epoch: f.ownerEpoch, name: f.ownerName, seenAt: f.ownerSeenAt, silentSince: f.silentSince}
+			f.earlier = slices.Insert(f.earlier[:min(len(f.earlier), maxEarlierOwners-1)], 0, replaced)
+		}
 		f.ownerSeenAt, f.silentSince = boottime.Now(), nil
 	}
 	f.conn, f.ownerEpoch, f.ownerName, f.ownerResigned, f.storeUnreachable = conn, msg.Epoch, msg.Owner, false, false
@@ -174,6 +188,7 @@
 		f.agentCount = msg.AgentCount
 	}
 	f.noteSilences(msg.Silences)
+	f.noteDepartures(msg.Departures)
 }
 
 // maxSilenceAge is the age from which a silence is forgotten. All holds have expired by then.
@@ -198,6 +213,23 @@
 	maps.DeleteFunc(f.silentSince, func(_ int64, since time.Duration) bool { return now-since > maxSilenceAge })
 }
 
+// noteDepartures stores the lifetimes of workers that the owner knows to be over, for later owners.
+func (f *Follower) noteDepartures(departures []session.Departure) {
+	if len(departures) == 0 {
+		return
+	}
+	if f.departures == nil {
+		f.departures = map[string]endedLifetime{}
+	}
+	now := boottime.Now()
+	for _, departure := range departures {
+		if departure.Lifetime > f.departures[departure.Agent].lifetime {
+			f.departures[departure.Agent] = endedLifetime{lifetime: departure.Lifetime, notedAt: now}
+		}
+	}
+	maps.DeleteFunc(f.departures, func(_ string, ended endedLifetime) bool { return now-ended.notedAt > maxSilenceAge })
+}
+
 // IsOwnerLocal reports whether the owner is a process on this host.
 func (f *Follower) IsOwnerLocal() bool {
 	f.mu.Lock()
@@ -205,16 +237,28 @@
 	return f.ownerName == f.Name
 }
 
-// previousOwner returns what this process has learned from the owner before the current one, or nil if there was none.
-func (f *Follower) previousOwner() *session.PreviousOwner {
+// knowledgeForOwner returns a message with what this process has learned from earlier owners, and false if it has learned nothing.
+func (f *Follower) knowledgeForOwner() (session.FromMember, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.previous.epoch == 0 {
-		return nil
+	var told session.FromMember
+	for i := range f.earlier {
+		if owner := f.earlier[i].told(boottime.Now()); i == 0 {
+			told.Previous = &owner
+		} else {
+			told.Earlier = append(told.Earlier, owner)
+		}
 	}
-	now := boottime.Now()
-	told := &session.PreviousOwner{Epoch: f.previous.epoch, Name: f.previous.name, SeenMs: (now - f.previous.seenAt).Milliseconds()}
-	for number, since := range f.previous.silentSince {
+	for agent, ended := range f.departures {
+		told.Departures = append(told.Departures, session.Departure{Agent: agent, Lifetime: ended.lifetime})
+	}
+	return told, told.Previous != nil || len(told.Departures) > 0
+}
+
+// told returns what is passed on about the owner. now is a boot time.
+func (o *followedOwner) told(now time.Duration) session.PreviousOwner {
+	told := session.PreviousOwner{Epoch: o.epoch, Name: o.name, SeenMs: (now - o.seenAt).Milliseconds()}
+	for number, since := range o.silentSince {
 		told.Silences = append(told.Silences, session.Silence{Number: number, ForMs: (now - since).Milliseconds()})
 	}
 	return told
