jobs: refuse jobs whose numbers overflow, and bound the owners of one request

Cause: the sum of two counts of overflowed and passed the check; the owner allocated by it and ended, and the entry sent the request to each successor.

A recorded submission of such a shape and a placement with a negative index have no effect. An entry sends a request to three owners at most.

--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -56,6 +56,9 @@
 	// time can suffice.
 	responseReserve            = 250 * time.Millisecond
 	maxResponseReserveFraction = 0.4
+	// maxOwnersPerRequest bounds the owners to which one request is sent. A request may be what ends its owners, and must not end all
+	// processes that can own the jobs in turn.
+	maxOwnersPerRequest = 3
 	// connPollInterval is how often a waiting request checks for a new connection to an owner.
 	connPollInterval = 50 * time.Millisecond
 	// noOwnerRetryAfter is the Retry-After while no owner responds. A takeover takes one to two seconds.
@@ -165,8 +168,8 @@
 	return 0
 }
 
-// sendUntilReply sends the request on each new connection to an owner until a reply arrives, the wait has expired or ctx is
-// done. A refusal counts only if it arrives on the connection on which the request was sent last: an earlier owner does not know
+// sendUntilReply sends the request on each new connection to an owner until a reply arrives, the wait has expired, maxOwnersPerRequest
+// owners have been replaced or ctx is done. A refusal counts only if it arrives on the connection on which the request was sent last: an earlier owner does not know
 // what its successor does with the request. It returns the result and how often the request was sent.
 func (f *Front) sendUntilReply(ctx context.Context, request *session.Request, wait time.Duration) (Result, int) {
 	request.ID = f.lastRequestID.Add(1)
@@ -184,12 +187,15 @@
 	}()
 	timer := time.NewTimer(max(wait, 0))
 	defer timer.Stop()
-	attempts := 0
+	attempts, owners := 0, map[int64]bool{} // by epoch
 	var lastConn *ownerconn.Conn
 	pollTicker := time.NewTicker(connPollInterval)
 	defer pollTicker.Stop()
 	for {
-		if c := f.Follower.Conn(); c != nil && c != lastConn && ctx.Err() == nil {
+		if c, epoch := f.Follower.ConnEpoch(); c != nil && c != lastConn && ctx.Err() == nil {
+			if owners[epoch] = true; len(owners) > maxOwnersPerRequest {
+				return noReplyResult(request.Verb, attempts), attempts
+			}
 			if c.Send(session.FromMember{Requests: []session.Request{*request}}) {
 				lastConn = c
 				attempts++
--- a/internal/jobfront/front_test.go
+++ b/internal/jobfront/front_test.go
@@ -111,3 +111,24 @@
 	qt.Check(t, attempts, qt.Equals, 0)
 	qt.Check(t, result.Outcome, qt.Equals, NotAccepted)
 }
+
+// Guards against a request that ends every process which can own the jobs, because it is sent to each successor of the owners that it has
+// ended. A connection to the same owner that was lost counts once.
+func TestRequestThatEndsItsReceiverReachesFewOwners(t *testing.T) {
+	front, connect := newFront(t)
+	results := make(chan Result, 1)
+	owner := connect(1)
+	go func() {
+		result, _ := front.sendUntilReply(t.Context(), &session.Request{Verb: session.VerbSubmit, JobID: "j"}, time.Minute)
+		results <- result
+	}()
+	owner.awaitRequest()
+	owner.conn.Close()
+	for epoch := int64(1); epoch <= maxOwnersPerRequest; epoch++ {
+		owner = connect(epoch)
+		owner.awaitRequest()
+		owner.conn.Close() // as if the request had ended the process
+	}
+	connect(maxOwnersPerRequest + 1)
+	qt.Check(t, (<-results).Outcome, qt.Equals, Unclear)
+}
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -10,6 +10,7 @@
 //msgp:ignore TaskID
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"strconv"
@@ -22,6 +23,10 @@
 	MaxTasks       = 20_000 // over all occurrences; this bound keeps the state of a job within the size limit of a store value
 	MaxPayload     = 4_000  // bytes
 	maxOccurrences = 1_000
+	maxResource    = 1 << 40 // of one task, in the units of the resource; sums over MaxTasks tasks stay within an int
+	maxTimeMs      = 1 << 50 // of a time or duration in milliseconds
+	// MaxEncodedBytes bounds the JSON form of a job, so that it fits into a record of the log and a message to the owner.
+	MaxEncodedBytes = 512 << 10
 )
 
 // ErrMalformed marks a job that can never run as it is described.
@@ -59,21 +64,49 @@
 	IntervalMs int64  `json:"iv,omitempty"` // time between the earliest starts of two occurrences
 }
 
-// Validate returns an error that wraps ErrMalformed if the job exceeds a limit or is inconsistent.
+// Validate returns an error that wraps ErrMalformed if the job exceeds a limit or is inconsistent. The error names the field.
 func (s *Spec) Validate() error {
-	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
-		return fmt.Errorf("%w: %d steps", ErrMalformed, len(s.Steps))
+	if err := s.validateShape(); err != nil {
+		return err
 	}
 	if len(s.Payload) > MaxPayload {
 		return fmt.Errorf("%w: spec of %d bytes", ErrMalformed, len(s.Payload))
 	}
-	if s.Repeats < 0 || s.Repeats > maxOccurrences || s.IntervalMs < 0 {
+	if s.IntervalMs < 0 || s.IntervalMs > maxTimeMs {
 		return fmt.Errorf("%w: %d repeats at %d ms", ErrMalformed, s.Repeats, s.IntervalMs)
 	}
+	if !isTime(s.StartAtMs) {
+		return fmt.Errorf("%w: first start at %d ms", ErrMalformed, s.StartAtMs)
+	}
+	for i, step := range s.Steps {
+		if !isResource(step.CPU) || !isResource(step.MemMB) || !isResource(step.GPU) {
+			return fmt.Errorf("%w: step %d: cpu %d, memory %d, gpu %d", ErrMalformed, i, step.CPU, step.MemMB, step.GPU)
+		}
+		if !isTime(step.EstimateMs) || !isTime(step.TargetMs) {
+			return fmt.Errorf("%w: step %d: estimate %d ms, target %d ms", ErrMalformed, i, step.EstimateMs, step.TargetMs)
+		}
+	}
+	if s.maxEncodedBytes() > MaxEncodedBytes {
+		encoded, err := json.Marshal(s)
+		if err != nil || len(encoded) > MaxEncodedBytes {
+			return fmt.Errorf("%w: %d bytes when encoded", ErrMalformed, len(encoded))
+		}
+	}
+	return nil
+}
+
+// validateShape checks what the state of a job is built from: the numbers of steps, tasks and occurrences, and the order of the steps.
+func (s *Spec) validateShape() error {
+	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
+		return fmt.Errorf("%w: %d steps", ErrMalformed, len(s.Steps))
+	}
+	if s.Repeats < 0 || s.Repeats > maxOccurrences {
+		return fmt.Errorf("%w: %d repeats", ErrMalformed, s.Repeats)
+	}
 	tasks := 0
 	for i, step := range s.Steps {
-		if step.Count <= 0 || step.CPU < 0 || step.MemMB < 0 || step.GPU < 0 {
-			return fmt.Errorf("%w: step %d: count %d, cpu %d, memory %d, gpu %d", ErrMalformed, i, step.Count, step.CPU, step.MemMB, step.GPU)
+		if step.Count <= 0 || step.Count > MaxTasks { // before the sum, which cannot overflow then
+			return fmt.Errorf("%w: step %d: count %d", ErrMalformed, i, step.Count)
 		}
 		for _, a := range step.After {
 			if a < 0 || a >= i {
@@ -88,6 +121,24 @@
 	return nil
 }
 
+func isTime(ms int64) bool { return ms >= -maxTimeMs && ms <= maxTimeMs }
+
+func isResource(n int) bool { return n >= 0 && n <= maxResource }
+
+// maxEncodedBytes returns an upper bound on the size of the JSON form.
+func (s *Spec) maxEncodedBytes() int {
+	const (
+		fieldsBytes  = 512 // names and numbers of a step
+		indexBytes   = 20
+		escapedBytes = 6 // of one byte of text
+	)
+	size := fieldsBytes + escapedBytes*len(s.Payload)
+	for _, step := range s.Steps {
+		size += fieldsBytes + indexBytes*len(step.After) + escapedBytes*(len(step.Label)+len(step.DataRack)+len(step.Image))
+	}
+	return size
+}
+
 // OccurrenceCount returns the number of occurrences of the job. Each occurrence runs all steps once.
 func (s *Spec) OccurrenceCount() int { return max(1, s.Repeats) }
 
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -128,7 +128,7 @@
 
 // Task returns the task, or nil if the job has no such task.
 func (j *Job) Task(id TaskID) *Task {
-	if id.Occurrence >= len(j.Occurrences) || id.Step >= len(j.Occurrences[id.Occurrence].Steps) ||
+	if id.Occurrence < 0 || id.Step < 0 || id.Index < 0 || id.Occurrence >= len(j.Occurrences) || id.Step >= len(j.Occurrences[id.Occurrence].Steps) ||
 		id.Index >= len(j.Occurrences[id.Occurrence].Steps[id.Step].Tasks) {
 		return nil
 	}
@@ -287,10 +287,11 @@
 	s.Silences[silence.Agent] = *silence
 }
 
-// submit adds a copy of the submitted job. The submission itself is encoded into the log later. Without the copy, the encoded
+// submit adds a copy of the submitted job. A job of a shape that no owner records has no effect. The submission itself is encoded into
+// the log later. Without the copy, the encoded
 // submission would contain changes that were applied to the job in the meantime.
 func (s *State) submit(submitted *Job) {
-	if s.Jobs[submitted.ID] != nil {
+	if s.Jobs[submitted.ID] != nil || submitted.Spec.validateShape() != nil {
 		return
 	}
 	j := &Job{ID: submitted.ID, Queue: submitted.Queue, Spec: submitted.Spec, AcceptedMs: submitted.AcceptedMs}
--- a/internal/ownerconn/ownerconn.go
+++ b/internal/ownerconn/ownerconn.go
@@ -292,12 +292,18 @@
 
 // Conn returns the connection to the owner, or nil if there is none or the owner has resigned.
 func (f *Follower) Conn() *Conn {
+	conn, _ := f.ConnEpoch()
+	return conn
+}
+
+// ConnEpoch returns what Conn returns, and the epoch of that owner.
+func (f *Follower) ConnEpoch() (*Conn, int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.ownerResigned {
-		return nil
+		return nil, f.ownerEpoch
 	}
-	return f.conn
+	return f.conn, f.ownerEpoch
 }
 
 // OwnerHealthy reports whether this process is connected to an owner that confirmed its lease at most maxConfirmationAge ago,
