platform: an odd entry of another writer costs that entry alone

Operators of similar systems saw machines end again and again, or stop following a list, because of one odd entry in it.

Change: each place that decodes what others write checks ranges, ports, sizes, types and UTF-8, leaves out what it cannot use, counts it and logs it once. The worker confirms a new lifetime before the owner is told of it; the agent refutes an announced end of a lifetime.

--- a/internal/caslog/caslog.go
+++ b/internal/caslog/caslog.go
@@ -33,6 +33,8 @@
 	Nonce  string          `json:"nonce"` // unique to the append, so that a retry recognizes its own record
 	Time   time.Time       `json:"time"`  // writer's wall clock; informational only
 	Data   json.RawMessage `json:"data,omitempty"`
+	// Unreadable means that the position holds something that no writer of this log has written; only Seq is set. See SkipUnreadable.
+	Unreadable bool `json:"-"`
 }
 
 // State is the content of a log: the newest snapshot and the records after that snapshot.
@@ -57,6 +59,8 @@
 	prefix    string
 	writer    string
 	lastNonce atomic.Int64
+
+	skipUnreadable bool
 }
 
 // New returns a handle on the log at the key prefix. The writer ID must be unique to the process incarnation.
@@ -64,6 +68,10 @@
 	return &Log{st: st, prefix: strings.TrimSuffix(prefix, "/"), writer: writer}
 }
 
+// SkipUnreadable makes Read and Load return a position that another writer has filled as an Unreadable record instead of an error, so that
+// it does not make the log unusable. The epochs of the log must be positions in it.
+func (l *Log) SkipUnreadable() { l.skipUnreadable = true }
+
 // Writer returns the writer ID of the records appended through this handle.
 func (l *Log) Writer() string { return l.writer }
 
@@ -79,9 +87,12 @@
 		return 0, false
 	}
 	seq, err := strconv.ParseInt(digits, 10, 64)
-	return seq, err == nil
+	return seq, err == nil && l.recordKey(seq) == key
 }
 
+// firstSuffix makes a key the start of a range that begins after the key: keys of records all have the same length.
+const firstSuffix = "!"
+
 // Append writes rec at position rec.Seq and returns the record as written. It returns ErrConflict if the position holds
 // another writer's record, and another store error if the call had no effect. It returns store.ErrUncertain if the outcome is
 // unknown; a retry with the returned record resolves the outcome. Append fills in Nonce and Writer if Nonce is empty, so a
@@ -122,7 +133,7 @@
 func verifyOwnRecord(value []byte, rec Record) error {
 	var found Record
 	if err := json.Unmarshal(value, &found); err != nil {
-		return eris.Wrap(err, "decode record")
+		return ErrConflict
 	}
 	if found.Nonce == rec.Nonce && found.Writer == rec.Writer {
 		return nil
@@ -139,13 +150,18 @@
 // before the missing record and store.ErrCompacted.
 func (l *Log) Read(ctx context.Context, from int64) ([]Record, error) {
 	records := []Record{}
+	next := l.recordKey(from)
 	for {
-		kvs, _, err := l.st.List(ctx, l.recordKey(from+int64(len(records))), store.PrefixEnd(l.RecordPrefix()), recordsPerRead)
+		kvs, _, err := l.st.List(ctx, next, store.PrefixEnd(l.RecordPrefix()), recordsPerRead)
 		if err != nil {
 			return nil, err
 		}
 		for _, kv := range kvs {
-			rec, err := Decode(kv.Value)
+			next = kv.Key + firstSuffix
+			if _, ok := l.SeqOfKey(kv.Key); l.skipUnreadable && !ok {
+				continue
+			}
+			rec, err := l.decodeAt(kv, records)
 			if err != nil {
 				return nil, err
 			}
@@ -160,6 +176,24 @@
 	}
 }
 
+// decodeAt decodes a record that follows the previous ones. Of a log that skips unreadable records, a record whose position or epoch
+// cannot be right counts as unreadable.
+func (l *Log) decodeAt(kv store.KV, previous []Record) (Record, error) {
+	rec, err := Decode(kv.Value)
+	if !l.skipUnreadable {
+		return rec, err
+	}
+	seq, _ := l.SeqOfKey(kv.Key)
+	epoch := int64(0)
+	for i := len(previous) - 1; i >= 0 && epoch == 0; i-- {
+		epoch = previous[i].Epoch // 0: unreadable
+	}
+	if err != nil || rec.Seq != seq || rec.Epoch > seq || rec.Epoch < epoch {
+		return Record{Seq: seq, Unreadable: true}, nil
+	}
+	return rec, nil
+}
+
 // ReadKept returns all records that have not been compacted, in order.
 func (l *Log) ReadKept(ctx context.Context) ([]Record, error) {
 	kvs, _, err := l.st.List(ctx, l.recordKey(0), store.PrefixEnd(l.RecordPrefix()), 1)
@@ -218,6 +252,9 @@
 func assertEpochOrder(state State) {
 	epoch := int64(0)
 	for _, r := range state.Records {
+		if r.Unreadable {
+			continue
+		}
 		invariant.Check(r.Epoch >= epoch, "log_epoch_monotonic", "record %d has epoch %d after %d", r.Seq, r.Epoch, epoch)
 		epoch = r.Epoch
 	}
--- a/internal/caslog/snapshot.go
+++ b/internal/caslog/snapshot.go
@@ -19,6 +19,9 @@
 // per round trip, so that a snapshot is read faster as several chunks over several connections.
 const chunkBytes = 64 << 10
 
+// maxChunks bounds the chunks of a snapshot, so that a manifest of another writer cannot take any amount of memory.
+const maxChunks = 1 << 14
+
 // chunkReaders is the number of chunks that are read at the same time.
 const chunkReaders = 8
 
@@ -55,8 +58,13 @@
 		return manifest{}, err
 	}
 	m := manifest{modRevision: kv.ModRevision}
-	err = json.Unmarshal(kv.Value, &m)
-	return m, eris.Wrap(err, "decode snapshot manifest")
+	if err := json.Unmarshal(kv.Value, &m); err != nil {
+		return m, eris.Wrap(err, "decode snapshot manifest")
+	}
+	if m.Seq < 0 || m.Chunks < 0 || m.Chunks > maxChunks {
+		return m, eris.Errorf("snapshot manifest with %d chunks at position %d", m.Chunks, m.Seq)
+	}
+	return m, nil
 }
 
 // CheckNotCompacted checks a record that was appended after another writer may have compacted the log. It returns
--- a/internal/deployed/deployed.go
+++ b/internal/deployed/deployed.go
@@ -10,6 +10,7 @@
 	"os"
 	"runtime/debug"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -50,6 +51,23 @@
 	incarnation string
 }
 
+// newStore returns a client of the store that counts the items that cannot be decoded, and logs the first one of each key.
+func (p *process) newStore() *platform.Store {
+	var mu sync.Mutex
+	logged := map[string]bool{}
+	st := platform.NewStore(p.cfg.Store, p.network)
+	st.Unreadable = func(key string) {
+		p.metrics.Counter("store_items_unreadable").Inc(1)
+		mu.Lock()
+		defer mu.Unlock()
+		if !logged[key] {
+			logged[key] = true
+			events.StoreItemUnreadable.Log(&p.log).Str("key", key).Send()
+		}
+	}
+	return st
+}
+
 // RunProcess parses the command line, runs the components of an agent or entry until they end, and returns the exit code of the
 // process. isAgent tells whether the settings file is validated as that of an agent or of an entry.
 func RunProcess(name, description string, isAgent bool, components func(p *process) ([]app.Component, error)) int {
--- a/internal/deployed/front.go
+++ b/internal/deployed/front.go
@@ -52,7 +52,7 @@
 }
 
 func frontComponents(p *process) ([]app.Component, error) {
-	store := platform.NewStore(p.cfg.Store, p.network)
+	store := p.newStore()
 	front := &jobfront.Front{Log: p.log, Metrics: p.metrics, Manifest: &queues.CurrentManifest{}}
 	front.Follower = &ownerconn.Follower{Name: p.cfg.Name, Incarnation: p.incarnation, Log: p.log,
 		OwnerConnected: front.OwnerConnected, HandleMessage: front.HandleMessage}
--- a/internal/deployed/host.go
+++ b/internal/deployed/host.go
@@ -27,7 +27,7 @@
 }
 
 func hostComponents(p *process) ([]app.Component, error) {
-	st := platform.NewStore(p.cfg.Store, p.network)
+	st := p.newStore()
 	follower := &ownerconn.Follower{Name: p.cfg.Name, Incarnation: p.incarnation, Log: p.log}
 	agent := hostagent.New(hostagent.Config{
 		Log: p.log, Metrics: p.metrics, Runner: platform.NewRunner(p.cfg.Worker, p.network), Follower: follower,
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -8,6 +8,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
+	"strconv"
 	"sync"
 	"time"
 
@@ -38,6 +40,14 @@
 	Incarnation string `json:"incarnation"`
 }
 
+// NamesProcess reports whether the key names a process, with an address at which a process can be reached. Another writer may have left
+// something else.
+func (o *Owner) NamesProcess() bool {
+	_, port, err := net.SplitHostPort(o.Addr)
+	number, portErr := strconv.ParseUint(port, 10, 16)
+	return o.Incarnation != "" && err == nil && portErr == nil && number != 0
+}
+
 // Key is a handle on the owner's key in the store.
 type Key struct {
 	store store.Store
@@ -51,8 +61,9 @@
 	return &Key{store: st, name: name, clock: clock}
 }
 
-// Read returns the owner that the key names and the revision of the key. Revision 0 means that there is no owner. If the value
-// cannot be decoded, Read returns an empty Owner with the revision of the key.
+// Read returns the owner that the key names and the revision of the key. Revision 0 means that there is no owner. If the key is not one
+// that an owner writes, Read returns an empty Owner with the revision of the key: the value cannot be decoded, or the key has no lease
+// and would stay for ever.
 func (k *Key) Read(ctx context.Context) (Owner, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -66,8 +77,8 @@
 		return Owner{}, 0, err
 	}
 	var o Owner
-	if err := json.Unmarshal(kv.Value, &o); err != nil {
-		return Owner{}, kv.ModRevision, nil // an undecodable owner can be replaced like a dead one
+	if err := json.Unmarshal(kv.Value, &o); err != nil || kv.Lease == 0 {
+		return Owner{}, kv.ModRevision, nil
 	}
 	return o, kv.ModRevision, nil
 }
@@ -232,7 +243,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch {
-	case revision != 0 && owner.Incarnation != o.self.Incarnation:
+	case owner != (Owner{}) && owner.Incarnation != o.self.Incarnation:
 		return ErrTaken
 	case revision == 0 || revision != o.confirmedRevision:
 		return ErrNotHeld
@@ -281,8 +292,8 @@
 	switch {
 	case err != nil:
 		return err
-	case revision == 0 && !o.hasResigned(): // the store may remove the key without ending the lease
-		return o.acquire(ctx, 0)
+	case owner == Owner{} && !o.hasResigned(): // the store may remove the key without ending the lease, another writer may overwrite it
+		return o.acquire(ctx, revision)
 	case owner.Incarnation != o.self.Incarnation:
 		return ErrTaken
 	case revision != confirmedRevision && !o.hasResigned(): // written again, but the response or the check failed
@@ -298,7 +309,7 @@
 	if err != nil {
 		return err
 	}
-	if revision != 0 && owner.Incarnation != o.self.Incarnation {
+	if owner != (Owner{}) && owner.Incarnation != o.self.Incarnation {
 		return ErrTaken
 	}
 	return o.acquire(ctx, revision)
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -42,6 +42,7 @@
 	worker *session.Worker // latest registration; nil before the first; without a lifetime if none has come and the worker's port is closed
 	// departedLifetime is the newest lifetime of the worker that an earlier process of the agent has announced as over; 0: none.
 	departedLifetime int64
+	registration     registrationCheck
 	token            int64 // fencing token of this agent process; 0: not chosen yet
 	// tokenStepMs is added to the fencing token when the worker has seen a higher token.
 	tokenStepMs int64
@@ -152,32 +153,6 @@
 	return nil
 }
 
-// Register handles the registration of the worker. It ignores a registration from an earlier lifetime, because a delayed
-// registration may arrive after the worker has restarted.
-func (a *Agent) Register(worker session.Worker) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	previous := a.worker
-	if worker.Lifetime <= a.departedLifetime || previous != nil && (worker.Lifetime < previous.Lifetime ||
-		(worker.Lifetime == previous.Lifetime && previous.Gone && a.refusedConns == 0)) {
-		return
-	}
-	if previous != nil && worker.Lifetime == previous.Lifetime && previous.Draining {
-		worker.Draining = true // a draining worker stays draining until it restarts
-	}
-	a.worker = &worker
-	if previous == nil || previous.Lifetime != worker.Lifetime {
-		a.resetLifetime()
-		select {
-		case a.registered <- struct{}{}:
-		default:
-		}
-	}
-	if previous == nil || previous.Lifetime != worker.Lifetime || previous.Draining != worker.Draining {
-		a.signalReport()
-	}
-}
-
 // Unregister records that the worker has shut down, which ends all of its runs.
 func (a *Agent) Unregister(id string) {
 	a.mu.Lock()
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -242,6 +242,12 @@
 	if a.worker.Lifetime != workerID.Lifetime {
 		return nil
 	}
+	if resp.Lifetime != 0 && resp.Lifetime != workerID.Lifetime {
+		return &OtherLifetimeError{Lifetime: resp.Lifetime}
+	}
+	if a.checkPendingLifetime(resp.Lifetime, sentAt); a.worker.Lifetime != workerID.Lifetime {
+		return nil
+	}
 	if token == 0 || resp.Fenced {
 		// The worker's clock increases throughout its lifetime, so each agent process gets a higher token without a store.
 		// A call from a previous lifetime may have left a higher token. Doubling the step exceeds that token within a few calls.
@@ -253,9 +259,6 @@
 		events.WorkerLife.Log(&a.cfg.Log).Str("worker", workerID.ID).Int64("life", workerID.Lifetime).Int64("token", a.token).Send()
 		return nil
 	}
-	if resp.Lifetime != 0 && resp.Lifetime != workerID.Lifetime {
-		return ErrOtherLifetime
-	}
 	a.tokenStepMs = 1
 	a.recordClock(workerID.Lifetime, resp.ClockMs, sentAt)
 	a.reconcileRuns(&resp, sentAt)
@@ -387,6 +390,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.noteUnanswered(err)
 	if !a.workerUnreachable {
 		a.workerUnreachable = true
 		events.WorkerLost.Log(&a.cfg.Log).Err(err).Int("runs", len(a.runByTask)).Send()
@@ -470,7 +474,7 @@
 			a.reportedEndSeq = e.Seq
 		}
 	}
-	if a.worker != a.reportedWorker {
+	if a.worker != a.reportedWorker && (a.worker.Gone || a.clockMs != 0) { // the worker has confirmed the lifetime
 		message.Worker, a.reportedWorker = a.worker, a.worker
 	}
 	if !isComplete && message.Worker == nil && len(message.Ends) == 0 && len(message.Refused) == 0 {
--- a/internal/hostagent/runner.go
+++ b/internal/hostagent/runner.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"bamboofork/internal/jobs"
 	"bamboofork/internal/session"
@@ -25,6 +26,17 @@
 	ErrRejected = errors.New("the worker rejected the call")
 )
 
+// OtherLifetimeError is an ErrOtherLifetime with the lifetime in which the worker has answered.
+type OtherLifetimeError struct{ Lifetime int64 }
+
+// Error implements error.
+func (e *OtherLifetimeError) Error() string {
+	return fmt.Sprintf("%v: %d", ErrOtherLifetime, e.Lifetime)
+}
+
+// Is makes the error match ErrOtherLifetime.
+func (e *OtherLifetimeError) Is(target error) bool { return target == ErrOtherLifetime }
+
 // StartResult is the reason for which a worker did not start a run.
 type StartResult string
 
--- a/internal/jobowner/candidate.go
+++ b/internal/jobowner/candidate.go
@@ -89,6 +89,8 @@
 		return 0, "", false // the connected owner renews its lease or writes the key again
 	case revision == 0:
 		return 0, "no owner in the store", true
+	case !owner.NamesProcess():
+		return revision, "the owner's key names no process", true
 	case owner.Name == c.Self.Name:
 		return revision, "the key belongs to an earlier incarnation of this process", true
 	case c.Follower.OwnerStoreUnreachable(owner.Name):
--- a/internal/jobowner/departure.go
+++ b/internal/jobowner/departure.go
@@ -31,11 +31,17 @@
 	o.departures[agent] = departure{lifetime: lifetime, learned: boottime.Now(), number: o.departureCount}
 }
 
-// endRunsOfDepartedWorker ends the runs of the lifetime of a worker that has left, departureReportTimeout after that was learned.
+// endRunsOfDepartedWorker ends the runs of the lifetime of a worker that has left, departureReportTimeout after that was learned. An agent
+// that has listed the runs of its worker knows better than an entry in the store, which may come from another writer.
 func (o *Owner) endRunsOfDepartedWorker(agent string) {
-	if left := o.departures[agent]; left.lifetime != 0 && boottime.Now() >= left.learned+departureReportTimeout {
-		o.endRunsOfLifetime(agent, left.lifetime)
+	left := o.departures[agent]
+	if left.lifetime == 0 || boottime.Now() < left.learned+departureReportTimeout {
+		return
+	}
+	if member := o.members[agent]; member != nil && member.isReady() && member.worker != nil && !member.worker.Gone {
+		left.lifetime = min(left.lifetime, member.worker.Lifetime-1)
 	}
+	o.endRunsOfLifetime(agent, left.lifetime)
 }
 
 // unannouncedDepartures returns the departures that were not announced on the connection to the member yet.
--- a/internal/jobowner/hold_test.go
+++ b/internal/jobowner/hold_test.go
@@ -100,7 +100,7 @@
 	for lifetime := int64(6); lifetime <= 7; lifetime++ {
 		value, err := json.Marshal(Member{Name: "host-1", Addr: member.Addr, Agent: true, EndedLifetime: lifetime})
 		qt.Assert(t, err, qt.IsNil)
-		o.updateMember(t.Context(), &sync.WaitGroup{}, value)
+		o.updateMember(t.Context(), &sync.WaitGroup{}, store.KV{Key: MemberPrefix + "host-1", Value: value})
 		qt.Check(t, checkTimeoutsNow(o), qt.IsFalse, qt.Commentf("the last report may follow"))
 		left := o.departures["host-1"]
 		left.learned -= departureReportTimeout
@@ -118,7 +118,7 @@
 	member.Addr = "127.0.0.1:7000"
 	value, err := json.Marshal(map[string]any{"name": "host-1", "addr": member.Addr, "agent": true, "ended_lifetime": 7})
 	qt.Assert(t, err, qt.IsNil)
-	o.updateMember(t.Context(), &sync.WaitGroup{}, value)
+	o.updateMember(t.Context(), &sync.WaitGroup{}, store.KV{Key: MemberPrefix + "host-1", Value: value})
 	o.handleMessage(member, &session.FromMember{ReportSeq: 1, Worker: &session.Worker{Lifetime: 7, Gone: true},
 		Ends: []session.RunEnd{{Lifetime: 7, Seq: 1, Task: lastingTask, Run: 1, Outcome: jobs.EndDone}}})
 	task := o.jobsState.Jobs["aaaaaaaaaaaaaaaa"].Occurrences[0].Steps[0].Tasks[0]
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math"
 	"sync"
 	"time"
@@ -167,7 +166,7 @@
 	defer cancel()
 	kvs, revision, err := o.cfg.Store.List(callCtx, MemberPrefix, store.PrefixEnd(MemberPrefix), 0)
 	for _, kv := range kvs {
-		o.updateMember(ctx, wg, kv.Value)
+		o.updateMember(ctx, wg, kv)
 	}
 	return revision, err
 }
@@ -185,7 +184,7 @@
 	for batch := range batches {
 		for _, ev := range batch.Events {
 			if !ev.Deleted {
-				o.updateMember(ctx, wg, ev.KV.Value)
+				o.updateMember(ctx, wg, ev.KV)
 			}
 		}
 		if batch.Err != nil {
@@ -196,10 +195,9 @@
 
 // updateMember processes an announcement. If the announcement is new or has changed, updateMember starts a goroutine that
 // connects to the member.
-func (o *Owner) updateMember(ctx context.Context, wg *sync.WaitGroup, value []byte) {
-	var announced Member
-	if err := json.Unmarshal(value, &announced); err != nil || announced.Name == "" {
-		events.MemberUnreadable.Log(&o.cfg.Log).AnErr("cause", err).Send()
+func (o *Owner) updateMember(ctx context.Context, wg *sync.WaitGroup, kv store.KV) {
+	announced, ok := o.decodeMember(kv)
+	if !ok {
 		return
 	}
 	o.mu.Lock()
--- a/internal/jobowner/recovery.go
+++ b/internal/jobowner/recovery.go
@@ -34,6 +34,7 @@
 	loadTime      time.Duration
 	recordCount   int
 	snapshotBytes int
+	unreadable    []int64 // positions whose content is not that of a record of the jobs
 }
 
 // recordedEpoch is the epoch of an owner whose records follow the snapshot.
@@ -74,7 +75,8 @@
 		if err != nil {
 			return err
 		}
-		return r.applyRecords(records)
+		r.applyRecords(records)
+		return nil
 	}
 	loaded, err := r.jobLog.Load(ctx)
 	if err != nil {
@@ -86,17 +88,23 @@
 	}
 	r.snapshotBytes = len(loaded.Snapshot)
 	r.state, r.snapshotSeq, r.lastSeq, r.lastEpoch = state, loaded.SnapshotSeq, loaded.SnapshotSeq, loaded.SnapshotEpoch
-	r.epochs = nil
-	return r.applyRecords(loaded.Records)
+	r.epochs, r.unreadable = nil, nil
+	r.applyRecords(loaded.Records)
+	return nil
 }
 
-// applyRecords applies the changes in the records. A record that cannot be decoded makes the next attempt load the whole log.
-func (r *logRecovery) applyRecords(records []caslog.Record) error {
+// applyRecords applies the changes in the records. A position that another writer has filled has no effect, and owners of this version
+// all skip it. What its epoch has recorded then counts as incomplete.
+func (r *logRecovery) applyRecords(records []caslog.Record) {
 	for _, record := range records {
 		changes, err := decodeRecord(record)
-		if err != nil {
-			r.state = nil
-			return err
+		if err != nil || record.Unreadable {
+			r.unreadable = append(r.unreadable, record.Seq)
+			r.lastSeq = record.Seq
+			if len(r.epochs) > 0 {
+				r.epochs[len(r.epochs)-1].complete = false
+			}
+			continue
 		}
 		for _, change := range changes {
 			r.state.Apply(change)
@@ -108,7 +116,6 @@
 		r.lastSeq, r.lastEpoch = record.Seq, record.Epoch
 		r.recordCount++
 	}
-	return nil
 }
 
 // appendFence appends the fence after the newest record that has been loaded. It repeats the same write while its outcome is
--- a/internal/jobowner/silence_test.go
+++ b/internal/jobowner/silence_test.go
@@ -114,10 +114,11 @@
 
 // testTerm is the term of an earlier owner in the log.
 type testTerm struct {
-	heard     []string // agents whose reports it may have confirmed
-	isOld     bool     // the owner has an older version, which records no Term
-	snapshots bool     // it has replaced its records by a snapshot
-	isUnseen  bool     // no member has followed it
+	heard      []string // agents whose reports it may have confirmed
+	isOld      bool     // the owner has an older version, which records no Term
+	snapshots  bool     // it has replaced its records by a snapshot
+	isUnseen   bool     // no member has followed it
+	unreadable bool     // another writer has filled a position of its records
 }
 
 // Guards against a hold that is counted from too early, or from the start of the newest owner although the owners before it have not heard
@@ -138,6 +139,7 @@
 		{"the last owner has an older version", []testTerm{{heard: []string{"host-1"}}, {}, {isOld: true}}, 3},
 		{"records replaced by a snapshot", []testTerm{{heard: []string{"host-1"}}, {snapshots: true}}, 2},
 		{"records replaced before the last term", []testTerm{{heard: []string{"host-1"}, snapshots: true}, {}}, 1},
+		{"a position that cannot be read", []testTerm{{heard: []string{"host-1"}}, {unreadable: true}}, 2},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			st := memstore.New()
@@ -162,6 +164,11 @@
 				for _, agent := range term.heard {
 					write(epoch, jobs.Change{Heard: &jobs.Heard{Agent: agent, Epoch: epoch}})
 				}
+				if term.unreadable {
+					seq++
+					_, err := st.CompareAndSwap(t.Context(), fmt.Sprintf("jobs/log/%016d", seq), 0, []byte("{"), 0)
+					qt.Assert(t, err, qt.IsNil)
+				}
 				if term.snapshots {
 					qt.Assert(t, log.Snapshot(t.Context(), seq, epoch, []byte("[]"), seq+1), qt.IsNil)
 				}
--- a/internal/network/memnet/memnet.go
+++ b/internal/network/memnet/memnet.go
@@ -149,6 +149,9 @@
 
 // Dial implements network.Network. The handshake needs both directions; an address where nothing listens refuses the connection.
 func (p *Process) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	if _, err := netip.ParseAddrPort(addr); err != nil {
+		return nil, err
+	}
 	to := MachineOf(addr)
 	for {
 		n := p.network
--- a/internal/queues/queues.go
+++ b/internal/queues/queues.go
@@ -31,6 +31,9 @@
 	Version int64
 	Routes  []Route
 	Limits  Limits
+	// UnreadableRoutes is the number of routes that could not be decoded, and UnreadableCause the error of the first of them.
+	UnreadableRoutes int
+	UnreadableCause  error
 
 	routesByHost map[string][]*Route // routes by host, built by BuildIndex
 }
