hostagent: a start waits for the worker after a pause of the agent

Cause: an agent that goes on after a pause executed a start before it had heard from its worker, which had restarted under the same ID and accepted it; then it reported the end of the earlier lifetime, and the task was placed again.

Change: a start waits until the worker has responded within a second, and while a registration of a newer lifetime is not refuted. Acknowledgements did already.

TestStartAfterAPauseWaitsForTheWorker guards against it.

--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -47,7 +47,7 @@
 			a.mu.Unlock()
 			return
 		}
-		if a.workerUnreachable { // the worker may have restarted and would start the run in a lifetime that the agent does not know
+		if a.lifetimeInDoubt() { // the worker may have restarted and would start the run in a lifetime that the agent does not know
 			a.mu.Unlock()
 			app.Sleep(ctx, callRetryDelay)
 			continue
@@ -218,13 +218,12 @@
 	if token == 0 || len(a.unackedEnds) > 0 || a.recheckPending() {
 		waitMs = 0
 	}
-	if a.workerUnreachable || boottime.Now()-a.clockReadAt > maxAckAge {
+	if a.lifetimeInDoubt() {
 		// The worker may have restarted under the same ID, and then numbers its ends from the start again. An acknowledgement
-		// with a previous number would make the worker forget ends that were never read. If this process was paused, it has not
-		// noticed the restart.
+		// with a previous number would make the worker forget ends that were never read.
 		lastAckedEndSeq, waitMs = 0, 0
 	}
-	if token != 0 && a.grantedUntilMs > 0 && !a.workerUnreachable {
+	if token != 0 && a.grantedUntilMs > 0 && !a.workerUnreachable && a.registration.pending == nil {
 		deadlineMs = a.nextDeadlineMs() // the hold of an unreachable worker is not extended, so that its runs expire
 	}
 	a.mu.Unlock()
--- a/internal/hostagent/calls_test.go
+++ b/internal/hostagent/calls_test.go
@@ -168,3 +168,24 @@
 	qt.Check(t, a.worker, qt.DeepEquals, &registered)
 	qt.Check(t, a.refusedConns, qt.Equals, 0)
 }
+
+// Guards against a run in a lifetime that the agent does not know: the worker has restarted under the same ID while the agent was paused, and
+// the first thing that the agent does is to execute a start for the earlier lifetime. The task would then run again elsewhere.
+func TestStartAfterAPauseWaitsForTheWorker(t *testing.T) {
+	r := &scriptedRunner{script: []StartResult{Accepted}}
+	a := newTestAgent(r)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*callRetryDelay)
+	defer cancel()
+	a.mu.Lock()
+	a.clockReadAt = boottime.Now() - 2*maxAckAge
+	a.queueStart(&session.Start{Task: "j.0.0.0", Run: 1, Lifetime: 7, CPU: 1000})
+	queued := <-a.startQueue
+	a.mu.Unlock()
+	a.executeStart(ctx, queued)
+	qt.Check(t, r.calls(), qt.HasLen, 0)
+	a.mu.Lock()
+	a.clockReadAt = boottime.Now()
+	a.mu.Unlock()
+	a.executeStart(t.Context(), queued)
+	qt.Check(t, r.calls(), qt.DeepEquals, []string{"start"})
+}
--- a/internal/hostagent/registration.go
+++ b/internal/hostagent/registration.go
@@ -89,6 +89,13 @@
 	}
 }
 
+// lifetimeInDoubt reports whether the worker may be in another lifetime than the agent knows: it does not respond, has not responded since
+// this process was paused, or a registration that it has not refuted yet says so. It may have restarted under the same ID, and would then
+// execute calls that are meant for the earlier lifetime.
+func (a *Agent) lifetimeInDoubt() bool {
+	return a.workerUnreachable || a.registration.pending != nil || boottime.Now()-a.clockReadAt > maxAckAge
+}
+
 // sameDescription reports whether the registrations agree on what does not change in a lifetime.
 func sameDescription(a, b *session.Worker) bool {
 	return a.ID == b.ID && a.Service == b.Service && a.Zone == b.Zone && a.CPU == b.CPU && a.MemMB == b.MemMB && a.GPU == b.GPU &&
--- a/internal/hostagent/report_test.go
+++ b/internal/hostagent/report_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"bamboofork/internal/boottime"
 	"bamboofork/internal/ownerconn"
 	"bamboofork/internal/session"
 	"bamboofork/internal/telemetry"
@@ -19,7 +20,7 @@
 		MaxHoldDuration: 8 * time.Second, StopTimeout: 200 * time.Millisecond,
 	})
 	a.Register(session.Worker{ID: "i-1", Lifetime: 7, Service: "s", CPU: 16_000, MemMB: 1000})
-	a.activeListed, a.runsListed, a.token, a.clockMs = true, true, 1000, 1000
+	a.activeListed, a.runsListed, a.token, a.clockMs, a.clockReadAt = true, true, 1000, 1000, boottime.Now()
 	return a
 }
 
