jobs: all members of a gang start with one checkpoint

Cause: a start carried the checkpoint of its own task. Each member has a value of its own, and members wait for a gang that carries the same one.

Change: the placement of each member carries the checkpoint of the member that has saved most. It is part of the record, so a successor has it too.

--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -320,6 +320,9 @@
 func (o *Owner) place(assignment placement.Assignment) {
 	start := assignment.Place
 	id := jobs.TaskID{Job: assignment.Job.ID, Occurrence: start.Occ, Step: start.Step, Index: start.Index}
+	if assignment.Job.Spec.Steps[start.Step].Gang {
+		start.GangCheckpoint = assignment.Job.Occurrences[start.Occ].Steps[start.Step].GangCheckpoint()
+	}
 	o.apply(jobs.Change{JobID: assignment.Job.ID, Place: &start})
 	task := assignment.Job.Task(id)
 	task.PlacedMs, task.LastProgressMs, task.PacePercent = bootTimeMs(), bootTimeMs(), pacePercent(assignment.Pace)
--- a/internal/jobowner/report.go
+++ b/internal/jobowner/report.go
@@ -203,9 +203,7 @@
 
 // updateProgress stores the checkpoint and the progress of a run from a report.
 func (o *Owner) updateProgress(placed *placedTask, run *session.Run) {
-	if run.Checkpoint != "" {
-		placed.task.Checkpoint = run.Checkpoint
-	}
+	placed.task.SaveReported(run.Checkpoint)
 	slowed := placed.task.PacePercent < jobs.FullPacePercent // slow progress of a slowed run does not indicate a stalled worker
 	progressedMs := bootTimeMs()
 	if placed.task.LastProgressMs == 0 && !slowed {
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -44,7 +44,9 @@
 	Worker     string    `json:"w,omitempty"` // agent of the worker on which the newest run was placed
 	Lifetime   int64     `json:"l,omitempty"` // lifetime number of that worker when the run was placed
 	Checkpoint string    `json:"k,omitempty"` // newest checkpoint, from which the next run continues; empty: none
-	EndedMs    int64     `json:"e,omitempty"` // time in Unix milliseconds at which a waiting task began to wait again; 0: it was never placed
+	// CheckpointRank tells which member of a gang has the newest checkpoint, see rankOf; 0: not known.
+	CheckpointRank int   `json:"kr,omitempty"`
+	EndedMs        int64 `json:"e,omitempty"` // time in Unix milliseconds at which a waiting task began to wait again; 0: it was never placed
 
 	// PacePercent is the pace that was last sent for a placed task: the share of full speed, in percent.
 	PacePercent     int   `json:"-"`
@@ -196,6 +198,8 @@
 	Run      int    `json:"r"`
 	Worker   string `json:"w"`
 	Lifetime int64  `json:"l"`
+	// GangCheckpoint replaces the checkpoint of the task, because all members of a gang must start with one; "": none has saved any.
+	GangCheckpoint string `json:"c,omitempty"`
 }
 
 // End records how a run ended. The End must be durable before the worker receives the acknowledgement.
@@ -363,6 +367,9 @@
 	task.Stopping, task.StartMaybeSent, task.RunStarted, task.ProgressPercent, task.LastProgressMs, task.WaitingSinceMs =
 		false, false, false, 0, 0, 0
 	task.PacePercent, task.SlowSinceMs, task.EndedMs = FullPacePercent, 0, 0
+	if p.GangCheckpoint != "" {
+		task.Checkpoint, task.CheckpointRank = p.GangCheckpoint, rankOf(p.Run, checkpointOfStart)
+	}
 	j.Occurrences[p.Occ].Steps[p.Step].WaitingTasks--
 }
 
@@ -371,9 +378,7 @@
 	if task == nil || task.State != TaskPlaced || task.Run != e.Run {
 		return
 	}
-	if e.Checkpoint != "" {
-		task.Checkpoint = e.Checkpoint
-	}
+	task.saveCheckpoint(e.Checkpoint, checkpointOfEnd)
 	step := &j.Spec.Steps[e.Step]
 	stepState := &j.Occurrences[e.Occ].Steps[e.Step]
 	task.State, task.Stopping, task.EndedMs = TaskWaiting, false, e.AtMs
@@ -388,10 +393,48 @@
 	}
 }
 
+// checkpointSource says how the newest checkpoint of a task became known.
+type checkpointSource int
+
+// Sources of a checkpoint, in the order of its age in a run: the members of a gang work at the same time, so what a member has saved at its end
+// is at least as new as what another has reported before.
+const (
+	checkpointOfStart checkpointSource = iota
+	checkpointOfReport
+	checkpointOfEnd
+	checkpointSources
+)
+
+// rankOf returns a number that rises with the order in which the checkpoints of a gang were saved.
+func rankOf(run int, source checkpointSource) int { return run*int(checkpointSources) + int(source) }
+
+// SaveReported stores a checkpoint that the task's newest run has reported; "": none.
+func (t *Task) SaveReported(checkpoint string) { t.saveCheckpoint(checkpoint, checkpointOfReport) }
+
+// saveCheckpoint stores a checkpoint of the task's newest run; "": none. The checkpoint with which the run was started keeps its rank.
+func (t *Task) saveCheckpoint(checkpoint string, source checkpointSource) {
+	if checkpoint == "" || checkpoint == t.Checkpoint && t.CheckpointRank <= rankOf(t.Run, checkpointOfStart) {
+		return
+	}
+	t.Checkpoint, t.CheckpointRank = checkpoint, max(t.CheckpointRank, rankOf(t.Run, source))
+}
+
+// GangCheckpoint returns the checkpoint from which all members of the gang continue, the newest that a member has saved. A value of any
+// member is valid for the whole gang.
+func (s *StepState) GangCheckpoint() string {
+	checkpoint, rank := "", 0
+	for i := range s.Tasks {
+		if t := &s.Tasks[i]; t.Checkpoint != "" && (checkpoint == "" || t.CheckpointRank > rank) {
+			checkpoint, rank = t.Checkpoint, t.CheckpointRank
+		}
+	}
+	return checkpoint
+}
+
 // completeTask marks the task as done. It completes the step, the occurrence and the job where this was their last task.
 func (j *Job) completeTask(e *End, task *Task, stepState *StepState) {
 	task.State = TaskDone
-	task.Checkpoint, task.EndedMs = "", 0
+	task.Checkpoint, task.CheckpointRank, task.EndedMs = "", 0, 0
 	stepState.DoneTasks++
 	if j.Spec.Steps[e.Step].Gang {
 		for i := range stepState.Tasks { // one task that is done completes the whole gang
@@ -399,7 +442,7 @@
 				if member.State == TaskWaiting {
 					stepState.WaitingTasks--
 				}
-				member.State, member.Checkpoint, member.EndedMs = TaskDone, "", 0
+				member.State, member.Checkpoint, member.CheckpointRank, member.EndedMs = TaskDone, "", 0, 0
 				stepState.DoneTasks++
 			}
 		}
