jobowner: a job is pending until a worker has begun a run of it

Cause: a job counted as started when a task of it was placed.

Change: it counts as begun when a worker has confirmed a run. That is durable with the end of the run; a new owner learns it from the agent until then.

--- a/internal/jobowner/report.go
+++ b/internal/jobowner/report.go
@@ -107,7 +107,7 @@
 		Int64("ran_ms", bootTimeMs()-placed.task.PlacedMs).Str("why", reason).Send()
 	o.apply(jobs.Change{JobID: placed.job.ID, End: &jobs.End{
 		Occ: placed.id.Occurrence, Step: placed.id.Step, Index: placed.id.Index, Run: placed.task.Run, Outcome: outcome,
-		Checkpoint: checkpoint, AtMs: wallTimeMs(),
+		Checkpoint: checkpoint, AtMs: wallTimeMs(), HasBegun: placed.task.RunStarted,
 	}})
 	if placed.job.Ended() {
 		o.cleanUpJob(placed.job)
@@ -204,6 +204,7 @@
 // updateProgress stores the checkpoint and the progress of a run from a report.
 func (o *Owner) updateProgress(placed *placedTask, run *session.Run) {
 	placed.task.SaveReported(run.Checkpoint)
+	placed.job.HasBegun = placed.job.HasBegun || run.Started
 	slowed := placed.task.PacePercent < jobs.FullPacePercent // slow progress of a slowed run does not indicate a stalled worker
 	progressedMs := bootTimeMs()
 	if placed.task.LastProgressMs == 0 && !slowed {
--- a/internal/jobowner/requests.go
+++ b/internal/jobowner/requests.go
@@ -154,11 +154,12 @@
 	reply(session.Reply{Code: session.CodeRejected, RetryMs: storeRetryAfterMs, Reason: "owner in doubt"})
 }
 
-// pendingJobs returns the number of durable jobs in the queue that have not started.
+// pendingJobs returns the number of durable jobs in the queue of which no run is known to have begun on a worker. A job whose tasks are
+// placed, and whose starts were not confirmed or were refused, is pending.
 func (o *Owner) pendingJobs(queue string) int {
 	n := 0
 	for _, job := range o.activeJobs {
-		if job.Queue.Name == queue && job.IsDurable && !job.HasStarted {
+		if job.Queue.Name == queue && job.IsDurable && !job.HasBegun {
 			n++
 		}
 	}
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -102,6 +102,9 @@
 	LastEndMs   int64        `json:"le,omitempty"` // time of the newest end of a run in Unix milliseconds; 0: none has ended
 	Occurrences []Occurrence `json:"oc"`
 
+	// HasBegun is true once a worker has confirmed that a run began. It is durable with the end of that run; until then a new owner learns
+	// it from the agent.
+	HasBegun            bool `json:"bg,omitempty"`
 	HasStarted          bool `json:"-"` // a task has been placed at least once
 	doneOccurrenceCount int  // number of occurrences whose steps are all done
 	// IdleSinceMs is the time on the owner's boot clock since which no task of the job is placed; 0: a task is placed.
@@ -211,6 +214,7 @@
 	Outcome    Outcome `json:"h"`
 	Checkpoint string  `json:"c,omitempty"`
 	AtMs       int64   `json:"t,omitempty"`
+	HasBegun   bool    `json:"bg,omitempty"` // the worker had confirmed that the run began
 }
 
 // Silence records that the owner of an epoch hears nothing from an agent. From the Silence until its end is durable, that owner
@@ -333,6 +337,7 @@
 				if task.Run > 0 {
 					j.HasStarted = true
 				}
+				j.HasBegun = j.HasBegun || task.State == TaskDone || task.Failures > 0 || task.Checkpoint != ""
 			}
 			if stepState.DoneTasks == len(stepState.Tasks) {
 				occurrence.DoneSteps++
@@ -379,6 +384,7 @@
 		return
 	}
 	task.saveCheckpoint(e.Checkpoint, checkpointOfEnd)
+	j.HasBegun = j.HasBegun || e.HasBegun || e.Outcome != EndLost
 	step := &j.Spec.Steps[e.Step]
 	stepState := &j.Occurrences[e.Occ].Steps[e.Step]
 	task.State, task.Stopping, task.EndedMs = TaskWaiting, false, e.AtMs
