--- a/internal/jobowner/commit.go
+++ b/internal/jobowner/commit.go
@@ -165,8 +165,12 @@
 	o.cfg.Metrics.Counter("owner_changes").Inc(int64(len(changes)))
 	if snapshot != nil {
 		o.snapshotSeq = lastSeq
-		o.repeatSilences()
-		go o.writeSnapshot(ctx, lastSeq, snapshot)
+		write := func() { go o.writeSnapshot(ctx, lastSeq, snapshot) }
+		if o.repeatSilences() {
+			o.pendingEffects = append(o.pendingEffects, write) // once they are durable: a successor may find nothing but the snapshot
+		} else {
+			write()
+		}
 	}
 	return true, nil
 }
--- a/internal/jobowner/silence.go
+++ b/internal/jobowner/silence.go
@@ -219,7 +219,7 @@
 }
 
 // recordsUntilSnapshot returns the number of records after which a snapshot replaces them. It is higher during silences, which are not part
-// of a snapshot: a successor that finds the snapshot before they are recorded again would count the holds anew.
+// of a snapshot and have to be recorded again for it.
 func (o *Owner) recordsUntilSnapshot() int64 {
 	const factorDuringSilences = 4
 	if len(o.silences) > 0 {
@@ -228,13 +228,16 @@
 	return o.cfg.recordsPerSnapshot()
 }
 
-// repeatSilences queues the records of the silences again, after a snapshot that does not contain them.
-func (o *Owner) repeatSilences() {
+// repeatSilences queues the records of the silences again, for a snapshot that does not contain them. It reports whether there are any.
+func (o *Owner) repeatSilences() bool {
+	repeated := false
 	for agent, silence := range o.silences {
 		if !silence.ending {
+			repeated = true
 			o.apply(jobs.Change{Silence: &jobs.Silence{Agent: agent, Epoch: o.epoch, Number: silence.number}})
 		}
 	}
+	return repeated
 }
 
 // unannouncedSilences returns the silences that were not announced on the connection to the agent yet.
--- a/internal/jobowner/silence_test.go
+++ b/internal/jobowner/silence_test.go
@@ -203,3 +203,29 @@
 	o.handleMessage(member, &session.FromMember{ReportSeq: 4})
 	qt.Check(t, o.pendingChanges, qt.HasLen, 0)
 }
+
+// Guards against a hold that is counted anew because a successor finds a snapshot, and the silences that have to be recorded again after it
+// were not written: the store refused the owner in between.
+func TestSnapshotIsWrittenAfterTheSilencesAreRecordedAgain(t *testing.T) {
+	o, _ := ownerWithSilentAgent(t)
+	o.cfg.RecordsPerSnapshot = 1
+	o.startedAt = boottime.Now() - 10*time.Second // no predecessor can append
+	snapshotSeq := func() int64 {
+		time.Sleep(50 * time.Millisecond)
+		state, err := o.jobLog.Load(t.Context())
+		qt.Assert(t, err, qt.IsNil)
+		return state.SnapshotSeq
+	}
+	for o.snapshotSeq == 0 {
+		o.apply(submitChange(fmt.Sprint("job-", o.lastRecordSeq)))
+		mustCommit(t, o)
+	}
+	qt.Check(t, snapshotSeq(), qt.Equals, int64(0))
+	mustCommit(t, o)
+	qt.Check(t, snapshotSeq(), qt.Equals, o.snapshotSeq)
+	state, err := o.jobLog.Load(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	changes, err := decodeRecord(state.Records[0])
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, changes[0].Silence.Agent, qt.Equals, "host-1")
+}
