One piece of code where this change had written two

No change of behaviour but one: while starts wait for the agent to acknowledge earlier ones and the lease is not valid, they end with the next commit instead of the next heartbeat, as all queued starts did before they had a window.

--- a/internal/caslog/caslog.go
+++ b/internal/caslog/caslog.go
@@ -69,7 +69,8 @@
 }
 
 // SkipUnreadable makes Read and Load return a position that another writer has filled as an Unreadable record instead of an error, so that
-// it does not make the log unusable. The epochs of the log must be positions in it.
+// it does not make the log unusable. The epochs of the log must be positions in it: a record whose position or epoch cannot be right is
+// Unreadable, too.
 func (l *Log) SkipUnreadable() { l.skipUnreadable = true }
 
 // Writer returns the writer ID of the records appended through this handle.
@@ -150,7 +151,7 @@
 // before the missing record and store.ErrCompacted.
 func (l *Log) Read(ctx context.Context, from int64) ([]Record, error) {
 	records := []Record{}
-	next := l.recordKey(from)
+	next, lastEpoch := l.recordKey(from), int64(0)
 	for {
 		kvs, _, err := l.st.List(ctx, next, store.PrefixEnd(l.RecordPrefix()), recordsPerRead)
 		if err != nil {
@@ -158,10 +159,18 @@
 		}
 		for _, kv := range kvs {
 			next = kv.Key + firstSuffix
-			if _, ok := l.SeqOfKey(kv.Key); l.skipUnreadable && !ok {
-				continue
+			rec, err := Decode(kv.Value)
+			if l.skipUnreadable {
+				seq, isRecord := l.SeqOfKey(kv.Key)
+				if !isRecord {
+					continue
+				}
+				if err != nil || rec.Seq != seq || rec.Epoch > seq || rec.Epoch < lastEpoch {
+					rec, err = Record{Seq: seq, Unreadable: true}, nil
+				} else {
+					lastEpoch = rec.Epoch
+				}
 			}
-			rec, err := l.decodeAt(kv, records)
 			if err != nil {
 				return nil, err
 			}
@@ -176,24 +185,6 @@
 	}
 }
 
-// decodeAt decodes a record that follows the previous ones. Of a log that skips unreadable records, a record whose position or epoch
-// cannot be right counts as unreadable.
-func (l *Log) decodeAt(kv store.KV, previous []Record) (Record, error) {
-	rec, err := Decode(kv.Value)
-	if !l.skipUnreadable {
-		return rec, err
-	}
-	seq, _ := l.SeqOfKey(kv.Key)
-	epoch := int64(0)
-	for i := len(previous) - 1; i >= 0 && epoch == 0; i-- {
-		epoch = previous[i].Epoch // 0: unreadable
-	}
-	if err != nil || rec.Seq != seq || rec.Epoch > seq || rec.Epoch < epoch {
-		return Record{Seq: seq, Unreadable: true}, nil
-	}
-	return rec, nil
-}
-
 // ReadKept returns all records that have not been compacted, in order.
 func (l *Log) ReadKept(ctx context.Context) ([]Record, error) {
 	kvs, _, err := l.st.List(ctx, l.recordKey(0), store.PrefixEnd(l.RecordPrefix()), 1)
--- a/internal/deployed/deployed.go
+++ b/internal/deployed/deployed.go
@@ -10,7 +10,6 @@
 	"os"
 	"runtime/debug"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -53,15 +52,11 @@
 
 // newStore returns a client of the store that counts the items that cannot be decoded, and logs the first one of each key.
 func (p *process) newStore() *platform.Store {
-	var mu sync.Mutex
-	logged := map[string]bool{}
+	var logged events.Once
 	st := platform.NewStore(p.cfg.Store, p.network)
 	st.Unreadable = func(key string) {
 		p.metrics.Counter("store_items_unreadable").Inc(1)
-		mu.Lock()
-		defer mu.Unlock()
-		if !logged[key] {
-			logged[key] = true
+		if logged.First(key) {
 			events.StoreItemUnreadable.Log(&p.log).Str("key", key).Send()
 		}
 	}
--- a/internal/deployed/large_lists_test.go
+++ b/internal/deployed/large_lists_test.go
@@ -26,35 +26,26 @@
 // Guards against tasks that run again after they were done: more runs than a worker lists at a time end while its agent is away, and the
 // restarted agent takes the first ends for all of them.
 func TestEndsBeyondTheFirstListAreNotLost(t *testing.T) {
-	for phase := range 2 {
-		t.Run(fmt.Sprint(phase), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				f := newVirtualFleet(t, uint64(phase))
-				time.Sleep(time.Second)
-				job := f.wideJob(3600, 24, "x", 6*time.Second) // 600 on each worker
-				qt.Assert(t, f.submit(job, f.entries[0]), qt.Equals, http.StatusOK)
-				time.Sleep(5 * time.Second)
-				qt.Check(t, f.checker.StartCount(), qt.Equals, job.taskCount)
-				owner := f.owner()
-				for i, m := range f.hosts {
-					if m != owner {
-						f.kill(m, false)
-						f.after(2*time.Second+time.Duration(i*5+phase)*13*time.Millisecond, func() { f.restart(m) })
-					}
-				}
-				f.runScheduled(time.Now().Add(10 * time.Second))
-				_, state := f.get(job, f.entries[0])
-				qt.Check(t, state, qt.Equals, "completed")
-				qt.Check(t, f.checker.StartCount(), qt.Equals, job.taskCount)
-				f.close()
-				qt.Check(t, f.checker.Violations(), qt.HasLen, 0)
-				if t.Failed() {
-					f.writeLogs(uint64(phase))
-				}
-			})
-		})
-	}
+	playPhases(t, 2, func(t *testing.T, phase uint64) {
+		f := newVirtualFleet(t, phase)
+		time.Sleep(time.Second)
+		job := f.wideJob(3600, 24, "x", 6*time.Second) // 600 on each worker
+		qt.Assert(t, f.submit(job, f.entries[0]), qt.Equals, http.StatusOK)
+		time.Sleep(5 * time.Second)
+		qt.Check(t, f.checker.StartCount(), qt.Equals, job.taskCount)
+		owner := f.owner()
+		for i, m := range f.hosts {
+			if m != owner {
+				f.kill(m, false)
+				f.after(2*time.Second+time.Duration(i*5+int(phase))*13*time.Millisecond, func() { f.restart(m) })
+			}
+		}
+		f.runScheduled(time.Now().Add(10 * time.Second))
+		_, state := f.get(job, f.entries[0])
+		qt.Check(t, state, qt.Equals, "completed")
+		qt.Check(t, f.checker.StartCount(), qt.Equals, job.taskCount)
+		f.closeAndCheck(phase)
+	})
 }
 
 // Guards against starts that are never executed because they are sent in one message that the agent refuses for its size, and against
@@ -81,10 +72,6 @@
 			_, state := f.get(job, f.entries[0])
 			qt.Check(t, state, qt.Equals, "completed")
 		}
-		f.close()
-		qt.Check(t, f.checker.Violations(), qt.HasLen, 0)
-		if t.Failed() {
-			f.writeLogs(1)
-		}
+		f.closeAndCheck(1)
 	})
 }
--- a/internal/deployed/lost_host_test.go
+++ b/internal/deployed/lost_host_test.go
@@ -59,17 +59,22 @@
 // Guards against perpetual tasks that stay away for a hold because the host of the owner is lost without notice together with its worker,
 // which is a change of the owner and a lost worker at once.
 func TestTasksBesideALostOwnerRunAgain(t *testing.T) {
-	for seed := range uint64(8) {
+	playPhases(t, 8, func(t *testing.T, seed uint64) {
+		f := newVirtualFleet(t, seed)
+		perpetual, _ := f.startPerpetualJobs()
+		time.Sleep(time.Duration(seed) * 50 * time.Millisecond) // phases of the renewals of the lease
+		owner := f.ownerWithTasks()
+		f.loseHost(owner)
+		f.checkRunningAfter(seed, perpetual, lostTaskLimit)
+	})
+}
+
+// playPhases runs the test in virtual time for each of the seeds from 0.
+func playPhases(t *testing.T, seeds uint64, play func(t *testing.T, seed uint64)) {
+	for seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				f := newVirtualFleet(t, seed)
-				perpetual, _ := f.startPerpetualJobs()
-				time.Sleep(time.Duration(seed) * 50 * time.Millisecond) // phases of the renewals of the lease
-				owner := f.ownerWithTasks()
-				f.loseHost(owner)
-				f.checkRunningAfter(seed, perpetual, lostTaskLimit)
-			})
+			synctest.Test(t, func(t *testing.T) { play(t, seed) })
 		})
 	}
 }
@@ -101,6 +106,11 @@
 	for _, job := range perpetual {
 		qt.Check(f.t, f.checker.RunningTaskCount(job.id), qt.Equals, job.taskCount)
 	}
+	f.closeAndCheck(seed)
+}
+
+// closeAndCheck ends the fleet of the seed, checks that the workers observed no violation, and keeps the logs if the test has failed.
+func (f *virtualFleet) closeAndCheck(seed uint64) {
 	f.close()
 	qt.Check(f.t, f.checker.Violations(), qt.HasLen, 0)
 	if f.t.Failed() {
--- a/internal/deployed/odd_entries_test.go
+++ b/internal/deployed/odd_entries_test.go
@@ -39,9 +39,7 @@
 					f.store.Put(jobowner.MemberPrefix+m.cfg.Name, announced)
 					f.runScheduled(time.Now().Add(2 * time.Second))
 				}
-				owner := f.owner()
-				f.kill(owner, false)
-				f.after(ownerOutage, func() { f.restart(owner) })
+				killOwner(f)
 				f.runScheduled(time.Now().Add(4 * time.Second))
 				job := &virtualJob{id: fmt.Sprintf("%c%015x", shortJob, i), taskCount: 2, body: `{"spec":"x","steps":[{"count":2,"cpu":2000,"mem_mb":100,"estimate_ms":300}]}`}
 				qt.Check(t, f.submit(job, f.entries[0]), qt.Equals, http.StatusOK)
--- a/internal/deployed/virtual_takeovers_test.go
+++ b/internal/deployed/virtual_takeovers_test.go
@@ -19,8 +19,10 @@
 // ownerOutage is how long an owner that is replaced stays away.
 const ownerOutage = 1800 * time.Millisecond
 
-func killOwner(f *virtualFleet) {
-	m := f.owner()
+func killOwner(f *virtualFleet) { f.killForOutage(f.owner()) }
+
+// killForOutage ends the process of a machine at once and starts it again after ownerOutage.
+func (f *virtualFleet) killForOutage(m *virtualMachine) {
 	f.kill(m, false)
 	f.after(ownerOutage, func() { f.restart(m) })
 }
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -276,7 +276,7 @@
 		a.lastCommandSeq = message.Seq
 	}
 	if message.AckNow {
-		conn.Send(session.FromMember{AckSeq: a.lastCommandSeq, BestEffortPaused: a.paceLimitPercent < 100})
+		conn.Send(a.emptyReport())
 	}
 	a.applyAck(message)
 }
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -462,8 +462,8 @@
 func (a *Agent) sendReport(conn *ownerconn.Conn, isComplete bool) {
 	isFirst := a.bindOwner(conn)
 	isComplete = isFirst || isComplete
-	message := session.FromMember{AckSeq: a.lastCommandSeq, Refused: a.unreportedRefusals, BestEffortPaused: a.paceLimitPercent < 100}
-	a.unreportedRefusals = nil
+	message := a.emptyReport()
+	message.Refused, a.unreportedRefusals = a.unreportedRefusals, nil
 	if isFirst {
 		message.Suspicion = a.suspicionForOwner()
 	}
@@ -498,6 +498,11 @@
 	}
 }
 
+// emptyReport returns a message that tells only what each report does.
+func (a *Agent) emptyReport() session.FromMember {
+	return session.FromMember{AckSeq: a.lastCommandSeq, BestEffortPaused: a.paceLimitPercent < 100}
+}
+
 // runList returns all runs. The first list on a connection also tells a new owner for how long each run has made no progress. Time in
 // which the worker has listed nothing does not count, because this process may have been paused.
 func (a *Agent) runList(isFirst bool) []session.Run {
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -169,8 +169,8 @@
 }
 
 // sendUntilReply sends the request on each new connection to an owner until a reply arrives, the wait has expired, maxOwnersPerRequest
-// owners have been replaced or ctx is done. A refusal counts only if it arrives on the connection on which the request was sent last: an earlier owner does not know
-// what its successor does with the request. It returns the result and how often the request was sent.
+// owners have been replaced or ctx is done. A refusal counts only if it arrives on the connection on which the request was sent last: an
+// earlier owner does not know what its successor does with the request. It returns the result and how often the request was sent.
 func (f *Front) sendUntilReply(ctx context.Context, request *session.Request, wait time.Duration) (Result, int) {
 	request.ID = f.lastRequestID.Add(1)
 	replyChannel := make(chan ownerReply, maxQueuedReplies)
--- a/internal/jobowner/announcement.go
+++ b/internal/jobowner/announcement.go
@@ -9,12 +9,10 @@
 	"github.com/rotisserie/eris"
 
 	"bamboofork/internal/events"
+	"bamboofork/internal/session"
 	"bamboofork/internal/store"
 )
 
-// maxLifetimeAhead is how far in the future the start of a worker's lifetime may lie by the local clock. It covers clocks that jump.
-const maxLifetimeAhead = 24 * time.Hour
-
 // decodeMember decodes an announcement. Other writers may have left values under MemberPrefix, so it returns an error unless the key
 // belongs to the name, and the address and the numbers can be those of a member. now is the local wall-clock time.
 func decodeMember(key string, value []byte, now time.Time) (Member, error) {
@@ -31,7 +29,7 @@
 		return Member{}, eris.Wrap(err, "address of the announcement")
 	case addr.Port() == 0:
 		return Member{}, eris.Errorf("address %s has no port", announced.Addr)
-	case announced.EndedLifetime < 0 || announced.EndedLifetime > now.Add(maxLifetimeAhead).UnixMilli():
+	case announced.EndedLifetime < 0 || announced.EndedLifetime > now.Add(session.MaxLifetimeAhead).UnixMilli():
 		return Member{}, eris.Errorf("ended lifetime %d", announced.EndedLifetime)
 	case announced.MaxHoldBesideOwnerMs < 0:
 		return Member{}, eris.Errorf("hold of %d ms", announced.MaxHoldBesideOwnerMs)
@@ -39,15 +37,14 @@
 	return announced, nil
 }
 
-// decodeMember decodes an announcement. It counts those that cannot be used, and logs the first one of each key.
-func (o *Owner) decodeMember(kv store.KV) (Member, bool) {
+// readAnnouncement decodes an announcement. It counts those that cannot be used, and logs the first one of each key.
+func (o *Owner) readAnnouncement(kv store.KV) (Member, bool) {
 	announced, err := decodeMember(kv.Key, kv.Value, time.Now())
 	if err == nil {
 		return announced, true
 	}
 	o.cfg.Metrics.Counter("owner_members_unreadable").Inc(1)
-	if !o.unreadableMembers[kv.Key] {
-		o.unreadableMembers[kv.Key] = true
+	if o.unreadableMembers.First(kv.Key) {
 		events.MemberUnreadable.Log(&o.cfg.Log).Str("key", kv.Key).Int64("revision", kv.ModRevision).AnErr("cause", err).Send()
 	}
 	return Member{}, false
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -14,6 +13,7 @@
 	"bamboofork/internal/events"
 	"bamboofork/internal/jobs"
 	"bamboofork/internal/network"
+	"bamboofork/internal/ownerconn"
 	"bamboofork/internal/placement"
 	"bamboofork/internal/session"
 	"bamboofork/internal/store"
@@ -62,8 +62,7 @@
 	sentSuspicion      placement.Suspicion
 	blockedUntil       time.Duration // boot time before which nothing is placed here, after a refused start
 
-	runList         session.RunList // the parts of a list of runs that have arrived on this connection
-	oversizedLogged bool            // a dropped message of this connection was logged
+	runList session.RunList // the parts of a list of runs that have arrived on this connection
 
 	// Commands queued for the next messages to the member.
 	starts []session.Start
@@ -72,11 +71,11 @@
 	runResources []session.Start
 	paces        []session.Pace
 	startTasks   []*placedTask // tasks of starts, in the same order
-	// unackedStarts are the messages with starts that the agent has not acknowledged on this connection, oldest first.
+	// unackedStarts are the starts that the agent has not acknowledged on this connection, oldest first.
 	unackedStarts []sentStarts
 }
 
-// sentStarts is a message with starts: its number, and the size of the starts in bytes.
+// sentStarts are starts that were sent together: the number of the last message with them, and their size in bytes.
 type sentStarts struct {
 	seq   int64
 	bytes int
@@ -86,17 +85,17 @@
 // the connection may be idle.
 const maxUnackedStartBytes = 512 << 10
 
-// sendableStarts returns the number of queued starts that may be sent now. One is sent whatever its size if none is on the way.
-func (m *memberView) sendableStarts() int {
+// sendableStarts returns the number of queued starts that may be sent now, and their size. One is sent whatever its size if none is on the way.
+func (m *memberView) sendableStarts() (count, bytes int) {
 	window := maxUnackedStartBytes
 	for _, sent := range m.unackedStarts {
 		window -= sent.bytes
 	}
-	count, _ := session.StartsWithin(m.starts, window)
+	count, bytes = session.StartsWithin(m.starts, window)
 	if count == 0 && len(m.starts) > 0 && len(m.unackedStarts) == 0 {
-		return 1
+		return 1, m.starts[0].Msgsize()
 	}
-	return count
+	return count, bytes
 }
 
 // handleCommandAck notes that the agent has processed the commands up to the number, and reports whether starts that are queued may be sent.
@@ -196,7 +195,7 @@
 // updateMember processes an announcement. If the announcement is new or has changed, updateMember starts a goroutine that
 // connects to the member.
 func (o *Owner) updateMember(ctx context.Context, wg *sync.WaitGroup, kv store.KV) {
-	announced, ok := o.decodeMember(kv)
+	announced, ok := o.readAnnouncement(kv)
 	if !ok {
 		return
 	}
@@ -274,7 +273,7 @@
 	member.close()
 	member.conn, member.runsListed, member.commandSeq, member.sentAckSeq, member.lastPollSeq = c, false, 0, 0, 0
 	member.announcedSilence, member.announcedDeparture, member.sentSuspicion = 0, 0, placement.Suspicion{}
-	member.runList, member.unackedStarts, member.oversizedLogged = session.RunList{}, nil, false
+	member.runList, member.unackedStarts = session.RunList{}, nil
 	for _, placed := range o.placedByAgent[member.Name] {
 		placed.task.CommandSeq = 0 // the first list of runs on this connection reflects all earlier commands
 	}
@@ -364,7 +363,7 @@
 // if evenIfEmpty is set. The runs of start commands that cannot be sent end as lost.
 func (o *Owner) sendCommands(member *memberView, evenIfEmpty bool) {
 	silences, departures := o.unannouncedSilences(member), o.unannouncedDepartures(member)
-	if !evenIfEmpty && len(silences)+len(departures) == 0 && !member.hasQueuedCommands() {
+	if !evenIfEmpty && len(silences)+len(departures)+len(member.starts) == 0 && !member.hasQueuedCommands() {
 		return
 	}
 	leaseValid := o.ownership.LeaseValid()
@@ -376,11 +375,11 @@
 		return
 	}
 	o.dropObsoleteStarts(member)
-	if dropped := member.conn.OversizedCount(); dropped > 0 && !member.oversizedLogged {
-		member.oversizedLogged = true
-		events.MessageTooLarge.Log(&o.cfg.Log).Str("to", member.Name).Int64("dropped", dropped).Send()
+	startCount, startBytes := member.sendableStarts()
+	if !evenIfEmpty && len(silences)+len(departures)+startCount == 0 && !member.hasQueuedCommands() {
+		return // the queued starts wait for the agent to acknowledge earlier ones
 	}
-	startCount := member.sendableStarts()
+	ownerconn.LogOversized(&o.cfg.Log, member.Name, member.conn)
 	msg := session.ToMember{LeaseValid: leaseValid, StoreUnreachable: o.storeStalled(), Starts: member.starts[:startCount], Stops: member.stops,
 		RunResources: member.runResources, Paces: member.paces, Silences: silences, Departures: departures, AckLifetime: member.ackLifetime, AckEndSeq: member.ackedEndSeq}
 	startTasks := member.startTasks[:startCount]
@@ -406,13 +405,12 @@
 			placed.task.StartMaybeSent, placed.task.CommandSeq = true, member.commandSeq
 		}
 		startTasks = startTasks[len(part.Starts):]
-		if len(part.Starts) > 0 {
-			_, bytes := session.StartsWithin(part.Starts, math.MaxInt)
-			member.unackedStarts = append(member.unackedStarts, sentStarts{seq: member.commandSeq, bytes: bytes})
-		}
 		part.AckNow = i == len(parts)-1 && len(member.starts) > 0
 		member.conn.Send(*part)
 	}
+	if startCount > 0 { // the last part has starts, because they come last
+		member.unackedStarts = append(member.unackedStarts, sentStarts{seq: member.commandSeq, bytes: startBytes})
+	}
 }
 
 // dropObsoleteStarts ends the runs whose start is queued although they are to be stopped. Their tasks need no start and no stop.
@@ -432,10 +430,9 @@
 	member.starts, member.startTasks = member.starts[:kept], member.startTasks[:kept]
 }
 
-// hasQueuedCommands reports whether commands or acknowledgements are queued for the member. Starts that wait for the agent to acknowledge
-// earlier ones do not count.
+// hasQueuedCommands reports whether commands other than starts, or acknowledgements, are queued for the member.
 func (m *memberView) hasQueuedCommands() bool {
-	return (len(m.starts) > 0 && (m.conn == nil || m.sendableStarts() > 0)) || len(m.stops) > 0 || len(m.runResources) > 0 || len(m.paces) > 0 || m.ackedEndSeq > m.sentAckSeq
+	return len(m.stops) > 0 || len(m.runResources) > 0 || len(m.paces) > 0 || m.ackedEndSeq > m.sentAckSeq
 }
 
 // rackOf returns the last of a worker's labels, which names its rack, or "" if the worker has no labels.
--- a/internal/jobowner/odd_entries_test.go
+++ b/internal/jobowner/odd_entries_test.go
@@ -151,7 +151,7 @@
 	f.Fuzz(func(t *testing.T, value []byte) {
 		now := time.Now()
 		announced, err := decodeMember(MemberPrefix+"host-1", value, now)
-		if err == nil && (announced.Name != "host-1" || announced.EndedLifetime < 0 || announced.EndedLifetime > now.Add(maxLifetimeAhead).UnixMilli() ||
+		if err == nil && (announced.Name != "host-1" || announced.EndedLifetime < 0 || announced.EndedLifetime > now.Add(session.MaxLifetimeAhead).UnixMilli() ||
 			announced.MaxHoldBesideOwnerMs < 0) {
 			t.Errorf("%+v", announced)
 		}
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -60,8 +60,8 @@
 	// appendTimeout is the timeout of the next attempt to write a record; used by the commit loop only.
 	appendTimeout  time.Duration
 	adviceRequests chan adviceRequest
-	// unreadableMembers holds the keys of announcements that could not be used and were logged; used by membersLoop only.
-	unreadableMembers map[string]bool
+	// unreadableMembers holds the keys of announcements that could not be used and were logged.
+	unreadableMembers events.Once
 
 	mu             sync.Mutex
 	endTerm        context.CancelCauseFunc // ends the term; set by Run
@@ -133,7 +133,7 @@
 		startedAt: boottime.Now(), wakeCommit: make(chan struct{}, 1), appendTimeout: minAppendTimeout,
 		activeJobs: map[string]*jobs.Job{}, submitReplies: map[*jobs.Job][]func(session.Reply){}, adviceByStep: map[string]*stepAdvice{},
 		adviceRequests: make(chan adviceRequest, maxAdviceRequests), members: map[string]*memberView{},
-		silences: map[string]*agentSilence{}, unreadableMembers: map[string]bool{}, earlierOwners: map[int64]earlierOwner{}, departures: map[string]departure{},
+		silences: map[string]*agentSilence{}, earlierOwners: map[int64]earlierOwner{}, departures: map[string]departure{},
 		placedByAgent: map[string]map[string]*placedTask{}, workerHealth: placement.NewHealthTracker(),
 		interference: placement.NewInterference(),
 	}
@@ -149,8 +149,7 @@
 	fence := recovery.fence
 	o.jobsState, o.lastRecordSeq, o.epoch, o.snapshotSeq = recovery.state, fence.Seq, fence.Epoch, recovery.snapshotSeq
 	o.rebuildIndexes()
-	o.recordedEpochs, o.heardEpochs = recovery.epochs, o.jobsState.HeardEpochs
-	o.jobsState.HeardEpochs = map[string]int64{}
+	o.recordedEpochs, o.heardEpochs = recovery.epochs, recovery.heardEpochs
 	o.inheritSilences(recovery.lastEpoch)
 	ownership.ConfirmUnreplaced(o.confirmUnreplaced)
 	recoveryStart := o.startedAt
--- a/internal/jobowner/recovery.go
+++ b/internal/jobowner/recovery.go
@@ -29,7 +29,9 @@
 	lastSeq        int64           // newest record that state contains
 	lastEpoch      int64           // epoch of that record; an owner writes snapshots of its own records only
 	epochs         []recordedEpoch // of the records after the snapshot, oldest first
-	fence          caslog.Record
+	// heardEpochs has the newest of the epochs whose owner has recorded that it has heard from an agent, by agent.
+	heardEpochs map[string]int64
+	fence       caslog.Record
 	// loadTime is the time spent on reading and decoding; recordCount and snapshotBytes are what was read.
 	loadTime      time.Duration
 	recordCount   int
@@ -88,7 +90,7 @@
 	}
 	r.snapshotBytes = len(loaded.Snapshot)
 	r.state, r.snapshotSeq, r.lastSeq, r.lastEpoch = state, loaded.SnapshotSeq, loaded.SnapshotSeq, loaded.SnapshotEpoch
-	r.epochs, r.unreadable = nil, nil
+	r.epochs, r.heardEpochs, r.unreadable = nil, map[string]int64{}, nil
 	r.applyRecords(loaded.Records)
 	return nil
 }
@@ -106,12 +108,17 @@
 			}
 			continue
 		}
+		beginsTerm := false
 		for _, change := range changes {
 			r.state.Apply(change)
+			if heard := change.Heard; heard != nil {
+				r.heardEpochs[heard.Agent] = max(r.heardEpochs[heard.Agent], heard.Epoch)
+			}
+			beginsTerm = beginsTerm || change.Term != nil && change.Term.Epoch == record.Epoch
 		}
 		if len(r.epochs) == 0 || record.Epoch != r.lastEpoch {
 			isFence := record.Seq == record.Epoch
-			r.epochs = append(r.epochs, recordedEpoch{epoch: record.Epoch, previous: r.lastEpoch, complete: isFence && r.state.Terms[record.Epoch]})
+			r.epochs = append(r.epochs, recordedEpoch{epoch: record.Epoch, previous: r.lastEpoch, complete: isFence && beginsTerm})
 		}
 		r.lastSeq, r.lastEpoch = record.Seq, record.Epoch
 		r.recordCount++
--- a/internal/jobowner/silence.go
+++ b/internal/jobowner/silence.go
@@ -1,6 +1,7 @@
 package jobowner
 
 import (
+	"slices"
 	"time"
 
 	"bamboofork/internal/boottime"
@@ -71,17 +72,21 @@
 // them that may have done so. The owners of the epochs after that have not heard from the agent.
 func (o *Owner) confirmedUntil(agent string) (time.Duration, int64) {
 	until, epoch := o.startedAt+takeoverMargin, o.previousEpoch
-	for i := len(o.recordedEpochs) - 1; i >= 0 && o.hasNotHeard(o.recordedEpochs[i], agent); i-- {
-		if owner, ok := o.earlierOwners[o.recordedEpochs[i].epoch]; ok {
-			until, epoch = min(until, owner.since+takeoverMargin), o.recordedEpochs[i].previous
+	for _, unheard := range slices.Backward(o.epochsWithout(agent)) {
+		if owner, ok := o.earlierOwners[unheard.epoch]; ok {
+			until, epoch = min(until, owner.since+takeoverMargin), unheard.previous
 		}
 	}
 	return until, epoch
 }
 
-// hasNotHeard reports whether it is certain that the owner of the epoch has confirmed no report of the agent.
-func (o *Owner) hasNotHeard(recorded recordedEpoch, agent string) bool {
-	return recorded.complete && o.heardEpochs[agent] < recorded.epoch
+// epochsWithout returns the newest epochs, oldest first, whose owners have certainly confirmed no report of the agent.
+func (o *Owner) epochsWithout(agent string) []recordedEpoch {
+	first := len(o.recordedEpochs)
+	for first > 0 && o.recordedEpochs[first-1].complete && o.heardEpochs[agent] < o.recordedEpochs[first-1].epoch {
+		first--
+	}
+	return o.recordedEpochs[first:]
 }
 
 // inheritSilences takes over the silences that earlier owners have recorded. lastEpoch is the epoch of the newest record before the
@@ -92,8 +97,8 @@
 	o.jobsState.Silences = map[string]jobs.Silence{}
 	for agent, silence := range recorded {
 		lastHeard := lastEpoch // newest epoch whose owner may have heard from the agent
-		for i := len(o.recordedEpochs) - 1; i >= 0 && o.hasNotHeard(o.recordedEpochs[i], agent); i-- {
-			lastHeard = o.recordedEpochs[i].previous
+		if unheard := o.epochsWithout(agent); len(unheard) > 0 {
+			lastHeard = unheard[0].previous
 		}
 		if silence.Epoch >= lastHeard {
 			o.recordSilence(agent, silence)
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -241,35 +241,23 @@
 // State holds all jobs of one owner.
 type State struct {
 	Jobs map[string]*Job
-	// Terms holds the epochs of the Term changes, and HeardEpochs the newest epoch whose owner has heard from an agent, by agent. Neither
-	// is part of a snapshot, so they only tell about epochs all of whose records are in the log.
-	Terms       map[int64]bool
-	HeardEpochs map[string]int64
 	// Silences holds the silences that are not over, by agent. They are not part of a snapshot; their owner records them again after it.
 	Silences map[string]Silence
 }
 
 // NewState returns a State without jobs.
-func NewState() *State {
-	return &State{Jobs: map[string]*Job{}, Silences: map[string]Silence{}, Terms: map[int64]bool{}, HeardEpochs: map[string]int64{}}
-}
+func NewState() *State { return &State{Jobs: map[string]*Job{}, Silences: map[string]Silence{}} }
 
-// Apply applies one change. A change to an unknown job and a second end of a run have no effect.
+// Apply applies one change. A change to an unknown job and a second end of a run have no effect. Nor have Term and Heard, which tell
+// whoever reads the log about its writers.
 func (s *State) Apply(c Change) {
 	if c.Submit != nil {
 		s.submit(c.Submit)
 		return
 	}
-	switch {
-	case c.Silence != nil:
+	if c.Silence != nil {
 		s.applySilence(c.Silence)
 		return
-	case c.Term != nil:
-		s.Terms[c.Term.Epoch] = true
-		return
-	case c.Heard != nil:
-		s.HeardEpochs[c.Heard.Agent] = max(s.HeardEpochs[c.Heard.Agent], c.Heard.Epoch)
-		return
 	}
 	j := s.Jobs[c.JobID]
 	if j == nil {
@@ -296,8 +284,7 @@
 }
 
 // submit adds a copy of the submitted job. A job of a shape that no owner records has no effect. The submission itself is encoded into
-// the log later. Without the copy, the encoded
-// submission would contain changes that were applied to the job in the meantime.
+// the log later. Without the copy, the encoded submission would contain changes that were applied to the job in the meantime.
 func (s *State) submit(submitted *Job) {
 	if s.Jobs[submitted.ID] != nil || submitted.Spec.validateShape() != nil {
 		return
--- a/internal/network/memnet/memnet.go
+++ b/internal/network/memnet/memnet.go
@@ -149,10 +149,11 @@
 
 // Dial implements network.Network. The handshake needs both directions; an address where nothing listens refuses the connection.
 func (p *Process) Dial(ctx context.Context, addr string) (net.Conn, error) {
-	if _, err := netip.ParseAddrPort(addr); err != nil {
+	parsed, err := netip.ParseAddrPort(addr)
+	if err != nil {
 		return nil, err
 	}
-	to := MachineOf(addr)
+	to := parsed.Addr().String()
 	for {
 		n := p.network
 		n.mu.Lock()
--- a/internal/ownerconn/ownerconn.go
+++ b/internal/ownerconn/ownerconn.go
@@ -118,14 +118,11 @@
 		conn.Send(told)
 	}
 	f.OwnerConnected(conn)
-	msg, oversizedLogged := &first, false
+	msg := &first
 	for {
 		f.updateOwnerStatus(conn, msg)
 		f.HandleMessage(conn, msg)
-		if dropped := conn.OversizedCount(); dropped > 0 && !oversizedLogged {
-			oversizedLogged = true
-			events.MessageTooLarge.Log(&f.Log).Str("to", first.Owner).Int64("dropped", dropped).Send()
-		}
+		LogOversized(&f.Log, first.Owner, conn)
 		next, err := conn.Receive()
 		if err != nil {
 			f.handleDisconnect(conn, err)
@@ -135,6 +132,16 @@
 	}
 }
 
+// LogOversized logs once for each connection that messages to the peer were dropped for their size.
+func LogOversized(log *zerolog.Logger, peer string, conn interface {
+	FirstOversized() bool
+	OversizedCount() int64
+}) {
+	if conn.FirstOversized() {
+		events.MessageTooLarge.Log(log).Str("to", peer).Int64("dropped", conn.OversizedCount()).Send()
+	}
+}
+
 // acceptOwner makes the sender of the message the current owner and closes the connection to the previous owner. It returns
 // false if the sender's epoch is lower than the epoch of an earlier owner.
 func (f *Follower) acceptOwner(conn *Conn, msg *session.ToMember) bool {
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -141,6 +141,9 @@
 // a hold includes this drift.
 const WorkerClockDrift = 0.02
 
+// MaxLifetimeAhead is how far in the future the start of a worker's lifetime may lie by the local clock. It covers clocks that jump.
+const MaxLifetimeAhead = 24 * time.Hour
+
 // Worker describes the worker of an agent.
 type Worker struct {
 	ID          string   `json:"id"`
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -52,6 +52,7 @@
 	sendBinary atomic.Bool  // the peer has stated that it decodes binary messages
 	joinsParts atomic.Bool  // the peer has stated that it joins lists that come in parts
 	oversized  atomic.Int64 // number of messages that were dropped because they exceed maxFrameBytes
+	reported   atomic.Bool  // FirstOversized has returned true
 	body       []byte       // buffer of the received frame, used by Receive only
 }
 
@@ -193,6 +194,11 @@
 // OversizedCount returns the number of messages that were dropped because the peer would have refused their size.
 func (s *Conn[Out, In]) OversizedCount() int64 { return s.oversized.Load() }
 
+// FirstOversized reports whether messages were dropped for their size and it has not reported that before, so that it is logged once.
+func (s *Conn[Out, In]) FirstOversized() bool {
+	return s.oversized.Load() > 0 && s.reported.CompareAndSwap(false, true)
+}
+
 // Done returns a channel that is closed when this side closes the connection.
 func (s *Conn[Out, In]) Done() <-chan struct{} { return s.done }
 
