--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -58,6 +58,8 @@
 	// MaxStarts is the number of tasks that may start on the worker now; negative: no limit. A worker on probation gets one task at
 	// a time.
 	MaxStarts int
+	// Closed is set while operators have taken the failure domain of the worker out of service. Nothing starts on the worker; its runs go on.
+	Closed bool
 
 	bestEffortCPU int       // CPU in use by best-effort tasks at their paces, in thousandths of a core
 	perpetual     Resources // reservations of the perpetual tasks
