jobowner: an inherited silence keeps the numbers under which members know it

Change: the record names the silences that it continues, newest first, at most eight, as many owners as members remember; a successor accepts any of them.

--- a/internal/jobowner/silence.go
+++ b/internal/jobowner/silence.go
@@ -33,9 +33,9 @@
 // agentSilence is the recorded silence of one agent.
 type agentSilence struct {
 	number int64
-	// inherited is the silence that an earlier owner has recorded; zero: none. inheritedSince is the boot time since which that owner had
-	// not heard from the agent, as a member has told; 0: not told yet.
-	inherited      jobs.Silence
+	// inherited are the silences of earlier owners that this one continues, newest first. inheritedSince is the earliest boot time since
+	// which one of these owners had not heard from the agent, as members have told; 0: not told yet.
+	inherited      []jobs.SilenceID
 	inheritedSince time.Duration
 	durable        bool
 	ending         bool // the end of the silence is recorded and not durable yet
@@ -101,7 +101,7 @@
 			lastHeard = unheard[0].previous
 		}
 		if silence.Epoch >= lastHeard {
-			o.recordSilence(agent, silence)
+			o.recordSilence(agent, silence.Chain())
 		}
 	}
 }
@@ -125,8 +125,8 @@
 	}
 	announceAgain := false
 	for _, silence := range o.silences {
-		since, ok := sinceByNumber[silence.inherited.Number]
-		if !ok || silence.inherited.Epoch != told.Epoch || (silence.inheritedSince != 0 && since >= silence.inheritedSince) {
+		since, ok := toldSince(silence.inherited, told.Epoch, sinceByNumber)
+		if !ok || (silence.inheritedSince != 0 && since >= silence.inheritedSince) {
 			continue
 		}
 		announceAgain = announceAgain || silence.inheritedSince == 0 || since < silence.inheritedSince-minReannouncedGain
@@ -139,6 +139,18 @@
 	}
 }
 
+// toldSince returns since when the owner of the epoch had not heard from the agent, if one of the inherited silences is among those that a
+// member has been told by that owner.
+func toldSince(inherited []jobs.SilenceID, epoch int64, sinceByNumber map[int64]time.Duration) (time.Duration, bool) {
+	for _, id := range inherited {
+		if id.Epoch == epoch {
+			since, ok := sinceByNumber[id.Number]
+			return since, ok
+		}
+	}
+	return 0, false
+}
+
 // updateSilences records the silence of the agents with placed tasks that have not reported for some time. It ends the silences of
 // agents whose runs have all ended.
 func (o *Owner) updateSilences() {
@@ -155,7 +167,7 @@
 			silentFrom = member.lastReportAt + silenceTimeout
 		}
 		if now >= silentFrom {
-			o.recordSilence(agent, jobs.Silence{})
+			o.recordSilence(agent, nil)
 		}
 	}
 	for agent, silence := range o.silences {
@@ -177,7 +189,7 @@
 	for agent, tasks := range o.placedByAgent {
 		member := o.members[agent]
 		if len(tasks) > 0 && o.silences[agent] == nil && member != nil && now >= max(o.servingSince, member.lastReportAt)+resignSilenceTimeout {
-			o.recordSilence(agent, jobs.Silence{})
+			o.recordSilence(agent, nil)
 			recorded = true
 		}
 	}
@@ -200,14 +212,14 @@
 	return o.silences[member.Name] != nil || boottime.Now() >= member.lastReportAt+silenceTimeout
 }
 
-// recordSilence queues the record of an agent's silence. inherited is the silence that an earlier owner has recorded; zero: none.
-func (o *Owner) recordSilence(agent string, inherited jobs.Silence) {
+// recordSilence queues the record of an agent's silence. inherited are the silences of earlier owners that it continues, newest first.
+func (o *Owner) recordSilence(agent string, inherited []jobs.SilenceID) {
 	o.silenceCount++
 	silence := &agentSilence{number: o.silenceCount, inherited: inherited}
 	o.silences[agent] = silence
 	events.AgentSilent.Log(&o.cfg.Log).Str("agent", agent).Int("runs", len(o.placedByAgent[agent])).
-		Int64("silent_ms", (boottime.Now()-o.lastReportAt(agent)).Milliseconds()).Bool("inherited", inherited.Number != 0).Send()
-	o.apply(jobs.Change{Silence: &jobs.Silence{Agent: agent, Epoch: o.epoch, Number: silence.number}})
+		Int64("silent_ms", (boottime.Now()-o.lastReportAt(agent)).Milliseconds()).Bool("inherited", len(inherited) > 0).Send()
+	o.apply(jobs.Change{Silence: &jobs.Silence{Agent: agent, Epoch: o.epoch, Number: silence.number, Inherited: inherited}})
 	o.pendingEffects = append(o.pendingEffects, func() { silence.durable, o.durableSilence = true, silence.number })
 }
 
@@ -239,7 +251,7 @@
 	for agent, silence := range o.silences {
 		if !silence.ending {
 			repeated = true
-			o.apply(jobs.Change{Silence: &jobs.Silence{Agent: agent, Epoch: o.epoch, Number: silence.number}})
+			o.apply(jobs.Change{Silence: &jobs.Silence{Agent: agent, Epoch: o.epoch, Number: silence.number, Inherited: silence.inherited}})
 		}
 	}
 	return repeated
--- a/internal/jobowner/silence_test.go
+++ b/internal/jobowner/silence_test.go
@@ -66,6 +66,31 @@
 	}
 }
 
+// Guards against a hold that is counted from the start of the newest owner because the owners between it and the one whose silence the
+// members know have inherited that silence and ended before they announced it.
+func TestSilenceIsKnownThroughOwnersThatInheritedIt(t *testing.T) {
+	for heirs := 1; heirs <= 3; heirs++ {
+		since := boottime.Now() - 3*time.Second
+		recorded := jobs.Change{Silence: &jobs.Silence{Agent: "host-1", Epoch: 5, Number: 4}}
+		for epoch := int64(6); epoch < int64(6+heirs); epoch++ {
+			heir := newTestOwner(t, memstore.New())
+			heir.jobsState.Apply(recorded)
+			heir.epoch = epoch
+			heir.inheritSilences(epoch - 1)
+			qt.Assert(t, heir.pendingChanges, qt.HasLen, 1)
+			recorded = heir.pendingChanges[0]
+		}
+		o := newTestOwner(t, memstore.New())
+		o.jobsState.Apply(recorded)
+		o.epoch = int64(6 + heirs)
+		o.inheritSilences(o.epoch - 1)
+		o.learnFromMember(&session.PreviousOwner{Epoch: 5, Name: "host-0",
+			Silences: []session.Silence{{Number: 4, ForMs: (boottime.Now() - since).Milliseconds()}}})
+		gain := o.startedAt + takeoverMargin - o.lastReportAt("host-1")
+		qt.Check(t, gain > 2*time.Second, qt.IsTrue, qt.Commentf("%d heirs: %s", heirs, gain))
+	}
+}
+
 // Guards against silences that are lost with the records that a snapshot replaces.
 func TestSilencesPutOffASnapshotAndAreRecordedAgainAfterIt(t *testing.T) {
 	o, _ := ownerWithSilentAgent(t)
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -3,7 +3,7 @@
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -file state.go -io=false -tests=false
 //msgp:tag json
 //msgp:limit arrays:65536 maps:256
-//msgp:ignore TaskState Task StepState Occurrence Job Change Cancel Place End Silence Term Heard State
+//msgp:ignore TaskState Task StepState Occurrence Job Change Cancel Place End Silence SilenceID Term Heard State
 
 import (
 	"encoding/json"
@@ -224,6 +224,24 @@
 	Epoch  int64  `json:"e"`
 	Number int64  `json:"n"`           // unique in the epoch
 	Over   bool   `json:"o,omitempty"` // the owner may confirm reports of the agent again
+	// Inherited are the silences of earlier owners that this one continues, newest first, at most MaxInheritedSilences. Members may know
+	// only an older one, because an owner may end before it has announced the silence that it inherited.
+	Inherited []SilenceID `json:"i,omitempty"`
+}
+
+// MaxInheritedSilences is the number of silences of earlier owners that a Silence names. Members remember as many earlier owners.
+const MaxInheritedSilences = 8
+
+// SilenceID identifies a recorded silence.
+type SilenceID struct {
+	Epoch  int64 `json:"e"`
+	Number int64 `json:"n"`
+}
+
+// Chain returns the silence and those that it continues, newest first, at most MaxInheritedSilences.
+func (s *Silence) Chain() []SilenceID {
+	chain := append([]SilenceID{{s.Epoch, s.Number}}, s.Inherited...)
+	return chain[:min(len(chain), MaxInheritedSilences)]
 }
 
 // Term begins the records of an epoch whose owner records that it has heard from an agent before it confirms a report of the agent. An
