bf config manifest: check a manifest before it is sent

Cause: the operators wish for a check of a configuration: errors, entries that can never match, limits that contradict each other, and what differs from the version in force. bf config check knows the settings tree only.

--- a/internal/command/cli.go
+++ b/internal/command/cli.go
@@ -58,6 +58,9 @@
 // notReadyError marks a wait that timed out before its condition held.
 type notReadyError struct{ error }
 
+// invalidFileError marks a file that was checked and is in error.
+type invalidFileError struct{ error }
+
 // RunCLI runs the bf command and returns its exit code.
 func RunCLI(out, errOut io.Writer) int {
 	c := &cli{out: out, stderr: errOut, storeURL: envOr(envStore, defaultStoreURL), entryURL: envOr(envEntry, defaultEntryURL),
@@ -130,6 +133,7 @@
 	var conflictErr settings.ConflictError
 	var fileErr settings.FileError
 	var fieldErr config.FieldError
+	var invalidErr invalidFileError
 	switch {
 	case err == nil:
 		return app.ExitOK
@@ -139,7 +143,7 @@
 		return exitNotReady
 	case errors.As(err, &conflictErr):
 		return exitConflict
-	case errors.As(err, &fileErr), errors.As(err, &fieldErr):
+	case errors.As(err, &fileErr), errors.As(err, &fieldErr), errors.As(err, &invalidErr):
 		return app.ExitSettings
 	case errors.Is(err, store.ErrUncertain):
 		return exitUncertain
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -79,6 +79,10 @@
 	process := subcommand(cfg, actions, "process", "Validate a process's settings file.", func(context.Context) error { return c.configProcess(f) })
 	process.AddPositionalValue(&f.file, "file", 1, true, "Process settings (YAML).")
 	process.Bool(&f.forAgent, "a", "agent", "The file belongs to an agent.")
+	m := &manifestFlags{}
+	manifest := subcommand(cfg, actions, "manifest", "Check a manifest of routes before it is sent.", func(context.Context) error { return c.configManifest(m) })
+	manifest.AddPositionalValue(&m.file, "file", 1, true, "Manifest (JSON).")
+	manifest.String(&m.inForce, "", "in-force", "File with the manifest in force, to compare with.")
 }
 
 func (c *cli) configCheck(f *configFlags) error {
