--- a/internal/domains/domains.go
+++ b/internal/domains/domains.go
@@ -18,11 +18,17 @@
 	return found
 }
 
+// SameDomains reports whether the same failure domains are out of service in both states, whatever their revisions.
+func (s State) SameDomains(other State) bool { return slices.Equal(s.OutOfService, other.OutOfService) }
+
 // Current holds the newest state. It is safe for concurrent use.
 type Current struct{ state atomic.Pointer[State] }
 
-// Get returns the newest state, or the zero State if none is known yet.
+// Get returns the newest state, or the zero State if none is known yet. A nil Current knows none.
 func (c *Current) Get() State {
+	if c == nil {
+		return State{}
+	}
 	if state := c.state.Load(); state != nil {
 		return *state
 	}
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -20,8 +20,19 @@
 	Store    string `yaml:"store"`  // address of the platform's store
 	Advice   string `yaml:"advice"` // address of the advice service, or empty
 	Bounds   Bounds `yaml:"bounds"`
+	// Evacuation configures how failure domains are taken out of service.
+	Evacuation Evacuation `yaml:"evacuation"`
 }
 
+// Evacuation holds the settings of taking failure domains out of service.
+type Evacuation struct {
+	// ApplyMs is the time within which operators expect that nothing starts in a domain any more; 0: no domain is taken out of service.
+	ApplyMs int64 `yaml:"apply_ms"`
+}
+
+// Apply returns ApplyMs as a duration.
+func (e Evacuation) Apply() time.Duration { return time.Duration(e.ApplyMs) * time.Millisecond }
+
 // Listen holds the addresses that the process listens on.
 type Listen struct {
 	Peers         string `yaml:"peers"`         // connections from the owner of the jobs
@@ -113,5 +124,8 @@
 			return eris.Errorf("%s: must be positive, is %d", field, v)
 		}
 	}
+	if p.Evacuation.ApplyMs < 0 {
+		return eris.Errorf("evacuation.apply_ms: must not be negative, is %d", p.Evacuation.ApplyMs)
+	}
 	return nil
 }
--- a/internal/hostconfig/hostconfig_test.go
+++ b/internal/hostconfig/hostconfig_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -35,6 +36,7 @@
 		{"a host name to advertise", `metrics: "10.0.0.1"`, `metrics: "10.0.0.1", advertise: "host-1:7720"`, true, "listen.advertise"},
 		{"no memory", "memory_mb: 152", "memory_mb: 0", true, "memory_mb"},
 		{"a bound is missing", "max_hold_ms: 10000, ", "", true, "bounds.max_hold_ms"},
+		{"a negative time to apply", "name: host-1", "name: host-1\nevacuation: {apply_ms: -1}", true, "evacuation.apply_ms"},
 		{"not YAML", "name:", "name", true, "settings file"},
 	} {
 		path := filepath.Join(t.TempDir(), "process.yaml")
@@ -52,3 +54,14 @@
 	_, err := hostconfig.Load(filepath.Join(t.TempDir(), "missing.yaml"), true)
 	qt.Check(t, err, qt.IsNotNil)
 }
+
+// Checks that evacuation is off where the deployment has no bound for it: its template then renders an empty value.
+func TestEvacuationIsOffWithoutABound(t *testing.T) {
+	for value, want := range map[string]time.Duration{"": 0, " ": 0, " 5000": 5 * time.Second} {
+		path := filepath.Join(t.TempDir(), "process.yaml")
+		qt.Assert(t, os.WriteFile(path, []byte(validSettings+"evacuation:\n  apply_ms:"+value+"\n"), 0o600), qt.IsNil)
+		p, err := hostconfig.Load(path, true)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("%q", value))
+		qt.Check(t, p.Evacuation.Apply(), qt.Equals, want, qt.Commentf("%q", value))
+	}
+}
--- a/internal/ownerconn/ownerconn.go
+++ b/internal/ownerconn/ownerconn.go
@@ -18,6 +18,7 @@
 
 	"bamboofork/internal/app"
 	"bamboofork/internal/boottime"
+	"bamboofork/internal/domains"
 	"bamboofork/internal/events"
 	"bamboofork/internal/network"
 	"bamboofork/internal/session"
@@ -36,6 +37,8 @@
 	// that owner. HandleMessage is called with each message.
 	OwnerConnected func(conn *Conn)
 	HandleMessage  func(conn *Conn, msg *session.ToMember)
+	// Domains is the newest state of the failure domains that an owner has sent.
+	Domains domains.Current
 
 	mu               sync.Mutex
 	ownerEpoch       int64         // highest epoch of any owner so far
@@ -196,6 +199,9 @@
 	}
 	f.noteSilences(msg.Silences)
 	f.noteDepartures(msg.Departures)
+	if msg.Domains != nil {
+		f.Domains.SetIfNewer(msg.Domains.State())
+	}
 }
 
 // maxSilenceAge is the age from which a silence is forgotten. All holds have expired by then.
@@ -259,7 +265,8 @@
 	for agent, ended := range f.departures {
 		told.Departures = append(told.Departures, session.Departure{Agent: agent, Lifetime: ended.lifetime})
 	}
-	return told, told.Previous != nil || len(told.Departures) > 0
+	told.Domains = session.DomainsOf(f.Domains.Get())
+	return told, told.Previous != nil || len(told.Departures) > 0 || told.Domains != nil
 }
 
 // told returns what is passed on about the owner. now is a boot time.
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -38,6 +38,15 @@
 	Departures []Departure `json:"dp,omitempty"`
 	// Suspicion replaces the Suspicion that the agent keeps for the next owner; nil: it has not changed.
 	Suspicion *Suspicion `json:"su,omitempty"`
+	// Domains are the failure domains out of service; nil: unchanged on this connection, or unknown.
+	Domains *Domains `json:"dm,omitempty"`
+}
+
+// Domains are the failure domains that operators have taken out of service, by the store's revision at which they were read. What has the
+// higher revision is in force.
+type Domains struct {
+	Revision     int64    `json:"r"`
+	OutOfService []string `json:"o,omitempty"` // sorted
 }
 
 // Silence states how long ago the owner has last received a report of an agent whose silence it has recorded in the log. The members
@@ -131,6 +140,8 @@
 	Requests         []Request `json:"rq,omitempty"` // entries only
 	// Suspicion is what the previous owners remembered about the worker, in the first report on a connection only; nil: nothing.
 	Suspicion *Suspicion `json:"su,omitempty"`
+	// Domains is what the process knows from earlier owners, in the first message to a new owner only; nil: nothing.
+	Domains *Domains `json:"dm,omitempty"`
 }
 
 // MaxHoldBesideOwner bounds the hold of the worker on the owner's host. That host may be lost together with the owner, and the takeover
--- a/internal/session/messages_gen.go
+++ b/internal/session/messages_gen.go
@@ -107,12 +107,115 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Domains) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(2)
+	var zb0001Mask uint8 /* 2 bits */
+	_ = zb0001Mask
+	if z.OutOfService == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendInt64(o, z.Revision)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "o"
+			o = append(o, 0xa1, 0x6f)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.OutOfService)))
+			for za0001 := range z.OutOfService {
+				o = msgp.AppendString(o, z.OutOfService[za0001])
+			}
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Domains) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.Revision, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
+		case "o":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OutOfService")
+				return
+			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.OutOfService) >= int(zb0002) {
+				z.OutOfService = (z.OutOfService)[:zb0002]
+			} else {
+				z.OutOfService = make([]string, zb0002)
+			}
+			for za0001 := range z.OutOfService {
+				z.OutOfService[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "OutOfService", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Domains) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.OutOfService {
+		s += msgp.StringPrefixSize + len(z.OutOfService[za0001])
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *FromMember) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(21)
-	var zb0001Mask uint32 /* 21 bits */
+	zb0001Len := uint32(22)
+	var zb0001Mask uint32 /* 22 bits */
 	_ = zb0001Mask
 	if z.Name == "" {
 		zb0001Len--
@@ -198,6 +301,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x100000
 	}
+	if z.Domains == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -381,6 +488,39 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x200000) == 0 { // if not omitted
+			// string "dm"
+			o = append(o, 0xa2, 0x64, 0x6d)
+			if z.Domains == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// check for omitted fields
+				zb0004Len := uint32(2)
+				var zb0004Mask uint8 /* 2 bits */
+				_ = zb0004Mask
+				if z.Domains.OutOfService == nil {
+					zb0004Len--
+					zb0004Mask |= 0x2
+				}
+				// variable map header, size zb0004Len
+				o = append(o, 0x80|uint8(zb0004Len))
+
+				// skip if no fields are to be emitted
+				if zb0004Len != 0 {
+					// string "r"
+					o = append(o, 0xa1, 0x72)
+					o = msgp.AppendInt64(o, z.Domains.Revision)
+					if (zb0004Mask & 0x2) == 0 { // if not omitted
+						// string "o"
+						o = append(o, 0xa1, 0x6f)
+						o = msgp.AppendArrayHeader(o, uint32(len(z.Domains.OutOfService)))
+						for za0007 := range z.Domains.OutOfService {
+							o = msgp.AppendString(o, z.Domains.OutOfService[za0007])
+						}
+					}
+				}
+			}
+		}
 	}
 	return
 }
@@ -740,6 +880,73 @@
 					return
 				}
 			}
+		case "dm":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Domains = nil
+			} else {
+				if z.Domains == nil {
+					z.Domains = new(Domains)
+				}
+				var zb0010 uint32
+				zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Domains")
+					return
+				}
+				if zb0010 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0010 > 0 {
+					zb0010--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Domains")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "r":
+						z.Domains.Revision, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Domains", "Revision")
+							return
+						}
+					case "o":
+						var zb0011 uint32
+						zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Domains", "OutOfService")
+							return
+						}
+						if zb0011 > z2c18a699limitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if cap(z.Domains.OutOfService) >= int(zb0011) {
+							z.Domains.OutOfService = (z.Domains.OutOfService)[:zb0011]
+						} else {
+							z.Domains.OutOfService = make([]string, zb0011)
+						}
+						for za0007 := range z.Domains.OutOfService {
+							z.Domains.OutOfService[za0007], bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Domains", "OutOfService", za0007)
+								return
+							}
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Domains")
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -796,6 +1003,15 @@
 	} else {
 		s += z.Suspicion.Msgsize()
 	}
+	s += 3
+	if z.Domains == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+		for za0007 := range z.Domains.OutOfService {
+			s += msgp.StringPrefixSize + len(z.Domains.OutOfService[za0007])
+		}
+	}
 	return
 }
 
@@ -2210,8 +2426,8 @@
 func (z *ToMember) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(21)
-	var zb0001Mask uint32 /* 21 bits */
+	zb0001Len := uint32(22)
+	var zb0001Mask uint32 /* 22 bits */
 	_ = zb0001Mask
 	if z.Epoch == 0 {
 		zb0001Len--
@@ -2297,6 +2513,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x100000
 	}
+	if z.Domains == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -2475,6 +2695,39 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x200000) == 0 { // if not omitted
+			// string "dm"
+			o = append(o, 0xa2, 0x64, 0x6d)
+			if z.Domains == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// check for omitted fields
+				zb0006Len := uint32(2)
+				var zb0006Mask uint8 /* 2 bits */
+				_ = zb0006Mask
+				if z.Domains.OutOfService == nil {
+					zb0006Len--
+					zb0006Mask |= 0x2
+				}
+				// variable map header, size zb0006Len
+				o = append(o, 0x80|uint8(zb0006Len))
+
+				// skip if no fields are to be emitted
+				if zb0006Len != 0 {
+					// string "r"
+					o = append(o, 0xa1, 0x72)
+					o = msgp.AppendInt64(o, z.Domains.Revision)
+					if (zb0006Mask & 0x2) == 0 { // if not omitted
+						// string "o"
+						o = append(o, 0xa1, 0x6f)
+						o = msgp.AppendArrayHeader(o, uint32(len(z.Domains.OutOfService)))
+						for za0008 := range z.Domains.OutOfService {
+							o = msgp.AppendString(o, z.Domains.OutOfService[za0008])
+						}
+					}
+				}
+			}
+		}
 	}
 	return
 }
@@ -2895,6 +3148,73 @@
 					return
 				}
 			}
+		case "dm":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Domains = nil
+			} else {
+				if z.Domains == nil {
+					z.Domains = new(Domains)
+				}
+				var zb0013 uint32
+				zb0013, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Domains")
+					return
+				}
+				if zb0013 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0013 > 0 {
+					zb0013--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Domains")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "r":
+						z.Domains.Revision, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Domains", "Revision")
+							return
+						}
+					case "o":
+						var zb0014 uint32
+						zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Domains", "OutOfService")
+							return
+						}
+						if zb0014 > z2c18a699limitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if cap(z.Domains.OutOfService) >= int(zb0014) {
+							z.Domains.OutOfService = (z.Domains.OutOfService)[:zb0014]
+						} else {
+							z.Domains.OutOfService = make([]string, zb0014)
+						}
+						for za0008 := range z.Domains.OutOfService {
+							z.Domains.OutOfService[za0008], bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Domains", "OutOfService", za0008)
+								return
+							}
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Domains")
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2939,6 +3259,15 @@
 	} else {
 		s += z.Suspicion.Msgsize()
 	}
+	s += 3
+	if z.Domains == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+		for za0008 := range z.Domains.OutOfService {
+			s += msgp.StringPrefixSize + len(z.Domains.OutOfService[za0008])
+		}
+	}
 	return
 }
 
