--- a/internal/placement/hold.go
+++ b/internal/placement/hold.go
@@ -33,7 +33,7 @@
 // apply holds workers for the collected tasks for the rest of the pass, for those that wait for longest first.
 func (h *holds) apply(s *Snapshot) {
 	slices.SortStableFunc(h.tasks, func(a, b overdueTask) int { return cmp.Compare(a.sinceMs, b.sinceMs) })
-	limit := max(1, int(maxHeldFraction*float64(len(s.Workers))))
+	limit := max(1, int(maxHeldFraction*float64(s.openCount())))
 	hopeless := map[*jobs.Step]bool{} // steps for which no worker can be held
 	for i := 0; i < len(h.tasks) && h.held < limit; i++ {
 		step := &h.tasks[i].candidate.job.Spec.Steps[h.tasks[i].stepIndex]
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -48,7 +48,7 @@
 // worker is free of serving tasks that they interfere with.
 func startIdleJobsIfCalm(s *Snapshot, list []candidate) {
 	free, capacity := 0, 0
-	for _, w := range s.Workers {
+	for w := range s.open() {
 		free, capacity = free+w.Free.CPU, capacity+w.Capacity.CPU
 	}
 	if 2*free < capacity {
--- a/internal/placement/pace.go
+++ b/internal/placement/pace.go
@@ -18,7 +18,7 @@
 // that a job that has just arrived does not increase the backlog. See Interference.SetBacklog for the use of the result.
 func (s *Snapshot) Backlog() float64 {
 	waiting, capacity := 0.0, 1
-	for _, w := range s.Workers {
+	for w := range s.open() {
 		capacity += w.Capacity.CPU
 	}
 	for _, c := range sortedCandidates(s) {
--- a/internal/placement/shortage.go
+++ b/internal/placement/shortage.go
@@ -5,6 +5,7 @@
 // Shortage says why the tasks of a step find no worker. All figures are those after a planning pass.
 type Shortage struct {
 	Workers      int // workers that take starts, of the service and with the label that the step needs
+	Closed       int // workers of the service and with the label whose failure domain is out of service; the other figures leave them out
 	Fitting      int // workers with the free resources for a task
 	Full         int // workers that already run as many tasks of the step as they may
 	BesideShort  int // workers on which a perpetual task fits once their short tasks have ended
@@ -24,6 +25,10 @@
 		if worker.Service != j.Queue.Service || !worker.HasLabel(step.Label) {
 			continue
 		}
+		if worker.Closed {
+			shortage.Closed++
+			continue
+		}
 		shortage.Workers++
 		shortage.FreeCPU += worker.Free.CPU
 		shortage.MaxFreeCPU = max(shortage.MaxFreeCPU, worker.Free.CPU)
--- a/internal/placement/standing.go
+++ b/internal/placement/standing.go
@@ -109,7 +109,7 @@
 // capacityOf returns what tasks with reservations can get from the workers, and what best-effort tasks can use beside the other tasks.
 func capacityOf(s *Snapshot) work {
 	var capacity work
-	for _, w := range s.Workers {
+	for w := range s.open() {
 		capacity.reserved += float64(w.Capacity.CPU)
 		capacity.bestEffort += usableIdleFraction * float64(max(0, w.IdleCPU+w.bestEffortCPU))
 	}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -5,7 +5,11 @@
 // are slowed where they interfere with serving tasks. Perpetual tasks run until their job is cancelled.
 package placement
 
-import "bamboofork/internal/jobs"
+import (
+	"iter"
+
+	"bamboofork/internal/jobs"
+)
 
 // Resources is an amount of each resource of a worker.
 type Resources struct {
@@ -130,6 +134,26 @@
 	return &restricted
 }
 
+// open returns the workers that are not closed. All others have no part in the room of the fleet.
+func (s *Snapshot) open() iter.Seq[*Worker] {
+	return func(yield func(*Worker) bool) {
+		for _, w := range s.Workers {
+			if !w.Closed && !yield(w) {
+				return
+			}
+		}
+	}
+}
+
+// openCount returns the number of workers that are not closed.
+func (s *Snapshot) openCount() int {
+	count := 0
+	for range s.open() {
+		count++
+	}
+	return count
+}
+
 // worker returns the worker with the name, or nil if it takes no tasks in this pass.
 func (s *Snapshot) worker(name string) *Worker {
 	if s.workerByName == nil {
