Nothing starts in a failure domain that is out of service

Change: the owner reads the state every tenth of evacuation.apply_ms and before its first placement (bounded by 2 s), closes the workers, drops starts that were not sent with the rest of their gang, tells all members at once, and asks for advice on open workers only. Agents refuse what their own view forbids, and withdraw starts that have no answer with a stop instead of repeating them. Runs that have begun go on. Events 3631 to 3634, gauges owner_domains_out_of_service and owner_runs_out_of_service.

--- a/internal/deployed/host.go
+++ b/internal/deployed/host.go
@@ -32,6 +32,7 @@
 	agent := hostagent.New(hostagent.Config{
 		Log: p.log, Metrics: p.metrics, Runner: platform.NewRunner(p.cfg.Worker, p.network), Follower: follower,
 		MaxHoldDuration: p.cfg.Bounds.Hold(), StopTimeout: p.cfg.Bounds.StopTimeout(),
+		Domains: &follower.Domains,
 	})
 	follower.OwnerConnected, follower.HandleMessage = agent.OwnerConnected, agent.HandleMessage
 	candidate := &jobowner.Candidate{
@@ -46,6 +47,9 @@
 	if p.cfg.Advice != "" {
 		candidate.Config.Adviser = platform.NewAdviser(p.cfg.Advice, p.network)
 	}
+	if p.cfg.Evacuation.ApplyMs > 0 {
+		candidate.Config.Domains, candidate.Config.DomainsApply = platform.NewDomainReader(st), p.cfg.Evacuation.Apply()
+	}
 	member := jobowner.Member{Name: p.cfg.Name, Addr: p.cfg.Listen.PeerAddr(), Agent: true,
 		MaxHoldBesideOwnerMs: session.MaxHoldBesideOwner.Milliseconds()}
 	untilLastReport := func(run func(ctx context.Context) error) func(ctx context.Context) error {
--- a/internal/deployed/virtual_fleet_test.go
+++ b/internal/deployed/virtual_fleet_test.go
@@ -187,7 +187,8 @@
 	return srv
 }
 
-func newVirtualFleet(t *testing.T, seed uint64) *virtualFleet {
+// newVirtualFleet returns a fleet whose processes run. configure, if given, is called with all machines before they start.
+func newVirtualFleet(t *testing.T, seed uint64, configure ...func(f *virtualFleet)) *virtualFleet {
 	f := &virtualFleet{t: t, rng: rand.New(rand.NewPCG(seed, 21)), start: time.Now(), network: memnet.New(),
 		store: standin.NewStore(seed + 1), checker: standin.NewRunChecker(), acked: make(chan struct{}, 1), jobs: map[string]*virtualJob{}}
 	f.recordsPerSnapshot = []int64{2, 6, 25, 150}[f.rng.IntN(4)]
@@ -209,6 +210,9 @@
 		m.components = frontComponents
 		f.entries = append(f.entries, m)
 	}
+	for _, apply := range configure {
+		apply(f)
+	}
 	for _, m := range f.machines() {
 		f.launch(m)
 	}
--- a/internal/events/jobowner.go
+++ b/internal/events/jobowner.go
@@ -22,6 +22,10 @@
 	TaskWaits        = register(3620, "task_waits", zerolog.InfoLevel, "Perpetual tasks wait for a worker; once a second the line has the one that waits for longest and the free resources after the planning pass.")
 	AgentSilent      = register(3621, "agent_silent", zerolog.WarnLevel, "The owner has not heard from an agent with runs; it confirms no report of the agent before this is over.")
 	RecordUnreadable = register(3623, "record_unreadable", zerolog.ErrorLevel, "Positions of the job log hold something that is not a record; a new owner skips them. The line has the first position and their number.")
+	DomainClosed     = register(3631, "domain_out_of_service", zerolog.WarnLevel, "Operators have taken a failure domain out of service; nothing starts there. The line has the number of such domains.")
+	DomainReopened   = register(3632, "domain_in_service", zerolog.InfoLevel, "A failure domain is in service again; its workers take starts again.")
+	DomainsUnknown   = register(3633, "domains_unknown", zerolog.ErrorLevel, "This owner could not read which failure domains are out of service, and places by what the members know from earlier owners.")
+	DomainRuns       = register(3634, "domain_runs", zerolog.InfoLevel, "A failure domain is out of service; once a second the line has the runs that are still there.")
 	JobRejected      = register(3615, "job_rejected", zerolog.InfoLevel, "A job was rejected and will not run; the line has the reason.")
 
 	MessageTooLarge = register(2705, "message_too_large", zerolog.ErrorLevel, "A message exceeds what the peer accepts and was dropped; the connection goes on. Logged once for each connection.")
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"bamboofork/internal/boottime"
+	"bamboofork/internal/domains"
 	"bamboofork/internal/events"
 	"bamboofork/internal/invariant"
 	"bamboofork/internal/jobs"
@@ -25,6 +26,9 @@
 	Follower        *ownerconn.Follower
 	MaxHoldDuration time.Duration // how long runs stay held after the latest report that the owner has acknowledged was sent
 	StopTimeout     time.Duration // upper bound on the time the worker takes to stop a run
+	// Domains are the failure domains out of service. The agent starts nothing while its worker is in one of them, whoever sends the start.
+	// nil: none ever is.
+	Domains *domains.Current
 }
 
 // Agent is one incarnation of the agent beside a worker. mu is its only lock and guards all fields below it.
@@ -364,6 +368,9 @@
 		return "another lifetime of the worker"
 	case worker.Draining:
 		return "the worker drains"
+	case a.isOutOfService():
+		a.cfg.Metrics.Counter("agent_starts_refused_out_of_service").Inc(1)
+		return reasonOutOfService
 	case start.Label != "" && !slices.Contains(worker.Labels, start.Label):
 		return "the worker lacks the label"
 	case !a.runsListed:
@@ -391,6 +398,14 @@
 	return ""
 }
 
+// reasonOutOfService is the reason given for refusing a start while the failure domain of the worker is out of service.
+const reasonOutOfService = "the failure domain is out of service"
+
+// isOutOfService reports whether the failure domain of the worker is out of service, as far as this agent knows.
+func (a *Agent) isOutOfService() bool {
+	return a.worker != nil && a.cfg.Domains.Get().IsOutOfService(a.worker.Zone)
+}
+
 func (a *Agent) queueStop(s *session.Stop) {
 	r := a.runByTask[s.Task]
 	if r == nil || r.start.Run != s.Run || r.stopRequested {
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -27,7 +27,8 @@
 )
 
 // executeStarts executes queued starts. An unanswered start is repeated with the same run number, which the worker treats as
-// the same run, until the worker responds, the run is stopped, or the worker enters a new lifetime.
+// the same run, until the worker responds, the run is stopped, the worker enters a new lifetime, or its failure domain is taken out of
+// service.
 func (a *Agent) executeStarts(ctx context.Context) {
 	for {
 		select {
@@ -47,6 +48,11 @@
 			a.mu.Unlock()
 			return
 		}
+		if a.isOutOfService() {
+			a.withdrawStart(r, attempt)
+			a.mu.Unlock()
+			return
+		}
 		if a.lifetimeInDoubt() { // the worker may have restarted and would start the run in a lifetime that the agent does not know
 			a.mu.Unlock()
 			app.Sleep(ctx, callRetryDelay)
@@ -66,6 +72,22 @@
 	}
 }
 
+// withdrawStart makes a start that the worker has not confirmed have no effect, because the failure domain of the worker is out of service.
+// attempt is the number of the next attempt. An earlier attempt may be carried out seconds later, unless a stop makes the worker reject it.
+// A run that the worker has listed has begun and goes on.
+func (a *Agent) withdrawStart(r *run, attempt int) {
+	switch {
+	case r.startConfirmed:
+	case attempt > 1:
+		a.cfg.Metrics.Counter("agent_starts_withdrawn").Inc(1)
+		a.queueStop(&session.Stop{Task: r.start.Task, Run: r.start.Run})
+	default:
+		a.cfg.Metrics.Counter("agent_starts_refused_out_of_service").Inc(1)
+		a.removeRun(r)
+		a.recordRefusal(r.start.Task, r.start.Run, reasonOutOfService)
+	}
+}
+
 // handleStartResult processes the result of one attempt to start a run. It returns true if no further attempt is needed.
 func (a *Agent) handleStartResult(r *run, workerID WorkerIdentity, rejection StartResult, clockMs int64, err error,
 	sentAt, startedAt time.Duration, attempt int) bool {
--- a/internal/jobowner/advice.go
+++ b/internal/jobowner/advice.go
@@ -57,8 +57,8 @@
 	return jobID + "." + strconv.Itoa(occIndex) + "." + strconv.Itoa(stepIndex)
 }
 
-// agentsWithTickets returns the names of the agents whose workers have a valid ticket for the step. If no worker has a ticket,
-// it queues a request for tickets and returns nil.
+// agentsWithTickets returns the names of the agents whose workers have a valid ticket for the step. If no worker has a ticket, or all that
+// have one are in failure domains out of service, it queues a request for tickets.
 func (o *Owner) agentsWithTickets(job *jobs.Job, occIndex, stepIndex int) map[string]bool {
 	key := stepKey(job.ID, occIndex, stepIndex)
 	advice := o.adviceByStep[key]
@@ -70,16 +70,16 @@
 	if advice.expiresAt < now+minTicketValidity {
 		advice.ticketByWorkerID = nil
 	}
-	if len(advice.ticketByWorkerID) == 0 {
-		o.requestAdvice(advice, key, job, now)
-		return nil
-	}
-	names := map[string]bool{}
+	names, inService := map[string]bool{}, false
 	for _, member := range o.members {
 		if member.worker != nil && advice.ticketByWorkerID[member.worker.ID] != "" {
 			names[member.Name] = true
+			inService = inService || !o.isOutOfService(member)
 		}
 	}
+	if len(advice.ticketByWorkerID) == 0 || len(names) > 0 && !inService {
+		o.requestAdvice(advice, key, job, now)
+	}
 	return names
 }
 
@@ -112,7 +112,7 @@
 	var ids []string
 	for _, member := range o.members {
 		if w := member.worker; w != nil && w.Service == service && !w.Draining && !w.Gone &&
-			member.isReady() && !advice.queriedWorkerIDs[w.ID] {
+			member.isReady() && !advice.queriedWorkerIDs[w.ID] && !o.isOutOfService(member) {
 			ids = append(ids, w.ID)
 		}
 	}
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -58,9 +58,11 @@
 	announcedSilence int64         // number of the newest silence that was announced on this connection
 	// announcedDeparture is the number of the newest departure that was announced on this connection.
 	announcedDeparture int64
-	bestEffortPaused   bool // the agent slows best-effort runs; no further ones are placed on its worker
-	sentSuspicion      placement.Suspicion
-	blockedUntil       time.Duration // boot time before which nothing is placed here, after a refused start
+	// announcedDomains is the number of the newest change of the failure domains that was announced on this connection.
+	announcedDomains int64
+	bestEffortPaused bool // the agent slows best-effort runs; no further ones are placed on its worker
+	sentSuspicion    placement.Suspicion
+	blockedUntil     time.Duration // boot time before which nothing is placed here, after a refused start
 
 	runList session.RunList // the parts of a list of runs that have arrived on this connection
 
@@ -272,7 +274,7 @@
 	o.mu.Lock()
 	member.close()
 	member.conn, member.runsListed, member.commandSeq, member.sentAckSeq, member.lastPollSeq = c, false, 0, 0, 0
-	member.announcedSilence, member.announcedDeparture, member.sentSuspicion = 0, 0, placement.Suspicion{}
+	member.announcedSilence, member.announcedDeparture, member.announcedDomains, member.sentSuspicion = 0, 0, 0, placement.Suspicion{}
 	member.runList, member.unackedStarts = session.RunList{}, nil
 	for _, placed := range o.placedByAgent[member.Name] {
 		placed.task.CommandSeq = 0 // the first list of runs on this connection reflects all earlier commands
@@ -317,6 +319,9 @@
 	for _, told := range msg.Departures {
 		o.noteDeparture(told.Agent, told.Lifetime)
 	}
+	if msg.Domains != nil {
+		o.learnDomains(member, msg.Domains)
+	}
 	if msg.ReportSeq > 0 {
 		member.lastReportAt = boottime.Now()
 		o.endSilence(member.Name)
@@ -384,7 +389,7 @@
 		RunResources: member.runResources, Paces: member.paces, Silences: silences, Departures: departures, AckLifetime: member.ackLifetime, AckEndSeq: member.ackedEndSeq}
 	startTasks := member.startTasks[:startCount]
 	member.starts, member.startTasks = member.starts[startCount:], member.startTasks[startCount:]
-	msg.Suspicion = o.changedSuspicion(member)
+	msg.Suspicion, msg.Domains = o.changedSuspicion(member), o.unannouncedDomains(member)
 	if evenIfEmpty {
 		msg.AgentCount = o.agentCount
 	}
@@ -395,7 +400,7 @@
 	}
 	member.stops, member.runResources, member.paces = nil, nil, nil
 	member.sentAckSeq, member.announcedSilence, member.lastSentAt = member.ackedEndSeq, o.durableSilence, boottime.Now()
-	member.announcedDeparture = o.departureCount
+	member.announcedDeparture, member.announcedDomains = o.departureCount, o.domains.changes
 	parts := msg.Parts()
 	for i := range parts {
 		part := &parts[i]
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -38,6 +38,9 @@
 	Adviser   Adviser         // nil: no queue needs advice
 	Retention time.Duration   // how long an ended job is kept
 	MaxHold   time.Duration   // maximum time that a worker keeps its runs while its reports do not reach the owner
+	Domains   DomainReader    // nil: no failure domain is ever taken out of service
+	// DomainsApply is the time within which operators expect that nothing starts in a failure domain any more.
+	DomainsApply time.Duration
 	// RecordsPerSnapshot is the number of records after which a snapshot replaces them; 0: defaultRecordsPerSnapshot.
 	RecordsPerSnapshot int64
 }
@@ -80,6 +83,7 @@
 	earlierOwners  map[int64]earlierOwner   // by epoch, as members have told
 	departures     map[string]departure     // newest ended lifetime of each agent's worker, by agent name
 	departureCount int64                    // number of the newest departure
+	domains        domainView
 	// submitReplies holds the callbacks that reply to submissions once the job's record is durable. The key is the submitted job
 	// and not its ID: a caller may repeat a submission that was rejected, while the effects of the rejected one are still pending.
 	submitReplies    map[*jobs.Job][]func(session.Reply)
@@ -135,7 +139,7 @@
 		adviceRequests: make(chan adviceRequest, maxAdviceRequests), members: map[string]*memberView{},
 		silences: map[string]*agentSilence{}, earlierOwners: map[int64]earlierOwner{}, departures: map[string]departure{},
 		placedByAgent: map[string]map[string]*placedTask{}, workerHealth: placement.NewHealthTracker(),
-		interference: placement.NewInterference(),
+		interference: placement.NewInterference(), domains: domainView{returnedAt: map[string]time.Duration{}},
 	}
 	o.jobLog.SkipUnreadable()
 	recovery := logRecovery{jobLog: o.jobLog, attemptTimeout: bulkCallTimeout}
@@ -253,6 +257,7 @@
 	})
 	wg.Go(func() { o.heartbeatLoop(ctx) })
 	wg.Go(func() { o.adviceLoop(ctx) })
+	wg.Go(func() { o.domainsLoop(ctx) })
 	wg.Go(func() { o.storeInterferenceLoop(ctx) })
 	wg.Go(func() { o.membersLoop(ctx, &wg) })
 	<-ctx.Done()
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -31,6 +31,7 @@
 	}
 	o.timeoutsCheckedAt = now
 	o.updateSilences()
+	o.reportDomains()
 	for name, tasks := range o.placedByAgent {
 		if len(tasks) > 0 {
 			o.endRunsOfLostWorker(name, tasks)
@@ -157,7 +158,7 @@
 // plan places the waiting tasks that fit on a worker. It places nothing while the lease is not confirmed, because a start needs
 // a durable record.
 func (o *Owner) plan() {
-	if !o.ownership.LeaseValid() || len(o.activeJobs) == 0 {
+	if !o.ownership.LeaseValid() || len(o.activeJobs) == 0 || !o.mayPlace() {
 		return
 	}
 	snapshot := o.placementSnapshot()
@@ -217,7 +218,7 @@
 	step, shortage := &longest.Spec.Steps[longestID.Step], snapshot.ShortageOf(longest, longestID.Occurrence, longestID.Step)
 	events.TaskWaits.Log(&o.cfg.Log).Str("job", longest.ID).Str("task", longestID.String()).Int("waiting", waiting).
 		Int64("waits_ms", longestMs).Int("cpu", step.CPU).Int("mem_mb", step.MemMB).Int("max_per_worker", step.MaxPerWorker).
-		Int("workers", shortage.Workers).Int("fitting", shortage.Fitting).Int("beside_short", shortage.BesideShort).
+		Int("workers", shortage.Workers).Int("closed", shortage.Closed).Int("fitting", shortage.Fitting).Int("beside_short", shortage.BesideShort).
 		Int("held", shortage.Held).Int("fits", shortage.Fits).Int("full", shortage.Full).
 		Int("free_cpu", shortage.FreeCPU).Int("max_free_cpu", shortage.MaxFreeCPU).Int("max_free_mem_mb", shortage.MaxFreeMemMB).Send()
 }
@@ -288,6 +289,7 @@
 		Name: member.Name, Lifetime: worker.Lifetime, Service: worker.Service, Zone: worker.Zone,
 		Rack: rackOf(worker.Labels), Labels: worker.Labels,
 		Capacity: capacityOf(worker), Free: capacityOf(worker), IdleCPU: worker.CPU, BestEffortPaused: member.bestEffortPaused,
+		Closed: o.isOutOfService(member),
 	}
 	bestEffort := o.bestEffortBuffer[:0]
 	for _, placed := range o.placedByAgent[member.Name] {
@@ -302,6 +304,9 @@
 	}
 	o.bestEffortBuffer = bestEffort
 	view.MaxStarts = maxStarts
+	if at, ok := o.domains.returnedAt[worker.Zone]; ok {
+		view.LimitReturning((boottime.Now() - at).Milliseconds())
+	}
 	return view
 }
 
