--- a/internal/deployed/evacuation_test.go
+++ b/internal/deployed/evacuation_test.go
@@ -106,9 +106,11 @@
 		before time.Duration
 		faults func(f *virtualFleet)
 	}{
-		"no fault":             {evacuationApply, 0, func(*virtualFleet) {}},
-		"lost watch events":    {evacuationApply, 0, func(f *virtualFleet) { f.setStoreFaults(standin.StoreFaults{NoWatchEvents: true}, 30*time.Second) }},
-		"slow store":           {evacuationApply, 0, func(f *virtualFleet) { f.setStoreFaults(standin.StoreFaults{Delay: 200 * time.Millisecond}, 30*time.Second) }},
+		"no fault":          {evacuationApply, 0, func(*virtualFleet) {}},
+		"lost watch events": {evacuationApply, 0, func(f *virtualFleet) { f.setStoreFaults(standin.StoreFaults{NoWatchEvents: true}, 30*time.Second) }},
+		"slow store": {evacuationApply, 0, func(f *virtualFleet) {
+			f.setStoreFaults(standin.StoreFaults{Delay: 200 * time.Millisecond}, 30*time.Second)
+		}},
 		"silent store":         {evacuationApply + evacuationStretch, 500 * time.Millisecond, func(f *virtualFleet) { f.silenceStore(5 * time.Second) }},
 		"history is forgotten": {evacuationApply, 0, func(f *virtualFleet) { f.after(300*time.Millisecond, f.store.Compact) }},
 		"the owner is killed": {evacuationApply, 0, func(f *virtualFleet) {
--- a/internal/fleetsoak/faults_test.go
+++ b/internal/fleetsoak/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"syscall"
 	"time"
@@ -124,6 +125,24 @@
 	f.restart(ctx, rng, entry, syscall.SIGTERM)
 }
 
+// evacuate takes one or all failure domains out of service for a random time.
+func evacuate(ctx context.Context, f *fleet, rng *rand.Rand) {
+	affected := []string{failureDomain(rng.IntN(len(f.workers)))}
+	if rng.IntN(6) == 0 {
+		affected = []string{failureDomain(0), failureDomain(1), failureDomain(2)}
+	}
+	for _, domain := range affected {
+		f.store.Evacuate(domain, true)
+	}
+	app.Sleep(ctx, randomDuration(rng, 0, 3*time.Second))
+	for _, domain := range affected {
+		f.store.Evacuate(domain, false)
+	}
+}
+
+// failureDomain returns the failure domain of the worker with the index.
+func failureDomain(i int) string { return fmt.Sprint("z", i%3) }
+
 // pause suspends the program's process for a random time. If another fault has already stopped or paused the process, pause does
 // nothing.
 func pause(ctx context.Context, rng *rand.Rand, p *proc) {
--- a/internal/fleetsoak/fleet_test.go
+++ b/internal/fleetsoak/fleet_test.go
@@ -98,6 +98,7 @@
 func (f *fleet) addHost(seed uint64, i int) {
 	name := fmt.Sprint("host-", i)
 	w := standin.NewWorker(name, workerMillicores, f.checker, seed+uint64(i), taskProfile)
+	w.Zone = failureDomain(i)
 	workerRelay := f.relay(f.serve(w), seed)
 	p := f.startProgram("bf-host", name, seed, i, workerRelay.Addr())
 	p.relays = append(p.relays, workerRelay)
@@ -128,7 +129,8 @@
 		Name: name, MemoryMB: 150, Worker: workerAddr, Store: p.relays[0].Addr(),
 		Listen: hostconfig.Listen{Peers: peerAddr, Advertise: p.relays[1].Addr(), Callers: ip + ":7002", Readiness: ip + ":7003",
 			Registrations: ip + ":7004", Metrics: ip},
-		Bounds: hostconfig.Bounds{MaxHoldMs: maxHold.Milliseconds(), StopTimeoutMs: 200, GraceS: 6, StatusS: 120},
+		Bounds:     hostconfig.Bounds{MaxHoldMs: maxHold.Milliseconds(), StopTimeoutMs: 200, GraceS: 6, StatusS: 120},
+		Evacuation: hostconfig.Evacuation{ApplyMs: 2000},
 	}
 	data, err := yaml.Marshal(p.cfg)
 	qt.Assert(f.t, err, qt.IsNil)
--- a/internal/fleetsoak/soak_test.go
+++ b/internal/fleetsoak/soak_test.go
@@ -124,6 +124,14 @@
 			reloadDuringShutdown(ctx, r.fleet, rng)
 		}
 	})
+	wg.Go(func() { // likewise
+		rng := rand.New(rand.NewPCG(seed, injectorCount+1))
+		for ctx.Err() == nil {
+			app.Sleep(ctx, randomDuration(rng, 0, 2*time.Second))
+			r.countEvent("fault: evacuation")
+			evacuate(ctx, r.fleet, rng)
+		}
+	})
 	for i := range uint64(callerCount) {
 		rng := rand.New(rand.NewPCG(seed, 100+i))
 		wg.Go(func() {
