An owner without the setting ignores evacuations that members know

Cause: found in review: an owner whose settings have no evacuation.apply_ms would apply what a member knows from an owner that had it, and would never read that the domain is back.

Change: learnDomains does nothing without a reader.

Measured: TestOwnerWithoutEvacuationIgnoresWhatMembersKnow; go test -race ./internal/jobowner passes.

Conclusion: turning the setting off ends evacuations with the replacement of the processes.

--- a/internal/jobowner/domains.go
+++ b/internal/jobowner/domains.go
@@ -132,8 +132,11 @@
 }
 
 // learnDomains applies what a member knows from earlier owners. The member gets the state of this owner in return, whose revision has
-// risen since it was sent last.
+// risen since it was sent last. An owner that does not read the state ignores it, because the state would stay for ever.
 func (o *Owner) learnDomains(member *memberView, told *session.Domains) {
+	if o.cfg.Domains == nil {
+		return
+	}
 	member.announcedDomains = 0
 	o.setDomains(told.State())
 }
--- a/internal/jobowner/domains_test.go
+++ b/internal/jobowner/domains_test.go
@@ -195,6 +195,15 @@
 	qt.Check(t, o.isOutOfService(member), qt.IsTrue, qt.Commentf("the worker has come back in another domain"))
 }
 
+// Guards against a failure domain that stays closed for ever under an owner that does not read the state, because a member knows it from
+// an owner that did.
+func TestOwnerWithoutEvacuationIgnoresWhatMembersKnow(t *testing.T) {
+	o := newTestOwner(t, memstore.New())
+	member, _ := addAgentIn(t, o, "host-1", "z0")
+	o.handleMessage(member, &session.FromMember{Domains: &session.Domains{Revision: 9, OutOfService: []string{"z0"}}})
+	qt.Check(t, o.isOutOfService(member), qt.IsFalse)
+}
+
 // Guards against asking for advice about workers on which nothing may start, and against waiting for the end of tickets that are all for
 // such workers.
 func TestAdviceIsAskedForOpenWorkersOnly(t *testing.T) {
