Order in shortage: by what a delay costs the callers, with learned run times

Cause: in shortage the order took slack by declared run times alone; the work that a job needs and the doubt about its estimates decided nothing. Change: package delaycost (worth that is still reachable, cost of a delay per unit of room; run times, longest tasks and sizes learned by kind). Jobs that cannot all begin in time are ordered by it; sizes that are served clearly less well go first. Settings section shortage; without it the order is as before.

--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -13,13 +13,19 @@
 
 // Process holds the settings of one process.
 type Process struct {
-	Name     string `yaml:"name"`
-	MemoryMB int64  `yaml:"memory_mb"` // memory limit above which the process is killed
-	Listen   Listen `yaml:"listen"`
-	Worker   string `yaml:"worker"` // address of the worker on the same host; agents only
-	Store    string `yaml:"store"`  // address of the platform's store
-	Advice   string `yaml:"advice"` // address of the advice service, or empty
-	Bounds   Bounds `yaml:"bounds"`
+	Name     string   `yaml:"name"`
+	MemoryMB int64    `yaml:"memory_mb"` // memory limit above which the process is killed
+	Listen   Listen   `yaml:"listen"`
+	Worker   string   `yaml:"worker"` // address of the worker on the same host; agents only
+	Store    string   `yaml:"store"`  // address of the platform's store
+	Advice   string   `yaml:"advice"` // address of the advice service, or empty
+	Bounds   Bounds   `yaml:"bounds"`
+	Shortage Shortage `yaml:"shortage"`
+}
+
+// Shortage says how the owner of the jobs decides when there is too little room. Without the section all of it is off.
+type Shortage struct {
+	DelayCost bool `yaml:"delay_cost"` // order jobs by what a delay costs their callers
 }
 
 // Listen holds the addresses that the process listens on.
--- a/internal/jobowner/colocate.go
+++ b/internal/jobowner/colocate.go
@@ -135,6 +135,7 @@
 	if percent == previousPercent {
 		return
 	}
+	placed.addWork(bootTimeMs())
 	placed.task.PacePercent = percent
 	if percent >= slowPacePercent {
 		placed.task.SlowSinceMs = 0
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -38,6 +38,8 @@
 	Adviser   Adviser         // nil: no queue needs advice
 	Retention time.Duration   // how long an ended job is kept
 	MaxHold   time.Duration   // maximum time that a worker keeps its runs while its reports do not reach the owner
+	// Shortage makes the owner order jobs by what a delay costs their callers when there is too little room.
+	Shortage bool
 	// RecordsPerSnapshot is the number of records after which a snapshot replaces them; 0: defaultRecordsPerSnapshot.
 	RecordsPerSnapshot int64
 }
@@ -89,6 +91,7 @@
 	bestEffortBuffer []*placedTask // used by workerView
 	// interference is loaded from the store at the start of the term and refined by the reports of the agents.
 	interference      *placement.Interference
+	costs             *costLearner  // nil: off
 	servingSince      time.Duration // boot time at which Run began
 	waitsRestored     bool          // see restoreWaits
 	nextPlanAt        time.Duration // boot time before which no planning pass starts
@@ -107,6 +110,10 @@
 	id   jobs.TaskID
 	step *jobs.Step
 	task *jobs.Task
+
+	isMeasured bool    // workMs is the work of the whole run
+	workMs     float64 // until measuredMs, in ms at full speed
+	measuredMs int64   // time on the owner's boot clock
 }
 
 // bootTimeMs returns the time on the boot clock in milliseconds.
@@ -150,6 +157,9 @@
 	o.jobsState, o.lastRecordSeq, o.epoch, o.snapshotSeq = recovery.state, fence.Seq, fence.Epoch, recovery.snapshotSeq
 	o.rebuildIndexes()
 	o.recordedEpochs, o.heardEpochs = recovery.epochs, recovery.heardEpochs
+	if cfg.Shortage {
+		o.costs = newCostLearner(o.activeJobs)
+	}
 	o.inheritSilences(recovery.lastEpoch)
 	ownership.ConfirmUnreplaced(o.confirmUnreplaced)
 	recoveryStart := o.startedAt
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -244,7 +244,7 @@
 
 // workerSnapshot returns a snapshot of the workers that may take tasks. The snapshot contains no jobs.
 func (o *Owner) workerSnapshot() *placement.Snapshot {
-	snapshot := &placement.Snapshot{BootTimeMs: bootTimeMs(), WallMs: wallTimeMs(), Interference: o.interference,
+	snapshot := &placement.Snapshot{BootTimeMs: bootTimeMs(), WallMs: wallTimeMs(), Interference: o.interference, DelayCost: o.delayCost(),
 		AdvisedWorkers: map[placement.StepID]map[string]bool{}}
 	now := boottime.Now()
 	for _, member := range o.members {
@@ -329,6 +329,7 @@
 	o.trackPlaced(assignment.Job, id, task)
 	o.workerHealth.RecordStart(start.Worker, bootTimeMs())
 	placed := o.placedByAgent[start.Worker][id.String()]
+	placed.measure()
 	events.RunPlaced.Log(&o.cfg.Log).Str("job", assignment.Job.ID).Str("task", id.String()).Int("run", start.Run).
 		Str("agent", start.Worker).Str("image", assignment.Job.Spec.Steps[start.Step].Image).
 		Int64("waited_ms", wallTimeMs()-assignment.Job.AcceptedMs).Int("pace", task.PacePercent).Send()
--- a/internal/jobowner/report.go
+++ b/internal/jobowner/report.go
@@ -102,6 +102,7 @@
 // endRun records the end of a placed run and releases its resources.
 func (o *Owner) endRun(placed *placedTask, outcome jobs.Outcome, checkpoint, reason string) {
 	delete(o.placedByAgent[placed.task.Worker], placed.id.String())
+	o.costs.runEnded(placed, outcome, bootTimeMs())
 	events.RunEnded.Log(&o.cfg.Log).Str("job", placed.job.ID).Str("task", placed.id.String()).Int("run", placed.task.Run).
 		Str("agent", placed.task.Worker).Str("how", string(outcome)).
 		Int64("ran_ms", bootTimeMs()-placed.task.PlacedMs).Str("why", reason).Send()
@@ -120,6 +121,7 @@
 		return
 	}
 	delete(o.activeJobs, job.ID)
+	o.costs.jobEnded(job, wallTimeMs())
 	o.forgetAdvice(job)
 	o.interference.Forget(job.ID)
 	events.JobEnded.Log(&o.cfg.Log).Str("job", job.ID).Str("state", string(job.State())).
--- a/internal/jobowner/requests.go
+++ b/internal/jobowner/requests.go
@@ -72,6 +72,7 @@
 	o.apply(jobs.Change{Submit: &jobs.Job{ID: request.JobID, Queue: *request.Queue, Spec: *request.Spec, AcceptedMs: wallTimeMs()}})
 	job := o.jobsState.Jobs[request.JobID]
 	o.activeJobs[job.ID] = job
+	o.costs.submitted(job)
 	o.submitReplies[job] = append(o.submitReplies[job], reply)
 	o.pendingEffects = append(o.pendingEffects, func() { o.replyToSubmissions(job) })
 }
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"testing"
 
+	"bamboofork/internal/delaycost"
 	"bamboofork/internal/jobs"
 	"bamboofork/internal/placement"
 )
@@ -55,3 +56,39 @@
 		snapshot.Backlog()
 	}
 }
+
+// BenchmarkPlanInShortage measures one planning pass with 120 jobs that cannot all begin in time on 76 full workers.
+func BenchmarkPlanInShortage(b *testing.B) {
+	var waiting []*jobs.Job
+	for i := range 120 {
+		first := jobs.Step{Count: 20, CPU: 3500, MemMB: 6400, EstimateMs: int64(700 + 20*i), Image: fmt.Sprint("filling-", i%18)}
+		second := first
+		second.After = []int{0}
+		waiting = append(waiting, newJob(fmt.Sprintf("large-%03d", i), jobs.Queue{Name: "large", Priority: 2, Stretch: 2, TargetMs: 1000}, int64(i), first, second))
+	}
+	for _, c := range []struct {
+		name  string
+		model *delaycost.Model
+	}{{"by slack", nil}, {"by delay cost", delaycost.NewModel()}} {
+		if c.model != nil {
+			for i := range 1000 {
+				c.model.RunTimes.Observe(fmt.Sprint("filling-", i%18), float64(700+i), 1400)
+				c.model.Tails.Observe(fmt.Sprint("filling-", i%18), 20, 1400, 2500)
+				c.model.Sizes.Submitted("large", float64(i))
+			}
+		}
+		b.Run(c.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				snapshot := &placement.Snapshot{BootTimeMs: 1000, WallMs: 1000, Jobs: waiting, DelayCost: c.model}
+				for i := range 76 {
+					w := newWorker(fmt.Sprintf("side-%03d", i), 32_000)
+					w.Free.CPU = 2000
+					snapshot.Workers = append(snapshot.Workers, w)
+				}
+				placement.Plan(snapshot)
+				snapshot.Backlog()
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/placement/cost.go
@@ -0,0 +1,117 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"bamboofork/internal/delaycost"
+	"bamboofork/internal/jobs"
+)
+
+// candidateCost is what the model of the cost of delays says about a candidate.
+type candidateCost struct {
+	job             delaycost.Job
+	pathMs          int64 // expected length of the critical path of all steps
+	remainingPathMs int64 // expected length of the critical path of the unfinished steps
+	isBehind        bool  // jobs of its size are served clearly less well than its queue
+	perRoom         float64
+}
+
+// KindOf returns the kind under which the run times of a step are learned: its image, otherwise the job's queue.
+func KindOf(queue *jobs.Queue, step *jobs.Step) string {
+	if step.Image != "" {
+		return step.Image
+	}
+	return queue.Name
+}
+
+// ExpectedWork returns the work of all steps of one occurrence by the learned run times, in thousandths of a core x ms. Steps that run
+// until the job is cancelled do not count.
+func ExpectedWork(model *delaycost.Model, queue *jobs.Queue, spec *jobs.Spec) float64 {
+	work := 0.0
+	for i := range spec.Steps {
+		if step := &spec.Steps[i]; !step.Perpetual {
+			expectedMs, _ := model.RunTimes.Expect(KindOf(queue, step), float64(step.EstimateMs))
+			work += float64(step.Count) * float64(step.CPU) * expectedMs
+		}
+	}
+	return work
+}
+
+func newCandidateCost(model *delaycost.Model, j *jobs.Job, occ int) *candidateCost {
+	c := &candidateCost{}
+	work, doubt := 0.0, 0.0
+	var buffer [16]float64
+	endMs := buffer[:0]
+	remainingEndMs := make([]float64, 0, 16)
+	longestMs, longestRemainingMs := 0.0, 0.0
+	for i := range j.Spec.Steps {
+		step, stepState := &j.Spec.Steps[i], &j.Occurrences[occ].Steps[i]
+		expectedMs, spread := model.RunTimes.Expect(KindOf(&j.Queue, step), float64(step.EstimateMs))
+		end, remainingEnd := 0.0, 0.0
+		for _, a := range step.After {
+			end, remainingEnd = max(end, endMs[a]), max(remainingEnd, remainingEndMs[a])
+		}
+		longestTaskMs := expectedMs * model.Tails.Expect(KindOf(&j.Queue, step), step.Count)
+		end += longestTaskMs
+		if stepState.DoneTasks < len(stepState.Tasks) {
+			remainingEnd += longestTaskMs
+		}
+		endMs, remainingEndMs = append(endMs, end), append(remainingEndMs, remainingEnd)
+		longestMs, longestRemainingMs = max(longestMs, end), max(longestRemainingMs, remainingEnd)
+		doubt = max(doubt, spread)
+		work += float64(step.Count) * float64(step.CPU) * expectedMs
+		remaining := float64(len(stepState.Tasks)-stepState.DoneTasks+stepState.WaitingTasks) / 2
+		c.job.Work += remaining * float64(step.CPU) * expectedMs
+	}
+	c.pathMs, c.remainingPathMs = int64(longestMs), int64(longestRemainingMs)
+	c.job.Worth = delaycost.Worth(work, model.Sizes.MeanWork(j.Queue.Name))
+	c.job.DoubtMs = doubt * max(math.Abs(max(1, j.Queue.Stretch)*longestMs-longestRemainingMs), longestRemainingMs/2)
+	c.isBehind = model.Sizes.IsBehind(j.Queue.Name, model.Sizes.SizeOf(j.Queue.Name, work))
+	return c
+}
+
+// preferCostlyIfOverloaded reorders the startable jobs of each priority if they cannot all be begun in time: the job whose caller loses
+// most by waiting until all of them could have begun, for the room that it takes, comes first. Jobs of a size that is served clearly
+// less well than its queue come before.
+func preferCostlyIfOverloaded(s *Snapshot, list []candidate) {
+	var ahead work
+	capacity := capacityOf(s)
+	for start := 0; start < len(list); {
+		end := start + 1
+		for end < len(list) && list[end].standing == list[start].standing && list[end].job.Queue.Priority == list[start].job.Queue.Priority {
+			end++
+		}
+		group := list[start:end]
+		if group[0].standing == startable && !allStartInTime(group, ahead, capacity) {
+			sortByCost(group, waitMs(group, ahead, capacity))
+		}
+		for i := range group {
+			ahead.add(&group[i])
+		}
+		start = end
+	}
+}
+
+// waitMs returns the expected time in ms until the work ahead and that of the group are done.
+func waitMs(group []candidate, ahead, capacity work) float64 {
+	for i := range group {
+		ahead.add(&group[i])
+	}
+	return max(ahead.reserved/max(1, capacity.reserved), ahead.bestEffort/max(1, capacity.bestEffort))
+}
+
+func sortByCost(group []candidate, delayMs float64) {
+	for i := range group {
+		if c := &group[i]; c.cost != nil {
+			c.cost.perRoom = c.cost.job.CostPerRoom(delayMs)
+		}
+	}
+	slices.SortStableFunc(group, func(a, b candidate) int {
+		if a.cost == nil || b.cost == nil {
+			return 0
+		}
+		return cmp.Or(compareBool(b.cost.isBehind, a.cost.isBehind), cmp.Compare(b.cost.perRoom, a.cost.perRoom), cmp.Compare(a.job.ID, b.job.ID))
+	})
+}
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -76,12 +76,18 @@
 	isPerpetual    bool   // the job has a perpetual step, so it runs until it is cancelled
 	image          string // image of the first perpetual step; perpetual tasks of one image are placed one after the other
 	isStarved      bool   // the job has had no placed task for starvationMs
+
+	cost *candidateCost // nil without a model of the cost of delays
 }
 
 // placementOrder returns the candidates in the order in which their tasks are placed.
 func placementOrder(snapshot *Snapshot) []candidate {
 	list := sortedCandidates(snapshot)
-	preferFreshIfOverloaded(snapshot, list)
+	if snapshot.DelayCost != nil {
+		preferCostlyIfOverloaded(snapshot, list)
+	} else {
+		preferFreshIfOverloaded(snapshot, list)
+	}
 	startIdleJobsIfCalm(snapshot, list)
 	return list
 }
@@ -119,20 +125,31 @@
 // newCandidate returns the candidate for one occurrence. startMs, in Unix milliseconds, is the time from which the completion time
 // objective counts.
 func newCandidate(snapshot *Snapshot, j *jobs.Job, occ int, startMs int64) candidate {
-	criticalPathMs := totalPathMs(j)
-	objectiveMs := int64(float64(criticalPathMs)*max(1, j.Queue.Stretch)) + j.Queue.TargetMs
-	currentSlackMs := startMs + objectiveMs - snapshot.WallMs - remainingPathMs(j, occ)
 	isPerpetual, image := false, ""
 	for i := range j.Spec.Steps {
 		if j.Spec.Steps[i].Perpetual && !isPerpetual {
 			isPerpetual, image = true, j.Spec.Steps[i].Image
 		}
 	}
+	criticalPathMs, remainingMs := int64(0), int64(0)
+	var cost *candidateCost
+	if snapshot.DelayCost != nil && !isPerpetual {
+		cost = newCandidateCost(snapshot.DelayCost, j, occ)
+		criticalPathMs, remainingMs = cost.pathMs, cost.remainingPathMs
+	} else {
+		criticalPathMs, remainingMs = totalPathMs(j), remainingPathMs(j, occ)
+	}
+	objectiveMs := int64(float64(criticalPathMs)*max(1, j.Queue.Stretch)) + j.Queue.TargetMs
+	currentSlackMs := startMs + objectiveMs - snapshot.WallMs - remainingMs
 	isStarved := j.IdleSinceMs > 0 && snapshot.BootTimeMs-j.IdleSinceMs > starvationMs
 	c := candidate{job: j, occ: occ, slackMs: currentSlackMs,
 		initialSlackMs: objectiveMs - criticalPathMs,
 		isPerpetual:    isPerpetual, image: image, isStarved: isStarved, hasBegun: hasBegun(j, occ)}
 	c.standing = standingOf(&c, objectiveMs)
+	if cost != nil {
+		cost.job.SlackMs, cost.job.ObjectiveMs = float64(currentSlackMs), float64(objectiveMs)
+		c.cost = cost
+	}
 	return c
 }
 
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -5,7 +5,10 @@
 // are slowed where they interfere with serving tasks. Perpetual tasks run until their job is cancelled.
 package placement
 
-import "bamboofork/internal/jobs"
+import (
+	"bamboofork/internal/delaycost"
+	"bamboofork/internal/jobs"
+)
 
 // Resources is an amount of each resource of a worker.
 type Resources struct {
@@ -101,6 +104,8 @@
 	Workers    []*Worker
 	// Interference is the learned interference between images; nil: none is assumed.
 	Interference *Interference
+	// DelayCost is the learned model by which jobs are ordered in shortage; nil: they are ordered by standing and slack alone.
+	DelayCost *delaycost.Model
 	// AdvisedWorkers holds, for each step that needs a ticket from the advice service, the names of the workers that may run
 	// the step. Such a step without an entry waits.
 	AdvisedWorkers map[StepID]map[string]bool
