Admission: a job that surely ends too late to be of use is refused at once

A job was accepted whatever stands in front of it, and its caller waited for an end of no use. Change: jobowner/admission.go with one call in submitJob, delaycost.Backlog. The time to return is that at which the model has room again, spread by job; a returning caller's objective counts from the first refusal.

--- a/internal/events/jobowner.go
+++ b/internal/events/jobowner.go
@@ -22,6 +22,7 @@
 	TaskWaits        = register(3620, "task_waits", zerolog.InfoLevel, "Perpetual tasks wait for a worker; once a second the line has the one that waits for longest and the free resources after the planning pass.")
 	AgentSilent      = register(3621, "agent_silent", zerolog.WarnLevel, "The owner has not heard from an agent with runs; it confirms no report of the agent before this is over.")
 	RecordUnreadable = register(3623, "record_unreadable", zerolog.ErrorLevel, "Positions of the job log hold something that is not a record; a new owner skips them. The line has the first position and their number.")
+	JobHopeless      = register(3624, "job_hopeless", zerolog.InfoLevel, "A job was rejected and will not run: by what the workers have to do before it, it would end too late to be of use. The line has the inputs of the decision and the time after which its caller may return.")
 	JobRejected      = register(3615, "job_rejected", zerolog.InfoLevel, "A job was rejected and will not run; the line has the reason.")
 
 	MessageTooLarge = register(2705, "message_too_large", zerolog.ErrorLevel, "A message exceeds what the peer accepts and was dropped; the connection goes on. Logged once for each connection.")
--- /dev/null
+++ b/internal/jobowner/admission.go
@@ -0,0 +1,125 @@
+package jobowner
+
+import (
+	"time"
+
+	"bamboofork/internal/boottime"
+	"bamboofork/internal/events"
+	"bamboofork/internal/jobs"
+	"bamboofork/internal/placement"
+	"bamboofork/internal/session"
+)
+
+// reasonNoRoom is the reason given for refusing a job that would end too late to be of use.
+const reasonNoRoom = "no room in time"
+
+// minOwnerAge is how long an owner has served before it refuses jobs for want of room. Until then, agents are still reporting.
+const minOwnerAge = 5 * time.Second
+
+// admit reports whether a submission is to be recorded. It refuses a job that by the work ahead of it surely ends too late to be of any
+// use to its caller, and replies to it. Nothing of a refused job is recorded, so it certainly never runs. The objective of a job whose
+// caller was refused before counts from the first refusal.
+func (o *Owner) admit(submitted *jobs.Job, reply func(session.Reply)) bool {
+	if o.costs == nil {
+		return true
+	}
+	now, nowWallMs := boottime.Now(), wallTimeMs()
+	waitedMs := int64(0)
+	if refusedMs := o.refusals.firstMs(submitted.ID, nowWallMs); refusedMs > 0 {
+		waitedMs = max(0, nowWallMs-refusedMs)
+	}
+	if o.shortage == nil || now < o.servingSince+minOwnerAge || submitted.Spec.Repeats > 0 || submitted.Spec.Steps[0].Perpetual {
+		submitted.AcceptedMs -= waitedMs
+		return true
+	}
+	state := jobs.NewState()
+	state.Apply(jobs.Change{Submit: submitted})
+	job := state.Jobs[submitted.ID]
+	if job == nil {
+		return true
+	}
+	delay := placement.DelayOf(o.costs.model, job)
+	delay.SlackMs -= float64(waitedMs)
+	waitMs := o.shortage.WaitMs(submitted.Queue.Priority, &delay)
+	if !delay.IsHopeless(waitMs) || o.workerSnapshot().MayStartNow(job) {
+		submitted.AcceptedMs -= waitedMs
+		return true
+	}
+	retryMs := delay.RetryMs(submitted.ID, waitMs)
+	o.refusals.note(submitted.ID, nowWallMs)
+	o.countRefusal(submitted.Queue.Name, delay.Worth)
+	events.JobHopeless.Log(&o.cfg.Log).Str("job", submitted.ID).Str("queue", submitted.Queue.Name).Float64("wait_ms", waitMs).
+		Float64("slack_ms", delay.SlackMs).Float64("objective_ms", delay.ObjectiveMs).Float64("doubt_ms", delay.DoubtMs).
+		Float64("work", delay.Work).Float64("worth", delay.Worth).Int64("waited_ms", waitedMs).Int64("retry_ms", retryMs).Send()
+	reply(session.Reply{Code: session.CodeRejected, RetryMs: retryMs, Reason: reasonNoRoom})
+	return false
+}
+
+// maxMeteredQueues bounds the number of queues with metrics of their own.
+const maxMeteredQueues = 64
+
+// countRefusal counts a refused job and its worth, by queue. The worth is in thousandths of that of a job of mean work.
+func (o *Owner) countRefusal(queue string, worth float64) {
+	o.cfg.Metrics.Counter("owner_jobs_hopeless").Inc(1)
+	if o.meteredQueues == nil {
+		o.meteredQueues = map[string]bool{}
+	}
+	if !o.meteredQueues[queue] {
+		if len(o.meteredQueues) >= maxMeteredQueues {
+			return
+		}
+		o.meteredQueues[queue] = true
+	}
+	o.cfg.Metrics.Counter("owner_jobs_hopeless_worth_" + queue).Inc(int64(1000 * worth))
+}
+
+// noteShortage keeps what a planning pass has found out about the room and the work that waits.
+func (o *Owner) noteShortage(snapshot *placement.Snapshot) {
+	o.shortage = snapshot.Shortage
+	if o.costs == nil {
+		return
+	}
+	freeCPU := 0
+	for _, w := range snapshot.Workers {
+		freeCPU += max(0, w.Free.CPU)
+	}
+	o.cfg.Metrics.Gauge("owner_free_cpu").Update(int64(freeCPU))
+	o.cfg.Metrics.Gauge("owner_shortage_ms").Update(int64(o.shortage.LongestMs()))
+}
+
+// refusedCallers remembers when jobs were first refused, so that callers who return are not put behind newcomers.
+type refusedCallers struct{ firstMsByJob map[string]int64 }
+
+const (
+	// refusalMemoryMs is how long a refusal is remembered.
+	refusalMemoryMs = 120_000
+	// maxRefusals bounds the number of refusals that are remembered.
+	maxRefusals = 8192
+)
+
+// firstMs returns the wall-clock time in ms of the first refusal of the job, 0 if none is remembered.
+func (r *refusedCallers) firstMs(id string, nowMs int64) int64 {
+	if first := r.firstMsByJob[id]; nowMs-first < refusalMemoryMs {
+		return first
+	}
+	return 0
+}
+
+func (r *refusedCallers) note(id string, nowMs int64) {
+	if r.firstMsByJob == nil {
+		r.firstMsByJob = map[string]int64{}
+	}
+	if r.firstMs(id, nowMs) > 0 {
+		return
+	}
+	if len(r.firstMsByJob) >= maxRefusals {
+		for other, first := range r.firstMsByJob {
+			if nowMs-first >= refusalMemoryMs {
+				delete(r.firstMsByJob, other)
+			}
+		}
+	}
+	if len(r.firstMsByJob) < maxRefusals {
+		r.firstMsByJob[id] = nowMs
+	}
+}
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -17,6 +17,7 @@
 	"bamboofork/internal/app"
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/caslog"
+	"bamboofork/internal/delaycost"
 	"bamboofork/internal/election"
 	"bamboofork/internal/events"
 	"bamboofork/internal/jobs"
@@ -91,17 +92,20 @@
 	bestEffortBuffer []*placedTask // used by workerView
 	// interference is loaded from the store at the start of the term and refined by the reports of the agents.
 	interference      *placement.Interference
-	costs             *costLearner  // nil: off
-	servingSince      time.Duration // boot time at which Run began
-	waitsRestored     bool          // see restoreWaits
-	nextPlanAt        time.Duration // boot time before which no planning pass starts
-	planPostponed     bool          // a pass was due before nextPlanAt
-	timeoutsCheckedAt time.Duration // boot time of the last check of timeouts
-	waitingReportedAt time.Duration // boot time of the last report of waiting perpetual tasks
-	lastRecordSeq     int64         // sequence number of the newest record
-	snapshotSeq       int64         // sequence number of the newest snapshot
-	appendStartedAt   time.Duration // boot time at which the write of the current record began; 0: no write in progress
-	stalledUntil      time.Duration // boot time at which the last write that was unanswered for storeStallTimeout ended; 0: none
+	costs             *costLearner       // nil: off
+	shortage          *delaycost.Backlog // of the last planning pass; nil: jobs can all begin in time
+	refusals          refusedCallers
+	meteredQueues     map[string]bool // see countRefusal
+	servingSince      time.Duration   // boot time at which Run began
+	waitsRestored     bool            // see restoreWaits
+	nextPlanAt        time.Duration   // boot time before which no planning pass starts
+	planPostponed     bool            // a pass was due before nextPlanAt
+	timeoutsCheckedAt time.Duration   // boot time of the last check of timeouts
+	waitingReportedAt time.Duration   // boot time of the last report of waiting perpetual tasks
+	lastRecordSeq     int64           // sequence number of the newest record
+	snapshotSeq       int64           // sequence number of the newest snapshot
+	appendStartedAt   time.Duration   // boot time at which the write of the current record began; 0: no write in progress
+	stalledUntil      time.Duration   // boot time at which the last write that was unanswered for storeStallTimeout ended; 0: none
 }
 
 // placedTask is a task that occupies resources on a worker.
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -157,6 +157,7 @@
 // plan places the waiting tasks that fit on a worker. It places nothing while the lease is not confirmed, because a start needs
 // a durable record.
 func (o *Owner) plan() {
+	o.shortage = nil
 	if !o.ownership.LeaseValid() || len(o.activeJobs) == 0 {
 		return
 	}
@@ -168,6 +169,7 @@
 	for _, assignment := range placement.Plan(snapshot) {
 		o.place(assignment)
 	}
+	o.noteShortage(snapshot)
 	o.interference.SetBacklog(snapshot.Backlog())
 	o.reportWaitingTasks(snapshot)
 }
--- a/internal/jobowner/requests.go
+++ b/internal/jobowner/requests.go
@@ -69,7 +69,11 @@
 		reply(session.Reply{Code: session.CodeRejected, RetryMs: storeRetryAfterMs, Reason: reasonStoreUnavailable})
 		return
 	}
-	o.apply(jobs.Change{Submit: &jobs.Job{ID: request.JobID, Queue: *request.Queue, Spec: *request.Spec, AcceptedMs: wallTimeMs()}})
+	submitted := &jobs.Job{ID: request.JobID, Queue: *request.Queue, Spec: *request.Spec, AcceptedMs: wallTimeMs()}
+	if !o.admit(submitted, reply) {
+		return
+	}
+	o.apply(jobs.Change{Submit: submitted})
 	job := o.jobsState.Jobs[request.JobID]
 	o.activeJobs[job.ID] = job
 	o.costs.submitted(job)
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -39,6 +39,24 @@
 	return work
 }
 
+// DelayOf returns what the cost of a delay of a job depends on if none of its tasks has begun and the time of its objective begins now.
+func DelayOf(model *delaycost.Model, j *jobs.Job) delaycost.Job {
+	cost := newCandidateCost(model, j, 0)
+	cost.job.ObjectiveMs = float64(cost.pathMs)*max(1, j.Queue.Stretch) + float64(j.Queue.TargetMs)
+	cost.job.SlackMs = cost.job.ObjectiveMs - float64(cost.remainingPathMs)
+	return cost.job
+}
+
+// MayStartNow reports whether a worker has room for a task of the first steps of a job of which none has begun.
+func (s *Snapshot) MayStartNow(j *jobs.Job) bool {
+	for i := range j.Spec.Steps {
+		if len(j.Spec.Steps[i].After) == 0 && s.ShortageOf(j, 0, i).Fitting > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func newCandidateCost(model *delaycost.Model, j *jobs.Job, occ int) *candidateCost {
 	c := &candidateCost{}
 	work, doubt := 0.0, 0.0
@@ -85,7 +103,17 @@
 		}
 		group := list[start:end]
 		if group[0].standing == startable && !allStartInTime(group, ahead, capacity) {
-			sortByCost(group, waitMs(group, ahead, capacity))
+			delayMs := waitMs(group, ahead, capacity)
+			sortByCost(group, delayMs)
+			if s.Shortage == nil {
+				s.Shortage = &delaycost.Backlog{}
+			}
+			s.Shortage.Begin(group[0].job.Queue.Priority, waitMs(nil, ahead, capacity), delayMs)
+			for i := range group {
+				if c := &group[i]; c.cost != nil {
+					s.Shortage.Add(c.cost.perRoom, waitMs(group[i:i+1], work{}, capacity))
+				}
+			}
 		}
 		for i := range group {
 			ahead.add(&group[i])
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -106,6 +106,8 @@
 	Interference *Interference
 	// DelayCost is the learned model by which jobs are ordered in shortage; nil: they are ordered by standing and slack alone.
 	DelayCost *delaycost.Model
+	// Shortage is set by Plan to the work that waits, if DelayCost is set and jobs cannot all begin in time.
+	Shortage *delaycost.Backlog
 	// AdvisedWorkers holds, for each step that needs a ticket from the advice service, the names of the workers that may run
 	// the step. Such a step without an entry waits.
 	AdvisedWorkers map[StepID]map[string]bool
