Order in shortage: also among jobs that have begun

Change: in shortage all jobs of a priority are ordered by the cost of a delay; what has been done counts in the remaining work.

--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -90,30 +90,29 @@
 	return c
 }
 
-// preferCostlyIfOverloaded reorders the startable jobs of each priority if they cannot all be begun in time: the job whose caller loses
-// most by waiting until all of them could have begun, for the room that it takes, comes first. Jobs of a size that is served clearly
-// less well than its queue come before.
+// preferCostlyIfOverloaded reorders the jobs of each priority if those that can still be in time cannot all go on in time: the job whose
+// caller loses most by waiting until the work of all of them is done, for the room that it takes, comes first. Jobs of a size that is served
+// clearly less well than its queue come before.
 func preferCostlyIfOverloaded(s *Snapshot, list []candidate) {
 	var ahead work
 	capacity := capacityOf(s)
 	for start := 0; start < len(list); {
-		end := start + 1
-		for end < len(list) && list[end].standing == list[start].standing && list[end].job.Queue.Priority == list[start].job.Queue.Priority {
+		if list[start].isPerpetual {
+			start++
+			continue
+		}
+		end, onTimeEnd := start+1, start
+		for end < len(list) && list[end].job.Queue.Priority == list[start].job.Queue.Priority {
 			end++
 		}
+		for onTimeEnd < end && list[onTimeEnd].standing <= startable {
+			onTimeEnd++
+		}
 		group := list[start:end]
-		if group[0].standing == startable && !allStartInTime(group, ahead, capacity) {
+		if !allStartInTime(list[start:onTimeEnd], ahead, capacity) {
 			delayMs := waitMs(group, ahead, capacity)
 			sortByCost(group, delayMs)
-			if s.Shortage == nil {
-				s.Shortage = &delaycost.Backlog{}
-			}
-			s.Shortage.Begin(group[0].job.Queue.Priority, waitMs(nil, ahead, capacity), delayMs)
-			for i := range group {
-				if c := &group[i]; c.cost != nil {
-					s.Shortage.Add(c.cost.perRoom, waitMs(group[i:i+1], work{}, capacity))
-				}
-			}
+			s.noteShortage(group, ahead, capacity, delayMs)
 		}
 		for i := range group {
 			ahead.add(&group[i])
@@ -122,6 +121,19 @@
 	}
 }
 
+// noteShortage adds the ordered jobs of a priority to the work that waits.
+func (s *Snapshot) noteShortage(group []candidate, ahead, capacity work, delayMs float64) {
+	if s.Shortage == nil {
+		s.Shortage = &delaycost.Backlog{}
+	}
+	s.Shortage.Begin(group[0].job.Queue.Priority, waitMs(nil, ahead, capacity), delayMs)
+	for i := range group {
+		if c := &group[i]; c.cost != nil {
+			s.Shortage.Add(c.cost.perRoom, waitMs(group[i:i+1], work{}, capacity))
+		}
+	}
+}
+
 // waitMs returns the expected time in ms until the work ahead and that of the group are done.
 func waitMs(group []candidate, ahead, capacity work) float64 {
 	for i := range group {
--- a/internal/placement/shortage_test.go
+++ b/internal/placement/shortage_test.go
@@ -191,6 +191,12 @@
 	}
 	r.running = kept
 	for _, j := range r.active {
+		switch {
+		case j.job.HasPlacedTasks():
+			j.job.IdleSinceMs = 0
+		case j.job.IdleSinceMs == 0:
+			j.job.IdleSinceMs = r.nowMs
+		}
 		snapshot.Jobs = append(snapshot.Jobs, j.job)
 	}
 	for _, a := range placement.Plan(snapshot) {
