--- a/internal/hostconfig/hostconfig_test.go
+++ b/internal/hostconfig/hostconfig_test.go
@@ -49,6 +49,13 @@
 		qt.Check(t, strings.Contains(err.Error(), c.want), qt.IsTrue, qt.Commentf("%s: %v", c.name, err))
 		qt.Check(t, strings.Contains(err.Error(), path), qt.IsTrue, qt.Commentf("%s: %v", c.name, err))
 	}
+	for section, want := range map[string]bool{"": false, "shortage: {}\n": false, "shortage: {delay_cost: true}\n": true} {
+		path := filepath.Join(t.TempDir(), "process.yaml")
+		qt.Assert(t, os.WriteFile(path, []byte(validSettings+section), 0o600), qt.IsNil)
+		p, err := hostconfig.Load(path, true)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, p.Shortage.DelayCost, qt.Equals, want, qt.Commentf("%q", section))
+	}
 	_, err := hostconfig.Load(filepath.Join(t.TempDir(), "missing.yaml"), true)
 	qt.Check(t, err, qt.IsNotNil)
 }
