--- a/internal/placement/shortage_test.go
+++ b/internal/placement/shortage_test.go
@@ -59,6 +59,7 @@
 	work        float64
 	sentMs      int64
 	endMs       int64 // 0: not ended
+	isHopeless  bool  // by the model at the submission; the replays accept such jobs all the same
 }
 
 // tookMs returns the time until the end, or until nowMs for a job that has not ended.
@@ -77,16 +78,17 @@
 
 // shortageReplay plays small urgent and large jobs on a fleet without interference.
 type shortageReplay struct {
-	rng     *rand.Rand
-	nowMs   int64
-	policy  orderPolicy
-	model   *delaycost.Model
-	state   *jobs.State
-	workers int
-	jobs    []*shortageJob
-	byID    map[string]*shortageJob
-	active  []*shortageJob
-	running []shortageRun
+	rng      *rand.Rand
+	nowMs    int64
+	policy   orderPolicy
+	model    *delaycost.Model
+	state    *jobs.State
+	workers  int
+	jobs     []*shortageJob
+	byID     map[string]*shortageJob
+	active   []*shortageJob
+	shortage *delaycost.Backlog // of the last planning pass
+	running  []shortageRun
 }
 
 type shortageRun struct {
@@ -143,6 +145,8 @@
 	j.job = r.state.Jobs[id]
 	r.jobs, r.active, r.byID[id] = append(r.jobs, j), append(r.active, j), j
 	if r.model != nil {
+		delay := placement.DelayOf(r.model, j.job)
+		j.isHopeless = delay.IsHopeless(r.shortage.WaitMs(queue.Priority, &delay))
 		r.model.Sizes.Submitted(queue.Name, placement.ExpectedWork(r.model, &queue, &spec))
 	}
 }
@@ -199,7 +203,9 @@
 		}
 		snapshot.Jobs = append(snapshot.Jobs, j.job)
 	}
-	for _, a := range placement.Plan(snapshot) {
+	plan := placement.Plan(snapshot)
+	r.shortage = snapshot.Shortage
+	for _, a := range plan {
 		place := a.Place
 		r.state.Apply(jobs.Change{JobID: a.Job.ID, Place: &place})
 		workMs := r.byID[a.Job.ID].workMs[place.Step][place.Index]
@@ -404,3 +410,40 @@
 		})
 	}
 }
+
+// Guards against refusals of jobs that would have been of use: nearly none of the jobs that the model calls hopeless when they are
+// submitted ends within three times its objective although all are accepted. With most of the workers there, none is called so: what is submitted now may be
+// worth more than what waits.
+func TestHopelessJobsAreOfNoUse(t *testing.T) {
+	small, large := smallKind(), largeKind()
+	for _, c := range []struct {
+		load   shortageLoad
+		expect bool // some jobs are hopeless
+	}{
+		{shortageLoad{"large x 2.4 for 8 s", small, large, between(10_000, 18_000, 1, 2.4), allWorkers, 0}, false},
+		{shortageLoad{"large x 4 throughout", small, large, between(0, 60_000, 1, 4), allWorkers, 0}, false},
+		{shortageLoad{"nearly all the room gone", small, large, between(0, 0, 1, 1), func(nowMs int64) int {
+			if nowMs >= 8_000 {
+				return 1
+			}
+			return shortageWorkers
+		}, 0}, true},
+	} {
+		hopeless, useful, count := 0, 0, 0
+		for seed := range uint64(2) {
+			r := playShortage(c.load, byDelayCost, seed+1)
+			for _, j := range r.jobs {
+				count++
+				if j.isHopeless {
+					hopeless++
+					if j.inTime() || j.isLate() {
+						useful++
+					}
+				}
+			}
+		}
+		t.Logf("%s: %d of %d jobs hopeless, %d of these were of use", c.load.name, hopeless, count, useful)
+		qt.Check(t, hopeless > 0, qt.Equals, c.expect, qt.Commentf("%s", c.load.name))
+		qt.Check(t, float64(useful) <= 0.03*float64(hopeless), qt.IsTrue, qt.Commentf("%s: %d of %d", c.load.name, useful, hopeless))
+	}
+}
