--- a/internal/events/jobowner.go
+++ b/internal/events/jobowner.go
@@ -26,6 +26,7 @@
 	DomainReopened   = register(3632, "domain_in_service", zerolog.InfoLevel, "A failure domain is in service again; its workers take starts again.")
 	DomainsUnknown   = register(3633, "domains_unknown", zerolog.ErrorLevel, "This owner could not read which failure domains are out of service, and places by what the members know from earlier owners.")
 	DomainRuns       = register(3634, "domain_runs", zerolog.InfoLevel, "A failure domain is out of service; once a second the line has the runs that are still there.")
+	JobHopeless      = register(3624, "job_hopeless", zerolog.InfoLevel, "A job was rejected and will not run: by what the workers have to do before it, it would end too late to be of use. The line has the inputs of the decision and the time after which its caller may return.")
 	JobRejected      = register(3615, "job_rejected", zerolog.InfoLevel, "A job was rejected and will not run; the line has the reason.")
 
 	MessageTooLarge = register(2705, "message_too_large", zerolog.ErrorLevel, "A message exceeds what the peer accepts and was dropped; the connection goes on. Logged once for each connection.")
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -22,6 +22,13 @@
 	Bounds   Bounds `yaml:"bounds"`
 	// Evacuation configures how failure domains are taken out of service.
 	Evacuation Evacuation `yaml:"evacuation"`
+	// Shortage configures the decisions when there is too little room.
+	Shortage Shortage `yaml:"shortage"`
+}
+
+// Shortage says how the owner of the jobs decides when there is too little room. Without the section all of it is off.
+type Shortage struct {
+	DelayCost bool `yaml:"delay_cost"` // order jobs by what a delay costs their callers
 }
 
 // Evacuation holds the settings of taking failure domains out of service.
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -17,6 +17,7 @@
 	"bamboofork/internal/app"
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/caslog"
+	"bamboofork/internal/delaycost"
 	"bamboofork/internal/election"
 	"bamboofork/internal/events"
 	"bamboofork/internal/jobs"
@@ -41,6 +42,8 @@
 	Domains   DomainReader    // nil: no failure domain is ever taken out of service
 	// DomainsApply is the time within which operators expect that nothing starts in a failure domain any more.
 	DomainsApply time.Duration
+	// Shortage makes the owner order jobs by what a delay costs their callers when there is too little room.
+	Shortage bool
 	// RecordsPerSnapshot is the number of records after which a snapshot replaces them; 0: defaultRecordsPerSnapshot.
 	RecordsPerSnapshot int64
 }
@@ -93,16 +96,20 @@
 	bestEffortBuffer []*placedTask // used by workerView
 	// interference is loaded from the store at the start of the term and refined by the reports of the agents.
 	interference      *placement.Interference
-	servingSince      time.Duration // boot time at which Run began
-	waitsRestored     bool          // see restoreWaits
-	nextPlanAt        time.Duration // boot time before which no planning pass starts
-	planPostponed     bool          // a pass was due before nextPlanAt
-	timeoutsCheckedAt time.Duration // boot time of the last check of timeouts
-	waitingReportedAt time.Duration // boot time of the last report of waiting perpetual tasks
-	lastRecordSeq     int64         // sequence number of the newest record
-	snapshotSeq       int64         // sequence number of the newest snapshot
-	appendStartedAt   time.Duration // boot time at which the write of the current record began; 0: no write in progress
-	stalledUntil      time.Duration // boot time at which the last write that was unanswered for storeStallTimeout ended; 0: none
+	costs             *costLearner       // nil: off
+	shortage          *delaycost.Backlog // of the last planning pass; nil: jobs can all begin in time
+	refusals          refusedCallers
+	meteredQueues     map[string]bool // see countRefusal
+	servingSince      time.Duration   // boot time at which Run began
+	waitsRestored     bool            // see restoreWaits
+	nextPlanAt        time.Duration   // boot time before which no planning pass starts
+	planPostponed     bool            // a pass was due before nextPlanAt
+	timeoutsCheckedAt time.Duration   // boot time of the last check of timeouts
+	waitingReportedAt time.Duration   // boot time of the last report of waiting perpetual tasks
+	lastRecordSeq     int64           // sequence number of the newest record
+	snapshotSeq       int64           // sequence number of the newest snapshot
+	appendStartedAt   time.Duration   // boot time at which the write of the current record began; 0: no write in progress
+	stalledUntil      time.Duration   // boot time at which the last write that was unanswered for storeStallTimeout ended; 0: none
 }
 
 // placedTask is a task that occupies resources on a worker.
@@ -111,6 +118,10 @@
 	id   jobs.TaskID
 	step *jobs.Step
 	task *jobs.Task
+
+	isMeasured bool    // workMs is the work of the whole run
+	workMs     float64 // until measuredMs, in ms at full speed
+	measuredMs int64   // time on the owner's boot clock
 }
 
 // bootTimeMs returns the time on the boot clock in milliseconds.
@@ -154,6 +165,9 @@
 	o.jobsState, o.lastRecordSeq, o.epoch, o.snapshotSeq = recovery.state, fence.Seq, fence.Epoch, recovery.snapshotSeq
 	o.rebuildIndexes()
 	o.recordedEpochs, o.heardEpochs = recovery.epochs, recovery.heardEpochs
+	if cfg.Shortage {
+		o.costs = newCostLearner(o.activeJobs)
+	}
 	o.inheritSilences(recovery.lastEpoch)
 	ownership.ConfirmUnreplaced(o.confirmUnreplaced)
 	recoveryStart := o.startedAt
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -158,6 +158,7 @@
 // plan places the waiting tasks that fit on a worker. It places nothing while the lease is not confirmed, because a start needs
 // a durable record.
 func (o *Owner) plan() {
+	o.shortage = nil
 	if !o.ownership.LeaseValid() || len(o.activeJobs) == 0 || !o.mayPlace() {
 		return
 	}
@@ -169,6 +170,7 @@
 	for _, assignment := range placement.Plan(snapshot) {
 		o.place(assignment)
 	}
+	o.noteShortage(snapshot)
 	o.interference.SetBacklog(snapshot.Backlog())
 	o.reportWaitingTasks(snapshot)
 }
@@ -245,7 +247,7 @@
 
 // workerSnapshot returns a snapshot of the workers that may take tasks. The snapshot contains no jobs.
 func (o *Owner) workerSnapshot() *placement.Snapshot {
-	snapshot := &placement.Snapshot{BootTimeMs: bootTimeMs(), WallMs: wallTimeMs(), Interference: o.interference,
+	snapshot := &placement.Snapshot{BootTimeMs: bootTimeMs(), WallMs: wallTimeMs(), Interference: o.interference, DelayCost: o.delayCost(),
 		AdvisedWorkers: map[placement.StepID]map[string]bool{}}
 	now := boottime.Now()
 	for _, member := range o.members {
@@ -334,6 +336,7 @@
 	o.trackPlaced(assignment.Job, id, task)
 	o.workerHealth.RecordStart(start.Worker, bootTimeMs())
 	placed := o.placedByAgent[start.Worker][id.String()]
+	placed.measure()
 	events.RunPlaced.Log(&o.cfg.Log).Str("job", assignment.Job.ID).Str("task", id.String()).Int("run", start.Run).
 		Str("agent", start.Worker).Str("image", assignment.Job.Spec.Steps[start.Step].Image).
 		Int64("waited_ms", wallTimeMs()-assignment.Job.AcceptedMs).Int("pace", task.PacePercent).Send()
