jobowner, jobfront: submissions wait for a silent store or owner within their callers' time

Cause: an owner refuses submissions at once while its store is silent; an entry sends submissions to an owner that was lost up to 1.5 s ago, and their answer is unclear; an owner that resigns leaves what it has not recorded without an answer. Change: the entry tells the owner how long the caller waits (Request.RemainingMs). The owner holds submissions among the changes that are in no record and turns them away at the end of their hold; the entry holds requests while it hears no owner, sends no submission or cancellation to an owner that it has not heard for 0.7 s, and waits for its first manifest. A resigning owner releases what is in no record (new reply code released). Switch: section silent_store, absent: off. The virtual fleet plays with the section on, as deployed.

--- a/internal/deployed/front.go
+++ b/internal/deployed/front.go
@@ -53,7 +53,7 @@
 
 func frontComponents(p *process) ([]app.Component, error) {
 	store := p.newStore()
-	front := &jobfront.Front{Log: p.log, Metrics: p.metrics, Manifest: &queues.CurrentManifest{}}
+	front := &jobfront.Front{Log: p.log, Metrics: p.metrics, Manifest: &queues.CurrentManifest{}, SilentStore: p.cfg.SilentStore.Policy()}
 	front.Follower = &ownerconn.Follower{Name: p.cfg.Name, Incarnation: p.incarnation, Log: p.log,
 		OwnerConnected: front.OwnerConnected, HandleMessage: front.HandleMessage}
 	member := jobowner.Member{Name: p.cfg.Name, Addr: p.cfg.Listen.PeerAddr()}
--- a/internal/deployed/virtual_fleet_test.go
+++ b/internal/deployed/virtual_fleet_test.go
@@ -236,7 +236,7 @@
 	f.serve(storeIP+":2379", m.endpoint)
 	m.cfg = hostconfig.Process{Name: name, MemoryMB: 200, Store: storeIP + ":2379",
 		Listen: hostconfig.Listen{Peers: ip + ":7000", Registrations: ip + ":7001", Callers: ip + ":8000", Readiness: ip + ":8001", Metrics: ip},
-		Bounds: hostconfig.Bounds{MaxHoldMs: virtualHoldMs, StopTimeoutMs: 200, GraceS: 6, StatusS: 120}}
+		Bounds: hostconfig.Bounds{MaxHoldMs: virtualHoldMs, StopTimeoutMs: 200, GraceS: 6, StatusS: 120}, SilentStore: &hostconfig.SilentStore{MaxHeld: 2000, MaxHeldKB: 8192}}
 	return m
 }
 
--- a/internal/events/jobowner.go
+++ b/internal/events/jobowner.go
@@ -23,6 +23,8 @@
 	AgentSilent      = register(3621, "agent_silent", zerolog.WarnLevel, "The owner has not heard from an agent with runs; it confirms no report of the agent before this is over.")
 	RecordUnreadable = register(3623, "record_unreadable", zerolog.ErrorLevel, "Positions of the job log hold something that is not a record; a new owner skips them. The line has the first position and their number.")
 	JobRejected      = register(3615, "job_rejected", zerolog.InfoLevel, "A job was rejected and will not run; the line has the reason.")
+	JobHeld          = register(3630, "job_held", zerolog.InfoLevel, "A submission waits for the store, which does not respond; the line has what decided it.")
+	HoldsEnded       = register(3631, "holds_ended", zerolog.InfoLevel, "The store responds again, and submissions that were held are written; the line has their number and the longest wait.")
 
 	MessageTooLarge = register(2705, "message_too_large", zerolog.ErrorLevel, "A message exceeds what the peer accepts and was dropped; the connection goes on. Logged once for each connection.")
 
@@ -44,5 +46,6 @@
 	ManifestRefused    = register(5702, "manifest_refused", zerolog.ErrorLevel, "A manifest cannot be decoded; the previous one stays active.")
 	RoutesUnreadable   = register(5703, "routes_unreadable", zerolog.ErrorLevel, "Some routes of a manifest cannot be decoded and are left out; the others are active.")
 	JobRequest         = register(1701, "job_request", zerolog.InfoLevel, "An entry responded to a caller's request about a job; the line has the outcome and the reason.")
+	RequestTurnedAway  = register(1702, "request_turned_away", zerolog.InfoLevel, "An entry turned a request away because no owner of the jobs is within reach; it was not run. The line has what decided it.")
 	AnnouncementFailed = register(6701, "announcement_failed", zerolog.WarnLevel, "The process could not announce its address in the store; the announcement is retried.")
 )
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -9,6 +9,8 @@
 
 	"github.com/rotisserie/eris"
 	"go.yaml.in/yaml/v3"
+
+	"bamboofork/internal/outage"
 )
 
 // Process holds the settings of one process.
@@ -20,6 +22,22 @@
 	Store    string `yaml:"store"`  // address of the platform's store
 	Advice   string `yaml:"advice"` // address of the advice service, or empty
 	Bounds   Bounds `yaml:"bounds"`
+	// SilentStore is absent if no request is held while the store or the owner of the jobs is silent.
+	SilentStore *SilentStore `yaml:"silent_store"`
+}
+
+// SilentStore bounds the requests that the process holds while the store or the owner of the jobs is silent.
+type SilentStore struct {
+	MaxHeld   int `yaml:"max_held"`    // number of requests
+	MaxHeldKB int `yaml:"max_held_kb"` // their total size
+}
+
+// Policy returns the policy with these bounds, or nil if the section is absent.
+func (s *SilentStore) Policy() *outage.Policy {
+	if s == nil {
+		return nil
+	}
+	return &outage.Policy{MaxHeld: s.MaxHeld, MaxHeldBytes: s.MaxHeldKB << 10}
 }
 
 // Listen holds the addresses that the process listens on.
@@ -105,10 +123,14 @@
 			return eris.Errorf("%s: %q is not an IP address with a port", field, addr)
 		}
 	}
-	for field, v := range map[string]int64{
+	positive := map[string]int64{
 		"memory_mb": p.MemoryMB, "bounds.max_hold_ms": p.Bounds.MaxHoldMs, "bounds.stop_timeout_ms": p.Bounds.StopTimeoutMs,
 		"bounds.grace_s": p.Bounds.GraceS, "bounds.status_s": p.Bounds.StatusS,
-	} {
+	}
+	if s := p.SilentStore; s != nil {
+		positive["silent_store.max_held"], positive["silent_store.max_held_kb"] = int64(s.MaxHeld), int64(s.MaxHeldKB)
+	}
+	for field, v := range positive {
 		if v <= 0 {
 			return eris.Errorf("%s: must be positive, is %d", field, v)
 		}
--- a/internal/jobfront/call.go
+++ b/internal/jobfront/call.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"bamboofork/internal/boottime"
 	"bamboofork/internal/events"
 	"bamboofork/internal/jobs"
 	"bamboofork/internal/session"
@@ -45,7 +46,9 @@
 
 // Serve processes a caller's request and returns the result to send back.
 func (f *Front) Serve(ctx context.Context, call Call) Result {
-	manifest := f.Manifest.Get()
+	start := boottime.Now()
+	manifest := f.awaitManifest(ctx, effectiveWait(call.Wait, 0))
+	waited := boottime.Now() - start
 	if manifest == nil {
 		return f.reject(call, "", Result{Outcome: NotAccepted, RetryAfter: noOwnerRetryAfter, Reason: "no manifest yet"})
 	}
@@ -83,7 +86,7 @@
 	default:
 		return f.reject(call, req.JobID, Result{Outcome: NotAllowed, Reason: "method not allowed"})
 	}
-	return f.forward(ctx, req, effectiveWait(call.Wait, route.Timeout))
+	return f.forward(ctx, req, effectiveWait(call.Wait, route.Timeout)-waited)
 }
 
 // reject counts and logs a result that the entry determines without querying the owner. It returns the result unchanged.
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -15,6 +15,7 @@
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/events"
 	"bamboofork/internal/jobs"
+	"bamboofork/internal/outage"
 	"bamboofork/internal/ownerconn"
 	"bamboofork/internal/queues"
 	"bamboofork/internal/session"
@@ -74,12 +75,18 @@
 	Metrics  *telemetry.Registry
 	Manifest *queues.CurrentManifest
 	Follower *ownerconn.Follower
+	// SilentStore bounds the requests that are held while no owner is within reach; nil: each is held for its whole wait.
+	SilentStore *outage.Policy
 
 	lastRequestID atomic.Int64
 	draining      atomic.Bool
 
 	mu            sync.Mutex
 	replyChannels map[int64]chan ownerReply // by request ID
+	heardConn     *ownerconn.Conn           // on which an owner was heard last; nil: none yet
+	heardAt       time.Duration             // boot time of the last message of an owner, or of the first request if there was none
+	held          int                       // number of requests that wait for an owner
+	heldBytes     int                       // their total size
 }
 
 // ownerReply is a reply with the connection on which it arrived.
@@ -94,6 +101,7 @@
 
 // HandleMessage passes the replies in a message of the owner to the waiting requests.
 func (f *Front) HandleMessage(conn *ownerconn.Conn, m *session.ToMember) {
+	f.noteOwner(conn)
 	for _, reply := range m.Replies {
 		f.mu.Lock()
 		replyChannel := f.replyChannels[reply.RequestID]
@@ -137,7 +145,7 @@
 // forward sends a request to the owner, waits for the reply and returns the result for the caller.
 func (f *Front) forward(ctx context.Context, request session.Request, remaining time.Duration) Result {
 	start := boottime.Now()
-	result, attempts := f.sendUntilReply(ctx, &request, ownerWait(remaining))
+	result, attempts := f.sendUntilReply(ctx, &request, ownerWait(remaining), remaining)
 	elapsed := boottime.Now() - start
 	f.Metrics.Counter("entry_" + string(request.Verb)).Inc(1)
 	f.Metrics.Histogram("entry_" + string(request.Verb) + "_us").Update(elapsed.Microseconds())
@@ -170,8 +178,9 @@
 
 // sendUntilReply sends the request on each new connection to an owner until a reply arrives, the wait has expired, maxOwnersPerRequest
 // owners have been replaced or ctx is done. A refusal counts only if it arrives on the connection on which the request was sent last: an
-// earlier owner does not know what its successor does with the request. It returns the result and how often the request was sent.
-func (f *Front) sendUntilReply(ctx context.Context, request *session.Request, wait time.Duration) (Result, int) {
+// earlier owner does not know what its successor does with the request. remaining is how long the caller waits. While no owner is within
+// reach, the request may be turned away before the end of the wait. sendUntilReply returns the result and how often the request was sent.
+func (f *Front) sendUntilReply(ctx context.Context, request *session.Request, wait, remaining time.Duration) (Result, int) {
 	request.ID = f.lastRequestID.Add(1)
 	replyChannel := make(chan ownerReply, maxQueuedReplies)
 	f.mu.Lock()
@@ -187,30 +196,48 @@
 	}()
 	timer := time.NewTimer(max(wait, 0))
 	defer timer.Stop()
+	start := boottime.Now()
 	attempts, owners := 0, map[int64]bool{} // by epoch
+	// mayHaveEffect is true while the request is with an owner that has not answered it.
+	mayHaveEffect := false
+	hold := ownerHold{front: f, request: request}
+	defer hold.end()
 	var lastConn *ownerconn.Conn
 	pollTicker := time.NewTicker(connPollInterval)
 	defer pollTicker.Stop()
 	for {
-		if c, epoch := f.Follower.ConnEpoch(); c != nil && c != lastConn && ctx.Err() == nil {
+		c, epoch := f.Follower.ConnEpoch()
+		if c != nil && c != lastConn && ctx.Err() == nil && f.maySend(c, request.Verb) {
 			if owners[epoch] = true; len(owners) > maxOwnersPerRequest {
-				return noReplyResult(request.Verb, attempts), attempts
+				return noReplyResult(request.Verb, mayHaveEffect), attempts
+			}
+			if f.SilentStore != nil {
+				request.RemainingMs = max(1, (remaining - (boottime.Now() - start)).Milliseconds())
 			}
 			if c.Send(session.FromMember{Requests: []session.Request{*request}}) {
-				lastConn = c
+				lastConn, mayHaveEffect = c, true
 				attempts++
+				hold.end()
+			}
+		}
+		if !mayHaveEffect && ctx.Err() == nil {
+			if result, turnedAway := hold.check(remaining - (boottime.Now() - start)); turnedAway {
+				return result, attempts
 			}
 		}
 		select {
 		case reply := <-replyChannel:
-			if reply.Code == session.CodeOK || reply.conn == lastConn {
+			switch {
+			case reply.Code == session.CodeReleased:
+				mayHaveEffect = mayHaveEffect && reply.conn != lastConn
+			case reply.Code == session.CodeOK || reply.conn == lastConn:
 				return resultOf(reply.Reply), attempts
 			}
 		case <-pollTicker.C:
 		case <-timer.C:
-			return noReplyResult(request.Verb, attempts), attempts
+			return noReplyResult(request.Verb, mayHaveEffect), attempts
 		case <-ctx.Done():
-			return noReplyResult(request.Verb, attempts), attempts
+			return noReplyResult(request.Verb, mayHaveEffect), attempts
 		}
 	}
 }
@@ -226,11 +253,13 @@
 	return Result{Outcome: NotAccepted, RetryAfter: time.Duration(reply.RetryMs) * time.Millisecond, Reason: reply.Reason}
 }
 
-// noReplyResult returns the result of a request without a reply. A request that was never sent or that only reads certainly had
+// noReplyResult returns the result of a request without a reply. A request that is with no owner or that only reads certainly had
 // no effect.
-func noReplyResult(verb session.Verb, attempts int) Result {
-	if attempts == 0 || verb == session.VerbGet || verb == session.VerbPending {
-		return Result{Outcome: NotAccepted, RetryAfter: noOwnerRetryAfter, Reason: "no owner of the jobs within reach"}
+func noReplyResult(verb session.Verb, mayHaveEffect bool) Result {
+	if !mayHaveEffect || verb == session.VerbGet || verb == session.VerbPending {
+		return Result{Outcome: NotAccepted, RetryAfter: noOwnerRetryAfter, Reason: reasonNoOwner}
 	}
 	return Result{Outcome: Unclear, RetryAfter: noOwnerRetryAfter, Reason: "the owner of the jobs did not answer"}
 }
+
+const reasonNoOwner = "no owner of the jobs within reach"
--- a/internal/jobfront/front_test.go
+++ b/internal/jobfront/front_test.go
@@ -86,7 +86,7 @@
 			earlierConn := front.Follower.Conn()
 			results := make(chan Result, 1)
 			go func() {
-				result, _ := front.sendUntilReply(t.Context(), &session.Request{Verb: session.VerbSubmit, JobID: "j"}, time.Minute)
+				result, _ := front.sendUntilReply(t.Context(), &session.Request{Verb: session.VerbSubmit, JobID: "j"}, time.Minute, time.Minute)
 				results <- result
 			}()
 			request := earlier.awaitRequest()
@@ -107,7 +107,7 @@
 	connect(1)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	result, attempts := front.sendUntilReply(ctx, &session.Request{Verb: session.VerbSubmit, JobID: "j"}, time.Minute)
+	result, attempts := front.sendUntilReply(ctx, &session.Request{Verb: session.VerbSubmit, JobID: "j"}, time.Minute, time.Minute)
 	qt.Check(t, attempts, qt.Equals, 0)
 	qt.Check(t, result.Outcome, qt.Equals, NotAccepted)
 }
@@ -119,7 +119,7 @@
 	results := make(chan Result, 1)
 	owner := connect(1)
 	go func() {
-		result, _ := front.sendUntilReply(t.Context(), &session.Request{Verb: session.VerbSubmit, JobID: "j"}, time.Minute)
+		result, _ := front.sendUntilReply(t.Context(), &session.Request{Verb: session.VerbSubmit, JobID: "j"}, time.Minute, time.Minute)
 		results <- result
 	}()
 	owner.awaitRequest()
--- a/internal/jobowner/commit.go
+++ b/internal/jobowner/commit.go
@@ -115,6 +115,7 @@
 	o.planIfDue()
 	changes, effects := o.pendingChanges, o.pendingEffects
 	o.pendingChanges, o.pendingEffects = nil, nil
+	o.takeHeld()
 	if len(changes) == 0 {
 		runEffects(effects)
 		o.sendQueuedCommands()
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -21,6 +21,7 @@
 	"bamboofork/internal/events"
 	"bamboofork/internal/jobs"
 	"bamboofork/internal/network"
+	"bamboofork/internal/outage"
 	"bamboofork/internal/placement"
 	"bamboofork/internal/session"
 	"bamboofork/internal/store"
@@ -40,6 +41,8 @@
 	MaxHold   time.Duration   // maximum time that a worker keeps its runs while its reports do not reach the owner
 	// RecordsPerSnapshot is the number of records after which a snapshot replaces them; 0: defaultRecordsPerSnapshot.
 	RecordsPerSnapshot int64
+	// SilentStore bounds the submissions that are held while the store does not respond; nil: none is held.
+	SilentStore *outage.Policy
 }
 
 func (c *Config) recordsPerSnapshot() int64 {
@@ -83,6 +86,8 @@
 	// submitReplies holds the callbacks that reply to submissions once the job's record is durable. The key is the submitted job
 	// and not its ID: a caller may repeat a submission that was rejected, while the effects of the rejected one are still pending.
 	submitReplies    map[*jobs.Job][]func(session.Reply)
+	held             map[*jobs.Job]heldSubmission      // submitted jobs that are in no record
+	hasResigned      bool                              // submissions are released
 	adviceByStep     map[string]*stepAdvice            // by stepKey
 	placedByAgent    map[string]map[string]*placedTask // by agent name and task ID
 	workerHealth     *placement.HealthTracker
@@ -131,7 +136,7 @@
 	o := &Owner{
 		cfg: cfg, ownership: ownership, jobLog: caslog.New(cfg.Store, cfg.Prefix, writer),
 		startedAt: boottime.Now(), wakeCommit: make(chan struct{}, 1), appendTimeout: minAppendTimeout,
-		activeJobs: map[string]*jobs.Job{}, submitReplies: map[*jobs.Job][]func(session.Reply){}, adviceByStep: map[string]*stepAdvice{},
+		activeJobs: map[string]*jobs.Job{}, submitReplies: map[*jobs.Job][]func(session.Reply){}, held: map[*jobs.Job]heldSubmission{}, adviceByStep: map[string]*stepAdvice{},
 		adviceRequests: make(chan adviceRequest, maxAdviceRequests), members: map[string]*memberView{},
 		silences: map[string]*agentSilence{}, earlierOwners: map[int64]earlierOwner{}, departures: map[string]departure{},
 		placedByAgent: map[string]map[string]*placedTask{}, workerHealth: placement.NewHealthTracker(),
@@ -252,6 +257,7 @@
 		}
 	})
 	wg.Go(func() { o.heartbeatLoop(ctx) })
+	wg.Go(func() { o.holdLoop(ctx) })
 	wg.Go(func() { o.adviceLoop(ctx) })
 	wg.Go(func() { o.storeInterferenceLoop(ctx) })
 	wg.Go(func() { o.membersLoop(ctx, &wg) })
@@ -283,6 +289,7 @@
 func (o *Owner) Resign() {
 	o.recordSilencesToResign()
 	endLease(o.ownership, &o.cfg.Log)
+	o.releaseHeld()
 	o.mu.Lock()
 	conns := []*session.Conn[session.ToMember, session.FromMember]{}
 	for _, member := range o.members {
--- a/internal/jobowner/requests.go
+++ b/internal/jobowner/requests.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rotisserie/eris"
 
+	"bamboofork/internal/boottime"
 	"bamboofork/internal/events"
 	"bamboofork/internal/jobs"
 	"bamboofork/internal/session"
@@ -61,10 +62,20 @@
 			reply(session.Reply{Code: session.CodeOK, State: job.DurableState})
 			return
 		}
+		o.extendHold(job, request)
 		o.submitReplies[job] = append(o.submitReplies[job], reply)
 		return
 	}
-	if o.storeStalled() {
+	if o.hasResigned {
+		reply(session.Reply{Code: session.CodeReleased, RetryMs: storeRetryAfterMs, Reason: reasonResigned})
+		return
+	}
+	hold, refusal := o.decideHold(request)
+	if refusal != nil {
+		reply(*refusal)
+		return
+	}
+	if o.storeStalled() && hold == (heldSubmission{}) {
 		events.JobRejected.Log(&o.cfg.Log).Str("job", request.JobID).Str("why", reasonStoreUnavailable).Send()
 		reply(session.Reply{Code: session.CodeRejected, RetryMs: storeRetryAfterMs, Reason: reasonStoreUnavailable})
 		return
@@ -72,6 +83,9 @@
 	o.apply(jobs.Change{Submit: &jobs.Job{ID: request.JobID, Queue: *request.Queue, Spec: *request.Spec, AcceptedMs: wallTimeMs()}})
 	job := o.jobsState.Jobs[request.JobID]
 	o.activeJobs[job.ID] = job
+	if hold != (heldSubmission{}) {
+		o.held[job] = hold
+	}
 	o.submitReplies[job] = append(o.submitReplies[job], reply)
 	o.pendingEffects = append(o.pendingEffects, func() { o.replyToSubmissions(job) })
 }
@@ -90,25 +104,46 @@
 	}
 }
 
-// rejectUncommitted rejects the submitted jobs that are queued behind an unanswered record. These jobs are in no record, so
-// they certainly never run. Their callers need not wait until their own timeouts.
+// rejectUncommitted rejects the submitted jobs that are queued behind an unanswered record, except those that are held. These jobs are in
+// no record, so they certainly never run. Their callers need not wait until their own timeouts.
 func (o *Owner) rejectUncommitted() {
-	kept, rejected := o.pendingChanges[:0], map[string]bool{}
+	now := boottime.Now()
+	o.withdrawUncommitted(func(job *jobs.Job) *session.Reply {
+		hold, isHeld := o.held[job]
+		switch {
+		case !isHeld:
+			events.JobRejected.Log(&o.cfg.Log).Str("job", job.ID).Str("why", reasonStoreUnavailable).Send()
+			return &session.Reply{Code: session.CodeRejected, RetryMs: storeRetryAfterMs, Reason: reasonStoreUnavailable}
+		case now < hold.until:
+			return nil
+		}
+		return o.endHold(job, hold, now)
+	})
+}
+
+// withdrawUncommitted removes the submitted jobs that are in no record and for which reply returns a reply, and sends the reply to all who
+// submitted the job. The changes of such a job are removed with it, so that no later record contains it.
+func (o *Owner) withdrawUncommitted(reply func(job *jobs.Job) *session.Reply) {
+	kept, withdrawn := o.pendingChanges[:0], map[string]bool{}
 	for _, c := range o.pendingChanges {
 		if c.Submit == nil {
-			if !rejected[c.JobID] { // a cancellation of a rejected job must not cancel a repeated submission
+			if !withdrawn[c.JobID] { // a cancellation of a rejected job must not cancel a repeated submission
 				kept = append(kept, c)
 			}
 			continue
 		}
-		id := c.Submit.ID
-		rejected[id] = true
-		job := o.jobsState.Jobs[id]
-		delete(o.jobsState.Jobs, id)
-		delete(o.activeJobs, id)
-		events.JobRejected.Log(&o.cfg.Log).Str("job", id).Str("why", reasonStoreUnavailable).Send()
-		for _, reply := range o.submitReplies[job] {
-			reply(session.Reply{Code: session.CodeRejected, RetryMs: storeRetryAfterMs, Reason: reasonStoreUnavailable})
+		job := o.jobsState.Jobs[c.Submit.ID]
+		answer := reply(job)
+		if answer == nil {
+			kept = append(kept, c)
+			continue
+		}
+		withdrawn[job.ID] = true
+		delete(o.jobsState.Jobs, job.ID)
+		delete(o.activeJobs, job.ID)
+		delete(o.held, job)
+		for _, send := range o.submitReplies[job] {
+			send(*answer)
 		}
 		delete(o.submitReplies, job)
 	}
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -218,6 +218,8 @@
 	CodeOK       Code = "ok"
 	CodeUnknown  Code = "unknown" // no such job
 	CodeRejected Code = "rejected"
+	// CodeReleased means that a submission is in no record of this owner and never will be. A successor may accept it.
+	CodeReleased Code = "released"
 )
 
 // Reply is the result of one Request.
