jobowner: a caller that was turned away keeps its age

Cause: a job counts as accepted when its last submission arrives, so a caller that was refused during a silence looks younger than those that came after it. Change: the owner remembers the first arrival of the submissions that it turned away (at most 4,096, for 30 s) and accepts a returning one with that time, from which placement/order.go computes its slack. Conclusion: the order sees the true age; lost with the owner, which costs nothing but that.

--- a/internal/jobowner/held_test.go
+++ b/internal/jobowner/held_test.go
@@ -225,3 +225,45 @@
 		qt.Check(t, accepted.State, qt.Not(qt.Equals), jobs.Cancelled)
 	})
 }
+
+// Load: callers that were turned away come back after the silence, among new ones. Their age counts from their first arrival, so that they
+// do not wait behind callers that came later.
+func TestReturningCallerKeepsItsAge(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, o *Owner, st *gatedStore) {
+		submitTo(o, "aaaaaaaaaaaaaaaa")
+		first := startCommit(t, o)
+		firstArrival := wallTimeMs()
+		held := submitFor(o, "bbbbbbbbbbbbbbbb", 3*time.Second)
+		time.Sleep(2500 * time.Millisecond)
+		checkHolds(o)
+		qt.Assert(t, code(held), qt.Equals, session.CodeRejected)
+		secondArrival := wallTimeMs()
+		qt.Assert(t, code(submitFor(o, "cccccccccccccccc", 100*time.Millisecond)), qt.Equals, session.CodeRejected)
+		st.gate <- struct{}{}
+		<-first
+		time.Sleep(time.Second)
+		submitFor(o, "bbbbbbbbbbbbbbbb", time.Second)
+		submitFor(o, "cccccccccccccccc", time.Second)
+		submitFor(o, "dddddddddddddddd", time.Second)
+		qt.Check(t, o.jobsState.Jobs["bbbbbbbbbbbbbbbb"].AcceptedMs, qt.Equals, firstArrival)
+		qt.Check(t, o.jobsState.Jobs["cccccccccccccccc"].AcceptedMs, qt.Equals, secondArrival)
+		qt.Check(t, o.jobsState.Jobs["dddddddddddddddd"].AcceptedMs, qt.Equals, wallTimeMs())
+		qt.Check(t, o.turnedAway, qt.HasLen, 0)
+	})
+}
+
+// Load: a long outage with ever new callers. What is remembered about them is bounded and expires.
+func TestMemoryOfTurnedAwayCallersIsBounded(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, o *Owner, _ *gatedStore) {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		for i := range 3 * maxTurnedAway / 2 {
+			o.rememberArrival(fmt.Sprintf("%016x", i), wallTimeMs())
+			qt.Assert(t, len(o.turnedAway) <= maxTurnedAway, qt.IsTrue)
+		}
+		newest := fmt.Sprintf("%016x", 3*maxTurnedAway/2-1)
+		qt.Check(t, o.turnedAway[newest], qt.Equals, wallTimeMs())
+		time.Sleep(turnedAwayMemory + time.Second)
+		qt.Check(t, o.firstArrivalMs(newest), qt.Equals, wallTimeMs())
+	})
+}
--- a/internal/jobowner/silent_store.go
+++ b/internal/jobowner/silent_store.go
@@ -44,6 +44,7 @@
 			Int64("silent_ms", situation.Silent.Milliseconds()).Int64("remaining_ms", request.RemainingMs).Int("held", situation.Held).
 			Int("held_bytes", situation.HeldBytes).Int64("come_back_ms", decision.ComeBack.Milliseconds()).Send()
 		o.cfg.Metrics.Counter("owner_submissions_turned_away").Inc(1)
+		o.rememberArrival(request.JobID, wallTimeMs())
 		return heldSubmission{}, &session.Reply{Code: session.CodeRejected, RetryMs: decision.ComeBack.Milliseconds(), Reason: reasonStoreUnavailable}
 	}
 	hold := heldSubmission{since: now, until: now + decision.HoldFor, comeBack: decision.ComeBack, bytes: situation.Bytes}
@@ -73,9 +74,40 @@
 	events.JobRejected.Log(&o.cfg.Log).Str("job", job.ID).Str("why", reasonStoreUnavailable).Int64("silent_ms", o.silentFor(now).Milliseconds()).
 		Int64("held_ms", (now-hold.since).Milliseconds()).Int("held", len(o.held)).Int64("come_back_ms", hold.comeBack.Milliseconds()).Send()
 	o.cfg.Metrics.Counter("owner_submissions_turned_away").Inc(1)
+	o.rememberArrival(job.ID, job.AcceptedMs)
 	return &session.Reply{Code: session.CodeRejected, RetryMs: hold.comeBack.Milliseconds(), Reason: reasonStoreUnavailable}
 }
 
+// maxTurnedAway bounds the turned-away submissions whose first arrival is remembered; all are forgotten when there are more.
+// turnedAwayMemory is how long it is remembered.
+const (
+	maxTurnedAway    = 4096
+	turnedAwayMemory = 30 * time.Second
+)
+
+// rememberArrival remembers when a job that is turned away arrived first, in Unix milliseconds. Its caller comes back with the same job.
+func (o *Owner) rememberArrival(id string, arrivedMs int64) {
+	if _, known := o.turnedAway[id]; known {
+		return
+	}
+	if len(o.turnedAway) >= maxTurnedAway {
+		clear(o.turnedAway)
+	}
+	o.turnedAway[id] = arrivedMs
+}
+
+// firstArrivalMs returns when the job that is accepted now arrived first, in Unix milliseconds, and forgets it. A caller that comes back
+// must not wait behind those that came later.
+func (o *Owner) firstArrivalMs(id string) int64 {
+	now := wallTimeMs()
+	arrivedMs, known := o.turnedAway[id]
+	delete(o.turnedAway, id)
+	if !known || arrivedMs > now || now-arrivedMs > turnedAwayMemory.Milliseconds() {
+		return now
+	}
+	return arrivedMs
+}
+
 // silentFor returns how long the write of the current record has been unanswered; 0 if there is none.
 func (o *Owner) silentFor(now time.Duration) time.Duration {
 	if o.appendStartedAt == 0 {
