hostconfig: tests of the section silent_store

Cause: its validation was not tested. Change: a missing and a negative limit, the absent section and the policy. Measured: go test ./internal/hostconfig passes.

--- a/internal/hostconfig/hostconfig_test.go
+++ b/internal/hostconfig/hostconfig_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"bamboofork/internal/hostconfig"
+	"bamboofork/internal/outage"
 )
 
 const validSettings = `
@@ -35,6 +36,8 @@
 		{"a host name to advertise", `metrics: "10.0.0.1"`, `metrics: "10.0.0.1", advertise: "host-1:7720"`, true, "listen.advertise"},
 		{"no memory", "memory_mb: 152", "memory_mb: 0", true, "memory_mb"},
 		{"a bound is missing", "max_hold_ms: 10000, ", "", true, "bounds.max_hold_ms"},
+		{"a limit of held requests is missing", "bounds:", "silent_store: {max_held: 10}\nbounds:", true, "silent_store.max_held_kb"},
+		{"a negative limit of held requests", "bounds:", "silent_store: {max_held: -1, max_held_kb: 1}\nbounds:", true, "silent_store.max_held"},
 		{"not YAML", "name:", "name", true, "settings file"},
 	} {
 		path := filepath.Join(t.TempDir(), "process.yaml")
@@ -49,6 +52,9 @@
 		qt.Check(t, strings.Contains(err.Error(), c.want), qt.IsTrue, qt.Commentf("%s: %v", c.name, err))
 		qt.Check(t, strings.Contains(err.Error(), path), qt.IsTrue, qt.Commentf("%s: %v", c.name, err))
 	}
+	var absent *hostconfig.SilentStore
+	qt.Check(t, absent.Policy(), qt.IsNil)
+	qt.Check(t, *(&hostconfig.SilentStore{MaxHeld: 2, MaxHeldKB: 3}).Policy(), qt.Equals, outage.Policy{MaxHeld: 2, MaxHeldBytes: 3 << 10})
 	_, err := hostconfig.Load(filepath.Join(t.TempDir(), "missing.yaml"), true)
 	qt.Check(t, err, qt.IsNotNil)
 }
