session: an entry tells how long it has had a request

Cause: after a loss of power and during a takeover, submissions wait at the entries, and the owner takes them for new. Measured: go test -race ./internal/jobowner ./internal/jobfront ./internal/session passes. Conclusion: the order of placement sees the time that the caller has lost.

--- a/internal/jobfront/call.go
+++ b/internal/jobfront/call.go
@@ -56,7 +56,7 @@
 	if route == nil {
 		return f.reject(call, "", Result{Outcome: NoQueue, Reason: "no such queue"})
 	}
-	req := session.Request{JobID: strings.TrimPrefix(call.Path, route.Prefix), Queue: &route.Queue}
+	req := session.Request{WaitedMs: waited.Milliseconds(), JobID: strings.TrimPrefix(call.Path, route.Prefix), Queue: &route.Queue}
 	switch {
 	case call.Action == Read && req.JobID == "":
 		req.Verb = session.VerbPending
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -196,7 +196,7 @@
 	}()
 	timer := time.NewTimer(max(wait, 0))
 	defer timer.Stop()
-	start := boottime.Now()
+	start, waitedBefore := boottime.Now(), request.WaitedMs
 	attempts, owners := 0, map[int64]bool{} // by epoch
 	// mayHaveEffect is true while the request is with an owner that has not answered it.
 	mayHaveEffect := false
@@ -212,7 +212,8 @@
 				return noReplyResult(request.Verb, mayHaveEffect), attempts
 			}
 			if f.SilentStore != nil {
-				request.RemainingMs = max(1, (remaining - (boottime.Now() - start)).Milliseconds())
+				waited := boottime.Now() - start
+				request.RemainingMs, request.WaitedMs = max(1, (remaining-waited).Milliseconds()), waitedBefore+waited.Milliseconds()
 			}
 			if c.Send(session.FromMember{Requests: []session.Request{*request}}) {
 				lastConn, mayHaveEffect = c, true
--- a/internal/jobfront/silent_owner_test.go
+++ b/internal/jobfront/silent_owner_test.go
@@ -61,7 +61,8 @@
 	results := submit(t.Context(), front, time.Minute)
 	time.Sleep(3 * connPollInterval)
 	request := owner.awaitRequest() // sends a message first
-	qt.Check(t, request.RemainingMs > 0 && request.RemainingMs <= time.Minute.Milliseconds(), qt.IsTrue)
+	qt.Check(t, request.RemainingMs > 0 && request.RemainingMs < time.Minute.Milliseconds(), qt.IsTrue)
+	qt.Check(t, request.WaitedMs >= (3*connPollInterval).Milliseconds()/2 && request.WaitedMs+request.RemainingMs <= time.Minute.Milliseconds(), qt.IsTrue)
 	owner.conn.Send(session.ToMember{Replies: []session.Reply{{RequestID: request.ID, Code: session.CodeOK}}})
 	qt.Check(t, (<-results).Outcome, qt.Equals, Done)
 }
--- a/internal/jobowner/held_test.go
+++ b/internal/jobowner/held_test.go
@@ -264,6 +264,21 @@
 		newest := fmt.Sprintf("%016x", 3*maxTurnedAway/2-1)
 		qt.Check(t, o.turnedAway[newest], qt.Equals, wallTimeMs())
 		time.Sleep(turnedAwayMemory + time.Second)
-		qt.Check(t, o.firstArrivalMs(newest), qt.Equals, wallTimeMs())
+		qt.Check(t, o.firstArrivalMs(&session.Request{JobID: newest}), qt.Equals, wallTimeMs())
+	})
+}
+
+// Load: the first requests after a loss of power, which waited at the entries for an owner. Their age counts from their arrival there, and
+// no entry can make a job older than the memory of arrivals.
+func TestTimeAtTheEntryCounts(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, o *Owner, _ *gatedStore) {
+		for i, c := range []struct{ waitedMs, ageMs int64 }{{0, 0}, {1900, 1900}, {-5, 0}, {1 << 60, 0}} {
+			request := submission(fmt.Sprintf("%016x", i))
+			request.WaitedMs = c.waitedMs
+			o.mu.Lock()
+			o.submitJob(request, func(session.Reply) {})
+			o.mu.Unlock()
+			qt.Check(t, wallTimeMs()-o.jobsState.Jobs[request.JobID].AcceptedMs, qt.Equals, c.ageMs)
+		}
 	})
 }
--- a/internal/jobowner/requests.go
+++ b/internal/jobowner/requests.go
@@ -80,7 +80,7 @@
 		reply(session.Reply{Code: session.CodeRejected, RetryMs: storeRetryAfterMs, Reason: reasonStoreUnavailable})
 		return
 	}
-	o.apply(jobs.Change{Submit: &jobs.Job{ID: request.JobID, Queue: *request.Queue, Spec: *request.Spec, AcceptedMs: o.firstArrivalMs(request.JobID)}})
+	o.apply(jobs.Change{Submit: &jobs.Job{ID: request.JobID, Queue: *request.Queue, Spec: *request.Spec, AcceptedMs: o.firstArrivalMs(request)}})
 	job := o.jobsState.Jobs[request.JobID]
 	o.activeJobs[job.ID] = job
 	if hold != (heldSubmission{}) {
--- a/internal/jobowner/silent_store.go
+++ b/internal/jobowner/silent_store.go
@@ -44,7 +44,7 @@
 			Int64("silent_ms", situation.Silent.Milliseconds()).Int64("remaining_ms", request.RemainingMs).Int("held", situation.Held).
 			Int("held_bytes", situation.HeldBytes).Int64("come_back_ms", decision.ComeBack.Milliseconds()).Send()
 		o.cfg.Metrics.Counter("owner_submissions_turned_away").Inc(1)
-		o.rememberArrival(request.JobID, wallTimeMs())
+		o.rememberArrival(request.JobID, arrivalMs(request, wallTimeMs()))
 		return heldSubmission{}, &session.Reply{Code: session.CodeRejected, RetryMs: decision.ComeBack.Milliseconds(), Reason: reasonStoreUnavailable}
 	}
 	hold := heldSubmission{since: now, until: now + decision.HoldFor, comeBack: decision.ComeBack, bytes: situation.Bytes}
@@ -96,18 +96,27 @@
 	o.turnedAway[id] = arrivedMs
 }
 
-// firstArrivalMs returns when the job that is accepted now arrived first, in Unix milliseconds, and forgets it. A caller that comes back
-// must not wait behind those that came later.
-func (o *Owner) firstArrivalMs(id string) int64 {
+// firstArrivalMs returns when the job that is accepted now arrived first at the owner or an entry, in Unix milliseconds, and forgets it. A
+// caller that comes back, or that waited for an owner, must not wait behind those that came later.
+func (o *Owner) firstArrivalMs(request *session.Request) int64 {
 	now := wallTimeMs()
-	arrivedMs, known := o.turnedAway[id]
-	delete(o.turnedAway, id)
-	if !known || arrivedMs > now || now-arrivedMs > turnedAwayMemory.Milliseconds() {
+	if o.cfg.SilentStore == nil {
+		return now
+	}
+	arrivedMs, known := o.turnedAway[request.JobID]
+	delete(o.turnedAway, request.JobID)
+	if !known {
+		arrivedMs = arrivalMs(request, now)
+	}
+	if arrivedMs > now || now-arrivedMs > turnedAwayMemory.Milliseconds() {
 		return now
 	}
 	return arrivedMs
 }
 
+// arrivalMs returns when the request arrived at its entry.
+func arrivalMs(request *session.Request, now int64) int64 { return now - max(0, request.WaitedMs) }
+
 // silentFor returns how long the write of the current record has been unanswered; 0 if there is none.
 func (o *Owner) silentFor(now time.Duration) time.Duration {
 	if o.appendStartedAt == 0 {
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -207,7 +207,8 @@
 	JobID       string      `json:"j,omitempty"`
 	Queue       *jobs.Queue `json:"q,omitempty"`
 	Spec        *jobs.Spec  `json:"s,omitempty"`
-	RemainingMs int64       `json:"l,omitempty"` // remaining time until the caller's deadline
+	RemainingMs int64       `json:"l,omitempty"`  // remaining time until the caller's deadline
+	WaitedMs    int64       `json:"wt,omitempty"` // time for which the entry has had the request
 }
 
 // Code is the result of a Request.
--- a/internal/session/messages_gen.go
+++ b/internal/session/messages_gen.go
@@ -1244,8 +1244,8 @@
 func (z *Request) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
 	if z.JobID == "" {
 		zb0001Len--
@@ -1263,6 +1263,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
+	if z.WaitedMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1310,6 +1314,11 @@
 			o = append(o, 0xa1, 0x6c)
 			o = msgp.AppendInt64(o, z.RemainingMs)
 		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "wt"
+			o = append(o, 0xa2, 0x77, 0x74)
+			o = msgp.AppendInt64(o, z.WaitedMs)
+		}
 	}
 	return
 }
@@ -1398,6 +1407,12 @@
 				err = msgp.WrapError(err, "RemainingMs")
 				return
 			}
+		case "wt":
+			z.WaitedMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WaitedMs")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1424,7 +1439,7 @@
 	} else {
 		s += z.Spec.Msgsize()
 	}
-	s += 2 + msgp.Int64Size
+	s += 2 + msgp.Int64Size + 3 + msgp.Int64Size
 	return
 }
 
