jobfront: an owner is told no more time than the entry waits

Cause: an entry waits at most 2.6 s and told the owner the caller's whole time, so a submission of a caller that waits for more than 5.2 s was held beyond the entry's wait and ended as unclear. Change: RemainingMs is bounded by the entry's wait and the reserve for the response. Measured: TestOwnerEndsItsHoldBeforeTheEntryEndsItsWait fails without it (a caller with 10 s: hold of 5.0 s, wait of 2.6 s).

--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -196,6 +196,7 @@
 	}()
 	timer := time.NewTimer(max(wait, 0))
 	defer timer.Stop()
+	remaining = min(remaining, wait+responseReserve) // an owner must not hold the request beyond the wait
 	start, waitedBefore := boottime.Now(), request.WaitedMs
 	attempts, owners := 0, map[int64]bool{} // by epoch
 	// mayHaveEffect is true while the request is with an owner that has not answered it.
--- a/internal/jobfront/silent_owner_test.go
+++ b/internal/jobfront/silent_owner_test.go
@@ -145,3 +145,21 @@
 	qt.Check(t, result.Outcome, qt.Equals, NotAccepted)
 	qt.Check(t, result.RetryAfter > 0, qt.IsTrue)
 }
+
+// Guards against an unclear answer to a caller that waits for long: the owner must be told no more time than the entry waits, or it holds the
+// submission beyond that.
+func TestOwnerEndsItsHoldBeforeTheEntryEndsItsWait(t *testing.T) {
+	for _, wait := range []time.Duration{200 * time.Millisecond, time.Second, 3 * time.Second, 10 * time.Second, time.Minute} {
+		front, connect := newHoldingFront(t)
+		owner := connect(1)
+		ctx, cancel := context.WithCancel(t.Context())
+		results := submit(ctx, front, wait)
+		told := time.Duration(owner.awaitRequest().RemainingMs) * time.Millisecond
+		for _, silent := range []time.Duration{0, time.Second, 3 * time.Second} {
+			decision := front.SilentStore.Decide(outage.Situation{Silent: silent, Remaining: told})
+			qt.Check(t, decision.HoldFor < ownerWait(wait), qt.IsTrue, qt.Commentf("wait %s, silent %s: %s of %s", wait, silent, decision.HoldFor, ownerWait(wait)))
+		}
+		cancel()
+		<-results
+	}
+}
