--- a/internal/hostconfig/hostconfig_test.go
+++ b/internal/hostconfig/hostconfig_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -38,6 +39,7 @@
 		{"a bound is missing", "max_hold_ms: 10000, ", "", true, "bounds.max_hold_ms"},
 		{"a limit of held requests is missing", "bounds:", "silent_store: {max_held: 10}\nbounds:", true, "silent_store.max_held_kb"},
 		{"a negative limit of held requests", "bounds:", "silent_store: {max_held: -1, max_held_kb: 1}\nbounds:", true, "silent_store.max_held"},
+		{"a negative time to apply", "name: host-1", "name: host-1\nevacuation: {apply_ms: -1}", true, "evacuation.apply_ms"},
 		{"not YAML", "name:", "name", true, "settings file"},
 	} {
 		path := filepath.Join(t.TempDir(), "process.yaml")
@@ -58,3 +60,14 @@
 	_, err := hostconfig.Load(filepath.Join(t.TempDir(), "missing.yaml"), true)
 	qt.Check(t, err, qt.IsNotNil)
 }
+
+// Checks that evacuation is off where the deployment has no bound for it: its template then renders an empty value.
+func TestEvacuationIsOffWithoutABound(t *testing.T) {
+	for value, want := range map[string]time.Duration{"": 0, " ": 0, " 5000": 5 * time.Second} {
+		path := filepath.Join(t.TempDir(), "process.yaml")
+		qt.Assert(t, os.WriteFile(path, []byte(validSettings+"evacuation:\n  apply_ms:"+value+"\n"), 0o600), qt.IsNil)
+		p, err := hostconfig.Load(path, true)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("%q", value))
+		qt.Check(t, p.Evacuation.Apply(), qt.Equals, want, qt.Commentf("%q", value))
+	}
+}
