--- a/internal/hostconfig/hostconfig_test.go
+++ b/internal/hostconfig/hostconfig_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"bamboofork/internal/hostconfig"
+	"bamboofork/internal/outage"
 )
 
 const validSettings = `
@@ -36,6 +37,8 @@
 		{"a host name to advertise", `metrics: "10.0.0.1"`, `metrics: "10.0.0.1", advertise: "host-1:7720"`, true, "listen.advertise"},
 		{"no memory", "memory_mb: 152", "memory_mb: 0", true, "memory_mb"},
 		{"a bound is missing", "max_hold_ms: 10000, ", "", true, "bounds.max_hold_ms"},
+		{"a limit of held requests is missing", "bounds:", "silent_store: {max_held: 10}\nbounds:", true, "silent_store.max_held_kb"},
+		{"a negative limit of held requests", "bounds:", "silent_store: {max_held: -1, max_held_kb: 1}\nbounds:", true, "silent_store.max_held"},
 		{"a negative time to apply", "name: host-1", "name: host-1\nevacuation: {apply_ms: -1}", true, "evacuation.apply_ms"},
 		{"not YAML", "name:", "name", true, "settings file"},
 	} {
@@ -58,6 +61,9 @@
 		qt.Check(t, err, qt.IsNil)
 		qt.Check(t, p.Shortage.DelayCost, qt.Equals, want, qt.Commentf("%q", section))
 	}
+	var absent *hostconfig.SilentStore
+	qt.Check(t, absent.Policy(), qt.IsNil)
+	qt.Check(t, *(&hostconfig.SilentStore{MaxHeld: 2, MaxHeldKB: 3}).Policy(), qt.Equals, outage.Policy{MaxHeld: 2, MaxHeldBytes: 3 << 10})
 	_, err := hostconfig.Load(filepath.Join(t.TempDir(), "missing.yaml"), true)
 	qt.Check(t, err, qt.IsNotNil)
 }
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -218,7 +218,8 @@
 	JobID       string      `json:"j,omitempty"`
 	Queue       *jobs.Queue `json:"q,omitempty"`
 	Spec        *jobs.Spec  `json:"s,omitempty"`
-	RemainingMs int64       `json:"l,omitempty"` // remaining time until the caller's deadline
+	RemainingMs int64       `json:"l,omitempty"`  // remaining time until the caller's deadline
+	WaitedMs    int64       `json:"wt,omitempty"` // time for which the entry has had the request
 }
 
 // Code is the result of a Request.
@@ -229,6 +230,8 @@
 	CodeOK       Code = "ok"
 	CodeUnknown  Code = "unknown" // no such job
 	CodeRejected Code = "rejected"
+	// CodeReleased means that a submission is in no record of this owner and never will be. A successor may accept it.
+	CodeReleased Code = "released"
 )
 
 // Reply is the result of one Request.
