--- a/internal/jobowner/domains.go
+++ b/internal/jobowner/domains.go
@@ -37,11 +37,11 @@
 
 // domainView is the owner's view of the failure domains.
 type domainView struct {
-	state      domains.State // newest that this owner has read or a member has told
-	hasRead    bool          // this owner has read the state in its term
-	changes    int64         // number of changes of the set of domains; 0: the state is not known
-	returnedAt map[string]time.Duration
-	reportedAt time.Duration // boot time of the last report of the runs in domains out of service
+	state      domains.State            // newest that this owner has read or a member has told
+	hasRead    bool                     // this owner has read the state in its term
+	changes    int64                    // number of changes of the set of domains; 0: the state is not known
+	returnedAt map[string]time.Duration // boot time at which each failure domain was last put back into service
+	reportedAt time.Duration            // boot time of the last report of the runs in domains out of service
 	// waitExceeded is true once this owner has placed without having read the state.
 	waitExceeded bool
 }
@@ -174,12 +174,12 @@
 	}
 }
 
-// stopGang ends or stops the runs of all other members of the task's gang.
-func (o *Owner) stopGang(member *placedTask) {
+// stopGang ends or stops the runs of the gang of a task that cannot start.
+func (o *Owner) stopGang(lost *placedTask) {
 	for name, tasks := range o.placedByAgent {
 		for _, placed := range tasks {
 			switch {
-			case placed.job != member.job || placed.id.Occurrence != member.id.Occurrence || placed.id.Step != member.id.Step || placed.task.Stopping:
+			case placed.job != lost.job || placed.id.Occurrence != lost.id.Occurrence || placed.id.Step != lost.id.Step || placed.task.Stopping:
 			case placed.task.StartMaybeSent:
 				o.stopRun(name, placed, "another member of the gang cannot start")
 			default:
