--- a/internal/deployed/virtual_fleet_test.go
+++ b/internal/deployed/virtual_fleet_test.go
@@ -235,8 +235,9 @@
 	m := &virtualMachine{ip: ip, storeIP: storeIP, endpoint: f.store.NewEndpoint(), logs: &lockedBuffer{}}
 	f.serve(storeIP+":2379", m.endpoint)
 	m.cfg = hostconfig.Process{Name: name, MemoryMB: 200, Store: storeIP + ":2379",
-		Listen: hostconfig.Listen{Peers: ip + ":7000", Registrations: ip + ":7001", Callers: ip + ":8000", Readiness: ip + ":8001", Metrics: ip},
-		Bounds: hostconfig.Bounds{MaxHoldMs: virtualHoldMs, StopTimeoutMs: 200, GraceS: 6, StatusS: 120}}
+		Listen:   hostconfig.Listen{Peers: ip + ":7000", Registrations: ip + ":7001", Callers: ip + ":8000", Readiness: ip + ":8001", Metrics: ip},
+		Bounds:   hostconfig.Bounds{MaxHoldMs: virtualHoldMs, StopTimeoutMs: 200, GraceS: 6, StatusS: 120},
+		Shortage: hostconfig.Shortage{DelayCost: len(f.machines())%2 == 0}} // owners with and without it follow each other
 	return m
 }
 
--- a/internal/fleetsoak/fleet_test.go
+++ b/internal/fleetsoak/fleet_test.go
@@ -128,7 +128,8 @@
 		Name: name, MemoryMB: 150, Worker: workerAddr, Store: p.relays[0].Addr(),
 		Listen: hostconfig.Listen{Peers: peerAddr, Advertise: p.relays[1].Addr(), Callers: ip + ":7002", Readiness: ip + ":7003",
 			Registrations: ip + ":7004", Metrics: ip},
-		Bounds: hostconfig.Bounds{MaxHoldMs: maxHold.Milliseconds(), StopTimeoutMs: 200, GraceS: 6, StatusS: 120},
+		Bounds:   hostconfig.Bounds{MaxHoldMs: maxHold.Milliseconds(), StopTimeoutMs: 200, GraceS: 6, StatusS: 120},
+		Shortage: hostconfig.Shortage{DelayCost: index%2 == 0}, // owners with and without it follow each other
 	}
 	data, err := yaml.Marshal(p.cfg)
 	qt.Assert(f.t, err, qt.IsNil)
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -95,7 +95,7 @@
 // clearly less well than its queue come before.
 func preferCostlyIfOverloaded(s *Snapshot, list []candidate) {
 	var ahead work
-	capacity := capacityOf(s)
+	capacity := servedCapacity(s)
 	for start := 0; start < len(list); {
 		if list[start].isPerpetual {
 			start++
@@ -121,6 +121,20 @@
 	}
 }
 
+// servedCapacity returns what the workers can do for waiting tasks. While best-effort tasks find no worker, although there is idle CPU,
+// it is what the running ones get.
+func servedCapacity(s *Snapshot) work {
+	capacity := capacityOf(s)
+	inUse := 0
+	for _, w := range s.Workers {
+		inUse += w.bestEffortCPU
+	}
+	if s.DelayCost.UnplacedBestEffortCPU > inUse/20 && inUse > 0 {
+		capacity.bestEffort = min(capacity.bestEffort, float64(inUse))
+	}
+	return capacity
+}
+
 // noteShortage adds the ordered jobs of a priority to the work that waits.
 func (s *Snapshot) noteShortage(group []candidate, ahead, capacity work, delayMs float64) {
 	if s.Shortage == nil {
--- a/internal/placement/pace.go
+++ b/internal/placement/pace.go
@@ -21,7 +21,9 @@
 	for _, w := range s.Workers {
 		capacity += w.Capacity.CPU
 	}
-	for _, c := range sortedCandidates(s) {
+	declared := *s
+	declared.DelayCost = nil // paces follow what was declared, as without the order in shortage
+	for _, c := range sortedCandidates(&declared) {
 		for i := range c.job.Spec.Steps {
 			step, stepState := &c.job.Spec.Steps[i], &c.job.Occurrences[c.occ].Steps[i]
 			if step.BestEffort && stepState.WaitingTasks > 0 && c.job.StepReady(c.occ, i) {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -6,6 +6,7 @@
 func Plan(s *Snapshot) []Assignment {
 	var plan []Assignment
 	var waiting holds
+	unplacedCPU := 0 // of best-effort tasks
 	order := placementOrder(s)
 	for i, c := range order {
 		if i > 0 && (!c.isPerpetual || c.job.Queue.Priority != order[i-1].job.Queue.Priority) {
@@ -13,10 +14,17 @@
 		}
 		for stepIndex := range c.job.Spec.Steps {
 			if c.job.Occurrences[c.occ].Steps[stepIndex].WaitingTasks > 0 && c.job.StepReady(c.occ, stepIndex) {
-				plan = append(plan, planStep(s, c, stepIndex, &waiting)...)
+				started := planStep(s, c, stepIndex, &waiting)
+				plan = append(plan, started...)
+				if step := &c.job.Spec.Steps[stepIndex]; step.BestEffort {
+					unplacedCPU += step.CPU * (c.job.Occurrences[c.occ].Steps[stepIndex].WaitingTasks - len(started))
+				}
 			}
 		}
 	}
+	if s.DelayCost != nil {
+		s.DelayCost.UnplacedBestEffortCPU = unplacedCPU
+	}
 	return plan
 }
 
