--- a/internal/fleetsoak/fleet_test.go
+++ b/internal/fleetsoak/fleet_test.go
@@ -131,6 +131,7 @@
 			Registrations: ip + ":7004", Metrics: ip},
 		Bounds:     hostconfig.Bounds{MaxHoldMs: maxHold.Milliseconds(), StopTimeoutMs: 200, GraceS: 6, StatusS: 120},
 		Evacuation: hostconfig.Evacuation{ApplyMs: 2000},
+		Shortage:   hostconfig.Shortage{DelayCost: index%2 == 0}, // owners with and without it follow each other
 	}
 	data, err := yaml.Marshal(p.cfg)
 	qt.Assert(f.t, err, qt.IsNil)
