deployed: processes with and without holds serve together

Cause: during a rolling replacement some processes hold submissions and others do not. Change: a test in virtual time: every other machine has the part off, the store is silent for 1.5 s, then the owner's host is lost.

--- a/internal/deployed/held_test.go
+++ b/internal/deployed/held_test.go
@@ -123,3 +123,27 @@
 		f.closeAndCheck(seed)
 	})
 }
+
+// Guards against refused jobs that run, and against submissions that are lost, while some processes hold submissions and others are of an
+// earlier version or have the part off.
+func TestProcessesWithAndWithoutHoldsServeTogether(t *testing.T) {
+	playPhases(t, 8, func(t *testing.T, seed uint64) {
+		f := newVirtualFleet(t, seed)
+		for i, m := range f.machines() {
+			if (uint64(i)+seed)%2 == 0 {
+				m.cfg.SilentStore = nil
+				f.kill(m, false)
+				f.restart(m)
+			}
+		}
+		f.runScheduled(time.Now().Add(4 * time.Second))
+		f.silenceStore(1500 * time.Millisecond)
+		made := f.submitEvery(50*time.Millisecond, 8*time.Second)
+		f.after(4*time.Second, func() { f.loseHost(f.owner()) })
+		f.runScheduled(time.Now().Add(15 * time.Second))
+		made.wg.Wait()
+		qt.Check(t, made.byCode[http.StatusOK] >= 90, qt.IsTrue, qt.Commentf("those of all seconds but the silence and the takeover: %v", made.byCode))
+		f.checkNotRun(made)
+		f.closeAndCheck(seed)
+	})
+}
