--- a/internal/deployed/host.go
+++ b/internal/deployed/host.go
@@ -39,6 +39,7 @@
 		Config: jobowner.Config{
 			Name: p.cfg.Name, Prefix: logKeyPrefix, Log: p.log, Metrics: p.metrics, Store: st, Network: p.network,
 			Retention: p.cfg.Bounds.Retention(), MaxHold: p.cfg.Bounds.Hold(), RecordsPerSnapshot: p.recordsPerSnapshot,
+			Shortage:    p.cfg.Shortage.DelayCost,
 			SilentStore: p.cfg.SilentStore.Policy(),
 		},
 		Key:      election.NewKey(st, ownerKey, boottime.Now),
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -24,10 +24,17 @@
 	Bounds   Bounds `yaml:"bounds"`
 	// Evacuation configures how failure domains are taken out of service.
 	Evacuation Evacuation `yaml:"evacuation"`
+	// Shortage configures the decisions when there is too little room.
+	Shortage Shortage `yaml:"shortage"`
 	// SilentStore is absent if no request is held while the store or the owner of the jobs is silent.
 	SilentStore *SilentStore `yaml:"silent_store"`
 }
 
+// Shortage says how the owner of the jobs decides when there is too little room. Without the section all of it is off.
+type Shortage struct {
+	DelayCost bool `yaml:"delay_cost"` // order jobs by what a delay costs their callers
+}
+
 // SilentStore bounds the requests that the process holds while the store or the owner of the jobs is silent.
 type SilentStore struct {
 	MaxHeld   int `yaml:"max_held"`    // number of requests
--- a/internal/jobowner/requests.go
+++ b/internal/jobowner/requests.go
@@ -80,9 +80,14 @@
 		reply(session.Reply{Code: session.CodeRejected, RetryMs: storeRetryAfterMs, Reason: reasonStoreUnavailable})
 		return
 	}
-	o.apply(jobs.Change{Submit: &jobs.Job{ID: request.JobID, Queue: *request.Queue, Spec: *request.Spec, AcceptedMs: o.firstArrivalMs(request)}})
+	submitted := &jobs.Job{ID: request.JobID, Queue: *request.Queue, Spec: *request.Spec, AcceptedMs: o.firstArrivalMs(request)}
+	if !o.admit(submitted, reply) {
+		return
+	}
+	o.apply(jobs.Change{Submit: submitted})
 	job := o.jobsState.Jobs[request.JobID]
 	o.activeJobs[job.ID] = job
+	o.costs.submitted(job)
 	if hold != (heldSubmission{}) {
 		o.held[job] = hold
 	}
