jobowner: one memory of refused callers

A hold is logged once the job is admitted. Measured: go test -race ./internal/jobowner ./internal/jobfront passes.

--- a/internal/jobowner/held_test.go
+++ b/internal/jobowner/held_test.go
@@ -248,23 +248,23 @@
 		qt.Check(t, o.jobsState.Jobs["bbbbbbbbbbbbbbbb"].AcceptedMs, qt.Equals, firstArrival)
 		qt.Check(t, o.jobsState.Jobs["cccccccccccccccc"].AcceptedMs, qt.Equals, secondArrival)
 		qt.Check(t, o.jobsState.Jobs["dddddddddddddddd"].AcceptedMs, qt.Equals, wallTimeMs())
-		qt.Check(t, o.turnedAway, qt.HasLen, 0)
 	})
 }
 
 // Load: a long outage with ever new callers. What is remembered about them is bounded and expires.
 func TestMemoryOfTurnedAwayCallersIsBounded(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T, o *Owner, _ *gatedStore) {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		for i := range 3 * maxTurnedAway / 2 {
-			o.rememberArrival(fmt.Sprintf("%016x", i), wallTimeMs())
-			qt.Assert(t, len(o.turnedAway) <= maxTurnedAway, qt.IsTrue)
+		o.setAppendStart(boottime.Now() - time.Minute)
+		for i := range 2 * maxRefusals {
+			qt.Assert(t, code(submitFor(o, fmt.Sprintf("%016x", i), 3*time.Second)), qt.Equals, session.CodeRejected)
 		}
-		newest := fmt.Sprintf("%016x", 3*maxTurnedAway/2-1)
-		qt.Check(t, o.turnedAway[newest], qt.Equals, wallTimeMs())
-		time.Sleep(turnedAwayMemory + time.Second)
-		qt.Check(t, o.firstArrivalMs(&session.Request{JobID: newest}), qt.Equals, wallTimeMs())
+		qt.Check(t, o.refusals.firstMsByJob, qt.HasLen, maxRefusals)
+		refused := submission("0000000000000001")
+		qt.Check(t, o.firstArrivalMs(refused), qt.Equals, wallTimeMs())
+		time.Sleep(time.Second)
+		qt.Check(t, o.firstArrivalMs(refused), qt.Equals, wallTimeMs()-1000)
+		time.Sleep(refusalMemoryMs * time.Millisecond)
+		qt.Check(t, o.firstArrivalMs(refused), qt.Equals, wallTimeMs())
 	})
 }
 
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -95,7 +95,6 @@
 	submitReplies    map[*jobs.Job][]func(session.Reply)
 	held             map[*jobs.Job]heldSubmission      // submitted jobs that are in no record
 	hasResigned      bool                              // submissions are released
-	turnedAway       map[string]int64                  // first arrival of jobs that were turned away lately, in Unix milliseconds, by ID
 	adviceByStep     map[string]*stepAdvice            // by stepKey
 	placedByAgent    map[string]map[string]*placedTask // by agent name and task ID
 	workerHealth     *placement.HealthTracker
@@ -152,7 +151,7 @@
 	o := &Owner{
 		cfg: cfg, ownership: ownership, jobLog: caslog.New(cfg.Store, cfg.Prefix, writer),
 		startedAt: boottime.Now(), wakeCommit: make(chan struct{}, 1), appendTimeout: minAppendTimeout,
-		activeJobs: map[string]*jobs.Job{}, submitReplies: map[*jobs.Job][]func(session.Reply){}, held: map[*jobs.Job]heldSubmission{}, turnedAway: map[string]int64{}, adviceByStep: map[string]*stepAdvice{},
+		activeJobs: map[string]*jobs.Job{}, submitReplies: map[*jobs.Job][]func(session.Reply){}, held: map[*jobs.Job]heldSubmission{}, adviceByStep: map[string]*stepAdvice{},
 		adviceRequests: make(chan adviceRequest, maxAdviceRequests), members: map[string]*memberView{},
 		silences: map[string]*agentSilence{}, earlierOwners: map[int64]earlierOwner{}, departures: map[string]departure{},
 		placedByAgent: map[string]map[string]*placedTask{}, workerHealth: placement.NewHealthTracker(),
--- a/internal/jobowner/requests.go
+++ b/internal/jobowner/requests.go
@@ -89,7 +89,7 @@
 	o.activeJobs[job.ID] = job
 	o.costs.submitted(job)
 	if hold != (heldSubmission{}) {
-		o.held[job] = hold
+		o.hold(job, hold, request)
 	}
 	o.submitReplies[job] = append(o.submitReplies[job], reply)
 	o.pendingEffects = append(o.pendingEffects, func() { o.replyToSubmissions(job) })
--- a/internal/jobowner/silent_store.go
+++ b/internal/jobowner/silent_store.go
@@ -44,16 +44,20 @@
 			Int64("silent_ms", situation.Silent.Milliseconds()).Int64("remaining_ms", request.RemainingMs).Int("held", situation.Held).
 			Int("held_bytes", situation.HeldBytes).Int64("come_back_ms", decision.ComeBack.Milliseconds()).Send()
 		o.cfg.Metrics.Counter("owner_submissions_turned_away").Inc(1)
-		o.rememberArrival(request.JobID, arrivalMs(request, wallTimeMs()))
+		o.refusals.note(request.JobID, arrivalMs(request, wallTimeMs()))
 		return heldSubmission{}, &session.Reply{Code: session.CodeRejected, RetryMs: decision.ComeBack.Milliseconds(), Reason: reasonStoreUnavailable}
 	}
-	hold := heldSubmission{since: now, until: now + decision.HoldFor, comeBack: decision.ComeBack, bytes: situation.Bytes}
+	return heldSubmission{since: now, until: now + decision.HoldFor, comeBack: decision.ComeBack, bytes: situation.Bytes}, nil
+}
+
+// hold begins the hold of a job that is in no record.
+func (o *Owner) hold(job *jobs.Job, hold heldSubmission, request *session.Request) {
+	o.held[job] = hold
 	if o.storeStalled() {
-		events.JobHeld.Log(&o.cfg.Log).Str("job", request.JobID).Int64("silent_ms", situation.Silent.Milliseconds()).
-			Int64("remaining_ms", request.RemainingMs).Int64("hold_ms", decision.HoldFor.Milliseconds()).Int("held", situation.Held+1).
-			Int("held_bytes", situation.HeldBytes+situation.Bytes).Send()
+		events.JobHeld.Log(&o.cfg.Log).Str("job", job.ID).Int64("silent_ms", o.silentFor(hold.since).Milliseconds()).
+			Int64("remaining_ms", request.RemainingMs).Int64("hold_ms", (hold.until-hold.since).Milliseconds()).Int("held", len(o.held)).
+			Int("held_bytes", o.heldBytes()).Send()
 	}
-	return hold, nil
 }
 
 // extendHold extends the hold of a job that is submitted again: it is turned away when the holds of all its submissions have ended.
@@ -74,48 +78,34 @@
 	events.JobRejected.Log(&o.cfg.Log).Str("job", job.ID).Str("why", reasonStoreUnavailable).Int64("silent_ms", o.silentFor(now).Milliseconds()).
 		Int64("held_ms", (now-hold.since).Milliseconds()).Int("held", len(o.held)).Int64("come_back_ms", hold.comeBack.Milliseconds()).Send()
 	o.cfg.Metrics.Counter("owner_submissions_turned_away").Inc(1)
-	o.rememberArrival(job.ID, job.AcceptedMs)
+	o.refusals.note(job.ID, job.AcceptedMs)
 	return &session.Reply{Code: session.CodeRejected, RetryMs: hold.comeBack.Milliseconds(), Reason: reasonStoreUnavailable}
 }
 
-// maxTurnedAway bounds the turned-away submissions whose first arrival is remembered; all are forgotten when there are more.
-// turnedAwayMemory is how long it is remembered.
-const (
-	maxTurnedAway    = 4096
-	turnedAwayMemory = 30 * time.Second
-)
-
-// rememberArrival remembers when a job that is turned away arrived first, in Unix milliseconds. Its caller comes back with the same job.
-func (o *Owner) rememberArrival(id string, arrivedMs int64) {
-	if _, known := o.turnedAway[id]; known {
-		return
-	}
-	if len(o.turnedAway) >= maxTurnedAway {
-		clear(o.turnedAway)
-	}
-	o.turnedAway[id] = arrivedMs
-}
+// maxWaitedMs bounds the time for which an entry can say that it has had a request, in milliseconds.
+const maxWaitedMs = 30_000
 
-// firstArrivalMs returns when the job that is accepted now arrived first at the owner or an entry, in Unix milliseconds, and forgets it. A
-// caller that comes back, or that waited for an owner, must not wait behind those that came later.
+// firstArrivalMs returns when the job that is accepted now arrived first, in Unix milliseconds: when its caller was first refused, or when
+// the request arrived at its entry. A caller that comes back, or that waited for an owner, must not wait behind those that came later.
 func (o *Owner) firstArrivalMs(request *session.Request) int64 {
 	now := wallTimeMs()
 	if o.cfg.SilentStore == nil {
 		return now
 	}
-	arrivedMs, known := o.turnedAway[request.JobID]
-	delete(o.turnedAway, request.JobID)
-	if !known {
-		arrivedMs = arrivalMs(request, now)
-	}
-	if arrivedMs > now || now-arrivedMs > turnedAwayMemory.Milliseconds() {
-		return now
+	arrivedMs := arrivalMs(request, now)
+	if firstMs := o.refusals.firstMs(request.JobID, now); firstMs > 0 {
+		arrivedMs = min(arrivedMs, firstMs)
 	}
 	return arrivedMs
 }
 
 // arrivalMs returns when the request arrived at its entry.
-func arrivalMs(request *session.Request, now int64) int64 { return now - max(0, request.WaitedMs) }
+func arrivalMs(request *session.Request, now int64) int64 {
+	if request.WaitedMs < 0 || request.WaitedMs > maxWaitedMs {
+		return now
+	}
+	return now - request.WaitedMs
+}
 
 // silentFor returns how long the write of the current record has been unanswered; 0 if there is none.
 func (o *Owner) silentFor(now time.Duration) time.Duration {
