fleetsoak: the processes hold submissions, as deployed

Cause: the soak played the programs without the section silent_store. Measured: not yet run with it.

--- a/internal/fleetsoak/fleet_test.go
+++ b/internal/fleetsoak/fleet_test.go
@@ -130,7 +130,7 @@
 		Listen: hostconfig.Listen{Peers: peerAddr, Advertise: p.relays[1].Addr(), Callers: ip + ":7002", Readiness: ip + ":7003",
 			Registrations: ip + ":7004", Metrics: ip},
 		Bounds:     hostconfig.Bounds{MaxHoldMs: maxHold.Milliseconds(), StopTimeoutMs: 200, GraceS: 6, StatusS: 120},
-		Evacuation: hostconfig.Evacuation{ApplyMs: 2000},
+		Evacuation: hostconfig.Evacuation{ApplyMs: 2000}, SilentStore: &hostconfig.SilentStore{MaxHeld: 2000, MaxHeldKB: 8192},
 	}
 	data, err := yaml.Marshal(p.cfg)
 	qt.Assert(f.t, err, qt.IsNil)
