--- a/internal/jobowner/admission.go
+++ b/internal/jobowner/admission.go
@@ -24,12 +24,11 @@
 		return true
 	}
 	now, nowWallMs := boottime.Now(), wallTimeMs()
-	waitedMs := int64(0)
 	if refusedMs := o.refusals.firstMs(submitted.ID, nowWallMs); refusedMs > 0 {
-		waitedMs = max(0, nowWallMs-refusedMs)
+		submitted.AcceptedMs = min(submitted.AcceptedMs, refusedMs)
 	}
+	waitedMs := max(0, nowWallMs-submitted.AcceptedMs)
 	if o.shortage == nil || now < o.servingSince+minOwnerAge || submitted.Spec.Repeats > 0 || submitted.Spec.Steps[0].Perpetual {
-		submitted.AcceptedMs -= waitedMs
 		return true
 	}
 	state := jobs.NewState()
@@ -42,7 +41,6 @@
 	delay.SlackMs -= float64(waitedMs)
 	waitMs := o.shortage.WaitMs(submitted.Queue.Priority, &delay)
 	if !delay.IsHopeless(waitMs) || o.workerSnapshot().MayStartNow(job) {
-		submitted.AcceptedMs -= waitedMs
 		return true
 	}
 	retryMs := delay.RetryMs(submitted.ID, waitMs)
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -22,6 +22,7 @@
 	"bamboofork/internal/events"
 	"bamboofork/internal/jobs"
 	"bamboofork/internal/network"
+	"bamboofork/internal/outage"
 	"bamboofork/internal/placement"
 	"bamboofork/internal/session"
 	"bamboofork/internal/store"
@@ -39,10 +40,15 @@
 	Adviser   Adviser         // nil: no queue needs advice
 	Retention time.Duration   // how long an ended job is kept
 	MaxHold   time.Duration   // maximum time that a worker keeps its runs while its reports do not reach the owner
+	Domains   DomainReader    // nil: no failure domain is ever taken out of service
+	// DomainsApply is the time within which operators expect that nothing starts in a failure domain any more.
+	DomainsApply time.Duration
 	// Shortage makes the owner order jobs by what a delay costs their callers when there is too little room.
 	Shortage bool
 	// RecordsPerSnapshot is the number of records after which a snapshot replaces them; 0: defaultRecordsPerSnapshot.
 	RecordsPerSnapshot int64
+	// SilentStore bounds the submissions that are held while the store does not respond; nil: none is held.
+	SilentStore *outage.Policy
 }
 
 func (c *Config) recordsPerSnapshot() int64 {
@@ -83,9 +89,12 @@
 	earlierOwners  map[int64]earlierOwner   // by epoch, as members have told
 	departures     map[string]departure     // newest ended lifetime of each agent's worker, by agent name
 	departureCount int64                    // number of the newest departure
+	domains        domainView
 	// submitReplies holds the callbacks that reply to submissions once the job's record is durable. The key is the submitted job
 	// and not its ID: a caller may repeat a submission that was rejected, while the effects of the rejected one are still pending.
 	submitReplies    map[*jobs.Job][]func(session.Reply)
+	held             map[*jobs.Job]heldSubmission      // submitted jobs that are in no record
+	hasResigned      bool                              // submissions are released
 	adviceByStep     map[string]*stepAdvice            // by stepKey
 	placedByAgent    map[string]map[string]*placedTask // by agent name and task ID
 	workerHealth     *placement.HealthTracker
@@ -142,11 +151,11 @@
 	o := &Owner{
 		cfg: cfg, ownership: ownership, jobLog: caslog.New(cfg.Store, cfg.Prefix, writer),
 		startedAt: boottime.Now(), wakeCommit: make(chan struct{}, 1), appendTimeout: minAppendTimeout,
-		activeJobs: map[string]*jobs.Job{}, submitReplies: map[*jobs.Job][]func(session.Reply){}, adviceByStep: map[string]*stepAdvice{},
+		activeJobs: map[string]*jobs.Job{}, submitReplies: map[*jobs.Job][]func(session.Reply){}, held: map[*jobs.Job]heldSubmission{}, adviceByStep: map[string]*stepAdvice{},
 		adviceRequests: make(chan adviceRequest, maxAdviceRequests), members: map[string]*memberView{},
 		silences: map[string]*agentSilence{}, earlierOwners: map[int64]earlierOwner{}, departures: map[string]departure{},
 		placedByAgent: map[string]map[string]*placedTask{}, workerHealth: placement.NewHealthTracker(),
-		interference: placement.NewInterference(),
+		interference: placement.NewInterference(), domains: domainView{returnedAt: map[string]time.Duration{}},
 	}
 	o.jobLog.SkipUnreadable()
 	recovery := logRecovery{jobLog: o.jobLog, attemptTimeout: bulkCallTimeout}
@@ -266,7 +275,9 @@
 		}
 	})
 	wg.Go(func() { o.heartbeatLoop(ctx) })
+	wg.Go(func() { o.holdLoop(ctx) })
 	wg.Go(func() { o.adviceLoop(ctx) })
+	wg.Go(func() { o.domainsLoop(ctx) })
 	wg.Go(func() { o.storeInterferenceLoop(ctx) })
 	wg.Go(func() { o.membersLoop(ctx, &wg) })
 	<-ctx.Done()
@@ -297,6 +308,7 @@
 func (o *Owner) Resign() {
 	o.recordSilencesToResign()
 	endLease(o.ownership, &o.cfg.Log)
+	o.releaseHeld()
 	o.mu.Lock()
 	conns := []*session.Conn[session.ToMember, session.FromMember]{}
 	for _, member := range o.members {
