--- a/internal/events/jobowner.go
+++ b/internal/events/jobowner.go
@@ -24,6 +24,8 @@
 	RecordUnreadable = register(3623, "record_unreadable", zerolog.ErrorLevel, "Positions of the job log hold something that is not a record; a new owner skips them. The line has the first position and their number.")
 	JobRejected      = register(3615, "job_rejected", zerolog.InfoLevel, "A job was rejected and will not run; the line has the reason.")
 
+	ColocationSeen = register(3640, "colocation_seen", zerolog.InfoLevel, "Serving tasks are over their target; at most once a second the line has the serving tasks that the workers listed last, those over their target, those of them with best-effort runs at work beside them, and the mean load by their users.")
+
 	MessageTooLarge = register(2705, "message_too_large", zerolog.ErrorLevel, "A message exceeds what the peer accepts and was dropped; the connection goes on. Logged once for each connection.")
 
 	OwnerSeen            = register(2701, "owner_seen", zerolog.InfoLevel, "An entry or agent follows a new job owner.")
--- a/internal/jobowner/colocate.go
+++ b/internal/jobowner/colocate.go
@@ -82,6 +82,7 @@
 			})
 		}
 	}
+	member.colocation = summariseColocation(serving, bestEffort)
 	o.interference.Observe(bootTimeMs(), serving, bestEffort)
 }
 
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -58,6 +58,7 @@
 	announcedSilence int64         // number of the newest silence that was announced on this connection
 	// announcedDeparture is the number of the newest departure that was announced on this connection.
 	announcedDeparture int64
+	colocation         colocationSeen
 	bestEffortPaused   bool // the agent slows best-effort runs; no further ones are placed on its worker
 	sentSuspicion      placement.Suspicion
 	blockedUntil       time.Duration // boot time before which nothing is placed here, after a refused start
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -94,6 +94,7 @@
 	nextPlanAt        time.Duration // boot time before which no planning pass starts
 	planPostponed     bool          // a pass was due before nextPlanAt
 	timeoutsCheckedAt time.Duration // boot time of the last check of timeouts
+	colocationSeenAt  time.Duration // boot time of the last report of serving tasks over their target
 	waitingReportedAt time.Duration // boot time of the last report of waiting perpetual tasks
 	lastRecordSeq     int64         // sequence number of the newest record
 	snapshotSeq       int64         // sequence number of the newest snapshot
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -31,6 +31,7 @@
 	}
 	o.timeoutsCheckedAt = now
 	o.updateSilences()
+	o.reportColocation()
 	for name, tasks := range o.placedByAgent {
 		if len(tasks) > 0 {
 			o.endRunsOfLostWorker(name, tasks)
@@ -331,7 +332,8 @@
 	placed := o.placedByAgent[start.Worker][id.String()]
 	events.RunPlaced.Log(&o.cfg.Log).Str("job", assignment.Job.ID).Str("task", id.String()).Int("run", start.Run).
 		Str("agent", start.Worker).Str("image", assignment.Job.Spec.Steps[start.Step].Image).
-		Int64("waited_ms", wallTimeMs()-assignment.Job.AcceptedMs).Int("pace", task.PacePercent).Send()
+		Int64("waited_ms", wallTimeMs()-assignment.Job.AcceptedMs).Int("pace", task.PacePercent).
+		Str("kind", placed.step.Kind()).Int("cpu", placed.step.CPU).Int64("est_ms", placed.step.EstimateMs).Send()
 	o.pendingEffects = append(o.pendingEffects, func() { o.queueStart(placed, start.Run) })
 }
 
--- a/internal/jobowner/report.go
+++ b/internal/jobowner/report.go
@@ -104,7 +104,8 @@
 	delete(o.placedByAgent[placed.task.Worker], placed.id.String())
 	events.RunEnded.Log(&o.cfg.Log).Str("job", placed.job.ID).Str("task", placed.id.String()).Int("run", placed.task.Run).
 		Str("agent", placed.task.Worker).Str("how", string(outcome)).
-		Int64("ran_ms", bootTimeMs()-placed.task.PlacedMs).Str("why", reason).Send()
+		Int64("ran_ms", bootTimeMs()-placed.task.PlacedMs).Bool("kept", placed.step.Checkpointing && checkpoint != "").
+		Str("why", reason).Send()
 	o.apply(jobs.Change{JobID: placed.job.ID, End: &jobs.End{
 		Occ: placed.id.Occurrence, Step: placed.id.Step, Index: placed.id.Index, Run: placed.task.Run, Outcome: outcome,
 		Checkpoint: checkpoint, AtMs: wallTimeMs(), HasBegun: placed.task.RunStarted,
--- a/internal/load/loadcli/cli.go
+++ b/internal/load/loadcli/cli.go
@@ -28,6 +28,9 @@
 	meanService, duration, warmup                                                       time.Duration
 	seed                                                                                uint64
 	routing                                                                             string
+	accountFile                                                                         string
+	accountEvery                                                                        int
+	accountWorkers                                                                      bool
 	hideProgress                                                                        bool
 }
 
@@ -42,6 +45,7 @@
 func Run(out, errOut io.Writer) int {
 	o := defaultOptions()
 	run, study, compare, plot := newSubcommands(o)
+	account := newAccountCommand(o)
 	flaggy.SetName("bf-load")
 	flaggy.SetDescription("Generate open-loop load on a fleet, check every response, and compare runs.")
 	flaggy.SetVersion(app.Version)
@@ -58,6 +62,8 @@
 		err = o.runCompare(out)
 	case plot.Used:
 		err = o.runPlot()
+	case account.Used:
+		err = o.runAccount(out)
 	default:
 		flaggy.ShowHelp("")
 		return app.ExitUsage
--- a/internal/placement/interference.go
+++ b/internal/placement/interference.go
@@ -213,3 +213,11 @@
 
 // Forget removes the load of a group whose tasks have all ended.
 func (f *Interference) Forget(group string) { delete(f.loadByGroup, group) }
+
+// MeanLoad returns the mean load of the groups of serving tasks, and their number.
+func (f *Interference) MeanLoad() (load float64, groups int) {
+	for _, g := range f.loadByGroup {
+		load += g.level
+	}
+	return load / float64(max(1, len(f.loadByGroup))), len(f.loadByGroup)
+}
