Serving tasks are packed on few workers, if the settings say so

Serving tasks take 40% of the CPU, yet all but 4 to 15 workers have some, of several images: jobs whose steps allow one or two tasks on a worker take empty workers. Limits of steps, labels, racks and the reserve for short tasks hold as before.

--- a/internal/deployed/host.go
+++ b/internal/deployed/host.go
@@ -38,6 +38,7 @@
 		Config: jobowner.Config{
 			Name: p.cfg.Name, Prefix: logKeyPrefix, Log: p.log, Metrics: p.metrics, Store: st, Network: p.network,
 			Retention: p.cfg.Bounds.Retention(), MaxHold: p.cfg.Bounds.Hold(), RecordsPerSnapshot: p.recordsPerSnapshot,
+			PackServing: p.cfg.Colocation.PackServing,
 		},
 		Key:      election.NewKey(st, ownerKey, boottime.Now),
 		Self:     election.Owner{Name: p.cfg.Name, Addr: p.cfg.Listen.PeerAddr(), Incarnation: p.incarnation},
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -20,6 +20,8 @@
 	Store    string `yaml:"store"`  // address of the platform's store
 	Advice   string `yaml:"advice"` // address of the advice service, or empty
 	Bounds   Bounds `yaml:"bounds"`
+	// Colocation says how serving and best-effort tasks share workers. An absent section means that serving tasks are spread.
+	Colocation Colocation `yaml:"colocation"`
 }
 
 // Listen holds the addresses that the process listens on.
@@ -40,6 +42,11 @@
 	return l.Peers
 }
 
+// Colocation says how serving and best-effort tasks share workers.
+type Colocation struct {
+	PackServing bool `yaml:"pack_serving"` // place serving tasks on few workers, so that the others take any best-effort task
+}
+
 // Bounds holds the time limits of the deployment.
 type Bounds struct {
 	MaxHoldMs     int64 `yaml:"max_hold_ms"`     // maximum hold on a worker's runs
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -40,6 +40,8 @@
 	MaxHold   time.Duration   // maximum time that a worker keeps its runs while its reports do not reach the owner
 	// RecordsPerSnapshot is the number of records after which a snapshot replaces them; 0: defaultRecordsPerSnapshot.
 	RecordsPerSnapshot int64
+	// PackServing places serving tasks on few workers; see placement.Snapshot.
+	PackServing bool
 }
 
 func (c *Config) recordsPerSnapshot() int64 {
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -245,7 +245,7 @@
 
 // workerSnapshot returns a snapshot of the workers that may take tasks. The snapshot contains no jobs.
 func (o *Owner) workerSnapshot() *placement.Snapshot {
-	snapshot := &placement.Snapshot{BootTimeMs: bootTimeMs(), WallMs: wallTimeMs(), Interference: o.interference,
+	snapshot := &placement.Snapshot{BootTimeMs: bootTimeMs(), WallMs: wallTimeMs(), Interference: o.interference, PackServing: o.cfg.PackServing,
 		AdvisedWorkers: map[placement.StepID]map[string]bool{}}
 	now := boottime.Now()
 	for _, member := range o.members {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -16,6 +16,7 @@
 	weightInterference = 5.0 // times the utilisation that a best-effort task adds to a serving task
 	weightSpeed        = 2.0 // times the share of full speed that a best-effort task would get
 	weightSameImage    = 1.5 // times imageAffinity: serving tasks of one image share workers, which keeps other workers free of that image
+	weightPackedImage  = 0.5 // times imageAffinity, if serving tasks are packed
 	weightSpread       = 0.1 // for each task of the same step on the worker, so that the loss of a worker affects fewer tasks of a step
 )
 
@@ -139,7 +140,7 @@
 	if speed < c.speedFloor {
 		return rating{}
 	}
-	return rating{eligible: true, speed: speed, score: scoreWorker(worker, c.step, speed, addedLoad, c.stepTasksByRack)}
+	return rating{eligible: true, speed: speed, score: c.scoreWorker(worker, speed, addedLoad)}
 }
 
 // overdueWaitMs is how long a perpetual task may wait before it may use the reserve for short tasks.
@@ -206,26 +207,41 @@
 	return !step.BestEffort || worker.BestEffortTasks == 0 || worker.IdleCPU >= step.CPU/2
 }
 
-// scoreWorker returns the score of a worker for a task; a higher score is better. speed is the share of full speed that a best-effort
-// task gets on the worker, and addedLoad is the utilisation that the task adds to the serving tasks.
-func scoreWorker(worker *Worker, step *jobs.Step, speed, addedLoad float64, stepTasksByRack map[string]int) float64 {
+// scoreWorker returns the score of a worker for a task of the step; a higher score is better. speed is the share of full speed that a
+// best-effort task gets on the worker, and addedLoad is the utilisation that the task adds to the serving tasks.
+func (c *chooser) scoreWorker(worker *Worker, speed, addedLoad float64) float64 {
+	step := c.step
 	capacity := float64(max(1, worker.Capacity.CPU))
 	sum := float64(worker.Free.CPU) / capacity
-	if step.BestEffort {
+	switch {
+	case step.BestEffort:
 		sum = float64(worker.IdleCPU)/capacity + weightSpeed*speed - weightInterference*addedLoad
+	case step.TargetMs > 0 && c.snapshot.PackServing:
+		sum = packedScore(worker, step.Image)
+	case step.TargetMs > 0:
+		sum += weightSameImage * imageAffinity(worker, step.Image)
 	}
 	if step.DataRack != "" && worker.HasLabel(step.DataRack) {
 		sum += weightDataRack
 	}
-	if step.SameRack && stepTasksByRack[worker.Rack] > 0 {
+	if step.SameRack && c.stepTasksByRack[worker.Rack] > 0 {
 		sum += weightSameRack
 	}
-	if step.TargetMs > 0 {
-		sum += weightSameImage * imageAffinity(worker, step.Image)
-	}
 	return sum - weightSpread*float64(worker.stepTasks)
 }
 
+// packedScore returns the score of a worker for a serving task of the image if serving tasks are packed: a worker without serving tasks
+// comes last, and of the others the fullest and those with the image come first. Load pattern: large best-effort jobs beside serving
+// jobs of many images that are spread over all workers. A best-effort task must be harmless to every serving task of its worker, so that
+// hardly any worker takes it, and it waits while a third of the CPU of the fleet is idle.
+func packedScore(worker *Worker, image string) float64 {
+	if len(worker.Serving) == 0 {
+		return 0
+	}
+	reserved := float64(worker.Capacity.CPU-worker.Free.CPU) / float64(max(1, worker.Capacity.CPU))
+	return 1 + reserved + weightPackedImage*imageAffinity(worker, image)
+}
+
 // imageAffinity returns how well the serving tasks of the worker match the image, from -1 to 1. It returns 1 if all of them run the
 // image, -1 if none of them does, and 0 if the worker has no serving tasks.
 func imageAffinity(worker *Worker, image string) float64 {
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -26,6 +26,7 @@
 	completionMsByJob   map[string]int64 // time from the acceptance to the end of each ended job
 	overTargetMs        int64            // time over the target because of best-effort runs, summed over the serving tasks
 	servingMs           int64            // simulated time, summed over the serving tasks
+	bestEffortImages    int              // number of images of best-effort tasks
 	longestOverTargetMs int64            // longest uninterrupted time that a serving task was over its target
 }
 
@@ -77,7 +78,7 @@
 func newReplay(seed uint64, paced bool) *replay {
 	r := &replay{
 		rng: rand.New(rand.NewPCG(seed, 1)), state: jobs.NewState(), pressureByImages: map[string]float64{},
-		completionMsByJob: map[string]int64{},
+		completionMsByJob: map[string]int64{}, bestEffortImages: 9,
 	}
 	if paced {
 		r.interference = placement.NewInterference()
@@ -127,7 +128,7 @@
 	id := fmt.Sprintf("%016d", r.nowMs)
 	step := func(after ...int) jobs.Step {
 		return jobs.Step{Count: 4 + r.rng.IntN(8), CPU: 7_000, MemMB: 13_000, EstimateMs: replayWorkMs, BestEffort: true, Checkpointing: true,
-			Image: fmt.Sprint("f", r.rng.IntN(9)), After: after}
+			Image: fmt.Sprint("f", r.rng.IntN(r.bestEffortImages)), After: after}
 	}
 	q := jobs.Queue{Service: "pool", Stretch: 2, TargetMs: 1000, MaxAttempts: 2}
 	r.state.Apply(jobs.Change{Submit: &jobs.Job{ID: id, Queue: q, AcceptedMs: r.nowMs, Spec: jobs.Spec{Steps: []jobs.Step{step(), step(0)}}}})
@@ -298,12 +299,14 @@
 	return float64(metCount) / float64(acceptedCount)
 }
 
+// overTargetRatio returns the fraction of the serving time over the target.
+func (r *replay) overTargetRatio() float64 { return float64(r.overTargetMs) / float64(r.servingMs) }
+
 // credit returns the credit of a replay, the sum of two parts. The first part is the fraction of best-effort jobs that met their
 // objective, times the submission rate relative to the calm rate. The second part is the credit of the serving jobs: 1, minus four
 // times the fraction of their time over the target, but at least 0.
 func (r *replay) credit(beforeMs int64, rate float64) float64 {
-	overTargetFraction := float64(r.overTargetMs) / float64(r.servingMs)
-	return rate*r.objectiveRatio(beforeMs) + max(0, 1-4*overTargetFraction)
+	return rate*r.objectiveRatio(beforeMs) + max(0, 1-4*r.overTargetRatio())
 }
 
 // Guards against serving tasks that miss their target without interruption for longer than the 4 s that the platform allows. Also
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -104,6 +104,8 @@
 	// AdvisedWorkers holds, for each step that needs a ticket from the advice service, the names of the workers that may run
 	// the step. Such a step without an entry waits.
 	AdvisedWorkers map[StepID]map[string]bool
+	// PackServing places serving tasks on few workers instead of spreading them; see packedScore.
+	PackServing bool
 
 	pairs        *pairTable         // see Snapshot.pairTable
 	workerByName map[string]*Worker // of all workers of the pass; see Snapshot.worker
