--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -102,3 +102,17 @@
 		c.Check(out.String(), qt.Contains, want)
 	}
 }
+
+// Guards against an account that looks complete although lines of the log were lost.
+func TestRunsWithoutPlacementAreCounted(t *testing.T) {
+	c := qt.New(t)
+	l := exampleLog()
+	l.line("w1", 4200, 2711, `"task":"j.0.0.7","run":1`)
+	l.ended(4300, "j.0.0.7", 1, "done", false)
+	l.ended(4400, "j.0.0.8", 1, "done", false)
+	day := read(c, l.String())
+	c.Check(day.UnplacedRuns, qt.Equals, 2)
+	var out strings.Builder
+	day.Write(&out, 1, false)
+	c.Check(out.String(), qt.Contains, "2 runs are missing")
+}
--- a/internal/account/day.go
+++ b/internal/account/day.go
@@ -10,9 +10,11 @@
 // Day is the account of the log lines of one fleet.
 type Day struct {
 	Workers map[string]*Worker
+	// UnplacedRuns is the number of runs that have a start or an end but no placement in the log. Their use is missing in the account.
+	UnplacedRuns int
 
 	runs             map[runID]*run
-	earlyStarts      map[runID]int64 // starts whose placement has not been read yet
+	earlyStarts      map[runID]int64 // starts and ends whose placement has not been read yet
 	jobs             map[string]*job
 	order            []*run
 	servingSeen      []servingSeen
@@ -128,7 +130,11 @@
 
 func (d *Day) ended(l *line) {
 	r := d.runs[runID{l.Task, l.Run}]
-	if r == nil || r.endedMs > 0 {
+	if r == nil {
+		d.earlyStarts[runID{l.Task, l.Run}] = l.TimeMs
+		return
+	}
+	if r.endedMs > 0 {
 		return
 	}
 	r.endedMs, r.how, r.kept, r.why = l.TimeMs, l.How, l.Kept, l.Why
@@ -138,6 +144,7 @@
 }
 
 func (d *Day) finish() {
+	d.UnplacedRuns = len(d.earlyStarts)
 	for _, r := range d.order {
 		if r.startedMs == 0 || r.startedMs < r.placedMs {
 			r.startedMs = r.placedMs
--- a/internal/account/print.go
+++ b/internal/account/print.go
@@ -17,7 +17,11 @@
 	for i := range seconds {
 		total.add(&seconds[i].Total)
 	}
-	fmt.Fprintf(w, "%d workers, %d runs, %d seconds\n\n", len(d.Workers), len(d.order), len(seconds))
+	fmt.Fprintf(w, "%d workers, %d runs, %d seconds\n", len(d.Workers), len(d.order), len(seconds))
+	if d.UnplacedRuns > 0 {
+		fmt.Fprintf(w, "%d runs are missing: the log has no line about their placement\n", d.UnplacedRuns)
+	}
+	fmt.Fprintln(w)
 	d.writeTotals(w, &total)
 	d.writeSeconds(w, seconds, max(1, everySeconds))
 	d.writePaths(w)
--- a/internal/hostconfig/hostconfig_test.go
+++ b/internal/hostconfig/hostconfig_test.go
@@ -35,6 +35,7 @@
 		{"a host name to advertise", `metrics: "10.0.0.1"`, `metrics: "10.0.0.1", advertise: "host-1:7720"`, true, "listen.advertise"},
 		{"no memory", "memory_mb: 152", "memory_mb: 0", true, "memory_mb"},
 		{"a bound is missing", "max_hold_ms: 10000, ", "", true, "bounds.max_hold_ms"},
+		{"serving tasks packed", "bounds:", "colocation: {pack_serving: true}\nbounds:", true, ""},
 		{"not YAML", "name:", "name", true, "settings file"},
 	} {
 		path := filepath.Join(t.TempDir(), "process.yaml")
@@ -43,6 +44,7 @@
 		if c.want == "" {
 			qt.Check(t, err, qt.IsNil, qt.Commentf("%s", c.name))
 			qt.Check(t, p.Bounds.Hold().Milliseconds(), qt.Equals, int64(8000))
+			qt.Check(t, p.Colocation.PackServing, qt.Equals, c.new != "")
 			continue
 		}
 		qt.Assert(t, err, qt.IsNotNil, qt.Commentf("%s", c.name))
