--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -233,7 +233,7 @@
 // packedScore returns the score of a worker for a serving task of the image if serving tasks are packed: a worker without serving tasks
 // comes last, and of the others the fullest and those with the image come first. Load pattern: large best-effort jobs beside serving
 // jobs of many images that are spread over all workers. A best-effort task must be harmless to every serving task of its worker, so that
-// hardly any worker takes it, and it waits while a third of the CPU of the fleet is idle.
+// hardly any worker takes it, and it waits while a fifth of the CPU of the fleet is idle.
 func packedScore(worker *Worker, image string) float64 {
 	if len(worker.Serving) == 0 {
 		return 0
--- a/internal/placement/replay_uneven_test.go
+++ b/internal/placement/replay_uneven_test.go
@@ -63,7 +63,7 @@
 }
 
 // Guards against serving tasks of many images that are spread over all workers: nearly every worker then has a serving task to which a given best-effort
-// task does harm, and jobs wait although a third of the CPU is idle. With packed serving tasks, more jobs must meet their objective and the serving tasks
+// task does harm, and jobs wait beside idle CPU. With packed serving tasks, more jobs must meet their objective and the serving tasks
 // must be over their target for no longer, at a calm rate and at nearly twice that rate.
 func TestPackedServingTasksLeaveRoomForBestEffortJobs(t *testing.T) {
 	const forMs, beforeMs = 40_000, 27_000
