--- a/internal/deployed/host.go
+++ b/internal/deployed/host.go
@@ -41,6 +41,7 @@
 			Retention: p.cfg.Bounds.Retention(), MaxHold: p.cfg.Bounds.Hold(), RecordsPerSnapshot: p.recordsPerSnapshot,
 			Shortage:    p.cfg.Shortage.DelayCost,
 			SilentStore: p.cfg.SilentStore.Policy(),
+			PackServing: p.cfg.Colocation.PackServing,
 		},
 		Key:      election.NewKey(st, ownerKey, boottime.Now),
 		Self:     election.Owner{Name: p.cfg.Name, Addr: p.cfg.Listen.PeerAddr(), Incarnation: p.incarnation},
--- a/internal/events/jobowner.go
+++ b/internal/events/jobowner.go
@@ -31,6 +31,8 @@
 	JobHeld          = register(3641, "job_held", zerolog.InfoLevel, "A submission waits for the store, which does not respond; the line has what decided it.")
 	HoldsEnded       = register(3642, "holds_ended", zerolog.InfoLevel, "The store responds again, and submissions that were held are written; the line has their number and the longest wait.")
 
+	ColocationSeen = register(3640, "colocation_seen", zerolog.InfoLevel, "Serving tasks are over their target; at most once a second the line has the serving tasks that the workers listed last, those over their target, those of them with best-effort runs at work beside them, and the mean load by their users.")
+
 	MessageTooLarge = register(2705, "message_too_large", zerolog.ErrorLevel, "A message exceeds what the peer accepts and was dropped; the connection goes on. Logged once for each connection.")
 
 	OwnerSeen            = register(2701, "owner_seen", zerolog.InfoLevel, "An entry or agent follows a new job owner.")
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -28,6 +28,8 @@
 	Shortage Shortage `yaml:"shortage"`
 	// SilentStore is absent if no request is held while the store or the owner of the jobs is silent.
 	SilentStore *SilentStore `yaml:"silent_store"`
+	// Colocation says how serving and best-effort tasks share workers. An absent section means that serving tasks are spread.
+	Colocation Colocation `yaml:"colocation"`
 }
 
 // Shortage says how the owner of the jobs decides when there is too little room. Without the section all of it is off.
@@ -76,6 +78,11 @@
 	return l.Peers
 }
 
+// Colocation says how serving and best-effort tasks share workers.
+type Colocation struct {
+	PackServing bool `yaml:"pack_serving"` // place serving tasks on few workers, so that the others take any best-effort task
+}
+
 // Bounds holds the time limits of the deployment.
 type Bounds struct {
 	MaxHoldMs     int64 `yaml:"max_hold_ms"`     // maximum hold on a worker's runs
--- a/internal/hostconfig/hostconfig_test.go
+++ b/internal/hostconfig/hostconfig_test.go
@@ -40,6 +40,7 @@
 		{"a limit of held requests is missing", "bounds:", "silent_store: {max_held: 10}\nbounds:", true, "silent_store.max_held_kb"},
 		{"a negative limit of held requests", "bounds:", "silent_store: {max_held: -1, max_held_kb: 1}\nbounds:", true, "silent_store.max_held"},
 		{"a negative time to apply", "name: host-1", "name: host-1\nevacuation: {apply_ms: -1}", true, "evacuation.apply_ms"},
+		{"serving tasks packed", "bounds:", "colocation: {pack_serving: true}\nbounds:", true, ""},
 		{"not YAML", "name:", "name", true, "settings file"},
 	} {
 		path := filepath.Join(t.TempDir(), "process.yaml")
@@ -48,6 +49,7 @@
 		if c.want == "" {
 			qt.Check(t, err, qt.IsNil, qt.Commentf("%s", c.name))
 			qt.Check(t, p.Bounds.Hold().Milliseconds(), qt.Equals, int64(8000))
+			qt.Check(t, p.Colocation.PackServing, qt.Equals, c.new != "")
 			continue
 		}
 		qt.Assert(t, err, qt.IsNotNil, qt.Commentf("%s", c.name))
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -63,6 +63,7 @@
 	bestEffortPaused bool // the agent slows best-effort runs; no further ones are placed on its worker
 	sentSuspicion    placement.Suspicion
 	blockedUntil     time.Duration // boot time before which nothing is placed here, after a refused start
+	colocation       colocationSeen
 
 	runList session.RunList // the parts of a list of runs that have arrived on this connection
 
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -49,6 +49,8 @@
 	RecordsPerSnapshot int64
 	// SilentStore bounds the submissions that are held while the store does not respond; nil: none is held.
 	SilentStore *outage.Policy
+	// PackServing places serving tasks on few workers; see placement.Snapshot.
+	PackServing bool
 }
 
 func (c *Config) recordsPerSnapshot() int64 {
@@ -110,6 +112,7 @@
 	nextPlanAt        time.Duration   // boot time before which no planning pass starts
 	planPostponed     bool            // a pass was due before nextPlanAt
 	timeoutsCheckedAt time.Duration   // boot time of the last check of timeouts
+	colocationSeenAt  time.Duration   // boot time of the last report of serving tasks over their target
 	waitingReportedAt time.Duration   // boot time of the last report of waiting perpetual tasks
 	lastRecordSeq     int64           // sequence number of the newest record
 	snapshotSeq       int64           // sequence number of the newest snapshot
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -32,6 +32,7 @@
 	o.timeoutsCheckedAt = now
 	o.updateSilences()
 	o.reportDomains()
+	o.reportColocation()
 	for name, tasks := range o.placedByAgent {
 		if len(tasks) > 0 {
 			o.endRunsOfLostWorker(name, tasks)
@@ -247,7 +248,7 @@
 
 // workerSnapshot returns a snapshot of the workers that may take tasks. The snapshot contains no jobs.
 func (o *Owner) workerSnapshot() *placement.Snapshot {
-	snapshot := &placement.Snapshot{BootTimeMs: bootTimeMs(), WallMs: wallTimeMs(), Interference: o.interference, DelayCost: o.delayCost(),
+	snapshot := &placement.Snapshot{BootTimeMs: bootTimeMs(), WallMs: wallTimeMs(), Interference: o.interference, DelayCost: o.delayCost(), PackServing: o.cfg.PackServing,
 		AdvisedWorkers: map[placement.StepID]map[string]bool{}}
 	now := boottime.Now()
 	for _, member := range o.members {
@@ -339,7 +340,8 @@
 	placed.measure()
 	events.RunPlaced.Log(&o.cfg.Log).Str("job", assignment.Job.ID).Str("task", id.String()).Int("run", start.Run).
 		Str("agent", start.Worker).Str("image", assignment.Job.Spec.Steps[start.Step].Image).
-		Int64("waited_ms", wallTimeMs()-assignment.Job.AcceptedMs).Int("pace", task.PacePercent).Send()
+		Int64("waited_ms", wallTimeMs()-assignment.Job.AcceptedMs).Int("pace", task.PacePercent).
+		Str("kind", placed.step.Kind()).Int("cpu", placed.step.CPU).Int64("est_ms", placed.step.EstimateMs).Send()
 	o.pendingEffects = append(o.pendingEffects, func() { o.queueStart(placed, start.Run) })
 }
 
