Crowds of clients that nobody controls: tests that fail on the code as it stands

This commit is red: it holds the tests alone, before any change of the product. Crowds, limits and bounds are fixed here and stay.

Each test starts bf-front and bf-host as processes against the simulated platform, with limits lowered in its own settings. It checks that the process lives, that its memory (resident, or resident and received but unread bytes, whichever is more) and its open descriptors stay within the settings, and that an ordinary submission and a read are answered afterwards while the crowd stays open.

--- /dev/null
+++ b/internal/crowdtest/crowd_test.go
@@ -0,0 +1,232 @@
+package crowdtest_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"flag"
+	"fmt"
+	"net"
+	"testing"
+
+	"bamboofork/platform/standin"
+)
+
+var large = flag.Bool("large", false, "play the crowds of 3,000 connections against the limits of a small entry host")
+
+const (
+	maxBodyBytes = 262_144 // of the manifest that standin.Store.PutManifest writes
+	missingBytes = 8       // of each body
+	entryCrowd   = 400     // connections
+	stepsCrowd   = 100     // connections that send a complete job
+	idleCrowd    = 400     // connections that stay open after an answer
+
+	registrationCrowd = 1000     // connections
+	registrationBytes = 64 << 10 // sent by each of them
+	declaredBytes     = 4 << 20
+	peerCrowd         = 32      // connections
+	frameBytes        = 8 << 20 // maximum of a session
+)
+
+var (
+	// lowered are the limits under which the crowds are played, and wide those of the process that has no crowd.
+	lowered = limits{memoryMB: 96, maxFDs: 4100}
+	// loweredAgent are the limits under which the crowds at an agent are played. A registration is smaller than a job.
+	loweredAgent = limits{memoryMB: 64, maxFDs: 4100}
+	wide         = limits{memoryMB: 512, maxFDs: 4100}
+	// fewDescriptors are the limits under which the crowds of idle connections are played.
+	fewDescriptors = limits{memoryMB: 96, maxFDs: 450}
+)
+
+// legalBody returns the beginning of a body of the maximum size without its last bytes.
+func legalBody() []byte {
+	body := bytes.Repeat([]byte{' '}, maxBodyBytes-missingBytes)
+	copy(body, standin.OneStepJob[:len(standin.OneStepJob)-1])
+	return body
+}
+
+func requestHead(length string) []byte {
+	return []byte("POST " + standin.QueuePrefix + "00000000000000aa HTTP/1.1\r\nHost: " + standin.QueueHost +
+		"\r\nContent-Type: application/json\r\nX-Deadline-Ms: 3000\r\n" + length + "\r\n\r\n")
+}
+
+// Ways in which a client of the crowd sends its body.
+
+func sendWhole(conn net.Conn, body []byte) error {
+	if _, err := conn.Write(requestHead(fmt.Sprint("Content-Length: ", maxBodyBytes))); err != nil {
+		return err
+	}
+	_, err := conn.Write(body)
+	return err
+}
+
+func sendPieces(conn net.Conn, body []byte) error {
+	if _, err := conn.Write(requestHead(fmt.Sprint("Content-Length: ", maxBodyBytes))); err != nil {
+		return err
+	}
+	const pieceBytes = 1 << 10
+	for len(body) > 0 {
+		n, err := conn.Write(body[:min(pieceBytes, len(body))])
+		if err != nil {
+			return err
+		}
+		body = body[n:]
+	}
+	return nil
+}
+
+// chunked returns the body in chunks of the size in bytes, without the end of the last chunk.
+func chunked(body []byte, chunkBytes int) []byte {
+	var encoded bytes.Buffer
+	for len(body) > 0 {
+		chunk := body[:min(chunkBytes, len(body))]
+		fmt.Fprintf(&encoded, "%x\r\n%s\r\n", len(chunk), chunk)
+		body = body[len(chunk):]
+	}
+	return encoded.Bytes()[:encoded.Len()-missingBytes]
+}
+
+func sendChunked(conn net.Conn, encoded []byte) error {
+	if _, err := conn.Write(requestHead("Transfer-Encoding: chunked")); err != nil {
+		return err
+	}
+	_, err := conn.Write(encoded)
+	return err
+}
+
+// playOnEntry plays a crowd of clients against an entry.
+func playOnEntry(t *testing.T, count int, of limits, send func(conn net.Conn) error) {
+	s := newSystem(t, of, wide)
+	crowd(t, count, s.front.ip+":7002", send)
+	s.checkOrdinaryCaller("c1")
+	s.checkLimits(s.front)
+}
+
+// Guards against an entry that holds whatever whole bodies its clients begin.
+func TestEntryHoldsACrowdOfWholeBodies(t *testing.T) {
+	body := legalBody()
+	playOnEntry(t, entryCrowd, lowered, func(conn net.Conn) error { return sendWhole(conn, body) })
+}
+
+// Guards against an entry that holds whatever bodies its clients send piece by piece.
+func TestEntryHoldsACrowdOfBodiesInPieces(t *testing.T) {
+	body := legalBody()
+	playOnEntry(t, entryCrowd, lowered, func(conn net.Conn) error { return sendPieces(conn, body) })
+}
+
+// Guards against an entry that holds whatever its clients send in large chunks.
+func TestEntryHoldsACrowdOfLargeChunks(t *testing.T) {
+	encoded := chunked(legalBody(), 64<<10)
+	playOnEntry(t, entryCrowd, lowered, func(conn net.Conn) error { return sendChunked(conn, encoded) })
+}
+
+// Guards against an entry that holds whatever its clients send in tiny chunks.
+func TestEntryHoldsACrowdOfTinyChunks(t *testing.T) {
+	encoded := chunked(legalBody(), 16)
+	playOnEntry(t, entryCrowd, lowered, func(conn net.Conn) error { return sendChunked(conn, encoded) })
+}
+
+// Guards against an entry that needs many times the size of a body to decode it: complete jobs of as many steps as fit.
+func TestEntryHoldsACrowdOfManySteps(t *testing.T) {
+	body := append([]byte(`{"steps":[{}`), bytes.Repeat([]byte(",{}"), (maxBodyBytes-32)/3)...)
+	body = append(body, bytes.Repeat([]byte{' '}, maxBodyBytes-2-len(body))...)
+	body = append(body, "]}"...)
+	playOnEntry(t, stepsCrowd, lowered, func(conn net.Conn) error {
+		if err := sendWhole(conn, body); err != nil {
+			return err
+		}
+		return awaitAnswer(conn)
+	})
+}
+
+// Guards against an entry that has no descriptor left for the store and its peers, because clients keep their connections.
+func TestEntryHoldsACrowdOfOpenConnections(t *testing.T) {
+	playOnEntry(t, idleCrowd, fewDescriptors, func(conn net.Conn) error {
+		if _, err := conn.Write([]byte("GET / HTTP/1.1\r\nHost: unknown.example\r\n\r\n")); err != nil {
+			return err
+		}
+		return awaitAnswer(conn)
+	})
+}
+
+// playOnAgent plays a crowd of strangers against a port of an agent, which also owns the jobs.
+func playOnAgent(t *testing.T, count int, of limits, port string, send func(conn net.Conn) error) {
+	s := newSystem(t, wide, of)
+	crowd(t, count, s.host.ip+":"+port, send)
+	s.checkOrdinaryCaller("c1")
+	s.checkLimits(s.host)
+}
+
+// Guards against an agent that holds whatever registrations strangers begin.
+func TestAgentHoldsACrowdOfRegistrations(t *testing.T) {
+	head := fmt.Appendf(nil, "PUT /api/instances/x HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", declaredBytes)
+	body := bytes.Repeat([]byte{' '}, registrationBytes-missingBytes)
+	playOnAgent(t, registrationCrowd, loweredAgent, "7004", func(conn net.Conn) error {
+		if _, err := conn.Write(head); err != nil {
+			return err
+		}
+		_, err := conn.Write(body)
+		return err
+	})
+}
+
+// Guards against an agent that holds whatever messages strangers begin at its peer port.
+func TestAgentHoldsACrowdAtItsPeerPort(t *testing.T) {
+	frame := binary.BigEndian.AppendUint32(nil, frameBytes)
+	frame = append(frame, bytes.Repeat([]byte{' '}, frameBytes-missingBytes)...)
+	playOnAgent(t, peerCrowd, loweredAgent, "7001", func(conn net.Conn) error {
+		_, err := conn.Write(frame)
+		return err
+	})
+}
+
+// Guards against an agent that has no descriptor left for the store, its worker and the owner, because strangers keep their connections.
+func TestAgentHoldsACrowdOfOpenConnections(t *testing.T) {
+	playOnAgent(t, idleCrowd, fewDescriptors, "7004", func(conn net.Conn) error {
+		if _, err := conn.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n")); err != nil {
+			return err
+		}
+		return awaitAnswer(conn)
+	})
+}
+
+// Played by hand: the limits of the smallest entry host, and as many connections as it has descriptors for.
+func TestEntryHoldsALargeCrowd(t *testing.T) {
+	if !*large {
+		t.Skip("by hand, with -large")
+	}
+	raiseDescriptorLimit(t)
+	small := limits{memoryMB: 184, maxFDs: 4100}
+	body := legalBody()
+	largeChunks, tinyChunks := chunked(body, 64<<10), chunked(body, 16)
+	for name, send := range map[string]func(conn net.Conn) error{
+		"whole":        func(conn net.Conn) error { return sendWhole(conn, body) },
+		"pieces":       func(conn net.Conn) error { return sendPieces(conn, body) },
+		"large chunks": func(conn net.Conn) error { return sendChunked(conn, largeChunks) },
+		"tiny chunks":  func(conn net.Conn) error { return sendChunked(conn, tinyChunks) },
+	} {
+		t.Run(name, func(t *testing.T) { playOnEntry(t, 3000, small, send) })
+	}
+}
+
+// Guards against limits that a single caller inside the operators' limits meets: a body of the maximum size in pieces of 1 KB is served.
+func TestEntryServesALegalBodyInPieces(t *testing.T) {
+	s := newSystem(t, lowered, wide)
+	conn, err := net.Dial("tcp", s.front.ip+":7002")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := sendPieces(conn, legalBody()); err != nil {
+		t.Fatal(err)
+	}
+	end := bytes.Repeat([]byte{' '}, missingBytes)
+	end[0] = '}'
+	if _, err := conn.Write(end); err != nil {
+		t.Fatal(err)
+	}
+	answer := make([]byte, len("HTTP/1.1 200"))
+	if _, err := conn.Read(answer); err != nil || string(answer) != "HTTP/1.1 200" {
+		t.Fatalf("answer %q, %v", answer, err)
+	}
+	s.checkLimits(s.front)
+}
