Bodies, connections and first messages of strangers are bounded

Cause: nothing bounded what clients send and do not finish. 400 connections that stop 8 bytes short of a legal body took an entry to 162 MB; 100 complete jobs of 87,371 empty steps took it to 2.2 GB, because a step needs 3 bytes in a body and hundreds in memory; 32 unfinished frames at the peer port took an agent to 272 MB; connections were not counted.

Change: package intake decides (a budget of bytes taken as they arrive, who goes first when it is short, a time for a body by progress, a maximum of connections), deployed/limits.go applies it to each listener; docs/design/caller-limits.md has the reasons. A body beyond the limits is answered 503 with Retry-After ("not run" is true: it was not forwarded). Receive buffers of HTTP connections are 16 KiB. The first message of an owner has at most 4 KiB and buffers of messages grow with what arrives. Settings: max_fds, caller_limits. Events 1702 and 1703, metrics intake_*.

TestInternalServersAnswerOpenRequestsBeforeTheyStop passes the two new arguments of serveInternal; its checks are unchanged.

--- a/internal/deployed/deployed.go
+++ b/internal/deployed/deployed.go
@@ -10,6 +10,7 @@
 	"os"
 	"runtime/debug"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -46,6 +47,9 @@
 	network      network.Network
 	// recordsPerSnapshot replaces the default of the owner if it is not 0.
 	recordsPerSnapshot int64
+	// takeInLimits is set by takeIn.
+	takeInOnce   sync.Once
+	takeInLimits *takeIn
 	// incarnation is unique to each start of the process.
 	incarnation string
 }
@@ -136,14 +140,17 @@
 	events.SettingsReloaded.Log(&p.log).Int64("memory_mb", cfg.MemoryMB).Send()
 }
 
-// serve runs an HTTP server on addr until ctx is done. It then waits at most shutdownTimeout for requests in progress and closes
+// serve runs an HTTP server on addr until ctx is done. It has at most maxConnections connections; name is its name in the metrics. It then
+// waits at most shutdownTimeout for requests in progress and closes
 // the remaining connections.
-func (p *process) serve(ctx context.Context, addr string, handler http.Handler, shutdownTimeout time.Duration) error {
-	listener, err := p.network.Listen(addr)
+func (p *process) serve(ctx context.Context, name string, maxConnections int, addr string, handler http.Handler, shutdownTimeout time.Duration) error {
+	listener, err := p.takeIn().limited(p.network, name, maxConnections).Listen(addr)
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", addr)
 	}
-	srv := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	limitReceiveBuffer(listener)
+	srv := &http.Server{Handler: p.takeIn().counted(handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ConnContext: connContext, ConnState: p.takeIn().connState}
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- srv.Serve(listener) }()
 	select {
@@ -161,8 +168,8 @@
 
 // serveInternal runs an HTTP server for the platform, a worker or operators on addr until ctx is done. Requests in progress are
 // answered, as serve does.
-func (p *process) serveInternal(ctx context.Context, addr string, handler http.Handler) error {
-	return p.serve(ctx, addr, handler, internalShutdownTimeout)
+func (p *process) serveInternal(ctx context.Context, name string, maxConnections int, addr string, handler http.Handler) error {
+	return p.serve(ctx, name, maxConnections, addr, handler, internalShutdownTimeout)
 }
 
 const (
@@ -188,6 +195,6 @@
 
 func (p *process) metricsComponent(port string) app.Component {
 	return app.Component{Name: "metrics", Run: func(ctx context.Context) error {
-		return p.serveInternal(ctx, net.JoinHostPort(p.cfg.Listen.Metrics, port), p.metricsHandler())
+		return p.serveInternal(ctx, "metrics", p.takeIn().limits.MetricsConnections, net.JoinHostPort(p.cfg.Listen.Metrics, port), p.metricsHandler())
 	}}
 }
--- a/internal/deployed/front.go
+++ b/internal/deployed/front.go
@@ -67,7 +67,9 @@
 		{Name: "manifest", Run: untilDrained(func(ctx context.Context) error {
 			return platform.FollowManifest(ctx, store, front.Manifest, &p.log)
 		})},
-		{Name: "owner", Run: untilDrained(func(ctx context.Context) error { return front.Follower.Listen(ctx, p.network, p.cfg.Listen.Peers) })},
+		{Name: "owner", Run: untilDrained(func(ctx context.Context) error {
+			return front.Follower.Listen(ctx, p.peerNetwork(), p.cfg.Listen.Peers)
+		})},
 		{Name: "heartbeat", Run: untilDrained(front.Heartbeat)},
 		{Name: "announcement", Run: func(ctx context.Context) error {
 			ownerconn.Announce(ctx, store, &p.log, jobowner.MemberPrefix+p.cfg.Name, member.Replacing)
@@ -75,12 +77,13 @@
 			return nil
 		}},
 		{Name: "readiness", Run: untilDrained(func(ctx context.Context) error {
-			return p.serveInternal(ctx, p.cfg.Listen.Readiness, platform.ReadinessHandler(front.Ready))
+			return p.serveInternal(ctx, "readiness", p.takeIn().limits.ProbeConnections, p.cfg.Listen.Readiness, platform.ReadinessHandler(front.Ready))
 		})},
 		{Name: "callers", Run: func(ctx context.Context) error {
 			defer stopComponents()
 			return serveCallers(ctx, p, front)
 		}},
+		p.limitsComponent(untilDrained),
 		p.metricsComponent(frontMetricsPort),
 	}, nil
 }
@@ -103,7 +106,7 @@
 	})
 	defer unregister()
 	handler := endWaitsWith(answersDue, countOpen(&open, platform.JobAPIHandler(front)))
-	err := p.serve(servingCtx, p.cfg.Listen.Callers, handler, plan.closeAll-plan.closeListener)
+	err := p.serve(servingCtx, "callers", p.takeIn().limits.CallerConnections, p.cfg.Listen.Callers, handler, plan.closeAll-plan.closeListener)
 	events.EntryDrained.Log(&p.log).Int64("unanswered", open.Load()).Send()
 	return err
 }
--- a/internal/deployed/host.go
+++ b/internal/deployed/host.go
@@ -62,11 +62,12 @@
 	}
 	registrationsCtx, endRegistrations := context.WithCancel(context.Background()) // done when the worker can no longer unregister
 	return []app.Component{
-		{Name: "owner", Run: untilLastReport(func(ctx context.Context) error { return follower.Listen(ctx, p.network, p.cfg.Listen.Peers) })},
+		{Name: "owner", Run: untilLastReport(func(ctx context.Context) error { return follower.Listen(ctx, p.peerNetwork(), p.cfg.Listen.Peers) })},
 		{Name: "agent", Run: untilLastReport(agent.Run)},
 		{Name: "registrations", Run: func(ctx context.Context) error {
 			defer endRegistrations()
-			return p.serveInternal(ctx, p.cfg.Listen.Registrations, platform.RegistrationHandler(p.cfg.Worker, agent))
+			return p.serveInternal(ctx, "registrations", p.takeIn().limits.WorkerConnections, p.cfg.Listen.Registrations,
+				platform.RegistrationHandler(p.cfg.Worker, agent))
 		}},
 		{Name: "candidate", Run: func(ctx context.Context) error {
 			ownerconn.Announce(ctx, st, &p.log, jobowner.MemberPrefix+p.cfg.Name, func(stored []byte) jobowner.Member {
@@ -79,6 +80,7 @@
 			departures.Go(func() { announceDepartures(registrationsCtx, p, st, agent, member) })
 			return candidate.Run(ctx)
 		}},
+		p.limitsComponent(untilLastReport),
 		p.metricsComponent(hostMetricsPort),
 	}, nil
 }
--- a/internal/deployed/shutdown_test.go
+++ b/internal/deployed/shutdown_test.go
@@ -197,7 +197,7 @@
 		w.WriteHeader(http.StatusNoContent)
 	})
 	p, served := &process{network: network.TCP}, make(chan error, 1)
-	go func() { served <- p.serveInternal(ctx, addr, handler) }()
+	go func() { served <- p.serveInternal(ctx, "test", 8, addr, handler) }()
 	for {
 		resp, err := http.Post("http://"+addr, "", nil)
 		if err != nil && ctx.Err() == nil {
--- a/internal/events/jobowner.go
+++ b/internal/events/jobowner.go
@@ -43,6 +43,8 @@
 	ManifestTaken      = register(5701, "manifest_taken", zerolog.InfoLevel, "A newer manifest is active.")
 	ManifestRefused    = register(5702, "manifest_refused", zerolog.ErrorLevel, "A manifest cannot be decoded; the previous one stays active.")
 	RoutesUnreadable   = register(5703, "routes_unreadable", zerolog.ErrorLevel, "Some routes of a manifest cannot be decoded and are left out; the others are active.")
+	ClientLimitReached = register(1702, "client_limit_reached", zerolog.WarnLevel, "Bodies or connections of clients are refused or closed because a limit on clients is reached; logged once for a burst. docs/OPERATIONS.md names the limits.")
+	ClientLimitOver    = register(1703, "client_limit_over", zerolog.InfoLevel, "A burst of refused bodies and connections has ended; the line has their number.")
 	JobRequest         = register(1701, "job_request", zerolog.InfoLevel, "An entry responded to a caller's request about a job; the line has the outcome and the reason.")
 	AnnouncementFailed = register(6701, "announcement_failed", zerolog.WarnLevel, "The process could not announce its address in the store; the announcement is retried.")
 )
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -20,8 +20,39 @@
 	Store    string `yaml:"store"`  // address of the platform's store
 	Advice   string `yaml:"advice"` // address of the advice service, or empty
 	Bounds   Bounds `yaml:"bounds"`
+	MaxFDs   int64  `yaml:"max_fds"` // descriptors that the process may have; 0: as many as the operating system lets it have
+	// CallerLimits bounds what clients that nobody controls can take.
+	CallerLimits CallerLimits `yaml:"caller_limits"`
 }
 
+// CallerLimits are the limits on clients. 0 means the default.
+type CallerLimits struct {
+	BodyMB       int64 `yaml:"body_mb"`         // unfinished requests of all clients; default: derived from MemoryMB
+	Connections  int   `yaml:"connections"`     // open connections of callers; default: derived from MemoryMB and MaxFDs
+	StallMs      int64 `yaml:"stall_ms"`        // time without progress after which a body is given up
+	MinBytesPerS int64 `yaml:"min_bytes_per_s"` // rate below which a body is given up, after its first 10 s
+}
+
+// Defaults of the limits on clients. A caller waits 3 s for the answer, so a body that takes longer is of no use to it.
+const (
+	defaultStallMs      = 5000
+	defaultMinBytesPerS = 4 << 10
+)
+
+// WithDefaults returns the limits with the defaults of those that are not derived from the host.
+func (c CallerLimits) WithDefaults() CallerLimits {
+	if c.StallMs == 0 {
+		c.StallMs = defaultStallMs
+	}
+	if c.MinBytesPerS == 0 {
+		c.MinBytesPerS = defaultMinBytesPerS
+	}
+	return c
+}
+
+// Stall returns the time without progress after which a body is given up.
+func (c CallerLimits) Stall() time.Duration { return time.Duration(c.StallMs) * time.Millisecond }
+
 // Listen holds the addresses that the process listens on.
 type Listen struct {
 	Peers         string `yaml:"peers"`         // connections from the owner of the jobs
@@ -113,5 +144,13 @@
 			return eris.Errorf("%s: must be positive, is %d", field, v)
 		}
 	}
+	for field, v := range map[string]int64{
+		"max_fds": p.MaxFDs, "caller_limits.body_mb": p.CallerLimits.BodyMB, "caller_limits.connections": int64(p.CallerLimits.Connections),
+		"caller_limits.stall_ms": p.CallerLimits.StallMs, "caller_limits.min_bytes_per_s": p.CallerLimits.MinBytesPerS,
+	} {
+		if v < 0 {
+			return eris.Errorf("%s: must not be negative, is %d", field, v)
+		}
+	}
 	return nil
 }
--- a/internal/jobfront/call.go
+++ b/internal/jobfront/call.go
@@ -25,6 +25,9 @@
 // ErrTooLarge is returned by Call.Body if the body exceeds the limit.
 var ErrTooLarge = errors.New("the body is too large")
 
+// ErrNoRoom is returned by Call.Body if the process could not take in the body, or not for as long as it takes to arrive.
+var ErrNoRoom = errors.New("no room for the body")
+
 // Call is a caller's request.
 type Call struct {
 	Host   string
@@ -73,6 +76,9 @@
 		if errors.Is(err, ErrTooLarge) {
 			return f.reject(call, req.JobID, Result{Outcome: TooLarge, Reason: err.Error()})
 		}
+		if errors.Is(err, ErrNoRoom) {
+			return f.reject(call, req.JobID, Result{Outcome: NotAccepted, RetryAfter: noOwnerRetryAfter, Reason: err.Error()})
+		}
 		if err == nil {
 			err = spec.Validate()
 		}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -34,9 +34,11 @@
 	IdleTimeout = 1500 * time.Millisecond
 	// maxFrameBytes is the maximum size of a message in bytes. The limit keeps a faulty peer from exhausting the memory.
 	maxFrameBytes = 8 << 20
-	headerBytes   = 4        // length of the body, big-endian
-	maxKeptBytes  = 64 << 10 // buffers above this size are not kept for the next message
-	maxBatchBytes = 16 << 10 // size from which a batch of messages is written
+	// maxFirstFrameBytes is the maximum size of the first message of a peer that has connected to this process.
+	maxFirstFrameBytes = 4 << 10
+	headerBytes        = 4        // length of the body, big-endian
+	maxKeptBytes       = 64 << 10 // buffers above this size are not kept for the next message
+	maxBatchBytes      = 16 << 10 // size from which a batch of messages is written
 	// writeQueueMessages is the capacity of the write queue in messages. A peer that lets the queue fill up is disconnected.
 	writeQueueMessages = 1024
 )
@@ -53,6 +55,7 @@
 	joinsParts atomic.Bool  // the peer has stated that it joins lists that come in parts
 	oversized  atomic.Int64 // number of messages that were dropped because they exceed maxFrameBytes
 	reported   atomic.Bool  // FirstOversized has returned true
+	identified bool         // a first message has been decoded; used by Receive only
 	body       []byte       // buffer of the received frame, used by Receive only
 }
 
@@ -63,6 +66,7 @@
 type handshake interface {
 	acceptsBinary() bool
 	acceptsParts() bool
+	maxFirstBytes() int // maximum size of the first message of a connection
 }
 
 func (m *ToMember) acceptsBinary() bool   { return m.AcceptsBinary }
@@ -70,6 +74,10 @@
 func (m *FromMember) acceptsBinary() bool { return m.AcceptsBinary }
 func (m *FromMember) acceptsParts() bool  { return false }
 
+// An owner says no more than who it is in its first message. A member is dialled by the owner, so it is no stranger.
+func (m *ToMember) maxFirstBytes() int   { return maxFirstFrameBytes }
+func (m *FromMember) maxFirstBytes() int { return maxFrameBytes }
+
 // errTooLarge is returned for a message that the peer would refuse.
 var errTooLarge = errors.New("message exceeds the maximum size of a frame")
 
@@ -126,12 +134,21 @@
 	if bodyBytes > maxFrameBytes {
 		return msg, eris.Errorf("frame of %d bytes exceeds the limit", bodyBytes)
 	}
-	s.body = slices.Grow(s.body[:0], int(bodyBytes))[:bodyBytes]
-	if _, err := io.ReadFull(s.reader, s.body); err != nil {
+	h, isHandshake := any(&msg).(handshake)
+	if isHandshake && !s.identified && int(bodyBytes) > h.maxFirstBytes() {
+		return msg, eris.Errorf("first frame of %d bytes exceeds the limit", bodyBytes)
+	}
+	if err := s.readBody(int(bodyBytes)); err != nil {
 		return msg, err
 	}
 	err := decode(s.body, &msg)
-	if h, ok := any(&msg).(handshake); ok && err == nil {
+	if !s.identified && err == nil {
+		s.identified = true
+		if counted, ok := s.conn.(interface{ Identified() }); ok {
+			counted.Identified()
+		}
+	}
+	if isHandshake && err == nil {
 		if h.acceptsBinary() {
 			s.sendBinary.Store(true)
 		}
@@ -145,6 +162,20 @@
 	return msg, err
 }
 
+// readBody reads a body of n bytes into s.body, which grows with what arrives: a peer may announce a body that it does not send.
+func (s *Conn[Out, In]) readBody(n int) error {
+	s.body = s.body[:0]
+	for len(s.body) < n {
+		start := len(s.body)
+		end := min(n, start+max(start, maxKeptBytes))
+		s.body = slices.Grow(s.body, end-start)[:end]
+		if _, err := io.ReadFull(s.reader, s.body[start:]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // decode decodes the body of a frame into the message.
 func decode(body []byte, msg any) error {
 	binaryMsg, ok := msg.(msgp.Unmarshaler)
