--- a/internal/deployed/deployed.go
+++ b/internal/deployed/deployed.go
@@ -28,8 +28,10 @@
 
 const (
 	// memoryLimitFraction is the soft memory limit of the Go runtime as a fraction of the memory assigned to the process. The
-	// rest is left for stacks, buffers and the program itself.
-	memoryLimitFraction = 0.7
+	// rest is left for stacks, buffers and the program itself. An entry leaves more, because bytes that the operating system has received
+	// for it count as its memory, and it has many connections.
+	memoryLimitFraction      = 0.7
+	entryMemoryLimitFraction = 0.6
 	// gcPercent is the garbage collection target. It is above the default of 100 because memory is plentiful and fewer
 	// collections save CPU time.
 	gcPercent = 200
@@ -113,7 +115,7 @@
 		return nil, nil, eris.Wrapf(err, "log level %q", level)
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(cfg.MemoryMB<<20)))
+	debug.SetMemoryLimit(memoryLimit(cfg, isAgent))
 	metrics := telemetry.New()
 	droppedLines := metrics.Counter("log_lines_dropped")
 	batches := &batchWriter{out: os.Stdout}
@@ -128,6 +130,15 @@
 	return p, func() { w.Close(); batches.Flush() }, nil
 }
 
+// memoryLimit returns the soft memory limit of the Go runtime in bytes.
+func memoryLimit(cfg hostconfig.Process, isAgent bool) int64 {
+	fraction := entryMemoryLimitFraction
+	if isAgent {
+		fraction = memoryLimitFraction
+	}
+	return int64(fraction * float64(cfg.MemoryMB<<20))
+}
+
 // reload reads and validates the settings file again. Only the memory limit is applied. All other settings, such as addresses and
 // names, keep their values from the start of the process.
 func (p *process) reload() {
@@ -136,7 +147,7 @@
 		events.SettingsReloaded.Log(&p.log).Err(err).Msg("settings file rejected; keeping the previous settings")
 		return
 	}
-	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(cfg.MemoryMB<<20)))
+	debug.SetMemoryLimit(memoryLimit(cfg, p.isAgent))
 	events.SettingsReloaded.Log(&p.log).Int64("memory_mb", cfg.MemoryMB).Send()
 }
 
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -12,7 +12,7 @@
 
 const (
 	bodyShare       = 6        // inverse of the share of the memory that unfinished requests may hold
-	connectionShare = 3        // inverse of the share of the memory that connections of callers may hold
+	connectionShare = 4        // inverse of the share of the memory that connections of callers may hold
 	connectionBytes = 28 << 10 // memory of an open connection with a small request
 	reservedFiles   = 200      // descriptors that are no sockets
 	minConnections  = 8
