--- a/internal/deployed/limits.go
+++ b/internal/deployed/limits.go
@@ -265,16 +265,23 @@
 		counted := r.WithContext(r.Context()) // the server looks at the body of its own request
 		counted.Body = body
 		next.ServeHTTP(w, counted)
-		if closes := w.Header().Get("Connection") == "close"; !body.ended && !closes && (body.begun || r.Header.Get("Expect") == "") {
-			// What the handler has not read has to arrive within the limits too.
-			body.counts.Discard()
-			if _, err := io.CopyN(io.Discard, body, maxDiscardedBytes); !errors.Is(err, io.EOF) {
-				conn.interrupt() // the server discards no more of it and closes the connection
-			}
+		if !body.ended && !body.discard(w, r) {
+			conn.interrupt() // the server reads no more of it, in vain or for ever, and closes the connection
 		}
 	})
 }
 
+// discard reads what the handler has left of the body, within the limits, so that the connection can be kept. It returns false if the
+// connection cannot be kept.
+func (b *countedBody) discard(w http.ResponseWriter, r *http.Request) bool {
+	if w.Header().Get("Connection") == "close" || !b.begun && r.Header.Get("Expect") != "" {
+		return false // a client that waits for 100 Continue sends no body
+	}
+	b.counts.Discard()
+	_, err := io.CopyN(io.Discard, b, maxDiscardedBytes)
+	return errors.Is(err, io.EOF)
+}
+
 // run ends bodies that do not arrive, and logs bursts of refusals, until ctx is done.
 func (t *takeIn) run(ctx context.Context, p *process) error {
 	app.Every(ctx, limitsInterval, func() {
--- a/internal/hostconfig/hostconfig_test.go
+++ b/internal/hostconfig/hostconfig_test.go
@@ -35,6 +35,9 @@
 		{"a host name to advertise", `metrics: "10.0.0.1"`, `metrics: "10.0.0.1", advertise: "host-1:7720"`, true, "listen.advertise"},
 		{"no memory", "memory_mb: 152", "memory_mb: 0", true, "memory_mb"},
 		{"a bound is missing", "max_hold_ms: 10000, ", "", true, "bounds.max_hold_ms"},
+		{"a negative number of descriptors", "memory_mb: 152", "memory_mb: 152\nmax_fds: -1", true, "max_fds"},
+		{"limits on clients", "memory_mb: 152", "memory_mb: 152\nmax_fds: 4096\ncaller_limits: {body_mb: 20, stall_ms: 9000}", true, ""},
+		{"a negative limit on clients", "memory_mb: 152", "memory_mb: 152\ncaller_limits: {stall_ms: -1}", true, "caller_limits.stall_ms"},
 		{"not YAML", "name:", "name", true, "settings file"},
 	} {
 		path := filepath.Join(t.TempDir(), "process.yaml")
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -154,3 +154,25 @@
 	_, err = decoded.UnmarshalMsg(huge)
 	qt.Check(t, err, qt.IsNotNil)
 }
+
+// Guards against a stranger who takes memory with the first message of a connection, and against an owner that cannot send large messages
+// after it.
+func TestFirstMessageOfAnOwnerIsSmall(t *testing.T) {
+	for _, first := range []session.ToMember{{Epoch: 1, Owner: "host-0"}, {Owner: strings.Repeat("x", 5000)}} {
+		localEnd, remoteEnd := net.Pipe()
+		owner := session.New[session.ToMember, session.FromMember](localEnd)
+		var member *conn = session.New[session.FromMember, session.ToMember](remoteEnd)
+		owner.Send(first)
+		owner.Send(session.ToMember{Starts: []session.Start{{Task: strings.Repeat("x", 300_000)}}})
+		_, err := member.Receive()
+		if len(first.Owner) > 4096 {
+			qt.Check(t, err, qt.ErrorMatches, "first frame of .* exceeds the limit")
+		} else if qt.Check(t, err, qt.IsNil) {
+			second, err := member.Receive()
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, second.Starts[0].Task, qt.HasLen, 300_000)
+		}
+		owner.Close()
+		member.Close()
+	}
+}
