Connections whose bodies stop make room for new callers

Cause: a body of up to 4 KiB holds nothing of the budget, so a client with as many connections as an entry may have, each with the first bytes of a body, kept new callers out for the 5 s after which a body is given up, again and again. By reading; the unit test plays it.

Change: over the maximum, and if no connection is without a request, the one whose body has been without progress for longest is closed, from 0.5 s on. A body that completes after that is not run. Submissions refused for lack of room are counted, not logged one by one.

Tests: go test -race ./internal/intake ./internal/jobfront, ./internal/deployed -run 'Limits|UnreadBodies|GivenBack|BurstsAre|InternalServers| Shutdown' -count=2: pass.

--- a/internal/deployed/limits.go
+++ b/internal/deployed/limits.go
@@ -217,6 +217,7 @@
 type countedBody struct {
 	io.ReadCloser
 	takeIn *takeIn
+	conn   *limitedConn
 	counts *intake.Body
 	begun  bool // something has been read
 	ended  bool // the last read returned an error, io.EOF included
@@ -227,7 +228,12 @@
 	b.begun = true
 	n, err := b.ReadCloser.Read(p)
 	b.ended = err != nil
-	if cause := b.counts.Receive(int64(n), errors.Is(err, io.EOF), b.takeIn.now()); cause != intake.NotEnded {
+	now, whole := b.takeIn.now(), errors.Is(err, io.EOF)
+	cause := b.counts.Receive(int64(n), whole, now)
+	if !b.conn.entry.Receiving(!whole, now) {
+		cause = intake.NoRoom
+	}
+	if cause != intake.NotEnded {
 		b.ended = true
 		return 0, errInterrupted{cause}
 	}
@@ -260,7 +266,8 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		body := &countedBody{ReadCloser: r.Body, takeIn: t, counts: t.budget.Begin(conn.address, t.now(), conn.interrupt)}
+		conn.entry.Receiving(true, t.now())
+		body := &countedBody{ReadCloser: r.Body, takeIn: t, conn: conn, counts: t.budget.Begin(conn.address, t.now(), conn.interrupt)}
 		defer body.counts.End()
 		counted := r.WithContext(r.Context()) // the server looks at the body of its own request
 		counted.Body = body
--- a/internal/intake/connections.go
+++ b/internal/intake/connections.go
@@ -22,29 +22,35 @@
 	close     func()
 	busy      bool // it has a request, or its peer is identified
 	isClosed  bool
-	idleSince time.Duration
+	receiving bool // the body of its request is still arriving
+	// waitsSince is the time since which it has been without a request, or its body without progress.
+	waitsSince time.Duration
 }
 
+// minReceiveWait is the time without progress of a body from which its connection may be closed for a new one.
+const minReceiveWait = 500 * time.Millisecond
+
 // NewConnections returns a limit of max connections.
 func NewConnections(max int) *Connections {
 	return &Connections{max: max, open: map[*Connection]struct{}{}}
 }
 
 // Open registers a connection. If there are too many, it closes the one that has been without a request for longest, of the address with
-// more than half of all connections if there is one. It returns nil if every connection has a request; the new one is to be closed then.
+// more than half of all connections if there is one. A connection whose body makes no
+// progress is the next choice. It returns nil if there is none; the new connection is to be closed then.
 func (c *Connections) Open(address string, now time.Duration, closeConn func()) *Connection {
 	c.mu.Lock()
 	var victim *Connection
 	if len(c.open) >= c.max {
 		c.closed++
-		if victim = c.victim(); victim == nil {
+		if victim = c.victim(now); victim == nil {
 			c.mu.Unlock()
 			return nil
 		}
 		victim.isClosed = true
 		delete(c.open, victim)
 	}
-	conn := &Connection{all: c, address: address, close: closeConn, idleSince: now}
+	conn := &Connection{all: c, address: address, close: closeConn, waitsSince: now}
 	c.open[conn] = struct{}{}
 	c.mu.Unlock()
 	if victim != nil {
@@ -53,8 +59,9 @@
 	return conn
 }
 
-// victim returns the connection that has been without a request for longest, or nil if there is none.
-func (c *Connections) victim() *Connection {
+// victim returns the connection that has been without a request for longest. If there is none, it returns the one whose body has been
+// without progress for longest, or nil.
+func (c *Connections) victim(now time.Duration) *Connection {
 	counts := map[string]int{}
 	address := ""
 	for conn := range c.open {
@@ -62,22 +69,28 @@
 			address = conn.address
 		}
 	}
-	var ofAddress, ofAll *Connection
+	var ofAddress, ofAll, stopped *Connection
 	for conn := range c.open {
-		switch {
-		case conn.busy:
+		if conn.busy {
+			if conn.receiving && now-conn.waitsSince >= minReceiveWait && (stopped == nil || conn.waitsSince < stopped.waitsSince) {
+				stopped = conn
+			}
 			continue
-		case ofAll == nil || conn.idleSince < ofAll.idleSince:
+		}
+		if ofAll == nil || conn.waitsSince < ofAll.waitsSince {
 			ofAll = conn
 		}
-		if conn.address == address && (ofAddress == nil || conn.idleSince < ofAddress.idleSince) {
+		if conn.address == address && (ofAddress == nil || conn.waitsSince < ofAddress.waitsSince) {
 			ofAddress = conn
 		}
 	}
-	if ofAddress != nil {
+	switch {
+	case ofAddress != nil:
 		return ofAddress
+	case ofAll != nil:
+		return ofAll
 	}
-	return ofAll
+	return stopped
 }
 
 // Busy states that the connection has a request, or that its peer is identified. It returns false if the connection has been closed.
@@ -88,11 +101,20 @@
 	return !conn.isClosed
 }
 
+// Receiving states that the body of the connection's request has made progress, and whether more of it will arrive. It returns false if the
+// connection has been closed; the request must not be run then.
+func (conn *Connection) Receiving(more bool, now time.Duration) bool {
+	conn.all.mu.Lock()
+	defer conn.all.mu.Unlock()
+	conn.receiving, conn.waitsSince = more, now
+	return !conn.isClosed
+}
+
 // Idle states that the connection has no request.
 func (conn *Connection) Idle(now time.Duration) {
 	conn.all.mu.Lock()
 	defer conn.all.mu.Unlock()
-	conn.busy, conn.idleSince = false, now
+	conn.busy, conn.receiving, conn.waitsSince = false, false, now
 }
 
 // End removes the connection. It may be called more than once.
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -179,6 +179,27 @@
 	qt.Check(t, closedCount, qt.Equals, int64(4))
 }
 
+// Load: as many connections as there may be, each with the first bytes of a small body. The one that has stopped for longest makes room for a
+// new caller; a request that has arrived whole does not.
+func TestConnectionsWhoseBodiesStopMakeRoom(t *testing.T) {
+	connections := intake.NewConnections(3)
+	var closed []string
+	open := func(name string, now time.Duration) *intake.Connection {
+		conn := connections.Open("a", now, func() { closed = append(closed, name) })
+		qt.Assert(t, conn, qt.IsNotNil)
+		qt.Check(t, conn.Busy(), qt.IsTrue)
+		return conn
+	}
+	whole, first, second := open("whole", 0), open("first", 0), open("second", 0)
+	qt.Check(t, whole.Receiving(false, 0), qt.IsTrue)
+	qt.Check(t, first.Receiving(true, time.Second), qt.IsTrue)
+	qt.Check(t, second.Receiving(true, 2*time.Second), qt.IsTrue)
+	qt.Check(t, connections.Open("a", 1200*time.Millisecond, nil), qt.IsNil)
+	open("new", 3*time.Second)
+	qt.Check(t, closed, qt.DeepEquals, []string{"first"})
+	qt.Check(t, first.Receiving(false, 4*time.Second), qt.IsFalse, qt.Commentf("the body that completes after all is not run"))
+}
+
 // Guards against derived limits that leave no descriptors for the store and the peers, or no memory for the process itself.
 func TestDerivedLimitsLeaveRoom(t *testing.T) {
 	for _, host := range []struct {
--- a/internal/jobfront/call.go
+++ b/internal/jobfront/call.go
@@ -77,7 +77,8 @@
 			return f.reject(call, req.JobID, Result{Outcome: TooLarge, Reason: err.Error()})
 		}
 		if errors.Is(err, ErrNoRoom) {
-			return f.reject(call, req.JobID, Result{Outcome: NotAccepted, RetryAfter: noOwnerRetryAfter, Reason: err.Error()})
+			f.Metrics.Counter("entry_refused_no_room").Inc(1) // not logged one by one: there may be thousands
+			return Result{Outcome: NotAccepted, RetryAfter: noOwnerRetryAfter, Reason: err.Error()}
 		}
 		if err == nil {
 			err = spec.Validate()
