--- a/internal/deployed/deployed.go
+++ b/internal/deployed/deployed.go
@@ -10,6 +10,7 @@
 	"os"
 	"runtime/debug"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -27,8 +28,10 @@
 
 const (
 	// memoryLimitFraction is the soft memory limit of the Go runtime as a fraction of the memory assigned to the process. The
-	// rest is left for stacks, buffers and the program itself.
-	memoryLimitFraction = 0.7
+	// rest is left for stacks, buffers and the program itself. An entry leaves more, because bytes that the operating system has received
+	// for it count as its memory, and it has many connections.
+	memoryLimitFraction      = 0.7
+	entryMemoryLimitFraction = 0.6
 	// gcPercent is the garbage collection target. It is above the default of 100 because memory is plentiful and fewer
 	// collections save CPU time.
 	gcPercent = 200
@@ -46,6 +49,9 @@
 	network      network.Network
 	// recordsPerSnapshot replaces the default of the owner if it is not 0.
 	recordsPerSnapshot int64
+	// takeInLimits is set by takeIn.
+	takeInOnce   sync.Once
+	takeInLimits *takeIn
 	// incarnation is unique to each start of the process.
 	incarnation string
 }
@@ -109,7 +115,7 @@
 		return nil, nil, eris.Wrapf(err, "log level %q", level)
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(cfg.MemoryMB<<20)))
+	debug.SetMemoryLimit(memoryLimit(cfg, isAgent))
 	metrics := telemetry.New()
 	droppedLines := metrics.Counter("log_lines_dropped")
 	batches := &batchWriter{out: os.Stdout}
@@ -124,6 +130,15 @@
 	return p, func() { w.Close(); batches.Flush() }, nil
 }
 
+// memoryLimit returns the soft memory limit of the Go runtime in bytes.
+func memoryLimit(cfg hostconfig.Process, isAgent bool) int64 {
+	fraction := entryMemoryLimitFraction
+	if isAgent {
+		fraction = memoryLimitFraction
+	}
+	return int64(fraction * float64(cfg.MemoryMB<<20))
+}
+
 // reload reads and validates the settings file again. Only the memory limit is applied. All other settings, such as addresses and
 // names, keep their values from the start of the process.
 func (p *process) reload() {
@@ -132,18 +147,21 @@
 		events.SettingsReloaded.Log(&p.log).Err(err).Msg("settings file rejected; keeping the previous settings")
 		return
 	}
-	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(cfg.MemoryMB<<20)))
+	debug.SetMemoryLimit(memoryLimit(cfg, p.isAgent))
 	events.SettingsReloaded.Log(&p.log).Int64("memory_mb", cfg.MemoryMB).Send()
 }
 
-// serve runs an HTTP server on addr until ctx is done. It then waits at most shutdownTimeout for requests in progress and closes
+// serve runs an HTTP server on addr until ctx is done. It has at most maxConnections connections; name is its name in the metrics. It then
+// waits at most shutdownTimeout for requests in progress and closes
 // the remaining connections.
-func (p *process) serve(ctx context.Context, addr string, handler http.Handler, shutdownTimeout time.Duration) error {
-	listener, err := p.network.Listen(addr)
+func (p *process) serve(ctx context.Context, name string, maxConnections int, addr string, handler http.Handler, shutdownTimeout time.Duration) error {
+	listener, err := p.takeIn().limited(p.network, name, maxConnections).Listen(addr)
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", addr)
 	}
-	srv := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	limitReceiveBuffer(listener)
+	srv := &http.Server{Handler: p.takeIn().counted(handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ConnContext: connContext, ConnState: p.takeIn().connState}
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- srv.Serve(listener) }()
 	select {
@@ -161,8 +179,8 @@
 
 // serveInternal runs an HTTP server for the platform, a worker or operators on addr until ctx is done. Requests in progress are
 // answered, as serve does.
-func (p *process) serveInternal(ctx context.Context, addr string, handler http.Handler) error {
-	return p.serve(ctx, addr, handler, internalShutdownTimeout)
+func (p *process) serveInternal(ctx context.Context, name string, maxConnections int, addr string, handler http.Handler) error {
+	return p.serve(ctx, name, maxConnections, addr, handler, internalShutdownTimeout)
 }
 
 const (
@@ -188,6 +206,6 @@
 
 func (p *process) metricsComponent(port string) app.Component {
 	return app.Component{Name: "metrics", Run: func(ctx context.Context) error {
-		return p.serveInternal(ctx, net.JoinHostPort(p.cfg.Listen.Metrics, port), p.metricsHandler())
+		return p.serveInternal(ctx, "metrics", p.takeIn().limits.MetricsConnections, net.JoinHostPort(p.cfg.Listen.Metrics, port), p.metricsHandler())
 	}}
 }
--- a/internal/hostconfig/hostconfig_test.go
+++ b/internal/hostconfig/hostconfig_test.go
@@ -41,6 +41,9 @@
 		{"a negative limit of held requests", "bounds:", "silent_store: {max_held: -1, max_held_kb: 1}\nbounds:", true, "silent_store.max_held"},
 		{"a negative time to apply", "name: host-1", "name: host-1\nevacuation: {apply_ms: -1}", true, "evacuation.apply_ms"},
 		{"serving tasks packed", "bounds:", "colocation: {pack_serving: true}\nbounds:", true, ""},
+		{"a negative number of descriptors", "memory_mb: 152", "memory_mb: 152\nmax_fds: -1", true, "max_fds"},
+		{"limits on clients", "memory_mb: 152", "memory_mb: 152\nmax_fds: 4096\ncaller_limits: {body_mb: 20, stall_ms: 9000}", true, ""},
+		{"a negative limit on clients", "memory_mb: 152", "memory_mb: 152\ncaller_limits: {stall_ms: -1}", true, "caller_limits.stall_ms"},
 		{"not YAML", "name:", "name", true, "settings file"},
 	} {
 		path := filepath.Join(t.TempDir(), "process.yaml")
@@ -49,7 +52,7 @@
 		if c.want == "" {
 			qt.Check(t, err, qt.IsNil, qt.Commentf("%s", c.name))
 			qt.Check(t, p.Bounds.Hold().Milliseconds(), qt.Equals, int64(8000))
-			qt.Check(t, p.Colocation.PackServing, qt.Equals, c.new != "")
+			qt.Check(t, p.Colocation.PackServing, qt.Equals, strings.Contains(c.new, "pack_serving"))
 			continue
 		}
 		qt.Assert(t, err, qt.IsNotNil, qt.Commentf("%s", c.name))
--- a/internal/jobfront/call.go
+++ b/internal/jobfront/call.go
@@ -26,6 +26,9 @@
 // ErrTooLarge is returned by Call.Body if the body exceeds the limit.
 var ErrTooLarge = errors.New("the body is too large")
 
+// ErrNoRoom is returned by Call.Body if the process could not take in the body, or not for as long as it takes to arrive.
+var ErrNoRoom = errors.New("no room for the body")
+
 // Call is a caller's request.
 type Call struct {
 	Host   string
@@ -76,6 +79,10 @@
 		if errors.Is(err, ErrTooLarge) {
 			return f.reject(call, req.JobID, Result{Outcome: TooLarge, Reason: err.Error()})
 		}
+		if errors.Is(err, ErrNoRoom) {
+			f.Metrics.Counter("entry_refused_no_room").Inc(1) // not logged one by one: there may be thousands
+			return Result{Outcome: NotAccepted, RetryAfter: noOwnerRetryAfter, Reason: err.Error()}
+		}
 		if err == nil {
 			err = spec.Validate()
 		}
