jobfront: the wait for the first manifest is part of the wait of a request

By the trace and reading: the entry waited 1.3 s for its manifest while the store was down and then up to 2.6 s for an owner; a caller that does not say how long it waits has the timeout of its queue. Without a manifest, a caller that waits for a minute was held for 30 s. Change: both waits together last 2.6 s at most. Measured: TestWaitForTheManifestIsPartOfTheWait fails without either change (no manifest: 30.0 s) and passes with them; go test -race ./internal/jobfront passes.

--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -145,7 +145,8 @@
 // forward sends a request to the owner, waits for the reply and returns the result for the caller.
 func (f *Front) forward(ctx context.Context, request session.Request, remaining time.Duration) Result {
 	start := boottime.Now()
-	result, attempts := f.sendUntilReply(ctx, &request, ownerWait(remaining), remaining)
+	wait := min(ownerWait(remaining), maxWait-time.Duration(request.WaitedMs)*time.Millisecond)
+	result, attempts := f.sendUntilReply(ctx, &request, wait, remaining)
 	elapsed := boottime.Now() - start
 	f.Metrics.Counter("entry_" + string(request.Verb)).Inc(1)
 	f.Metrics.Histogram("entry_" + string(request.Verb) + "_us").Update(elapsed.Microseconds())
--- a/internal/jobfront/silent_owner.go
+++ b/internal/jobfront/silent_owner.go
@@ -119,6 +119,7 @@
 	if manifest != nil || f.SilentStore == nil {
 		return manifest
 	}
+	wait = min(wait, maxWait+responseReserve)
 	start := boottime.Now()
 	hold := ownerHold{front: f, request: &session.Request{}}
 	defer hold.end()
--- a/internal/jobfront/silent_owner_test.go
+++ b/internal/jobfront/silent_owner_test.go
@@ -163,3 +163,25 @@
 		<-results
 	}
 }
+
+// Guards against a request that is answered after its caller has given up, because the wait for the first manifest is added to the wait for
+// an owner: the caller does not say how long it waits, or waits for long.
+func TestWaitForTheManifestIsPartOfTheWait(t *testing.T) {
+	for _, wait := range []time.Duration{0, time.Minute} {
+		front, connect := newHoldingFront(t)
+		connect(1) // does not answer
+		call := Call{Host: "h", Path: "/q/0123456789abcdef", Action: Read, Wait: wait}
+		start := time.Now()
+		time.AfterFunc(1300*time.Millisecond, func() {
+			manifest := &queues.Manifest{Version: 1, Routes: []queues.Route{{Host: "h", Prefix: "/q/", Timeout: 10 * time.Second}}}
+			front.Manifest.SetIfNewer(manifest.BuildIndex())
+		})
+		qt.Check(t, front.Serve(t.Context(), call).Outcome, qt.Equals, NotAccepted)
+		qt.Check(t, time.Since(start) < maxWait+200*time.Millisecond, qt.IsTrue, qt.Commentf("%s", time.Since(start)))
+
+		empty, _ := newHoldingFront(t)
+		start = time.Now()
+		qt.Check(t, empty.Serve(t.Context(), call).Outcome, qt.Equals, NotAccepted)
+		qt.Check(t, time.Since(start) < maxWait, qt.IsTrue, qt.Commentf("%s", time.Since(start)))
+	}
+}
