Limits on clients: connections that are kept, and requests whose body nobody reads

Cause: three faults at the edges of the limits. - A body of exactly 256 KiB that the handler had not read was read to its end, but taken for longer. Its connection was interrupted while the server waited for the next request, which cancelled the context of the connection, and was kept: all later requests on it were refused without being forwarded. An interrupt that met the last bytes of a body had the same effect. - A request whose handler does not read its body, for instance a cancellation with a body, counted as a body without progress from its start. With all connections in use, a new one cut it off after 0.5 s, although its handler was still to answer. - A refusal did not announce the end of the connection, and kept it after a body that had arrived.

Change: the end of a body of the largest discarded size is seen; all reads of an interrupted connection fail, as the comment said; a connection counts as receiving from the first read of the body; a refusal closes its connection, as docs/design/caller-limits.md says.

--- a/internal/deployed/limits.go
+++ b/internal/deployed/limits.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -152,6 +154,15 @@
 	net.Conn
 	address string
 	entry   *intake.Connection
+	ended   atomic.Bool // interrupt was called
+}
+
+// Read implements net.Conn.
+func (c *limitedConn) Read(p []byte) (int, error) {
+	if c.ended.Load() { // the HTTP server sets a new deadline for each request
+		return 0, os.ErrDeadlineExceeded
+	}
+	return c.Conn.Read(p)
 }
 
 // Close implements net.Conn.
@@ -188,6 +199,7 @@
 
 // interrupt ends a read of the connection that waits, and all later ones.
 func (c *limitedConn) interrupt() {
+	c.ended.Store(true)
 	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed
 }
 
@@ -218,14 +230,18 @@
 	io.ReadCloser
 	takeIn *takeIn
 	conn   *limitedConn
+	header http.Header // of the response
 	counts *intake.Body
-	begun  bool // something has been read
+	begun  bool // a read has begun
 	ended  bool // the last read returned an error, io.EOF included
 }
 
 // Read implements io.Reader.
 func (b *countedBody) Read(p []byte) (int, error) {
-	b.begun = true
+	if !b.begun {
+		b.begun = true
+		b.conn.entry.Receiving(true, b.takeIn.now())
+	}
 	n, err := b.ReadCloser.Read(p)
 	b.ended = err != nil
 	now, whole := b.takeIn.now(), errors.Is(err, io.EOF)
@@ -235,7 +251,7 @@
 	}
 	if cause != intake.NotEnded {
 		b.ended = true
-		return 0, errInterrupted{cause}
+		return 0, b.refusal(cause)
 	}
 	return n, err
 }
@@ -243,11 +259,17 @@
 // Holds states that the request holds this many bytes instead of its body. It returns an error if there is no room.
 func (b *countedBody) Holds(bytes int64) error {
 	if cause := b.counts.Resize(bytes, b.takeIn.now()); cause != intake.NotEnded {
-		return errInterrupted{cause}
+		return b.refusal(cause)
 	}
 	return nil
 }
 
+// refusal returns the error for a body that has been ended. The connection is not kept.
+func (b *countedBody) refusal(cause intake.Cause) error {
+	b.header.Set("Connection", "close")
+	return errInterrupted{cause}
+}
+
 // maxDiscardedBytes is the size up to which a body that the handler has not read is read, so that the connection can be kept.
 const maxDiscardedBytes = 256 << 10
 
@@ -266,8 +288,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		conn.entry.Receiving(true, t.now())
-		body := &countedBody{ReadCloser: r.Body, takeIn: t, conn: conn, counts: t.budget.Begin(conn.address, t.now(), conn.interrupt)}
+		body := &countedBody{ReadCloser: r.Body, takeIn: t, conn: conn, header: w.Header(), counts: t.budget.Begin(conn.address, t.now(), conn.interrupt)}
 		defer body.counts.End()
 		counted := r.WithContext(r.Context()) // the server looks at the body of its own request
 		counted.Body = body
@@ -285,7 +306,7 @@
 		return false // a client that waits for 100 Continue sends no body
 	}
 	b.counts.Discard()
-	_, err := io.CopyN(io.Discard, b, maxDiscardedBytes)
+	_, err := io.CopyN(io.Discard, b, maxDiscardedBytes+1) // the end comes after the last byte
 	return errors.Is(err, io.EOF)
 }
 
--- a/internal/deployed/limits_test.go
+++ b/internal/deployed/limits_test.go
@@ -4,16 +4,19 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"bamboofork/internal/hostconfig"
+	"bamboofork/internal/jobfront"
 	"bamboofork/internal/network"
 )
 
@@ -143,3 +146,79 @@
 	qt.Check(t, b.refusals, qt.Equals, int64(9))
 	qt.Check(t, b.note(10, 14*time.Second), qt.Equals, burstBegins)
 }
+
+// Guards against a connection that is kept although the limits have cancelled the context of its later requests: after a body of the
+// maximum size of a submission that the handler has not read.
+func TestLimitsKeepTheContextOfLaterRequests(t *testing.T) {
+	var cancelled atomic.Int64
+	_, addr := startLimited(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Context().Err() != nil {
+			cancelled.Add(1)
+		}
+		w.WriteHeader(http.StatusNotFound)
+	})
+	for _, size := range []int{maxDiscardedBytes - 1, maxDiscardedBytes} {
+		conn, err := net.Dial("tcp", addr)
+		qt.Assert(t, err, qt.IsNil)
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		request := fmt.Sprintf("POST /none HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", size) + strings.Repeat("x", size)
+		for range 3 {
+			resp := exchange(t, conn, reader, request)
+			qt.Check(t, resp.StatusCode, qt.Equals, http.StatusNotFound)
+			qt.Check(t, resp.Close, qt.IsFalse, qt.Commentf("%d bytes", size))
+		}
+	}
+	qt.Check(t, cancelled.Load(), qt.Equals, int64(0))
+}
+
+// Guards against a request that is cut off while its handler works, for a body that the handler never reads.
+func TestLimitsKeepRequestsWithUnreadBodies(t *testing.T) {
+	_, addr := startLimited(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(time.Second)
+		w.WriteHeader(http.StatusOK)
+	})
+	answered := make(chan error)
+	for range 8 {
+		conn, err := net.Dial("tcp", addr)
+		qt.Assert(t, err, qt.IsNil)
+		defer conn.Close()
+		go func() {
+			_, err := io.WriteString(conn, "DELETE /a HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}")
+			if err == nil {
+				_, err = http.ReadResponse(bufio.NewReader(conn), nil)
+			}
+			answered <- err
+		}()
+	}
+	time.Sleep(700 * time.Millisecond)
+	for range 4 {
+		conn, err := net.Dial("tcp", addr)
+		qt.Assert(t, err, qt.IsNil)
+		defer conn.Close()
+	}
+	for range 8 {
+		qt.Check(t, <-answered, qt.IsNil)
+	}
+}
+
+// Guards against a refused body whose connection is said to be kept.
+func TestRefusedBodiesEndTheirConnection(t *testing.T) {
+	p, addr := startLimited(t, func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			err = r.Body.(interface{ Holds(bytes int64) error }).Holds(100 << 20)
+			qt.Check(t, err, qt.ErrorIs, jobfront.ErrNoRoom)
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	for _, request := range []string{"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc",
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 30\r\n\r\nabc"} {
+		conn, err := net.Dial("tcp", addr)
+		qt.Assert(t, err, qt.IsNil)
+		defer conn.Close()
+		resp := exchange(t, conn, bufio.NewReader(conn), request)
+		qt.Check(t, resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		qt.Check(t, resp.Close, qt.IsTrue, qt.Commentf("%.60s", request))
+	}
+	qt.Check(t, p.takeIn().budget.Usage(0).UsedBytes, qt.Equals, int64(0))
+}
