Cost of delays: the runs of a cancelled job are not kept

Cause: a run that was done before its stop arrived was recorded for its job after the job had been forgotten. Nothing removed the entry, which keeps the whole job in the memory of the owner. Only with shortage.delay_cost.

Change: the run time is learned as before, but not recorded for a job that has ended.

Result: TestRunsOfCancelledJobsAreForgotten fails without the change (one entry left) and passes with it; go test -race ./internal/jobowner passes.

--- a/internal/jobowner/delay_cost.go
+++ b/internal/jobowner/delay_cost.go
@@ -42,6 +42,9 @@
 	placed.addWork(nowMs)
 	kind := placement.KindOf(&placed.job.Queue, placed.step)
 	l.model.RunTimes.Observe(kind, float64(placed.step.EstimateMs), placed.workMs)
+	if placed.job.Ended() {
+		return // jobEnded has forgotten its runs
+	}
 	steps := l.stepRuns[placed.job]
 	if steps == nil {
 		steps = make([]stepRuns, len(placed.job.Occurrences)*len(placed.job.Spec.Steps))
--- a/internal/jobowner/delay_cost_test.go
+++ b/internal/jobowner/delay_cost_test.go
@@ -59,3 +59,20 @@
 		qt.Check(t, len(o.costs.stepRuns), qt.Equals, 0, qt.Commentf("%s: runs of ended jobs are kept", c.name))
 	}
 }
+
+// Guards against runs of a cancelled job that are kept for ever, because one of them was done before its stop arrived.
+func TestRunsOfCancelledJobsAreForgotten(t *testing.T) {
+	o := newTestOwner(t, memstore.New())
+	o.costs = newCostLearner(nil)
+	const id = "aaaaaaaaaaaaaaaa"
+	o.apply(jobs.Change{Submit: &jobs.Job{ID: id, Queue: jobs.Queue{Name: "q", Service: "s"},
+		Spec: jobs.Spec{Steps: []jobs.Step{{Count: 2, CPU: 1000, EstimateMs: 1000}}}}})
+	job := o.jobsState.Jobs[id]
+	o.activeJobs[id] = job
+	o.place(placement.Assignment{Job: job, Place: jobs.Place{Run: 1, Worker: "host-1", Lifetime: 7}, Pace: 1})
+	o.apply(jobs.Change{JobID: id, Cancel: &jobs.Cancel{AtMs: 1}})
+	o.cleanUpJob(job)
+	qt.Assert(t, job.Ended(), qt.IsTrue)
+	o.endRun(o.placedByAgent["host-1"][jobs.TaskID{Job: id}.String()], jobs.EndDone, "", "test")
+	qt.Check(t, o.costs.stepRuns, qt.HasLen, 0)
+}
