--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -213,12 +213,14 @@
 	step := c.step
 	capacity := float64(max(1, worker.Capacity.CPU))
 	sum := float64(worker.Free.CPU) / capacity
+	isPacked := step.TargetMs > 0 && !step.BestEffort && c.snapshot.PackServing
 	switch {
 	case step.BestEffort:
 		sum = float64(worker.IdleCPU)/capacity + weightSpeed*speed - weightInterference*addedLoad
-	case step.TargetMs > 0 && c.snapshot.PackServing:
+	case isPacked:
 		sum = packedScore(worker, step.Image)
-	case step.TargetMs > 0:
+	}
+	if step.TargetMs > 0 && !isPacked {
 		sum += weightSameImage * imageAffinity(worker, step.Image)
 	}
 	if step.DataRack != "" && worker.HasLabel(step.DataRack) {
