placement: best-effort runs on closed workers are no served capacity

Cause: servedCapacity summed the CPU of best-effort runs on all workers, although a closed worker takes no further ones. The admission judges by the wait that follows from it. Change: only open workers count, as everywhere else in the package.

--- a/internal/placement/closed_test.go
+++ b/internal/placement/closed_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"bamboofork/internal/delaycost"
 	"bamboofork/internal/jobs"
 	"bamboofork/internal/placement"
 )
@@ -73,6 +74,37 @@
 	qt.Check(t, shortage.FreeCPU, qt.Equals, 16_000)
 }
 
+// Load: a shortage of room for best-effort tasks while half of the fleet is closed and still has best-effort runs. The time that a new job
+// would wait comes from what the open workers serve.
+func TestRunsOnClosedWorkersAreNotServedCapacity(t *testing.T) {
+	step := jobs.Step{Count: 40, CPU: 4000, EstimateMs: 1000, BestEffort: true, Image: "batch"}
+	longestMs := func(closed int, withClosed bool) float64 {
+		s := closedFleet(closed)
+		for i, worker := range s.Workers {
+			runs := 1
+			if i < closed {
+				runs = 3
+			}
+			for range runs {
+				s.Allocate(worker, &step, "running", 1)
+			}
+		}
+		if !withClosed {
+			s.Workers = s.Workers[closed:]
+		}
+		s.DelayCost = delaycost.NewModel()
+		s.DelayCost.UnplacedBestEffortCPU = 100_000
+		for i := range 10 {
+			s.Jobs = append(s.Jobs, newJob(fmt.Sprint("j", i), jobs.Queue{Stretch: 1, TargetMs: 300}, 99_990, step))
+		}
+		placement.Plan(s)
+		return s.Shortage.LongestMs()
+	}
+	want := longestMs(2, false)
+	qt.Assert(t, want > 0, qt.IsTrue)
+	qt.Check(t, longestMs(2, true), qt.Equals, want)
+}
+
 // Load: a failure domain comes back into service while a queue waits that would fill it. Its workers take a part of it at first and all
 // of it after two seconds, while the other workers take what they can at once.
 func TestReturningWorkersTakeTheQueueStepByStep(t *testing.T) {
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -121,12 +121,12 @@
 	}
 }
 
-// servedCapacity returns what the workers can do for waiting tasks. While best-effort tasks find no worker, although there is idle CPU,
+// servedCapacity returns what the open workers can do for waiting tasks. While best-effort tasks find no worker, although there is idle CPU,
 // it is what the running ones get.
 func servedCapacity(s *Snapshot) work {
 	capacity := capacityOf(s)
 	inUse := 0
-	for _, w := range s.Workers {
+	for w := range s.open() {
 		inUse += w.bestEffortCPU
 	}
 	if s.DelayCost.UnplacedBestEffortCPU > inUse/20 && inUse > 0 {
