jobowner: a full memory of refused callers is searched once per second

Cause: with 8192 remembered refusals, each further one went through all of them under Owner.mu. Change: old entries are looked for at most once per second.

--- a/internal/jobowner/admission.go
+++ b/internal/jobowner/admission.go
@@ -86,13 +86,18 @@
 }
 
 // refusedCallers remembers when jobs were first refused, so that callers who return are not put behind newcomers.
-type refusedCallers struct{ firstMsByJob map[string]int64 }
+type refusedCallers struct {
+	firstMsByJob map[string]int64
+	nextPruneMs  int64 // wall-clock time in ms before which a full memory is not searched for old entries again
+}
 
 const (
 	// refusalMemoryMs is how long a refusal is remembered.
 	refusalMemoryMs = 120_000
 	// maxRefusals bounds the number of refusals that are remembered.
 	maxRefusals = 8192
+	// refusalPruneMs is the interval between two searches for old entries. Each takes time under Owner.mu.
+	refusalPruneMs = 1000
 )
 
 // firstMs returns the wall-clock time in ms of the first refusal of the job, 0 if none is remembered.
@@ -110,7 +115,8 @@
 	if r.firstMs(id, nowMs) > 0 {
 		return
 	}
-	if len(r.firstMsByJob) >= maxRefusals {
+	if len(r.firstMsByJob) >= maxRefusals && nowMs >= r.nextPruneMs {
+		r.nextPruneMs = nowMs + refusalPruneMs
 		for other, first := range r.firstMsByJob {
 			if nowMs-first >= refusalMemoryMs {
 				delete(r.firstMsByJob, other)
--- a/internal/jobowner/admission_test.go
+++ b/internal/jobowner/admission_test.go
@@ -90,3 +90,31 @@
 	early := o.jobsState.Jobs["bbbbbbbbbbbbbbbb"].AcceptedMs - o.jobsState.Jobs["aaaaaaaaaaaaaaaa"].AcceptedMs
 	qt.Check(t, early >= 2500 && early < 3500, qt.IsTrue, qt.Commentf("%d ms", early))
 }
+
+// Load: refusals fill the memory, go on for a while, and end. Later callers are remembered again although the memory was full.
+func TestFullMemoryOfRefusalsTakesNewOnesOnceItsEntriesAreOld(t *testing.T) {
+	var refusals refusedCallers
+	const startMs = 1_000_000
+	for i := range maxRefusals + 100 {
+		refusals.note(fmt.Sprint(i), startMs)
+	}
+	refusals.note("just before", startMs+refusalMemoryMs-1)
+	qt.Check(t, refusals.firstMs("just before", startMs+refusalMemoryMs), qt.Equals, int64(0))
+	laterMs := int64(startMs + refusalMemoryMs + refusalPruneMs)
+	refusals.note("later", laterMs)
+	qt.Check(t, refusals.firstMs("later", laterMs), qt.Equals, laterMs)
+	qt.Check(t, refusals.firstMsByJob, qt.HasLen, 1)
+}
+
+// Load: far more callers are refused than are remembered, one after the other within a moment.
+func BenchmarkRefusalWithAFullMemory(b *testing.B) {
+	var refusals refusedCallers
+	for i := range maxRefusals {
+		refusals.note(fmt.Sprint(i), 1_000_000)
+	}
+	i := 0
+	for b.Loop() {
+		i++
+		refusals.note(fmt.Sprint("later ", i), 1_000_000)
+	}
+}
