jobowner: a job refused for want of room keeps the age that it had

Cause: found in review: the memory of refused callers got the time of the refusal, and silent-store.md says that age counts from the first arrival. The gauge of free CPU counted workers in domains out of service. Change: the age that the job had is remembered; closed workers are left out of the gauge. go test ./internal/jobowner passes.

--- a/internal/jobowner/admission.go
+++ b/internal/jobowner/admission.go
@@ -44,7 +44,7 @@
 		return true
 	}
 	retryMs := delay.RetryMs(submitted.ID, waitMs)
-	o.refusals.note(submitted.ID, nowWallMs)
+	o.refusals.note(submitted.ID, submitted.AcceptedMs)
 	o.countRefusal(submitted.Queue.Name, delay.Worth)
 	events.JobHopeless.Log(&o.cfg.Log).Str("job", submitted.ID).Str("queue", submitted.Queue.Name).Float64("wait_ms", waitMs).
 		Float64("slack_ms", delay.SlackMs).Float64("objective_ms", delay.ObjectiveMs).Float64("doubt_ms", delay.DoubtMs).
@@ -79,7 +79,9 @@
 	}
 	freeCPU := 0
 	for _, w := range snapshot.Workers {
-		freeCPU += max(0, w.Free.CPU)
+		if !w.Closed {
+			freeCPU += max(0, w.Free.CPU)
+		}
 	}
 	o.cfg.Metrics.Gauge("owner_free_cpu").Update(int64(freeCPU))
 	o.cfg.Metrics.Gauge("owner_shortage_ms").Update(int64(o.shortage.LongestMs()))
