--- a/internal/crowdtest/crowd_test.go
+++ b/internal/crowdtest/crowd_test.go
@@ -44,15 +44,10 @@
 	return body
 }
 
-func requestHead(length string) []byte {
-	return []byte("POST " + standin.QueuePrefix + "00000000000000aa HTTP/1.1\r\nHost: " + standin.QueueHost +
-		"\r\nContent-Type: application/json\r\nX-Deadline-Ms: 3000\r\n" + length + "\r\n\r\n")
-}
-
 // Ways in which a client of the crowd sends its body.
 
 func sendWhole(conn net.Conn, body []byte) error {
-	if _, err := conn.Write(requestHead(fmt.Sprint("Content-Length: ", maxBodyBytes))); err != nil {
+	if _, err := conn.Write(standin.SubmissionHead(fmt.Sprint("Content-Length: ", maxBodyBytes))); err != nil {
 		return err
 	}
 	_, err := conn.Write(body)
@@ -60,7 +55,7 @@
 }
 
 func sendPieces(conn net.Conn, body []byte) error {
-	if _, err := conn.Write(requestHead(fmt.Sprint("Content-Length: ", maxBodyBytes))); err != nil {
+	if _, err := conn.Write(standin.SubmissionHead(fmt.Sprint("Content-Length: ", maxBodyBytes))); err != nil {
 		return err
 	}
 	const pieceBytes = 1 << 10
@@ -86,7 +81,7 @@
 }
 
 func sendChunked(conn net.Conn, encoded []byte) error {
-	if _, err := conn.Write(requestHead("Transfer-Encoding: chunked")); err != nil {
+	if _, err := conn.Write(standin.SubmissionHead("Transfer-Encoding: chunked")); err != nil {
 		return err
 	}
 	_, err := conn.Write(encoded)
@@ -158,7 +153,7 @@
 
 // Guards against an agent that holds whatever registrations strangers begin.
 func TestAgentHoldsACrowdOfRegistrations(t *testing.T) {
-	head := fmt.Appendf(nil, "PUT /api/instances/x HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", declaredBytes)
+	head := standin.RegistrationHead(declaredBytes)
 	body := bytes.Repeat([]byte{' '}, registrationBytes-missingBytes)
 	playOnAgent(t, registrationCrowd, loweredAgent, "7004", func(conn net.Conn) error {
 		if _, err := conn.Write(head); err != nil {
