held_test: the run time of the workers' tasks is set before the load

Measured: go test -race ./internal/deployed -run 'TestSubmissionsAreAcceptedOverAShort|TestProcessesWithAndWithout' passes (11.7 s); TestNothingStartsInAnEvacuatedDomain and its sisters passed under -race on (394.7 s beside load).

--- a/internal/deployed/held_test.go
+++ b/internal/deployed/held_test.go
@@ -24,10 +24,11 @@
 // submitEvery submits a job at each interval for the time, each at a random entry and once.
 func (f *virtualFleet) submitEvery(interval, length time.Duration) *tries {
 	made, rng := &tries{byCode: map[int]int{}}, rand.New(rand.NewPCG(3, 4))
+	template := f.wideJob(1, 100, "x", time.Second) // before any run: the workers read what it sets
 	for at := time.Duration(0); at < length; at += interval {
 		f.after(at, func() {
-			job, entry := f.wideJob(1, 100, "x", time.Second), f.entries[rng.IntN(len(f.entries))]
-			job.id = fmt.Sprintf("%c%015x", shortJob, at.Milliseconds())
+			entry := f.entries[rng.IntN(len(f.entries))]
+			job := &virtualJob{id: fmt.Sprintf("%c%015x", shortJob, at.Milliseconds()), taskCount: template.taskCount, body: template.body}
 			made.wg.Go(func() {
 				code := f.submit(job, entry)
 				made.mu.Lock()
