jobowner: the first arrival of a job is looked up in one place

Cause: read of the change: firstArrivalMs and admit both looked up the memory of refused callers for one submission, and that memory stood in admission.go although the holds use it too. Behaviour as before. go test -race ./internal/jobowner passes.

--- a/internal/jobowner/admission.go
+++ b/internal/jobowner/admission.go
@@ -17,18 +17,13 @@
 const minOwnerAge = 5 * time.Second
 
 // admit reports whether a submission is to be recorded. It refuses a job that by the work ahead of it surely ends too late to be of any
-// use to its caller, and replies to it. Nothing of a refused job is recorded, so it certainly never runs. The objective of a job whose
-// caller was refused before counts from the first refusal.
+// use to its caller, and replies to it. Nothing of a refused job is recorded, so it certainly never runs. The objective of a job counts from
+// its AcceptedMs, see firstArrivalMs.
 func (o *Owner) admit(submitted *jobs.Job, reply func(session.Reply)) bool {
 	if o.costs == nil {
 		return true
 	}
-	now, nowWallMs := boottime.Now(), wallTimeMs()
-	if refusedMs := o.refusals.firstMs(submitted.ID, nowWallMs); refusedMs > 0 {
-		submitted.AcceptedMs = min(submitted.AcceptedMs, refusedMs)
-	}
-	waitedMs := max(0, nowWallMs-submitted.AcceptedMs)
-	if o.shortage == nil || now < o.servingSince+minOwnerAge || submitted.Spec.Repeats > 0 || submitted.Spec.Steps[0].Perpetual {
+	if o.shortage == nil || boottime.Now() < o.servingSince+minOwnerAge || submitted.Spec.Repeats > 0 || submitted.Spec.Steps[0].Perpetual {
 		return true
 	}
 	state := jobs.NewState()
@@ -38,6 +33,7 @@
 		return true
 	}
 	delay := placement.DelayOf(o.costs.model, job)
+	waitedMs := max(0, wallTimeMs()-submitted.AcceptedMs)
 	delay.SlackMs -= float64(waitedMs)
 	waitMs := o.shortage.WaitMs(submitted.Queue.Priority, &delay)
 	if !delay.IsHopeless(waitMs) || o.workerSnapshot().MayStartNow(job) {
@@ -86,46 +82,3 @@
 	o.cfg.Metrics.Gauge("owner_free_cpu").Update(int64(freeCPU))
 	o.cfg.Metrics.Gauge("owner_shortage_ms").Update(int64(o.shortage.LongestMs()))
 }
-
-// refusedCallers remembers when jobs were first refused, so that callers who return are not put behind newcomers.
-type refusedCallers struct {
-	firstMsByJob map[string]int64
-	nextPruneMs  int64 // wall-clock time in ms before which a full memory is not searched for old entries again
-}
-
-const (
-	// refusalMemoryMs is how long a refusal is remembered.
-	refusalMemoryMs = 120_000
-	// maxRefusals bounds the number of refusals that are remembered.
-	maxRefusals = 8192
-	// refusalPruneMs is the interval between two searches for old entries. Each takes time under Owner.mu.
-	refusalPruneMs = 1000
-)
-
-// firstMs returns the wall-clock time in ms of the first refusal of the job, 0 if none is remembered.
-func (r *refusedCallers) firstMs(id string, nowMs int64) int64 {
-	if first := r.firstMsByJob[id]; nowMs-first < refusalMemoryMs {
-		return first
-	}
-	return 0
-}
-
-func (r *refusedCallers) note(id string, nowMs int64) {
-	if r.firstMsByJob == nil {
-		r.firstMsByJob = map[string]int64{}
-	}
-	if r.firstMs(id, nowMs) > 0 {
-		return
-	}
-	if len(r.firstMsByJob) >= maxRefusals && nowMs >= r.nextPruneMs {
-		r.nextPruneMs = nowMs + refusalPruneMs
-		for other, first := range r.firstMsByJob {
-			if nowMs-first >= refusalMemoryMs {
-				delete(r.firstMsByJob, other)
-			}
-		}
-	}
-	if len(r.firstMsByJob) < maxRefusals {
-		r.firstMsByJob[id] = nowMs
-	}
-}
--- a/internal/jobowner/silent_store.go
+++ b/internal/jobowner/silent_store.go
@@ -89,10 +89,10 @@
 // the request arrived at its entry. A caller that comes back, or that waited for an owner, must not wait behind those that came later.
 func (o *Owner) firstArrivalMs(request *session.Request) int64 {
 	now := wallTimeMs()
-	if o.cfg.SilentStore == nil {
-		return now
+	arrivedMs := now
+	if o.cfg.SilentStore != nil {
+		arrivedMs = arrivalMs(request, now)
 	}
-	arrivedMs := arrivalMs(request, now)
 	if firstMs := o.refusals.firstMs(request.JobID, now); firstMs > 0 {
 		arrivedMs = min(arrivedMs, firstMs)
 	}
