queues: one collector of findings

Cause: read of the change: Check and CompareWith each built the same closure and the same sort. Change: type report. go vet and the tests of platform, which cover each rule, pass.

--- a/internal/queues/check.go
+++ b/internal/queues/check.go
@@ -37,74 +37,80 @@
 	Findings []Finding       // what could not be decoded
 }
 
+// report collects findings.
+type report struct{ findings []Finding }
+
+func (r *report) add(line int, severity Severity, entry, format string, args ...any) {
+	r.findings = append(r.findings, Finding{Line: line, Severity: severity, Entry: entry, Message: fmt.Sprintf(format, args...)})
+}
+
+// byLine returns the findings ordered by line.
+func (r *report) byLine() []Finding {
+	slices.SortStableFunc(r.findings, func(a, b Finding) int { return cmp.Compare(a.Line, b.Line) })
+	return r.findings
+}
+
 // Check returns what is wrong with the manifest, ordered by line.
 func (d *Draft) Check() []Finding {
-	findings := slices.Clone(d.Findings)
-	report := func(line int, severity Severity, entry, format string, args ...any) {
-		findings = append(findings, Finding{Line: line, Severity: severity, Entry: entry, Message: fmt.Sprintf(format, args...)})
-	}
+	r := &report{findings: slices.Clone(d.Findings)}
 	if d.Manifest.Version <= 0 {
-		report(0, Error, "version", "version %d: must be positive", d.Manifest.Version)
+		r.add(0, Error, "version", "version %d: must be positive", d.Manifest.Version)
 	}
-	d.checkRoutes(report)
-	d.checkMatching(report)
-	d.checkLimits(report)
-	slices.SortStableFunc(findings, func(a, b Finding) int { return cmp.Compare(a.Line, b.Line) })
-	return findings
+	d.checkRoutes(r)
+	d.checkMatching(r)
+	d.checkLimits(r)
+	return r.byLine()
 }
 
-// reportFunc adds a finding.
-type reportFunc func(line int, severity Severity, entry, format string, args ...any)
-
 // checkRoutes checks the values of each route by themselves.
-func (d *Draft) checkRoutes(report reportFunc) {
+func (d *Draft) checkRoutes(r *report) {
 	lineByName := map[string]int{}
 	for i := range d.Manifest.Routes {
 		route, line := &d.Manifest.Routes[i], d.Lines[i]
 		name := route.Queue.Name
 		if first, taken := lineByName[name]; name == "" {
-			report(line, Error, name, "the route has no name")
+			r.add(line, Error, name, "the route has no name")
 		} else if taken {
-			report(line, Error, name, "the name is taken by the route in line %d", first)
+			r.add(line, Error, name, "the name is taken by the route in line %d", first)
 		} else {
 			lineByName[name] = line
 		}
 		if service := route.Queue.Service; service == "" {
-			report(line, Error, name, "the route has no service")
+			r.add(line, Error, name, "the route has no service")
 		} else if d.Services != nil && !d.Services[service] {
-			report(line, Error, name, "service %s is not in the manifest: no worker runs its tasks", service)
+			r.add(line, Error, name, "service %s is not in the manifest: no worker runs its tasks", service)
 		}
 		if route.Timeout < 0 || route.Queue.TargetMs < 0 || route.Queue.Priority < 0 || route.Queue.MaxAttempts < 0 {
-			report(line, Error, name, "a timeout, target, priority or number of attempts is negative")
+			r.add(line, Error, name, "a timeout, target, priority or number of attempts is negative")
 		}
 		if route.Queue.Stretch != 0 && route.Queue.Stretch < 1 {
-			report(line, Error, name, "stretch %g: a job would have less time than its tasks take", route.Queue.Stretch)
+			r.add(line, Error, name, "stretch %g: a job would have less time than its tasks take", route.Queue.Stretch)
 		}
 		if target := time.Duration(route.Queue.TargetMs) * time.Millisecond; route.Timeout > 0 && route.Timeout < target {
-			report(line, Warning, name, "timeout %s is shorter than the target latency %s: callers leave while the answer is still in time", route.Timeout, target)
+			r.add(line, Warning, name, "timeout %s is shorter than the target latency %s: callers leave while the answer is still in time", route.Timeout, target)
 		}
 		if queue := &route.Queue; queue.TicketMs > 0 && queue.TicketMs <= queue.AdviceMs+queue.AdvicePerWorkerMs {
-			report(line, Warning, name, "tickets are valid for %d ms, less than the decision about one worker takes", queue.TicketMs)
+			r.add(line, Warning, name, "tickets are valid for %d ms, less than the decision about one worker takes", queue.TicketMs)
 		}
 	}
 }
 
 // checkMatching finds routes that no request, or not every request, can reach.
-func (d *Draft) checkMatching(report reportFunc) {
+func (d *Draft) checkMatching(r *report) {
 	for i := range d.Manifest.Routes {
 		route, line, name := &d.Manifest.Routes[i], d.Lines[i], d.Manifest.Routes[i].Queue.Name
 		switch {
 		case route.Host == "":
-			report(line, Error, name, "the route has no host and can never match")
+			r.add(line, Error, name, "the route has no host and can never match")
 			continue
 		case strings.ContainsAny(route.Host, ":/ "):
-			report(line, Error, name, "host %q can never match: requests are matched by the host without its port", route.Host)
+			r.add(line, Error, name, "host %q can never match: requests are matched by the host without its port", route.Host)
 			continue
 		case strings.IndexFunc(route.Host, unicode.IsUpper) >= 0:
-			report(line, Warning, name, "host %q matches only requests that spell it with the same capitals", route.Host)
+			r.add(line, Warning, name, "host %q matches only requests that spell it with the same capitals", route.Host)
 		}
 		if !strings.HasPrefix(route.Prefix, "/") || strings.ContainsAny(route.Prefix, "?# ") {
-			report(line, Error, name, "prefix %q can never match a path", route.Prefix)
+			r.add(line, Error, name, "prefix %q can never match a path", route.Prefix)
 			continue
 		}
 		for k := range d.Manifest.Routes {
@@ -115,9 +121,9 @@
 			switch rest, longer := strings.CutPrefix(other.Prefix, route.Prefix); {
 			case !longer:
 			case rest == "" && k < i:
-				report(line, Error, name, "can never match: route %s in line %d has the same host and prefix", other.Queue.Name, d.Lines[k])
+				r.add(line, Error, name, "can never match: route %s in line %d has the same host and prefix", other.Queue.Name, d.Lines[k])
 			case rest != "" && isHex(rest):
-				report(line, Warning, name, "jobs whose id begins with %q go to route %s in line %d, whose prefix is longer", rest, other.Queue.Name, d.Lines[k])
+				r.add(line, Warning, name, "jobs whose id begins with %q go to route %s in line %d, whose prefix is longer", rest, other.Queue.Name, d.Lines[k])
 			}
 		}
 	}
@@ -136,36 +142,33 @@
 )
 
 // checkLimits finds limits that contradict each other or the jobs that callers may submit. A limit of 0 is not set.
-func (d *Draft) checkLimits(report reportFunc) {
+func (d *Draft) checkLimits(r *report) {
 	limits := &d.Manifest.Limits
 	if limits.BodyBytes != 0 && limits.BodyBytes < jobs.MaxPayload+jobOverheadBytes {
-		report(0, Error, "body limit", "%d bytes: a job may have a payload of %d bytes", limits.BodyBytes, jobs.MaxPayload)
+		r.add(0, Error, "body limit", "%d bytes: a job may have a payload of %d bytes", limits.BodyBytes, jobs.MaxPayload)
 	}
 	if limits.BodyBytes > jobs.MaxEncodedBytes {
-		report(0, Warning, "body limit", "%d bytes: jobs of more than %d bytes are refused whatever the limit", limits.BodyBytes, jobs.MaxEncodedBytes)
+		r.add(0, Warning, "body limit", "%d bytes: jobs of more than %d bytes are refused whatever the limit", limits.BodyBytes, jobs.MaxEncodedBytes)
 	}
 	if limits.HeaderBytes != 0 && limits.HeaderBytes < requestHeaderBytes {
-		report(0, Error, "header limit", "%d bytes: the headers of a usual request are longer", limits.HeaderBytes)
+		r.add(0, Error, "header limit", "%d bytes: the headers of a usual request are longer", limits.HeaderBytes)
 	}
 	if limits.HeaderTimeout < 0 || limits.IdleTimeout < 0 {
-		report(0, Error, "timeouts of connections", "a timeout is negative")
+		r.add(0, Error, "timeouts of connections", "a timeout is negative")
 	}
 	if limits.IdleTimeout > 0 && limits.IdleTimeout < limits.HeaderTimeout {
-		report(0, Warning, "idle timeout", "%s is shorter than the header timeout %s", limits.IdleTimeout, limits.HeaderTimeout)
+		r.add(0, Warning, "idle timeout", "%s is shorter than the header timeout %s", limits.IdleTimeout, limits.HeaderTimeout)
 	}
 }
 
 // CompareWith returns what the manifest changes in the one in force, ordered by line. Routes are compared by name.
 func (d *Draft) CompareWith(inForce *Draft) []Finding {
-	var findings []Finding
-	report := func(line int, severity Severity, entry, format string, args ...any) {
-		findings = append(findings, Finding{Line: line, Severity: severity, Entry: entry, Message: fmt.Sprintf(format, args...)})
-	}
+	r := &report{}
 	if d.Manifest.Version <= inForce.Manifest.Version {
-		report(0, Error, "version", "version %d is not higher than %d in force: every process ignores it", d.Manifest.Version, inForce.Manifest.Version)
+		r.add(0, Error, "version", "version %d is not higher than %d in force: every process ignores it", d.Manifest.Version, inForce.Manifest.Version)
 	}
 	if d.Manifest.Limits != inForce.Manifest.Limits {
-		report(0, Change, "limits", "%+v, in force %+v", d.Manifest.Limits, inForce.Manifest.Limits)
+		r.add(0, Change, "limits", "%+v, in force %+v", d.Manifest.Limits, inForce.Manifest.Limits)
 	}
 	previous := map[string]*Route{}
 	for i := range inForce.Manifest.Routes {
@@ -177,19 +180,18 @@
 		delete(previous, route.Queue.Name)
 		switch {
 		case old == nil:
-			report(d.Lines[i], Change, route.Queue.Name, "added: %s%s", route.Host, route.Prefix)
+			r.add(d.Lines[i], Change, route.Queue.Name, "added: %s%s", route.Host, route.Prefix)
 		case *old != *route:
-			report(d.Lines[i], Change, route.Queue.Name, "%s", describeChange(old, route))
+			r.add(d.Lines[i], Change, route.Queue.Name, "%s", describeChange(old, route))
 		}
 	}
 	for i := range inForce.Manifest.Routes {
 		if name := inForce.Manifest.Routes[i].Queue.Name; previous[name] != nil {
-			report(0, Change, name, "removed: requests for %s%s get no queue, accepted jobs go on", previous[name].Host, previous[name].Prefix)
+			r.add(0, Change, name, "removed: requests for %s%s get no queue, accepted jobs go on", previous[name].Host, previous[name].Prefix)
 			delete(previous, name)
 		}
 	}
-	slices.SortStableFunc(findings, func(a, b Finding) int { return cmp.Compare(a.Line, b.Line) })
-	return findings
+	return r.byLine()
 }
 
 // describeChange lists the values in which two routes of one name differ.
