standin: one function compiles the programs for tests that start them

Cause: read of the change: crowdtest had a copy of fleetsoak's build of the programs, and its TestMain compiled them under -short only to remove them. Change: standin.BuildPrograms; TestMain looks at -short first. Crowds, limits, bounds and checks are unchanged. go test ./internal/crowdtest and go test -race ./internal/fleetsoak pass.

--- a/internal/crowdtest/system_test.go
+++ b/internal/crowdtest/system_test.go
@@ -70,24 +70,15 @@
 	client *http.Client
 }
 
-var buildPrograms = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "crowdtest")
-	if err != nil {
-		return "", err
-	}
-	out, err := exec.Command("go", "build", "-o", dir+string(filepath.Separator),
-		"bamboofork/cmd/bf-front", "bamboofork/cmd/bf-host").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("%w: %s", err, out)
-	}
-	return dir, nil
-})
+var buildPrograms = sync.OnceValues(standin.BuildPrograms)
 
 // TestMain removes the compiled programs at the end.
 func TestMain(m *testing.M) {
 	code := m.Run()
-	if dir, err := buildPrograms(); err == nil && !testing.Short() {
-		os.RemoveAll(dir)
+	if !testing.Short() { // nothing was compiled
+		if dir, err := buildPrograms(); err == nil {
+			os.RemoveAll(dir)
+		}
 	}
 	os.Exit(code)
 }
--- a/internal/fleetsoak/fleet_test.go
+++ b/internal/fleetsoak/fleet_test.go
@@ -61,18 +61,7 @@
 }
 
 // buildPrograms compiles the programs on the first call. It returns the directory that holds the compiled programs.
-var buildPrograms = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "fleetsoak")
-	if err != nil {
-		return "", err
-	}
-	out, err := exec.Command("go", "build", "-o", dir+string(filepath.Separator),
-		"bamboofork/cmd/bf-front", "bamboofork/cmd/bf-host").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("%w: %s", err, out)
-	}
-	return dir, nil
-})
+var buildPrograms = sync.OnceValues(standin.BuildPrograms)
 
 // newFleet starts the given numbers of entries and of hosts, each with an agent and a worker. It returns when the first entry is
 // ready.
