--- a/review/rig2/crashloop.go
+++ b/review/rig2/crashloop.go
@@ -11,31 +11,35 @@
 	// loopJobs is the number of lasting jobs whose tasks fail loopFailure after each start.
 	loopJobs    = 2
 	loopFailure = time.Second
-	loopTime    = 5 * time.Second // before the ordinary job is handed in
+	// besideJobs is the number of ordinary jobs that are handed in with them, within handInTime: the lasting jobs are under a twentieth.
+	besideJobs = 40
+	handInTime = 3 * time.Second
+	loopTime   = 5 * time.Second // before the last ordinary job is handed in
 	// afterLoop is how long the ordinary job is waited for once the lasting jobs are cancelled.
 	afterLoop = 20 * time.Second
 )
 
-// playCrashLoop hands in two lasting jobs whose tasks fail again and again, and then an ordinary job. The rule is broken if nothing of the
+// playCrashLoop hands in two lasting jobs whose tasks fail again and again, among ordinary ones, and then one more ordinary job. The rule is broken if nothing of the
 // ordinary job runs for 4 s, finishTime after it was handed in, although it is done once the lasting jobs are cancelled.
 func playCrashLoop(r *record, trouble bool) bool {
 	w := newWorld(r)
 	f := newFleet(w, loopHosts, 1, false)
 	defer f.stop()
 	c := f.newCaller()
-	loops := []string{}
-	if trouble {
-		for n := range loopJobs {
-			id := fmt.Sprintf("00000000000000d%d", n)
-			w.failEach(id, loopFailure)
-			if !c.handIn(id, &job{Spec: "watch", Steps: []step{{Count: loopHosts, CPU: 1000, MemMB: 1000, EstimateMs: 1000, AntiAffinity: 1,
-				Perpetual: true, Image: "watch-image", TargetMs: 50}}}, 10*time.Second) {
-				cannotRun("a lasting job was not accepted")
-			}
-			loops = append(loops, id)
+	loops, begun := []string{}, time.Now()
+	for n := range besideJobs {
+		if trouble && n%(besideJobs/loopJobs) == 0 {
+			loops = append(loops, c.handInLoop(len(loops)))
 		}
-		time.Sleep(loopTime)
+		if !c.handIn(fmt.Sprintf("0000000000000b%02x", n), ordinaryJob(), 10*time.Second) {
+			cannotRun("an ordinary job was not accepted")
+		}
+	}
+	if took := time.Since(begun); took > handInTime {
+		cannotRun(fmt.Sprintf("the jobs were handed in within %s", took))
 	}
+	r.note("clients: %d lasting jobs that fail among %d jobs, in %s", len(loops), besideJobs+len(loops), time.Since(begun))
+	time.Sleep(loopTime)
 	if !c.handIn(ordinaryID, ordinaryJob(), 10*time.Second) {
 		cannotRun("the ordinary job was not accepted")
 	}
@@ -55,3 +59,14 @@
 	fmt.Printf("%s after the cancellations: %s\n", afterLoop, state)
 	return idle && !done && w.isDone(ordinaryID)
 }
+
+// handInLoop hands in a lasting job whose tasks fail again and again, and returns its id.
+func (c *caller) handInLoop(n int) string {
+	id := fmt.Sprintf("00000000000000d%d", n)
+	c.world().failEach(id, loopFailure)
+	if !c.handIn(id, &job{Spec: "watch", Steps: []step{{Count: loopHosts, CPU: 1000, MemMB: 1000, EstimateMs: 1000, AntiAffinity: 1,
+		Perpetual: true, Image: "watch-image", TargetMs: 50}}}, 10*time.Second) {
+		cannotRun("a lasting job was not accepted")
+	}
+	return id
+}
--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -355,10 +355,17 @@
 	return resp.StatusCode, string(text)
 }
 
-// submit hands a job in, again at the next front after no answer, a 502, 503, 429 or 504, for at most the time.
+// clientRetries is how often a client of the site hands a job in again, each time at another entry and retryDelay later: entries tell
+// clients to come back after a second or more.
+const (
+	clientRetries = 4
+	retryDelay    = time.Second
+)
+
+// submit hands a job in, again after no answer, a 502, 503, 429 or 504, for at most the time.
 func (c *caller) submit(id, body string, most time.Duration) int {
 	status := 0
-	for end, front := time.Now().Add(most), 0; time.Now().Before(end); front++ {
+	for end, front := time.Now().Add(most), 0; front <= clientRetries && time.Now().Before(end); front++ {
 		var text string
 		status, text = c.call(front, http.MethodPost, id, body)
 		if status/100 == 2 || status == 400 || status == 404 || status == 413 {
@@ -366,7 +373,7 @@
 			return status
 		}
 		c.fleet.record.note("client: POST %s (%d bytes) -> %d %s", id, len(body), status, strings.TrimSpace(text))
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(retryDelay)
 	}
 	return status
 }
