--- a/review/rig2/advice.go
+++ b/review/rig2/advice.go
@@ -3,49 +3,45 @@
 import (
 	"encoding/json"
 	"fmt"
-	"hash/fnv"
 	"net/http"
+	"sync"
 	"time"
 )
 
-// adviser decides which runners may run a step.
+const (
+	decideTime = 30 * time.Millisecond // decide_ms of the queue
+	periodTime = 2 * time.Millisecond  // period_ms of the queue, for each worker named
+	ticketTime = 3 * time.Second       // valid_ms of the queue
+)
+
+// adviser is a stand-in of the advice service. All runners may run each step. It handles one call at a time.
 type adviser struct {
-	world   *world
-	runners func() []*runner
-	valid   time.Duration
+	world *world
+	mu    sync.Mutex
+	count int
 }
 
-func (a *adviser) ServeHTTP(writer http.ResponseWriter, r *http.Request) {
+// ServeHTTP implements http.Handler.
+func (a *adviser) ServeHTTP(writer http.ResponseWriter, req *http.Request) {
 	var asked struct {
 		Step    string   `json:"step"`
 		Workers []string `json:"workers"`
 	}
-	if json.NewDecoder(r.Body).Decode(&asked) != nil {
+	if json.NewDecoder(req.Body).Decode(&asked) != nil {
 		answer(writer, http.StatusBadRequest, struct{}{})
 		return
 	}
-	w := a.world
-	w.adviseLock.Lock()
-	time.Sleep(30*time.Millisecond + time.Duration(len(asked.Workers))*2*time.Millisecond)
-	w.adviseLock.Unlock()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.counts["advice"]++
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	time.Sleep(decideTime + time.Duration(len(asked.Workers))*periodTime)
+	a.world.mu.Lock()
 	good := [][2]string{}
 	for _, id := range asked.Workers {
-		h := fnv.New32()
-		fmt.Fprint(h, asked.Step, id)
-		if h.Sum32()%3 == 0 && id != "i-0001" && id != "i-0004" {
-			continue
-		}
-		for _, runner := range a.runners() {
-			if runner.id == id {
-				w.advised++
-				ticket := fmt.Sprintf("t%d", w.advised)
-				w.tickets[fmt.Sprintf("%s %s %d %s", asked.Step, id, runner.life, ticket)] = time.Now().Add(a.valid)
-				good = append(good, [2]string{id, ticket})
-			}
-		}
+		a.count++
+		ticket := fmt.Sprintf("t%d", a.count)
+		a.world.tickets[ticketKey(asked.Step+".0", id, ticket)] = time.Now().Add(ticketTime)
+		good = append(good, [2]string{id, ticket})
 	}
-	answer(writer, http.StatusOK, map[string]any{"good": good, "valid_ms": a.valid.Milliseconds()})
+	a.world.mu.Unlock()
+	answer(writer, http.StatusOK, map[string]any{"good": good, "valid_ms": ticketTime.Milliseconds()})
 }
--- a/review/rig2/crashloop.go
+++ b/review/rig2/crashloop.go
@@ -19,7 +19,7 @@
 // playCrashLoop hands in two lasting jobs whose tasks fail again and again, and then an ordinary job. The rule is broken if nothing of the
 // ordinary job runs for 4 s, finishTime after it was handed in, although it is done once the lasting jobs are cancelled.
 func playCrashLoop(r *record, trouble bool) bool {
-	w := newWorld(r, 1)
+	w := newWorld(r)
 	f := newFleet(w, loopHosts, 1, false)
 	defer f.stop()
 	c := f.newCaller()
--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -26,9 +26,15 @@
 
 // manifest is what the operator writes, with the limits that `fleetbench wire` shows.
 const manifest = `{"version":7,"routes":[{"name":"lohu","host":"nony24.example","prefix":"/lohu930/","kind":"unsafe","timeout_ms":3000,` +
-	`"target_latency_ms":300,"priority":0,"service":"huvo11a","max_attempts":3,"stretch":1.5}],"services":[{"name":"huvo11a","rejects_overload":false}],` +
+	`"target_latency_ms":300,"priority":0,"service":"huvo11a","max_attempts":3,"stretch":1.5}%s],"services":[{"name":"huvo11a","rejects_overload":false}],` +
 	`"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 
+// advisedRoute is a second queue, whose tasks need a ticket of the advice service.
+const advisedRoute = `,{"name":"pule","host":"nony24.example","prefix":"` + advisedPrefix + `","kind":"unsafe","timeout_ms":3000,"target_latency_ms":2500,` +
+	`"priority":0,"service":"huvo11a","max_attempts":3,"stretch":2.2,"advice":{"decide_ms":%d,"period_ms":%d,"valid_ms":%d}}`
+
+const advisedPrefix = "/pule252/"
+
 // record is what clients, runners and the platform have seen.
 type record struct {
 	mu    sync.Mutex
@@ -63,14 +69,13 @@
 	memoryMB                    int
 	fleet                       *fleet
 
-	mu       sync.Mutex
-	cmd      *exec.Cmd
-	exited   chan struct{}
-	stopped  bool
-	killed   int // times that the platform has killed it for its memory
-	ownEnds  int // times that it has ended by itself
-	peakKB   int
-	expected bool // a signal of the test ends it
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	stopped bool
+	killed  int // times that the platform has killed it for its memory
+	ownEnds int // times that it has ended by itself
+	peakKB  int
 }
 
 type fleet struct {
@@ -82,8 +87,8 @@
 	hosts, fronts    []*process
 	ctx              context.Context
 	end              context.CancelFunc
-	advice           string
-	limitMemory      bool // the platform kills a process above its limit
+	advice           string // address of the advice service; empty: none
+	limitMemory      bool   // the platform kills a process above its limit
 }
 
 // Limits of the processes of a small deployment, in MB.
@@ -122,14 +127,12 @@
 	f := &fleet{folder: folder, programs: "target", record: w.record, world: w, store: newStore(), limitMemory: limitMemory}
 	f.ctx, f.end = context.WithCancel(context.Background())
 	started = f
-	advice := ""
+	advised := ""
 	if w.tickets != nil {
-		advice = serve(&adviser{world: w, runners: func() []*runner { return f.runners }, valid: 3 * time.Second})
-		f.store.put("op/config", []byte(strings.Replace(manifest, `"max_attempts":3,`, `"max_attempts":3,"advice":{"decide_ms":30,"period_ms":2,"valid_ms":3000},`, 1)))
-	} else {
-		f.store.put("op/config", []byte(manifest))
+		f.advice = serve(&adviser{world: w})
+		advised = fmt.Sprintf(advisedRoute, decideTime.Milliseconds(), periodTime.Milliseconds(), ticketTime.Milliseconds())
 	}
-	f.advice = advice
+	f.store.put("op/config", fmt.Appendf(nil, manifest, advised))
 	storeAddr := serve(f.store)
 	zones := []string{"escazu", "liberia", "heredia"}
 	for i := range hosts {
@@ -217,7 +220,7 @@
 // keep runs the program and starts it again when it has ended, as the platform does.
 func (p *process) keep() {
 	for p.fleet.ctx.Err() == nil {
-		log, err := os.OpenFile(filepath.Join(p.fleet.folder, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		log, err := os.OpenFile(p.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 		if err != nil {
 			cannotRun(err)
 		}
@@ -235,14 +238,14 @@
 			p.mu.Unlock()
 			cannotRun(err)
 		}
-		p.cmd, p.exited, p.expected = cmd, exited, false
+		p.cmd, p.exited = cmd, exited
 		p.mu.Unlock()
 		go p.watch(cmd, exited)
 		_ = cmd.Wait()
 		close(exited)
 		log.Close()
 		p.mu.Lock()
-		if !p.expected && !p.stopped {
+		if !p.stopped {
 			p.ownEnds++
 			p.fleet.record.note("platform: %s ended by itself: %v", p.name, cmd.ProcessState)
 		}
@@ -251,6 +254,17 @@
 	}
 }
 
+// log returns what the program has written.
+func (p *process) log() string {
+	text, err := os.ReadFile(p.logPath())
+	if err != nil {
+		return ""
+	}
+	return string(text)
+}
+
+func (p *process) logPath() string { return filepath.Join(p.fleet.folder, p.name+".log") }
+
 // watch measures the memory of a process, and kills it above its limit if the fleet limits memory.
 func (p *process) watch(cmd *exec.Cmd, exited chan struct{}) {
 	for {
@@ -288,16 +302,6 @@
 	return 0
 }
 
-// signal sends a signal to the process; expected says that it ends by it.
-func (p *process) signal(s syscall.Signal, expected bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.expected = p.expected || expected
-	if p.cmd != nil {
-		_ = p.cmd.Process.Signal(s)
-	}
-}
-
 // stop ends all processes and removes the temporary folder.
 func (f *fleet) stop() {
 	f.end()
@@ -319,30 +323,20 @@
 	}
 }
 
-// owner returns the host that owns the jobs, nil if there is none.
-func (f *fleet) owner() *process {
-	value := string(f.store.get("owner"))
-	for _, h := range f.hosts {
-		if strings.Contains(value, `"`+h.name+`"`) {
-			return h
-		}
-	}
-	return nil
-}
-
 // caller is a client of the deployment.
 type caller struct {
 	fleet  *fleet
 	client *http.Client
+	prefix string
 }
 
 func (f *fleet) newCaller() *caller {
-	return &caller{fleet: f, client: &http.Client{Timeout: 3 * time.Second}}
+	return &caller{fleet: f, client: &http.Client{Timeout: 3 * time.Second}, prefix: prefix}
 }
 
 // call sends one request to a front and returns the status and the body; status 0: no answer.
 func (c *caller) call(front int, method, id, body string) (int, string) {
-	req, err := http.NewRequest(method, "http://"+c.fleet.fronts[front%len(c.fleet.fronts)].ip+":8161"+prefix+id, strings.NewReader(body))
+	req, err := http.NewRequest(method, "http://"+c.fleet.fronts[front%len(c.fleet.fronts)].ip+":8161"+c.prefix+id, strings.NewReader(body))
 	if err != nil {
 		cannotRun(err)
 	}
--- a/review/rig2/gang.go
+++ b/review/rig2/gang.go
@@ -25,7 +25,7 @@
 // playGang hands in a gang that fills beside a job that serves. The rule is broken if nothing of the gang runs for 3 s, finishTime after the
 // last job was handed in, although the same tasks without the gang are done.
 func playGang(r *record, trouble bool) bool {
-	w := newWorld(r, 1)
+	w := newWorld(r)
 	f := newFleet(w, gangHosts, 1, false)
 	defer f.stop()
 	c := f.newCaller()
--- a/review/rig2/headers.go
+++ b/review/rig2/headers.go
@@ -14,7 +14,7 @@
 	// headCrowd is the number of connections at each entry.
 	headCrowd = 1500
 	headTime  = 20 * time.Second
-	// brokenEnds and brokenMachines are the figures of the rule: three ends on two of 14 machines.
+	// brokenEnds and brokenMachines are the figures of the rule: three ends on a tenth of the machines, two at least.
 	brokenEnds     = 3
 	brokenMachines = 2
 )
@@ -54,7 +54,7 @@
 
 // playHeaders lets a crowd of clients begin submissions with heads of legal size. The rule is broken if two entries end three times.
 func playHeaders(r *record, trouble bool) bool {
-	w := newWorld(r, 1)
+	w := newWorld(r)
 	f := newFleet(w, 11, 3, true)
 	defer f.stop()
 	c := f.newCaller()
@@ -75,17 +75,14 @@
 	}
 	time.Sleep(headTime)
 	cancel()
-	machines := 0
 	for _, p := range f.processes() {
 		p.mu.Lock()
 		if p.program == "bf-front" {
 			fmt.Printf("%s: peak %d of %d MB, ended %d times\n", p.name, p.peakKB>>10, p.memoryMB, p.ownEnds)
 		}
-		if p.ownEnds >= brokenEnds {
-			machines++
-		}
 		p.mu.Unlock()
 	}
+	machines := f.machinesWith(brokenEnds)
 	r.note("crowd: %d connections in all", opened.Load())
 	fmt.Printf("%d connections in all; on %d machines a process ended %d times or more\n", opened.Load(), machines, brokenEnds)
 	return machines >= brokenMachines
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -9,7 +9,7 @@
 
 // cases are the scripted cases by name.
 var cases = map[string]func(r *record, trouble bool) bool{
-	"memory": playMemory, "headers": playHeaders, "crashloop": playCrashLoop, "gang": playGang,
+	"memory": playMemory, "headers": playHeaders, "crashloop": playCrashLoop, "gang": playGang, "burst": playBurst,
 }
 
 func main() {
--- a/review/rig2/memory.go
+++ b/review/rig2/memory.go
@@ -40,7 +40,7 @@
 
 // playMemory lets clients hand in many large jobs of legal size at once. The rule is broken if an accepted job gets no answer afterwards.
 func playMemory(r *record, trouble bool) bool {
-	w := newWorld(r, 1)
+	w := newWorld(r)
 	f := newFleet(w, 11, 3, true)
 	defer f.stop()
 	c := f.newCaller()
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -37,10 +37,9 @@
 }
 
 const (
-	storeDelay    = 4 * time.Millisecond // of each answer
-	maxPageItems  = 500
-	maxPageBytes  = 1 << 20
-	historyLength = 20 * time.Second
+	storeDelay   = 4 * time.Millisecond // of each answer
+	maxPageItems = 500
+	maxPageBytes = 1 << 20
 )
 
 func newStore() *store {
@@ -65,17 +64,6 @@
 	s.set(key, value, 0)
 }
 
-// get returns the value of an item, nil if there is none.
-func (s *store) get(key string) []byte {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expire()
-	if i := s.items[key]; i != nil {
-		return i.Value
-	}
-	return nil
-}
-
 func (s *store) set(key string, value []byte, leaseID int64) {
 	s.revision++
 	created := s.revision
