--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -27,7 +27,7 @@
 // chooser chooses workers for the waiting tasks of one step. All tasks of a step need the same resources, so the scores of the
 // workers are computed once, and after each placement again for the worker that took the task.
 type chooser struct {
-	snapshot   *Snapshot
+	scope      scope
 	step       *jobs.Step
 	row        []pair  // pairs of the image of a best-effort step
 	speedFloor float64 // workers on which a best-effort task would not reach this share of full speed are skipped
@@ -35,7 +35,7 @@
 	// stepTasksByRack is the number of placed tasks of the step by rack, for a step that prefers one rack.
 	stepTasksByRack map[string]int
 
-	rated    *[]rating // by position in the snapshot
+	rated    *[]rating // by position in the scope
 	hasRated bool      // rated belongs to this step
 	isFull   bool      // no worker was found; the resources only shrink while the step is planned
 }
@@ -48,34 +48,31 @@
 }
 
 // newChooser returns the chooser for tasks of the step. A best-effort task avoids serving tasks that it slows down.
-func newChooser(snapshot *Snapshot, j *jobs.Job, step *jobs.Step, stepTasksByRack map[string]int) *chooser {
-	return newChooserWhere(snapshot, 0, step, stepTasksByRack, minStartSpeed, func(worker *Worker) bool {
+func newChooser(s scope, j *jobs.Job, step *jobs.Step, stepTasksByRack map[string]int) *chooser {
+	return newChooserWhere(s, 0, step, stepTasksByRack, minStartSpeed, func(worker *Worker) bool {
 		return admits(worker, j, step) && leavesReserve(worker, step) && hasIdleCPU(worker, step)
 	})
 }
 
 // newStarvedChooser returns the chooser for a task that has waited too long. It ignores the reserve for short tasks, the idle CPU
 // time and the speed that the task would get, so that interference with other tasks cannot keep a job waiting indefinitely.
-func newStarvedChooser(snapshot *Snapshot, j *jobs.Job, step *jobs.Step, stepTasksByRack map[string]int) *chooser {
-	return newChooserWhere(snapshot, 1, step, stepTasksByRack, 0, func(worker *Worker) bool { return admits(worker, j, step) })
+func newStarvedChooser(s scope, j *jobs.Job, step *jobs.Step, stepTasksByRack map[string]int) *chooser {
+	return newChooserWhere(s, 1, step, stepTasksByRack, 0, func(worker *Worker) bool { return admits(worker, j, step) })
 }
 
 // newOverdueChooser returns the chooser for a perpetual task that has waited for overdueWaitMs. The reserve counts as free while short
 // tasks use it: a worker that short tasks keep busy would otherwise never take a perpetual task.
-func newOverdueChooser(snapshot *Snapshot, j *jobs.Job, step *jobs.Step, stepTasksByRack map[string]int) *chooser {
-	return newChooserWhere(snapshot, 2, step, stepTasksByRack, minStartSpeed, func(worker *Worker) bool {
+func newOverdueChooser(s scope, j *jobs.Job, step *jobs.Step, stepTasksByRack map[string]int) *chooser {
+	return newChooserWhere(s, 2, step, stepTasksByRack, minStartSpeed, func(worker *Worker) bool {
 		return admits(worker, j, step) && hasRoomBesidePerpetual(worker, step) && hasIdleCPU(worker, step)
 	})
 }
 
-func newChooserWhere(snapshot *Snapshot, buffer int, step *jobs.Step, stepTasksByRack map[string]int, speedFloor float64,
+func newChooserWhere(s scope, buffer int, step *jobs.Step, stepTasksByRack map[string]int, speedFloor float64,
 	eligible func(worker *Worker) bool) *chooser {
-	if snapshot.ratings == nil {
-		snapshot.ratings = &[3][]rating{}
-	}
-	c := &chooser{snapshot: snapshot, step: step, speedFloor: speedFloor, eligible: eligible, stepTasksByRack: stepTasksByRack,
-		rated: &snapshot.ratings[buffer]}
-	if pairs := snapshot.pairTable(); step.BestEffort && pairs != nil {
+	c := &chooser{scope: s, step: step, speedFloor: speedFloor, eligible: eligible, stepTasksByRack: stepTasksByRack,
+		rated: &s.snapshot.ratings[buffer]}
+	if pairs := s.snapshot.pairTable(); step.BestEffort && pairs != nil {
 		c.row = pairs.row(step.Image)
 	}
 	return c
@@ -100,11 +97,11 @@
 			continue
 		}
 		score := r.score
-		if task.Failures > 0 && task.Worker == c.snapshot.Workers[i].Name {
+		if task.Failures > 0 && task.Worker == c.scope.workers[i].Name {
 			score -= weightFailed
 		}
 		if best == nil || score > bestScore {
-			best, bestScore, chosen = r, score, c.snapshot.Workers[i]
+			best, bestScore, chosen = r, score, c.scope.workers[i]
 		}
 	}
 	if best == nil {
@@ -115,8 +112,8 @@
 }
 
 func (c *chooser) rateAll() {
-	rated := slices.Grow((*c.rated)[:0], len(c.snapshot.Workers))
-	for _, worker := range c.snapshot.Workers {
+	rated := slices.Grow((*c.rated)[:0], len(c.scope.workers))
+	for _, worker := range c.scope.workers {
 		rated = append(rated, c.rate(worker))
 	}
 	*c.rated, c.hasRated = rated, true
@@ -153,9 +150,9 @@
 
 // fitsTwice reports whether there are free resources for two tasks of the step. An overdue task then uses the reserve: after a loss of
 // workers, the reserve would otherwise keep perpetual tasks waiting indefinitely although enough resources are free.
-func fitsTwice(snapshot *Snapshot, j *jobs.Job, step *jobs.Step) bool {
+func fitsTwice(s scope, j *jobs.Job, step *jobs.Step) bool {
 	fitting := 0
-	for _, worker := range snapshot.Workers {
+	for _, worker := range s.workers {
 		if admits(worker, j, step) {
 			fitting += fittingTasks(worker, step)
 		}
@@ -213,7 +210,7 @@
 	step := c.step
 	capacity := float64(max(1, worker.Capacity.CPU))
 	sum := float64(worker.Free.CPU) / capacity
-	isPacked := step.TargetMs > 0 && !step.BestEffort && c.snapshot.PackServing
+	isPacked := step.TargetMs > 0 && !step.BestEffort && c.scope.snapshot.PackServing
 	switch {
 	case step.BestEffort:
 		sum = float64(worker.IdleCPU)/capacity + weightSpeed*speed - weightInterference*addedLoad
--- a/internal/placement/hold.go
+++ b/internal/placement/hold.go
@@ -15,9 +15,9 @@
 	held  int // number of workers held in this pass
 }
 
-// overdueTask is an overdue task of the step of a candidate, which was planned in the snapshot.
+// overdueTask is an overdue task of the step of a candidate, which was planned in the scope.
 type overdueTask struct {
-	snapshot  *Snapshot
+	scope     scope
 	candidate candidate
 	stepIndex int
 	sinceMs   int64 // time on the owner's boot clock since which the task waits
@@ -26,8 +26,8 @@
 // maxHeldFraction is the fraction of the workers that are held at the same time. One worker may always be held.
 const maxHeldFraction = 0.05
 
-func (h *holds) add(s *Snapshot, c candidate, stepIndex int, task *jobs.Task) {
-	h.tasks = append(h.tasks, overdueTask{snapshot: s, candidate: c, stepIndex: stepIndex, sinceMs: task.WaitingSinceMs})
+func (h *holds) add(s scope, c candidate, stepIndex int, task *jobs.Task) {
+	h.tasks = append(h.tasks, overdueTask{scope: s, candidate: c, stepIndex: stepIndex, sinceMs: task.WaitingSinceMs})
 }
 
 // apply holds workers for the collected tasks for the rest of the pass, for those that wait for longest first.
@@ -50,11 +50,11 @@
 
 // holdWorker reserves the resources of the task on the worker that will soonest have them. It returns false if there is none.
 func holdWorker(overdue *overdueTask) bool {
-	s, c := overdue.snapshot, &overdue.candidate
+	s, c := overdue.scope, &overdue.candidate
 	step := &c.job.Spec.Steps[overdue.stepIndex]
 	s.countStepTasks(&c.job.Occurrences[c.occ].Steps[overdue.stepIndex])
 	var chosen *Worker
-	for _, worker := range s.Workers {
+	for _, worker := range s.workers {
 		if worker.isHeld || !accepts(worker, c.job, step) || !hasRoomBesidePerpetual(worker, step) {
 			continue
 		}
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"bamboofork/internal/delaycost"
 	"bamboofork/internal/jobs"
 )
 
@@ -82,7 +83,7 @@
 
 // placementOrder returns the candidates in the order in which their tasks are placed.
 func placementOrder(snapshot *Snapshot) []candidate {
-	list := sortedCandidates(snapshot)
+	list := sortedCandidates(snapshot, snapshot.DelayCost)
 	if snapshot.DelayCost != nil {
 		preferCostlyIfOverloaded(snapshot, list)
 	} else {
@@ -94,8 +95,8 @@
 
 // sortedCandidates returns the candidates by priority and standing. Queues with a lower priority number come first. Within a priority,
 // perpetual jobs come first, then the other jobs by their standing. In a burst of large jobs, some of them therefore finish in time,
-// instead of all of them making a little progress.
-func sortedCandidates(snapshot *Snapshot) []candidate {
+// instead of all of them making a little progress. With delayCost, the standing follows from learned run times, otherwise from what was declared.
+func sortedCandidates(snapshot *Snapshot, delayCost *delaycost.Model) []candidate {
 	list := make([]candidate, 0, len(snapshot.Jobs))
 	for _, j := range snapshot.Jobs {
 		for k := range j.Occurrences {
@@ -106,7 +107,7 @@
 			if dueMs > snapshot.WallMs {
 				continue
 			}
-			list = append(list, newCandidate(snapshot, j, k, max(dueMs, j.AcceptedMs)))
+			list = append(list, newCandidate(snapshot, delayCost, j, k, max(dueMs, j.AcceptedMs)))
 		}
 	}
 	slices.SortStableFunc(list, func(a, b candidate) int {
@@ -124,7 +125,7 @@
 
 // newCandidate returns the candidate for one occurrence. startMs, in Unix milliseconds, is the time from which the completion time
 // objective counts.
-func newCandidate(snapshot *Snapshot, j *jobs.Job, occ int, startMs int64) candidate {
+func newCandidate(snapshot *Snapshot, delayCost *delaycost.Model, j *jobs.Job, occ int, startMs int64) candidate {
 	isPerpetual, image := false, ""
 	for i := range j.Spec.Steps {
 		if j.Spec.Steps[i].Perpetual && !isPerpetual {
@@ -133,8 +134,8 @@
 	}
 	criticalPathMs, remainingMs := int64(0), int64(0)
 	var cost *candidateCost
-	if snapshot.DelayCost != nil && !isPerpetual {
-		cost = newCandidateCost(snapshot.DelayCost, j, occ)
+	if delayCost != nil && !isPerpetual {
+		cost = newCandidateCost(delayCost, j, occ)
 		criticalPathMs, remainingMs = cost.pathMs, cost.remainingPathMs
 	} else {
 		criticalPathMs, remainingMs = totalPathMs(j), remainingPathMs(j, occ)
--- a/internal/placement/pace.go
+++ b/internal/placement/pace.go
@@ -21,9 +21,7 @@
 	for w := range s.open() {
 		capacity += w.Capacity.CPU
 	}
-	declared := *s
-	declared.DelayCost = nil // paces follow what was declared, as without the order in shortage
-	for _, c := range sortedCandidates(&declared) {
+	for _, c := range sortedCandidates(s, nil) { // paces follow what was declared, as without the order in shortage
 		for i := range c.job.Spec.Steps {
 			step, stepState := &c.job.Spec.Steps[i], &c.job.Occurrences[c.occ].Steps[i]
 			if step.BestEffort && stepState.WaitingTasks > 0 && c.job.StepReady(c.occ, i) {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -33,13 +33,11 @@
 func planStep(s *Snapshot, c candidate, stepIndex int, waiting *holds) []Assignment {
 	step := &c.job.Spec.Steps[stepIndex]
 	stepState := &c.job.Occurrences[c.occ].Steps[stepIndex]
-	if step.Advised {
-		s = s.restrictedTo(s.AdvisedWorkers[StepID{Job: c.job.ID, Occ: c.occ, Step: stepIndex}])
-	}
-	s.countStepTasks(stepState)
+	stepScope := s.scopeOf(c.job, c.occ, stepIndex)
+	stepScope.countStepTasks(stepState)
 	stepTasksByRack := map[string]int{}
 	if step.SameRack {
-		for _, worker := range s.Workers {
+		for _, worker := range stepScope.workers {
 			stepTasksByRack[worker.Rack] += worker.stepTasks
 		}
 	}
@@ -51,7 +49,7 @@
 		return nil // tasks of the previous run have not ended yet
 	}
 	var plan []Assignment
-	choosers := []*chooser{newChooser(s, c.job, step, stepTasksByRack)}
+	choosers := []*chooser{newChooser(stepScope, c.job, step, stepTasksByRack)}
 	var overdueChooser, starvedChooser *chooser
 	mayFitTwice := true
 	for index := range stepState.Tasks {
@@ -63,17 +61,17 @@
 		overdue := worker == nil && isOverdue(s, step, task)
 		if overdue {
 			if overdueChooser == nil {
-				overdueChooser = newOverdueChooser(s, c.job, step, stepTasksByRack)
+				overdueChooser = newOverdueChooser(stepScope, c.job, step, stepTasksByRack)
 				choosers = append(choosers, overdueChooser)
 			}
 			worker, speed = overdueChooser.choose(task)
 		}
 		if worker == nil && overdue && mayFitTwice {
-			mayFitTwice = fitsTwice(s, c.job, step)
+			mayFitTwice = fitsTwice(stepScope, c.job, step)
 		}
 		if worker == nil && (c.isStarved || (overdue && mayFitTwice)) {
 			if starvedChooser == nil {
-				starvedChooser = newStarvedChooser(s, c.job, step, stepTasksByRack)
+				starvedChooser = newStarvedChooser(stepScope, c.job, step, stepTasksByRack)
 				choosers = append(choosers, starvedChooser)
 			}
 			worker, speed = starvedChooser.choose(task)
@@ -88,7 +86,7 @@
 				break // all tasks of a step need the same resources
 			}
 			if overdue {
-				waiting.add(s, c, stepIndex, task)
+				waiting.add(stepScope, c, stepIndex, task)
 			}
 			continue
 		}
--- a/internal/placement/shortage.go
+++ b/internal/placement/shortage.go
@@ -19,7 +19,7 @@
 // ShortageOf returns the shortage of the step of a job.
 func (s *Snapshot) ShortageOf(j *jobs.Job, occ, stepIndex int) Shortage {
 	step := &j.Spec.Steps[stepIndex]
-	s.countStepTasks(&j.Occurrences[occ].Steps[stepIndex])
+	scope{snapshot: s, workers: s.Workers}.countStepTasks(&j.Occurrences[occ].Steps[stepIndex])
 	var shortage Shortage
 	for _, worker := range s.Workers {
 		if worker.Service != j.Queue.Service || !worker.HasLabel(step.Label) {
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -70,8 +70,8 @@
 	perpetual     Resources // reservations of the perpetual tasks
 	isHeld        bool      // see holds
 
-	stepTasks int // number of placed tasks of the step that is being planned; see Snapshot.countStepTasks
-	position  int // index of the worker in the snapshot of the step that is being planned
+	stepTasks int // number of placed tasks of the step that is being planned; see scope.countStepTasks
+	position  int // index of the worker in the scope of the step that is being planned
 }
 
 // ServingTask is a task with a latency target on a worker.
@@ -98,8 +98,10 @@
 	return false
 }
 
-// Snapshot is the input of one planning pass. The pass updates the free resources, starts and tasks in Workers.
+// Snapshot is the input of one planning pass. The pass updates the free resources, starts and tasks in Workers. A Snapshot must not be
+// copied: the tasks in Workers refer to its pair table.
 type Snapshot struct {
+	_          noCopy
 	BootTimeMs int64 // current time on the owner's boot clock
 	WallMs     int64 // current time in Unix milliseconds
 	Jobs       []*jobs.Job
@@ -118,7 +120,7 @@
 
 	pairs        *pairTable         // see Snapshot.pairTable
 	workerByName map[string]*Worker // of all workers of the pass; see Snapshot.worker
-	ratings      *[3][]rating       // buffers of the choosers, reused for each step of the pass
+	ratings      [3][]rating        // buffers of the choosers, reused for each step of the pass
 }
 
 // StepID identifies a step of one occurrence of a job. Occ and Step are indexes.
@@ -127,18 +129,32 @@
 	Occ, Step int
 }
 
-// restrictedTo returns a snapshot with only the named workers. Both snapshots share the workers, so an allocation in one applies to
-// the other.
-func (s *Snapshot) restrictedTo(names map[string]bool) *Snapshot {
-	s.worker("") // both snapshots share the index
-	restricted := *s
-	restricted.Workers = nil
+// noCopy makes go vet report copies of the structs that contain it.
+type noCopy struct{}
+
+func (*noCopy) Lock()   {}
+func (*noCopy) Unlock() {}
+
+// scope is what the planning of one step sees of a snapshot: the workers that may run the step. All state of the pass is in the
+// snapshot, which all steps share.
+type scope struct {
+	snapshot *Snapshot
+	workers  []*Worker
+}
+
+// scopeOf returns the scope of a step: all workers, or the advised ones if the step needs advice.
+func (s *Snapshot) scopeOf(j *jobs.Job, occ, stepIndex int) scope {
+	if !j.Spec.Steps[stepIndex].Advised {
+		return scope{snapshot: s, workers: s.Workers}
+	}
+	advised := scope{snapshot: s}
+	names := s.AdvisedWorkers[StepID{Job: j.ID, Occ: occ, Step: stepIndex}]
 	for _, w := range s.Workers {
 		if names[w.Name] {
-			restricted.Workers = append(restricted.Workers, w)
+			advised.workers = append(advised.workers, w)
 		}
 	}
-	return &restricted
+	return advised
 }
 
 // open returns the workers that are not closed. All others have no part in the room of the fleet.
@@ -173,13 +189,13 @@
 }
 
 // countStepTasks sets the number of placed tasks of the step on each worker, and the positions of the workers.
-func (s *Snapshot) countStepTasks(stepState *jobs.StepState) {
-	for i, w := range s.Workers {
+func (s scope) countStepTasks(stepState *jobs.StepState) {
+	for i, w := range s.workers {
 		w.stepTasks, w.position = 0, i
 	}
 	for i := range stepState.Tasks {
 		if task := &stepState.Tasks[i]; task.State == jobs.TaskPlaced {
-			if w := s.worker(task.Worker); w != nil {
+			if w := s.snapshot.worker(task.Worker); w != nil {
 				w.stepTasks++
 			}
 		}
