jobowner: planning passes report workers that do not take all starts

Change: event 3625 (starts_limited) and two gauges count the workers in quarantine and on probation while tasks wait; 3611 (run_placed) says whether a start is a probe.

--- a/internal/events/jobowner.go
+++ b/internal/events/jobowner.go
@@ -21,6 +21,7 @@
 	RunPaced         = register(3619, "run_paced", zerolog.InfoLevel, "The owner changed the share of full speed allowed to a best-effort run, to protect the serving runs on its host.")
 	TaskWaits        = register(3620, "task_waits", zerolog.InfoLevel, "Perpetual tasks wait for a worker; once a second the line has the one that waits for longest and the free resources after the planning pass.")
 	AgentSilent      = register(3621, "agent_silent", zerolog.WarnLevel, "The owner has not heard from an agent with runs; it confirms no report of the agent before this is over.")
+	StartsLimited    = register(3625, "starts_limited", zerolog.WarnLevel, "Jobs wait while workers take no starts (quarantined) or one at a time (on probation), because runs of several jobs have failed there; at most once a second the line has the numbers.")
 	RecordUnreadable = register(3623, "record_unreadable", zerolog.ErrorLevel, "Positions of the job log hold something that is not a record; a new owner skips them. The line has the first position and their number.")
 	DomainClosed     = register(3631, "domain_out_of_service", zerolog.WarnLevel, "Operators have taken a failure domain out of service; nothing starts there. The line has the number of such domains.")
 	DomainReopened   = register(3632, "domain_in_service", zerolog.InfoLevel, "A failure domain is in service again; its workers take starts again.")
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -100,6 +100,7 @@
 	adviceByStep     map[string]*stepAdvice            // by stepKey
 	placedByAgent    map[string]map[string]*placedTask // by agent name and task ID
 	workerHealth     *placement.HealthTracker
+	limitedStarts    limitedStarts
 	bestEffortBuffer []*placedTask // used by workerView
 	// interference is loaded from the store at the start of the term and refined by the reports of the agents.
 	interference      *placement.Interference
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -164,6 +164,7 @@
 		return
 	}
 	snapshot := o.placementSnapshot()
+	o.reportLimitedStarts(snapshot)
 	if len(snapshot.Jobs) == 0 || len(snapshot.Workers) == 0 {
 		o.interference.SetBacklog(0)
 		return
@@ -251,6 +252,7 @@
 	snapshot := &placement.Snapshot{BootTimeMs: bootTimeMs(), WallMs: wallTimeMs(), Interference: o.interference, DelayCost: o.delayCost(), PackServing: o.cfg.PackServing,
 		AdvisedWorkers: map[placement.StepID]map[string]bool{}}
 	now := boottime.Now()
+	o.limitedStarts.quarantined, o.limitedStarts.onProbation = 0, 0
 	for _, member := range o.members {
 		worker := member.worker
 		if !member.Agent || !member.isReady() || worker == nil || worker.Draining || worker.Gone || now < member.blockedUntil ||
@@ -259,8 +261,12 @@
 		}
 		maxStarts := o.workerHealth.MaxStarts(member.Name, bootTimeMs())
 		if maxStarts == 0 {
+			o.limitedStarts.quarantined++
 			continue
 		}
+		if maxStarts > 0 {
+			o.limitedStarts.onProbation++
+		}
 		snapshot.Workers = append(snapshot.Workers, o.workerView(snapshot, member, worker, maxStarts))
 	}
 	slices.SortFunc(snapshot.Workers, func(a, b *placement.Worker) int { return strings.Compare(a.Name, b.Name) })
@@ -335,13 +341,14 @@
 	task := assignment.Job.Task(id)
 	task.PlacedMs, task.LastProgressMs, task.PacePercent = bootTimeMs(), bootTimeMs(), pacePercent(assignment.Pace)
 	o.trackPlaced(assignment.Job, id, task)
+	isProbe := o.workerHealth.MaxStarts(start.Worker, bootTimeMs()) > 0
 	o.workerHealth.RecordStart(start.Worker, bootTimeMs())
 	placed := o.placedByAgent[start.Worker][id.String()]
 	placed.measure()
 	events.RunPlaced.Log(&o.cfg.Log).Str("job", assignment.Job.ID).Str("task", id.String()).Int("run", start.Run).
 		Str("agent", start.Worker).Str("image", assignment.Job.Spec.Steps[start.Step].Image).
 		Int64("waited_ms", wallTimeMs()-assignment.Job.AcceptedMs).Int("pace", task.PacePercent).
-		Str("kind", placed.step.Kind()).Int("cpu", placed.step.CPU).Int64("est_ms", placed.step.EstimateMs).Send()
+		Str("kind", placed.step.Kind()).Int("cpu", placed.step.CPU).Int64("est_ms", placed.step.EstimateMs).Bool("probe", isProbe).Send()
 	o.pendingEffects = append(o.pendingEffects, func() { o.queueStart(placed, start.Run) })
 }
 
