placement: restarts of perpetual tasks that keep failing are delayed

Callers saw: nothing by itself; a lasting job whose tasks fail soon after their start takes the store's writes and the owner's time from others.

Cause: a failed perpetual task waits again at once and is placed by the next pass. Nothing delays it.

Change: the first restart is at once; each further failure within 5 s of a start doubles a delay from 100 ms to 2 s. A gang waits for the longest delay of its tasks.

Before: TestTaskThatFailsAtOnceIsRestartedWithADelay, "8574 starts of 6 tasks in 20s". After: it passes (at most 120 starts), and the task is never away for longer than the 6 s that the operators allow.

--- a/internal/jobowner/report.go
+++ b/internal/jobowner/report.go
@@ -6,6 +6,7 @@
 	"bamboofork/internal/boottime"
 	"bamboofork/internal/events"
 	"bamboofork/internal/jobs"
+	"bamboofork/internal/placement"
 	"bamboofork/internal/session"
 )
 
@@ -111,6 +112,9 @@
 		Occ: placed.id.Occurrence, Step: placed.id.Step, Index: placed.id.Index, Run: placed.task.Run, Outcome: outcome,
 		Checkpoint: checkpoint, AtMs: wallTimeMs(), HasBegun: placed.task.RunStarted,
 	}})
+	if placed.step.Perpetual && outcome == jobs.EndFailed {
+		placement.DelayRestart(placed.task, bootTimeMs())
+	}
 	if placed.job.Ended() {
 		o.cleanUpJob(placed.job)
 	}
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -55,6 +55,8 @@
 	StartMaybeSent  bool  `json:"-"` // the start command may have been sent
 	CommandSeq      int64 `json:"-"` // sequence number of the message that carried the start command
 	WaitingSinceMs  int64 `json:"-"` // time on the owner's boot clock since which a perpetual task waits; 0: not recorded
+	EarlyFailures   int   `json:"-"` // number of failed runs of a perpetual task since its last sound run, see placement.DelayRestart
+	NoStartUntilMs  int64 `json:"-"` // time on the owner's boot clock before which a perpetual task is not started again; 0: none
 	PlacedMs        int64 `json:"-"` // time on the owner's boot clock at the placement, or at the recovery of the job by a new owner
 	RunStarted      bool  `json:"-"` // the agent has reported the run as started
 	ProgressPercent int   `json:"-"` // last reported progress, in percent
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -45,8 +45,8 @@
 	for index := range stepState.Tasks {
 		lastRunNumber = max(lastRunNumber, stepState.Tasks[index].Run)
 	}
-	if step.Gang && stepState.WaitingTasks < len(stepState.Tasks) {
-		return nil // tasks of the previous run have not ended yet
+	if step.Gang && !gangMayStart(stepState, s.BootTimeMs) {
+		return nil
 	}
 	var plan []Assignment
 	choosers := []*chooser{newChooser(stepScope, c.job, step, stepTasksByRack)}
@@ -54,7 +54,7 @@
 	mayFitTwice := true
 	for index := range stepState.Tasks {
 		task := &stepState.Tasks[index]
-		if task.State != jobs.TaskWaiting {
+		if !mayStart(task, s.BootTimeMs) {
 			continue
 		}
 		worker, speed := choosers[0].choose(task)
@@ -109,6 +109,16 @@
 	return plan
 }
 
+// gangMayStart reports whether all tasks of a gang may start: no task of its previous run is still placed, and no restart is delayed.
+func gangMayStart(stepState *jobs.StepState, nowMs int64) bool {
+	for i := range stepState.Tasks {
+		if !mayStart(&stepState.Tasks[i], nowMs) {
+			return false
+		}
+	}
+	return true
+}
+
 // Allocate allocates resources of the worker to a task of the step. group identifies the serving tasks that share the load of the
 // same users. pace is the share of full speed at which a best-effort task runs.
 func (s *Snapshot) Allocate(worker *Worker, step *jobs.Step, group string, pace float64) {
