placement: jobs that fail on several workers do not quarantine workers

Cause: a failed run always counted against its worker, so two jobs that fail everywhere quarantined all workers; the one start of a worker on probation went to the lasting jobs, which come first and fail again; and nothing limited the share of quarantined workers.

Change: a job that has failed on three workers without a sound run is at fault. Its failures are withdrawn and count against no worker. A worker on probation takes no start of a job that has failed there or is at fault. At most half of the open workers of a service are limited, those with the most failed jobs. A lasting run of 5 s is sound: it ends the fault of its job, and its later failure is no evidence. A worker that fails different jobs is quarantined as before.

--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -128,6 +128,7 @@
 	step *jobs.Step
 	task *jobs.Task
 
+	isSound    bool    // a perpetual run that has been at work for long enough, see placement.IsSoundRun
 	isMeasured bool    // workMs is the work of the whole run
 	workMs     float64 // until measuredMs, in ms at full speed
 	measuredMs int64   // time on the owner's boot clock
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -52,9 +52,10 @@
 		for _, placed := range tasks {
 			if member := o.members[name]; member != nil && member.isReady() && !placed.task.Stopping &&
 				placement.RunStuck(placed.step, placed.task, bootTimeMs()) {
-				o.workerHealth.Record(name, placed.job.ID, jobs.EndFailed, bootTimeMs())
+				o.recordOutcome(name, placed, jobs.EndFailed)
 				o.stopRun(name, placed, "no progress")
 			}
+			o.noteSoundRun(placed)
 		}
 	}
 }
@@ -252,23 +253,15 @@
 	snapshot := &placement.Snapshot{BootTimeMs: bootTimeMs(), WallMs: wallTimeMs(), Interference: o.interference, DelayCost: o.delayCost(), PackServing: o.cfg.PackServing,
 		AdvisedWorkers: map[placement.StepID]map[string]bool{}}
 	now := boottime.Now()
-	o.limitedStarts.quarantined, o.limitedStarts.onProbation = 0, 0
 	for _, member := range o.members {
 		worker := member.worker
 		if !member.Agent || !member.isReady() || worker == nil || worker.Draining || worker.Gone || now < member.blockedUntil ||
 			o.isSilent(member) {
 			continue
 		}
-		maxStarts := o.workerHealth.MaxStarts(member.Name, bootTimeMs())
-		if maxStarts == 0 {
-			o.limitedStarts.quarantined++
-			continue
-		}
-		if maxStarts > 0 {
-			o.limitedStarts.onProbation++
-		}
-		snapshot.Workers = append(snapshot.Workers, o.workerView(snapshot, member, worker, maxStarts))
+		snapshot.Workers = append(snapshot.Workers, o.workerView(snapshot, member, worker))
 	}
+	o.limitStarts(snapshot)
 	slices.SortFunc(snapshot.Workers, func(a, b *placement.Worker) int { return strings.Compare(a.Name, b.Name) })
 	return snapshot
 }
@@ -291,9 +284,8 @@
 	}
 }
 
-// workerView returns the planning data of a worker, from whose free resources the placed tasks are already deducted. maxStarts
-// is the maximum number of starts on the worker in this planning pass.
-func (o *Owner) workerView(snapshot *placement.Snapshot, member *memberView, worker *session.Worker, maxStarts int) *placement.Worker {
+// workerView returns the planning data of a worker, from whose free resources the placed tasks are already deducted.
+func (o *Owner) workerView(snapshot *placement.Snapshot, member *memberView, worker *session.Worker) *placement.Worker {
 	view := &placement.Worker{
 		Name: member.Name, Lifetime: worker.Lifetime, Service: worker.Service, Zone: worker.Zone,
 		Rack: rackOf(worker.Labels), Labels: worker.Labels,
@@ -312,7 +304,6 @@
 		snapshot.Allocate(view, placed.step, placed.job.ID, float64(placed.task.PacePercent)/jobs.FullPacePercent)
 	}
 	o.bestEffortBuffer = bestEffort
-	view.MaxStarts = maxStarts
 	if at, ok := o.domains.returnedAt[worker.Zone]; ok {
 		view.LimitReturning((boottime.Now() - at).Milliseconds())
 	}
@@ -341,8 +332,10 @@
 	task := assignment.Job.Task(id)
 	task.PlacedMs, task.LastProgressMs, task.PacePercent = bootTimeMs(), bootTimeMs(), pacePercent(assignment.Pace)
 	o.trackPlaced(assignment.Job, id, task)
-	isProbe := o.workerHealth.MaxStarts(start.Worker, bootTimeMs()) > 0
-	o.workerHealth.RecordStart(start.Worker, bootTimeMs())
+	isProbe := o.limitedStarts.onProbation[start.Worker]
+	if isProbe {
+		o.workerHealth.RecordStart(start.Worker, bootTimeMs())
+	}
 	placed := o.placedByAgent[start.Worker][id.String()]
 	placed.measure()
 	events.RunPlaced.Log(&o.cfg.Log).Str("job", assignment.Job.ID).Str("task", id.String()).Int("run", start.Run).
--- a/internal/jobowner/report.go
+++ b/internal/jobowner/report.go
@@ -78,7 +78,7 @@
 		if placed.job.Ended() {
 			o.endRun(placed, jobs.EndStopped, runEnd.Checkpoint, string(runEnd.Outcome))
 		} else {
-			o.workerHealth.Record(member.Name, placed.job.ID, runEnd.Outcome, bootTimeMs())
+			o.recordOutcome(member.Name, placed, runEnd.Outcome)
 			o.endRun(placed, runEnd.Outcome, runEnd.Checkpoint, "listed by the worker")
 		}
 	}
@@ -129,6 +129,7 @@
 	o.costs.jobEnded(job, wallTimeMs())
 	o.forgetAdvice(job)
 	o.interference.Forget(job.ID)
+	o.workerHealth.ForgetJob(job.ID)
 	events.JobEnded.Log(&o.cfg.Log).Str("job", job.ID).Str("state", string(job.State())).
 		Int64("after_ms", wallTimeMs()-job.AcceptedMs).Send()
 	for name, tasks := range o.placedByAgent {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -173,6 +173,7 @@
 // accepts reports whether the worker accepts a task of the step that is being planned, whatever its free resources.
 func accepts(worker *Worker, j *jobs.Job, step *jobs.Step) bool {
 	return worker.MaxStarts != 0 && !worker.Closed &&
+		(worker.isBarred == nil || !worker.isBarred(j.ID)) &&
 		!(step.BestEffort && worker.BestEffortPaused) &&
 		worker.Service == j.Queue.Service &&
 		worker.HasLabel(step.Label) &&
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -69,6 +69,9 @@
 	bestEffortCPU int       // CPU in use by best-effort tasks at their paces, in thousandths of a core
 	perpetual     Resources // reservations of the perpetual tasks
 	isHeld        bool      // see holds
+	// isBarred is set on probation. It reports whether a job takes no start on the worker: another failure of a job that has failed there,
+	// or that is at fault, would prove nothing, and the start would be lost to the jobs that can end the probation.
+	isBarred func(job string) bool
 
 	stepTasks int // number of placed tasks of the step that is being planned; see scope.countStepTasks
 	position  int // index of the worker in the scope of the step that is being planned
