jobowner: a job that progresses nowhere does not quarantine workers

Cause: a worker on which no run progresses counted as stalled, whatever the runs of the same jobs do on other workers.

--- a/internal/deployed/failing_jobs_test.go
+++ b/internal/deployed/failing_jobs_test.go
@@ -76,6 +76,32 @@
 	})
 }
 
+// Guards against jobs that wait because the tasks of another job hang: a worker on which nothing else ran counted as stalled, so that such
+// a job quarantined the whole fleet.
+func TestJobsStartBesideAJobWhoseTasksHang(t *testing.T) {
+	for seed := *failingFirst; seed < *failingFirst+*failingSeeds; seed++ {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newVirtualFleet(t, seed)
+				defer f.close()
+				const id = "a000000000000f00"
+				for _, m := range f.hosts {
+					m.worker.SetFaults(standin.WorkerFaults{HangingJobs: map[string]bool{id: true}})
+				}
+				time.Sleep(2 * time.Second)
+				body := fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"cpu":2000,"mem_mb":100,"estimate_ms":%d}]}`, (2+f.rng.IntN(3))*virtualHosts, 300+f.rng.IntN(3000))
+				if code, answer := f.request(f.entries[0], http.MethodPost, id, body); code != http.StatusOK {
+					t.Fatal(code, answer)
+				}
+				f.checkShortJobsStart(0, 15, func() {})
+				if len(f.ownerLines("starts_limited")) > 0 {
+					t.Error("workers were quarantined")
+				}
+			})
+		})
+	}
+}
+
 // startFailingJobs hands in two to four lasting jobs whose tasks fail on each worker, and returns their ids. The first worker has the
 // given faults too.
 func (f *virtualFleet) startFailingJobs(faultsOfFirst standin.WorkerFaults) []string {
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -45,9 +45,10 @@
 		}
 	}
 	o.updateIdleTimes()
+	var progressByJob jobProgress // of all workers, once a worker needs it
 	for name, tasks := range o.placedByAgent {
-		if member := o.members[name]; member != nil && member.isReady() && !member.bestEffortPaused {
-			o.stopStalledRuns(member, tasks)
+		if member := o.members[name]; o.showsProgress(member) {
+			o.stopStalledRuns(member, tasks, &progressByJob)
 		}
 		for _, placed := range tasks {
 			if member := o.members[name]; member != nil && member.isReady() && !placed.task.Stopping &&
@@ -60,19 +61,68 @@
 	}
 }
 
-// stopStalledRuns stops the runs of a worker on which no run progresses, so that the runs are placed elsewhere. A run without
-// checkpoints stays if its progress exceeds maxStalledProgressPercent, because it would lose too much work.
-func (o *Owner) stopStalledRuns(member *memberView, tasks map[string]*placedTask) {
+// jobProgress holds the progress of the runs of each job that are not perpetual, by agent.
+type jobProgress map[*jobs.Job]map[string][]placement.Progress
+
+// showsProgress reports whether the reports of an agent show the progress of its runs. It is nil for an agent that is not known.
+func (o *Owner) showsProgress(member *memberView) bool {
+	return member != nil && member.isReady() && !member.bestEffortPaused
+}
+
+// mayProgress reports whether a run is expected to make progress until it ends.
+func mayProgress(placed *placedTask) bool { return !placed.step.Perpetual && !placed.task.Stopping }
+
+func progressOf(placed *placedTask, nowMs int64) placement.Progress {
+	return placement.Progress{EstimateMs: placed.step.EstimateMs, StalledMs: nowMs - placed.task.LastProgressMs,
+		HasBegun: placed.task.ProgressPercent > 0}
+}
+
+// progressByJob returns the progress of the runs on all workers. It includes runs whose start has not been reported yet.
+func (o *Owner) progressByJob(nowMs int64) jobProgress {
+	byJob := jobProgress{}
+	for name, tasks := range o.placedByAgent {
+		if !o.showsProgress(o.members[name]) {
+			continue
+		}
+		for _, placed := range tasks {
+			if !mayProgress(placed) {
+				continue
+			}
+			if byJob[placed.job] == nil {
+				byJob[placed.job] = map[string][]placement.Progress{}
+			}
+			byJob[placed.job][name] = append(byJob[placed.job][name], progressOf(placed, nowMs))
+		}
+	}
+	return byJob
+}
+
+// stopStalledRuns stops the runs of a worker on which no run progresses, so that the runs are placed elsewhere, unless all of them are of
+// jobs that progress nowhere. A run without checkpoints stays if its progress exceeds maxStalledProgressPercent, because it would lose too
+// much work.
+func (o *Owner) stopStalledRuns(member *memberView, tasks map[string]*placedTask, progressByJob *jobProgress) {
 	now := bootTimeMs()
 	var runs []placement.Progress
 	for _, placed := range tasks {
-		if !placed.step.Perpetual && placed.task.RunStarted && !placed.task.Stopping {
-			runs = append(runs, placement.Progress{EstimateMs: placed.step.EstimateMs, StalledMs: now - placed.task.LastProgressMs})
+		if mayProgress(placed) && placed.task.RunStarted {
+			runs = append(runs, progressOf(placed, now))
 		}
 	}
 	if !placement.WorkerStalled(runs) {
 		return
 	}
+	if *progressByJob == nil {
+		*progressByJob = o.progressByJob(now)
+	}
+	isWorkersFault := false
+	for _, placed := range tasks {
+		if mayProgress(placed) && placed.task.RunStarted && !placement.JobStalled((*progressByJob)[placed.job]) {
+			isWorkersFault = true
+		}
+	}
+	if !isWorkersFault {
+		return
+	}
 	o.workerHealth.Quarantine(member.Name, now)
 	for _, placed := range tasks {
 		if !placed.step.Perpetual && !placed.task.Stopping && (placed.step.Checkpointing || placed.task.ProgressPercent <= maxStalledProgressPercent) {
--- a/internal/placement/health_test.go
+++ b/internal/placement/health_test.go
@@ -172,3 +172,29 @@
 		qt.Check(t, share < 0.02, qt.IsTrue, qt.Commentf("seed %d: sound workers are limited for %.3f of the time", seed, share))
 	}
 }
+
+// Guards against the quarantine of sound workers because the runs of one job hang, or are slower than their estimate, on all of them. Also
+// guards against sparing a worker whose runs stall while other runs of their job progress elsewhere.
+func TestJobThatProgressesNowhereIsNoEvidenceAgainstWorkers(t *testing.T) {
+	stalled := placement.Progress{EstimateMs: 600, StalledMs: 1500, HasBegun: true}
+	late := placement.Progress{EstimateMs: 600, StalledMs: 1100, HasBegun: true}
+	young := placement.Progress{EstimateMs: 600, StalledMs: 50}
+	progressing := placement.Progress{EstimateMs: 600, StalledMs: 300, HasBegun: true}
+	for _, c := range []struct {
+		name string
+		runs [][]placement.Progress // by worker
+		want bool
+	}{
+		{"stalled on three workers", [][]placement.Progress{{stalled, stalled}, {stalled}, {stalled}}, true},
+		{"about to stall on the others", [][]placement.Progress{{stalled}, {late}, {young}}, true},
+		{"one run progresses", [][]placement.Progress{{stalled}, {stalled}, {stalled, progressing}}, false},
+		{"two workers", [][]placement.Progress{{stalled, stalled}, {stalled}}, false},
+		{"no runs", nil, false},
+	} {
+		runsByWorker := map[string][]placement.Progress{}
+		for i, runs := range c.runs {
+			runsByWorker[fmt.Sprint("w", i)] = runs
+		}
+		qt.Check(t, placement.JobStalled(runsByWorker), qt.Equals, c.want, qt.Commentf("%s", c.name))
+	}
+}
--- a/internal/placement/stalled.go
+++ b/internal/placement/stalled.go
@@ -31,6 +31,7 @@
 type Progress struct {
 	EstimateMs int64
 	StalledMs  int64 // time since the last change of the progress, or since the start of the run
+	HasBegun   bool  // the run has shown progress since its start
 }
 
 // WorkerStalled reports whether none of a worker's runs makes progress. WorkerStalled detects a worker that still sends reports while
@@ -40,10 +41,28 @@
 	if len(runs) < minStalledRuns {
 		return false
 	}
-	for _, r := range runs {
-		if r.StalledMs <= max(minStalledMs, r.EstimateMs/stalledDivisor) {
+	for i := range runs {
+		if runs[i].StalledMs <= runs[i].stallLimitMs() {
 			return false
 		}
 	}
 	return true
 }
+
+// stallLimitMs returns the time without progress after which the run counts as stalled.
+func (p *Progress) stallLimitMs() int64 { return max(minStalledMs, p.EstimateMs/stalledDivisor) }
+
+// JobStalled reports whether no run of one job progresses on any of several workers. The job is then at fault, or slower than its estimate,
+// and its runs are no evidence against a worker. runsByWorker holds its runs that are not perpetual, by worker. The runs of a step
+// begin at about the same time, and the first of them is judged before the others have stalled. A run therefore counts as progressing only
+// if it has shown progress within half of the time after which it would be stalled.
+func JobStalled(runsByWorker map[string][]Progress) bool {
+	for _, runs := range runsByWorker {
+		for i := range runs {
+			if runs[i].HasBegun && runs[i].StalledMs <= runs[i].stallLimitMs()/2 {
+				return false
+			}
+		}
+	}
+	return len(runsByWorker) >= faultyAfterWorkers
+}
