route: a pool whose servers are all suspected is used nevertheless

Callers saw: all requests to an entry end as not_run with "no server of pool fitting-desk is known" while all servers work (TestRequestPath/slow_and_lossy_links in KNOWN-RED.txt, beside load).

Cause: the subtest before it discards all bytes on the control connections; beside load the entries then suspect all agents at once, and the balancer leaves suspected servers out without a limit. The slow and lossy links have no part in it: all 20 requests fail within 0.1 s, with that text.

Servers that leave or whose backend is down get nothing, as before.

--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -167,6 +167,28 @@
 	}
 }
 
+// Guards against an entry that refuses all requests of a pool because it suspects all its servers at once, for instance after its own links
+// were lost. Servers that leave get nothing even then.
+func TestSuspectedServersArePickedIfThereAreNoOthers(t *testing.T) {
+	for _, policy := range route.Policies() {
+		synctest.Test(t, func(t *testing.T) {
+			f := newMembers(3, 1)
+			f.statuses[0].Leaving = true
+			f.statuses[1].Suspect = true
+			f.statuses[2].Suspect = true
+			b := newBalancer(f, policy)
+			seen := map[string]bool{}
+			for range 100 {
+				d := b.Pick("pool", nil)
+				qt.Assert(t, d.Chosen, qt.IsNotNil, qt.Commentf("%s", d.Explain()))
+				seen[d.Chosen.ID] = true
+				reportDone(b, d.Chosen, false)
+			}
+			qt.Check(t, seen["agent-00"], qt.IsFalse)
+		})
+	}
+}
+
 func BenchmarkPick(b *testing.B) {
 	f := newMembers(1000, 4)
 	bal := newBalancer(f, route.PolicyCost)
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -16,8 +16,10 @@
 	pools   map[string]*pool
 }
 
-// pool holds the servers of one pool that are neither shutting down, suspected nor down.
+// pool holds the servers of one pool that are neither shutting down, suspected nor down. If all others are suspected, it holds the suspected
+// ones: the links of the entry itself are then the more likely fault, and refusing every request would help nobody.
 type pool struct {
+	suspectedServers []*Server
 	allServers       []*Server // local and remote servers, at most maxServers
 	localServers     []*Server // in the entry's failure domain
 	remoteServers    []*Server
@@ -40,7 +42,7 @@
 		}
 		seenIDs[m.ID] = true
 		state := b.trackMember(m, now)
-		if m.Leaving || m.Suspect || m.Load.BackendDown {
+		if m.Leaving || m.Load.BackendDown {
 			continue
 		}
 		p := v.pools[m.Load.Backend]
@@ -48,7 +50,12 @@
 			p = &pool{}
 			v.pools[m.Load.Backend] = p
 		}
-		p.allServers = append(p.allServers, &Server{Member: m.Member, isLocal: m.Domain == b.domain, state: state})
+		server := &Server{Member: m.Member, isLocal: m.Domain == b.domain, state: state}
+		if m.Suspect {
+			p.suspectedServers = append(p.suspectedServers, server)
+		} else {
+			p.allServers = append(p.allServers, server)
+		}
 	}
 	for id := range b.servers {
 		if !seenIDs[id] {
@@ -89,6 +96,10 @@
 
 // finalize limits the pool to maxServers, splits it into local and remote servers, and computes the means.
 func (p *pool) finalize(domain string) {
+	if len(p.allServers) == 0 {
+		p.allServers = p.suspectedServers
+	}
+	p.suspectedServers = nil
 	if len(p.allServers) > maxServers {
 		p.selectSubset(domain)
 	}
