jobowner: what is kept of accepted jobs has a limit

Cause: nothing counts what an owner keeps.

At the limit a new job is refused at once as not run, with a Retry-After from the rate at which memory comes back; accepted jobs go on, are answered and can be cancelled, repeated submissions get their answer. Large jobs leave a quarter to small ones. Ended jobs drop their steps once that is durable. Event 3627, three metrics.

Before: TestOwnerHoldsACrowdOfAcceptedJobs (96 MB, 500 jobs) fails, no answer 200 after the owner's process was replaced. Not done: the owner does not know its callers, so many small jobs of one of them can take the whole limit.

--- a/internal/crowdtest/crowd_test.go
+++ b/internal/crowdtest/crowd_test.go
@@ -6,6 +6,9 @@
 	"flag"
 	"fmt"
 	"net"
+	"net/http"
+	"strings"
+	"sync"
 	"testing"
 
 	"bamboofork/platform/standin"
@@ -23,8 +26,12 @@
 	registrationCrowd = 1000     // connections
 	registrationBytes = 64 << 10 // sent by each of them
 	declaredBytes     = 4 << 20
-	peerCrowd         = 32      // connections
-	frameBytes        = 8 << 20 // maximum of a session
+	peerCrowd         = 32 // connections
+
+	largeJobs       = 500 // handed in one after the other by each of largeJobClients
+	largeJobClients = 8
+	largeJobSteps   = 250     // each runs after all earlier ones
+	frameBytes      = 8 << 20 // maximum of a session
 )
 
 var (
@@ -33,6 +40,8 @@
 	// loweredAgent are the limits under which the crowds at an agent are played. A registration is smaller than a job.
 	loweredAgent = limits{memoryMB: 64, maxFDs: 4100}
 	wide         = limits{memoryMB: 512, maxFDs: 4100}
+	// loweredOwner are the limits under which a crowd of accepted jobs is played.
+	loweredOwner = limits{memoryMB: 96, maxFDs: 4100}
 	// fewDescriptors are the limits under which the crowds of idle connections are played.
 	fewDescriptors = limits{memoryMB: 96, maxFDs: 450}
 )
@@ -184,6 +193,53 @@
 	})
 }
 
+// largeJob returns a job of under half of the maximum size that waits for a worker with a label that none has.
+func largeJob() string {
+	var steps, after []string
+	for i := range largeJobSteps {
+		steps = append(steps, fmt.Sprintf(`{"count":1,"cpu":1,"mem_mb":1,"estimate_ms":40,"requirements":"none","after":[%s]}`, strings.Join(after, ",")))
+		after = append(after, fmt.Sprint(i))
+	}
+	return `{"spec":"x","steps":[` + strings.Join(steps, ",") + "]}"
+}
+
+// Guards against an owner that accepts more jobs than it has memory for: it ended, and so did each successor that recovered them, so that
+// no accepted job was answered for anybody any more.
+func TestOwnerHoldsACrowdOfAcceptedJobs(t *testing.T) {
+	s := newSystem(t, wide, loweredOwner)
+	body, accepted, numbers := largeJob(), []string{}, make(chan int)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for range largeJobClients {
+		wg.Go(func() {
+			for n := range numbers {
+				id := fmt.Sprintf("b%015x", n)
+				if s.submit(id, body) == http.StatusOK {
+					mu.Lock()
+					accepted = append(accepted, id)
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	for n := range largeJobs {
+		numbers <- n
+	}
+	close(numbers)
+	wg.Wait()
+	t.Logf("%d of %d jobs of %d bytes accepted", len(accepted), largeJobs, len(body))
+	s.checkOrdinaryCaller("c1")
+	s.checkLimits(s.host)
+	for _, name := range []string{"c2", "c3"} {
+		s.replaceHost()
+		s.checkOrdinaryCaller(name)
+		for _, id := range accepted {
+			s.untilOK("read of an accepted job", http.MethodGet, id, "")
+		}
+		s.checkLimits(s.host)
+	}
+}
+
 // Played by hand: the limits of the smallest entry host, and as many connections as it has descriptors for.
 func TestEntryHoldsALargeCrowd(t *testing.T) {
 	if !*large {
--- a/internal/crowdtest/system_test.go
+++ b/internal/crowdtest/system_test.go
@@ -68,6 +68,8 @@
 	front  *proc
 	host   *proc
 	client *http.Client
+	// startHost starts the agent, which owns the jobs.
+	startHost func() *proc
 }
 
 var buildPrograms = sync.OnceValues(standin.BuildPrograms)
@@ -98,7 +100,9 @@
 	})
 	workerAddr := serve(t, worker)
 	s := &system{t: t, client: &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
-	s.host = startProgram(t, programDir, "bf-host", 1, host, serve(t, store.NewEndpoint()), workerAddr)
+	hostStore := serve(t, store.NewEndpoint())
+	s.startHost = func() *proc { return startProgram(t, programDir, "bf-host", 1, host, hostStore, workerAddr) }
+	s.host = s.startHost()
 	s.front = startProgram(t, programDir, "bf-front", 2, front, serve(t, store.NewEndpoint()), "")
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -218,6 +222,29 @@
 	}
 }
 
+// replaceHost kills the agent's process and starts another one, which recovers the jobs.
+func (s *system) replaceHost() {
+	qt.Assert(s.t, s.host.cmd.Process.Kill(), qt.IsNil)
+	<-s.host.exited
+	s.host = s.startHost()
+}
+
+// submit sends a job once and returns the status of the answer, 0 if there is none.
+func (s *system) submit(id, body string) int {
+	req, err := http.NewRequest(http.MethodPost, "http://"+s.front.ip+":7002"+standin.QueuePrefix+id, strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	req.Host = standin.QueueHost
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body) // the status is known
+	return resp.StatusCode
+}
+
 // checkOrdinaryCaller submits a job and reads its state. It sends each request again until the answer is 200, as callers do.
 func (s *system) checkOrdinaryCaller(id string) {
 	id += strings.Repeat("0", 16-len(id))
--- a/internal/deployed/host.go
+++ b/internal/deployed/host.go
@@ -42,6 +42,7 @@
 			Shortage:    p.cfg.Shortage.DelayCost,
 			SilentStore: p.cfg.SilentStore.Policy(),
 			PackServing: p.cfg.Colocation.PackServing,
+			MemoryLimit: jobowner.MemoryLimitFor(p.cfg.MemoryMB << 20),
 		},
 		Key:      election.NewKey(st, ownerKey, boottime.Now),
 		Self:     election.Owner{Name: p.cfg.Name, Addr: p.cfg.Listen.PeerAddr(), Incarnation: p.incarnation},
@@ -54,7 +55,7 @@
 		candidate.Config.Domains, candidate.Config.DomainsApply = platform.NewDomainReader(st), p.cfg.Evacuation.Apply()
 	}
 	member := jobowner.Member{Name: p.cfg.Name, Addr: p.cfg.Listen.PeerAddr(), Agent: true,
-		MaxHoldBesideOwnerMs: session.MaxHoldBesideOwner.Milliseconds()}
+		MaxHoldBesideOwnerMs: session.MaxHoldBesideOwner.Milliseconds(), MemoryMB: p.cfg.MemoryMB}
 	untilLastReport := func(run func(ctx context.Context) error) func(ctx context.Context) error {
 		return func(ctx context.Context) error {
 			extended, cancel := app.Extend(ctx, p.cfg.Bounds.Grace()/2)
--- a/internal/events/jobowner.go
+++ b/internal/events/jobowner.go
@@ -22,6 +22,7 @@
 	TaskWaits        = register(3620, "task_waits", zerolog.InfoLevel, "Perpetual tasks wait for a worker; once a second the line has the one that waits for longest and the free resources after the planning pass.")
 	AgentSilent      = register(3621, "agent_silent", zerolog.WarnLevel, "The owner has not heard from an agent with runs; it confirms no report of the agent before this is over.")
 	StartsLimited    = register(3625, "starts_limited", zerolog.WarnLevel, "Jobs wait while workers take no starts (quarantined) or one at a time (on probation), because runs of several jobs have failed there; at most once a second the line has the numbers.")
+	JobWithoutMemory = register(3627, "job_without_memory", zerolog.WarnLevel, "A job was rejected and will not run: what the owner keeps of the jobs has reached its limit. The line has the sizes in bytes and the time after which the caller may return.")
 	RecordUnreadable = register(3623, "record_unreadable", zerolog.ErrorLevel, "Positions of the job log hold something that is not a record; a new owner skips them. The line has the first position and their number.")
 	DomainClosed     = register(3631, "domain_out_of_service", zerolog.WarnLevel, "Operators have taken a failure domain out of service; nothing starts there. The line has the number of such domains.")
 	DomainReopened   = register(3632, "domain_in_service", zerolog.InfoLevel, "A failure domain is in service again; its workers take starts again.")
--- a/internal/jobowner/announcement.go
+++ b/internal/jobowner/announcement.go
@@ -13,6 +13,9 @@
 	"bamboofork/internal/store"
 )
 
+// maxMemoryMB bounds the memory that a member may announce. It can be converted to bytes.
+const maxMemoryMB = 1 << 30
+
 // decodeMember decodes an announcement. Other writers may have left values under MemberPrefix, so it returns an error unless the key
 // belongs to the name, and the address and the numbers can be those of a member. now is the local wall-clock time.
 func decodeMember(key string, value []byte, now time.Time) (Member, error) {
@@ -31,6 +34,8 @@
 		return Member{}, eris.Errorf("address %s has no port", announced.Addr)
 	case announced.EndedLifetime < 0 || announced.EndedLifetime > now.Add(session.MaxLifetimeAhead).UnixMilli():
 		return Member{}, eris.Errorf("ended lifetime %d", announced.EndedLifetime)
+	case announced.MemoryMB < 0 || announced.MemoryMB > maxMemoryMB:
+		return Member{}, eris.Errorf("memory of %d MB", announced.MemoryMB)
 	case announced.MaxHoldBesideOwnerMs < 0:
 		return Member{}, eris.Errorf("hold of %d ms", announced.MaxHoldBesideOwnerMs)
 	}
--- a/internal/jobowner/commit.go
+++ b/internal/jobowner/commit.go
@@ -140,7 +140,10 @@
 	records, err := encodeChanges(changes)
 	lastSeq := o.lastRecordSeq + int64(len(records))
 	var snapshot []byte // state after these records, without later changes
-	if err == nil && lastSeq-o.snapshotSeq >= o.recordsUntilSnapshot() && o.maySnapshot() {
+	for _, data := range records {
+		o.memory.tailBytes += int64(len(data))
+	}
+	if err == nil && o.needsSnapshot(lastSeq) && o.maySnapshot() {
 		snapshot, err = o.jobsState.Encode()
 	}
 	firstSeq := o.lastRecordSeq + 1
@@ -161,11 +164,13 @@
 		job.IsDurable, job.DurableState = true, state
 	}
 	runEffects(effects)
+	o.releaseEndedJobs(stateByJob)
 	o.sendQueuedCommands()
 	o.cfg.Metrics.Counter("owner_records").Inc(int64(len(records)))
 	o.cfg.Metrics.Counter("owner_changes").Inc(int64(len(changes)))
 	if snapshot != nil {
 		o.snapshotSeq = lastSeq
+		o.memory.tailBytes = 0
 		write := func() { go o.writeSnapshot(ctx, lastSeq, snapshot) }
 		if o.repeatSilences() {
 			o.pendingEffects = append(o.pendingEffects, write) // once they are durable: a successor may find nothing but the snapshot
--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -32,6 +32,8 @@
 	EndedLifetime int64 `json:"ended_lifetime,omitempty"`
 	// MaxHoldBesideOwnerMs bounds the hold of the agent's worker while the owner is on the same host; 0: no other bound than for all holds.
 	MaxHoldBesideOwnerMs int64 `json:"max_hold_beside_owner_ms,omitempty"`
+	// MemoryMB is the memory of the agent's machine, which may own the jobs; 0: not known.
+	MemoryMB int64 `json:"memory_mb,omitempty"`
 }
 
 type conn = session.Conn[session.ToMember, session.FromMember]
--- a/internal/jobowner/odd_entries_test.go
+++ b/internal/jobowner/odd_entries_test.go
@@ -29,7 +29,7 @@
 	odd := []string{"", "null", "7", "[]", "\xff\xfe\x00", nested, `{"a":` + nested + `}`, strings.Repeat("x", 1<<16)}
 	for _, member := range []string{
 		`"addr":"10.0.0.1:99999999"`, `"addr":"10.0.0.1:0"`, `"addr":"10.0.0.1"`, `"addr":""`, `"addr":8080`, `"addr":"host:7000"`, `"name":"host-2"`, `"name":""`, `"name":{}`,
-		`"ended_lifetime":9223372036854775807`, `"ended_lifetime":1e300`, `"ended_lifetime":-1`, `"max_hold_beside_owner_ms":-5`, `"agent":"yes"`,
+		`"ended_lifetime":9223372036854775807`, `"ended_lifetime":1e300`, `"ended_lifetime":-1`, `"max_hold_beside_owner_ms":-5`, `"memory_mb":-1`, `"memory_mb":9223372036854775807`, `"agent":"yes"`,
 	} {
 		odd = append(odd, `{"name":"host-1","addr":"10.0.0.1:7000","agent":true,`+member+`}`)
 	}
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -51,6 +51,8 @@
 	SilentStore *outage.Policy
 	// PackServing places serving tasks on few workers; see placement.Snapshot.
 	PackServing bool
+	// MemoryLimit bounds what is kept of the jobs, in bytes as decoded; 0: no limit. See MemoryLimitFor.
+	MemoryLimit int64
 }
 
 func (c *Config) recordsPerSnapshot() int64 {
@@ -101,6 +103,7 @@
 	placedByAgent    map[string]map[string]*placedTask // by agent name and task ID
 	workerHealth     *placement.HealthTracker
 	limitedStarts    limitedStarts
+	memory           keptMemory
 	bestEffortBuffer []*placedTask // used by workerView
 	// interference is loaded from the store at the start of the term and refined by the reports of the agents.
 	interference      *placement.Interference
@@ -174,6 +177,7 @@
 	fence := recovery.fence
 	o.jobsState, o.lastRecordSeq, o.epoch, o.snapshotSeq = recovery.state, fence.Seq, fence.Epoch, recovery.snapshotSeq
 	o.rebuildIndexes()
+	o.memory.limit, o.memory.tailBytes = cfg.MemoryLimit, recovery.tailBytes
 	o.recordedEpochs, o.heardEpochs = recovery.epochs, recovery.heardEpochs
 	if cfg.Shortage {
 		o.costs = newCostLearner(o.activeJobs)
@@ -223,6 +227,10 @@
 func (o *Owner) rebuildIndexes() {
 	for id, job := range o.jobsState.Jobs {
 		job.MarkDurable()
+		if job.Ended() && !job.HasPlacedTasks() {
+			job.ReleaseSteps()
+		}
+		o.memory.set(id, job.MemoryBytes(), boottime.Now())
 		if !job.Ended() {
 			o.activeJobs[id] = job
 		}
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -42,6 +42,7 @@
 	for id, job := range o.jobsState.Jobs {
 		if job.Ended() && job.IsDurable && nowWallMs-job.EndedMs > o.cfg.Retention.Milliseconds() && !job.HasPlacedTasks() {
 			o.apply(jobs.Change{JobID: id, Delete: &struct{}{}})
+			o.memory.set(id, 0, now)
 		}
 	}
 	o.updateIdleTimes()
--- a/internal/jobowner/recovery.go
+++ b/internal/jobowner/recovery.go
@@ -36,6 +36,7 @@
 	loadTime      time.Duration
 	recordCount   int
 	snapshotBytes int
+	tailBytes     int64   // of the records after the snapshot
 	unreadable    []int64 // positions whose content is not that of a record of the jobs
 }
 
@@ -90,7 +91,8 @@
 	}
 	r.snapshotBytes = len(loaded.Snapshot)
 	r.state, r.snapshotSeq, r.lastSeq, r.lastEpoch = state, loaded.SnapshotSeq, loaded.SnapshotSeq, loaded.SnapshotEpoch
-	r.epochs, r.heardEpochs, r.unreadable = nil, map[string]int64{}, nil
+	r.epochs, r.heardEpochs, r.unreadable, r.tailBytes = nil, map[string]int64{}, nil, 0
+	loaded.Snapshot = nil // not beside the records
 	r.applyRecords(loaded.Records)
 	return nil
 }
@@ -122,6 +124,7 @@
 		}
 		r.lastSeq, r.lastEpoch = record.Seq, record.Epoch
 		r.recordCount++
+		r.tailBytes += int64(len(record.Data))
 	}
 }
 
--- a/internal/jobowner/requests.go
+++ b/internal/jobowner/requests.go
@@ -80,6 +80,9 @@
 		reply(session.Reply{Code: session.CodeRejected, RetryMs: storeRetryAfterMs, Reason: reasonStoreUnavailable})
 		return
 	}
+	if o.refuseWithoutMemory(request, reply) {
+		return
+	}
 	submitted := &jobs.Job{ID: request.JobID, Queue: *request.Queue, Spec: *request.Spec, AcceptedMs: o.firstArrivalMs(request)}
 	if !o.admit(submitted, reply) {
 		return
@@ -87,6 +90,7 @@
 	o.apply(jobs.Change{Submit: submitted})
 	job := o.jobsState.Jobs[request.JobID]
 	o.activeJobs[job.ID] = job
+	o.memory.set(job.ID, job.MemoryBytes(), boottime.Now())
 	o.costs.submitted(job)
 	if hold != (heldSubmission{}) {
 		o.hold(job, hold, request)
@@ -129,6 +133,7 @@
 // withdrawUncommitted removes the submitted jobs that are in no record and for which reply returns a reply, and sends the reply to all who
 // submitted the job. The changes of such a job are removed with it, so that no later record contains it.
 func (o *Owner) withdrawUncommitted(reply func(job *jobs.Job) *session.Reply) {
+	now := boottime.Now()
 	kept, withdrawn := o.pendingChanges[:0], map[string]bool{}
 	for _, c := range o.pendingChanges {
 		if c.Submit == nil {
@@ -147,6 +152,7 @@
 		delete(o.jobsState.Jobs, job.ID)
 		delete(o.activeJobs, job.ID)
 		delete(o.held, job)
+		o.memory.set(job.ID, 0, now)
 		for _, send := range o.submitReplies[job] {
 			send(*answer)
 		}
