placement: a starved gang starts whole

Cause: the way out for a starved job places one task and is used up; the next member finds no worker and the gang is given up, in each pass.

Change: a starved gang uses the way out for all its members. A gang that does not fit leaves the workers exactly as they were; before, its starts, its count and its planned interference stayed for the rest of the pass. A slowed member of a gang is not moved, which would end the runs of all.

The p99 of the serving tasks beside a gang was not measured.

--- a/internal/jobowner/colocate.go
+++ b/internal/jobowner/colocate.go
@@ -153,7 +153,7 @@
 }
 
 // moveSlowedRun stops at most one run that has been slowed for at least minSlowedDurationMs, so that the run is placed again on
-// a worker where it runs faster.
+// a worker where it runs faster. The members of a gang stay: stopping one of them ends the runs of all.
 func (o *Owner) moveSlowedRun(member *memberView, tasks map[string]*placedTask, bestEffort []placement.BestEffortRun) {
 	now := bootTimeMs()
 	if now < member.lastMoveAtMs+minMoveIntervalMs {
@@ -161,7 +161,7 @@
 	}
 	for _, run := range bestEffort {
 		placed := tasks[run.Task]
-		if placed.task.SlowSinceMs == 0 || now < placed.task.SlowSinceMs+minSlowedDurationMs ||
+		if placed.step.Gang || placed.task.SlowSinceMs == 0 || now < placed.task.SlowSinceMs+minSlowedDurationMs ||
 			!(placed.step.Checkpointing || placed.task.ProgressPercent <= maxMoveProgressPercent) {
 			continue
 		}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -1,6 +1,10 @@
 package placement
 
-import "bamboofork/internal/jobs"
+import (
+	"slices"
+
+	"bamboofork/internal/jobs"
+)
 
 // Plan returns an assignment for each task that starts now, in the order in which the tasks were chosen.
 func Plan(s *Snapshot) []Assignment {
@@ -50,6 +54,10 @@
 	}
 	var plan []Assignment
 	choosers := []*chooser{newChooser(stepScope, c.job, step, stepTasksByRack)}
+	var changed changedWorkers
+	if step.Gang {
+		changed = changedWorkers{}
+	}
 	var overdueChooser, starvedChooser *chooser
 	mayFitTwice := true
 	for index := range stepState.Tasks {
@@ -75,11 +83,11 @@
 				choosers = append(choosers, starvedChooser)
 			}
 			worker, speed = starvedChooser.choose(task)
-			c.isStarved = false
+			c.isStarved = c.isStarved && step.Gang // one task is enough for a job to go on, but a gang starts whole
 		}
 		if worker == nil {
 			if step.Gang {
-				releaseGang(plan, s, step)
+				changed.restore()
 				return nil
 			}
 			if !step.Perpetual {
@@ -91,6 +99,7 @@
 			continue
 		}
 		pace := max(minStartPace, speed)
+		changed.keep(worker)
 		s.Allocate(worker, step, c.job.ID, pace)
 		worker.stepTasks++
 		if step.SameRack {
@@ -163,18 +172,22 @@
 	}
 }
 
-// releaseGang frees the resources of the assigned tasks of a gang that does not fit as a whole. The planned interference of these
-// tasks stays for the rest of the pass, so that the pass may start fewer best-effort tasks than possible.
-func releaseGang(plan []Assignment, s *Snapshot, step *jobs.Step) {
-	for _, a := range plan {
-		for _, worker := range s.Workers {
-			if worker.Name == a.Place.Worker {
-				worker.Free = worker.Free.Add(Need(step))
-				if step.Perpetual {
-					worker.perpetual = worker.perpetual.Sub(Need(step))
-				}
-				worker.IdleCPU += step.CPU
-			}
-		}
+// changedWorkers holds the workers that took tasks of a gang, as they were before. It is nil for a step that is no gang.
+type changedWorkers map[*Worker]Worker
+
+// keep keeps the state of a worker that is about to take a task.
+func (c changedWorkers) keep(worker *Worker) {
+	if _, kept := c[worker]; kept || c == nil {
+		return
+	}
+	before := *worker
+	before.Serving = slices.Clone(worker.Serving) // their planned interference changes in place
+	c[worker] = before
+}
+
+// restore takes the tasks of a gang that does not fit as a whole back from the workers.
+func (c changedWorkers) restore() {
+	for worker, before := range c {
+		*worker = before
 	}
 }
