--- a/internal/deployed/failing_jobs_test.go
+++ b/internal/deployed/failing_jobs_test.go
@@ -131,12 +131,7 @@
 
 // startLastingJob hands in a lasting job. With isApart, each worker takes one of its tasks.
 func (f *virtualFleet) startLastingJob(id string, tasks int, isApart bool) {
-	apart := ""
-	if isApart {
-		apart = `,"anti_affinity":1`
-	}
-	body := fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"cpu":1000,"mem_mb":100,"estimate_ms":300,"perpetual":true%s}]}`, tasks, apart)
-	if code, answer := f.request(f.entries[0], http.MethodPost, id, body); code != http.StatusOK {
+	if code, answer := f.request(f.entries[0], http.MethodPost, id, standin.LastingJob(tasks, isApart)); code != http.StatusOK {
 		f.t.Fatal(code, answer)
 	}
 }
