--- a/internal/crowdtest/system_test.go
+++ b/internal/crowdtest/system_test.go
@@ -107,7 +107,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	registrar := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{}}
-	go app.Every(ctx, 300*time.Millisecond, func() { worker.Register(registrar, s.host.ip+":7004", workerAddr) })
+	registrations := s.host.ip + ":7004" // also of the processes that replace this one
+	go app.Every(ctx, 300*time.Millisecond, func() { worker.Register(registrar, registrations, workerAddr) })
 	s.checkOrdinaryCaller("c0")
 	return s
 }
