jobowner, crowdtest: one piece of code where the last changes had two

Cause: read once more, the mends repeated themselves. Which jobs drop their steps was decided in two places, and the size of each changed job was computed again in each commit, although it changes only then. The runs that a stalled worker is judged by were selected twice, and a pointer to a map stood for a value that is computed once. The crowd tests built the same request twice.

Change: releaseSteps, sync.OnceValue and system.send; two constants of the crowd tests stand with their group again. No behaviour, bound or assertion changes.

Measured: the tests of jobs and jobowner, the crowd of accepted jobs under the race detector, and the drawn tests of failing and hanging jobs and of the memory limit pass.

--- a/internal/crowdtest/crowd_test.go
+++ b/internal/crowdtest/crowd_test.go
@@ -26,12 +26,12 @@
 	registrationCrowd = 1000     // connections
 	registrationBytes = 64 << 10 // sent by each of them
 	declaredBytes     = 4 << 20
-	peerCrowd         = 32 // connections
+	peerCrowd         = 32      // connections
+	frameBytes        = 8 << 20 // maximum of a session
 
-	largeJobs       = 500 // handed in one after the other by each of largeJobClients
-	largeJobClients = 8
-	largeJobSteps   = 250     // each runs after all earlier ones
-	frameBytes      = 8 << 20 // maximum of a session
+	largeJobs       = 500 // of all clients together
+	largeJobClients = 8   // each hands in one job after the other
+	largeJobSteps   = 250 // each runs after all earlier ones
 )
 
 var (
@@ -214,7 +214,7 @@
 		wg.Go(func() {
 			for n := range numbers {
 				id := fmt.Sprintf("b%015x", n)
-				if s.submit(id, body) == http.StatusOK {
+				if status, _ := s.send(http.MethodPost, id, body); status == http.StatusOK { // the status of an incomplete answer counts too
 					mu.Lock()
 					accepted = append(accepted, id)
 					mu.Unlock()
--- a/internal/crowdtest/system_test.go
+++ b/internal/crowdtest/system_test.go
@@ -230,20 +230,20 @@
 	s.host = s.startHost()
 }
 
-// submit sends a job once and returns the status of the answer, 0 if there is none.
-func (s *system) submit(id, body string) int {
-	req, err := http.NewRequest(http.MethodPost, "http://"+s.front.ip+":7002"+standin.QueuePrefix+id, strings.NewReader(body))
+// send sends a request about a job once and returns the status of the answer. It returns an error if the answer is not complete.
+func (s *system) send(method, id, body string) (int, error) {
+	req, err := http.NewRequest(method, "http://"+s.front.ip+":7002"+standin.QueuePrefix+id, strings.NewReader(body))
 	if err != nil {
-		return 0
+		return 0, err
 	}
 	req.Host = standin.QueueHost
 	resp, err := s.client.Do(req)
 	if err != nil {
-		return 0
+		return 0, err
 	}
 	defer resp.Body.Close()
-	_, _ = io.Copy(io.Discard, resp.Body) // the status is known
-	return resp.StatusCode
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
 }
 
 // checkOrdinaryCaller submits a job and reads its state. It sends each request again until the answer is 200, as callers do.
@@ -256,17 +256,8 @@
 func (s *system) untilOK(what, method, id, body string) {
 	last := ""
 	for end := time.Now().Add(hangTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		req, err := http.NewRequest(method, "http://"+s.front.ip+":7002"+standin.QueuePrefix+id, strings.NewReader(body))
-		qt.Assert(s.t, err, qt.IsNil)
-		req.Host = standin.QueueHost
-		resp, err := s.client.Do(req)
-		if err != nil {
-			last = err.Error()
-			continue
-		}
-		_, err = io.Copy(io.Discard, resp.Body)
-		resp.Body.Close()
-		if last = fmt.Sprint(resp.StatusCode, " ", err); err == nil && resp.StatusCode == http.StatusOK {
+		status, err := s.send(method, id, body)
+		if last = fmt.Sprint(status, " ", err); err == nil && status == http.StatusOK {
 			return
 		}
 	}
--- a/internal/jobowner/memory.go
+++ b/internal/jobowner/memory.go
@@ -136,17 +136,22 @@
 	return true
 }
 
+// releaseSteps drops the steps of a job that has ended and of which nothing is placed, and reports whether it did.
+func releaseSteps(job *jobs.Job) bool {
+	if !job.Ended() || job.HasPlacedTasks() {
+		return false
+	}
+	job.ReleaseSteps()
+	return true
+}
+
 // releaseEndedJobs drops what nobody asks for any more of those jobs whose durable state is final.
 func (o *Owner) releaseEndedJobs(changed map[*jobs.Job]jobs.JobState) {
 	now := boottime.Now()
 	for job := range changed {
-		if o.jobsState.Jobs[job.ID] != job {
-			continue // withdrawn or deleted meanwhile
-		}
-		if job.Ended() && len(job.Occurrences) > 0 && !job.HasPlacedTasks() {
-			job.ReleaseSteps()
+		if o.jobsState.Jobs[job.ID] == job && releaseSteps(job) { // otherwise withdrawn or deleted meanwhile, or needed
+			o.memory.set(job.ID, job.MemoryBytes(), now)
 		}
-		o.memory.set(job.ID, job.MemoryBytes(), now)
 	}
 	o.cfg.Metrics.Gauge("owner_job_bytes").Update(o.memory.jobBytes)
 	o.cfg.Metrics.Gauge("owner_tail_bytes").Update(o.memory.tailBytes)
--- a/internal/jobowner/owner.go
+++ b/internal/jobowner/owner.go
@@ -227,9 +227,7 @@
 func (o *Owner) rebuildIndexes() {
 	for id, job := range o.jobsState.Jobs {
 		job.MarkDurable()
-		if job.Ended() && !job.HasPlacedTasks() {
-			job.ReleaseSteps()
-		}
+		releaseSteps(job)
 		o.memory.set(id, job.MemoryBytes(), boottime.Now())
 		if !job.Ended() {
 			o.activeJobs[id] = job
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"bamboofork/internal/boottime"
@@ -46,10 +47,10 @@
 		}
 	}
 	o.updateIdleTimes()
-	var progressByJob jobProgress // of all workers, once a worker needs it
+	progressByJob := sync.OnceValue(o.progressByJob)
 	for name, tasks := range o.placedByAgent {
 		if member := o.members[name]; o.showsProgress(member) {
-			o.stopStalledRuns(member, tasks, &progressByJob)
+			o.stopStalledRuns(member, tasks, progressByJob)
 		}
 		for _, placed := range tasks {
 			if member := o.members[name]; member != nil && member.isReady() && !placed.task.Stopping &&
@@ -79,8 +80,8 @@
 }
 
 // progressByJob returns the progress of the runs on all workers. It includes runs whose start has not been reported yet.
-func (o *Owner) progressByJob(nowMs int64) jobProgress {
-	byJob := jobProgress{}
+func (o *Owner) progressByJob() jobProgress {
+	byJob, nowMs := jobProgress{}, bootTimeMs()
 	for name, tasks := range o.placedByAgent {
 		if !o.showsProgress(o.members[name]) {
 			continue
@@ -100,28 +101,21 @@
 
 // stopStalledRuns stops the runs of a worker on which no run progresses, so that the runs are placed elsewhere, unless all of them are of
 // jobs that progress nowhere. A run without checkpoints stays if its progress exceeds maxStalledProgressPercent, because it would lose too
-// much work.
-func (o *Owner) stopStalledRuns(member *memberView, tasks map[string]*placedTask, progressByJob *jobProgress) {
+// much work. progressByJob returns the progress of the runs on all workers; it is called only if no run of this one progresses.
+func (o *Owner) stopStalledRuns(member *memberView, tasks map[string]*placedTask, progressByJob func() jobProgress) {
 	now := bootTimeMs()
 	var runs []placement.Progress
+	var runJobs []*jobs.Job // of runs
 	for _, placed := range tasks {
 		if mayProgress(placed) && placed.task.RunStarted {
-			runs = append(runs, progressOf(placed, now))
+			runs, runJobs = append(runs, progressOf(placed, now)), append(runJobs, placed.job)
 		}
 	}
 	if !placement.WorkerStalled(runs) {
 		return
 	}
-	if *progressByJob == nil {
-		*progressByJob = o.progressByJob(now)
-	}
-	isWorkersFault := false
-	for _, placed := range tasks {
-		if mayProgress(placed) && placed.task.RunStarted && !placement.JobStalled((*progressByJob)[placed.job]) {
-			isWorkersFault = true
-		}
-	}
-	if !isWorkersFault {
+	isProgressing := func(job *jobs.Job) bool { return !placement.JobStalled(progressByJob()[job]) }
+	if !slices.ContainsFunc(runJobs, isProgressing) {
 		return
 	}
 	o.workerHealth.Quarantine(member.Name, now)
--- a/internal/jobs/size_test.go
+++ b/internal/jobs/size_test.go
@@ -16,10 +16,9 @@
 	ordered := func() []jobs.Step {
 		var steps []jobs.Step
 		for i := range 200 {
-			step := jobs.Step{Count: 1}
+			step := jobs.Step{Count: 1, After: make([]int, i)}
 			for k := range i {
-				step.After = append(make([]int, 0, i), step.After...)
-				step.After = append(step.After, k)
+				step.After[k] = k
 			}
 			steps = append(steps, step)
 		}
