Review: two runs of one task while its host is cut off

The host's estimate of its worker's clock is ahead by the time that a call takes, and the owner allows for less of that than for a late call.

--- /dev/null
+++ b/review/rig3/fleet.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"bamboofork/internal/faultnet"
+	"bamboofork/internal/hostconfig"
+	"bamboofork/platform/standin"
+)
+
+// host is a machine with one of the deployed programs, and a worker if it is one of class side.
+type host struct {
+	name    string
+	cfg     hostconfig.Process
+	worker  *runner
+	links   []*faultnet.Relay // to the store, and from the owner of the jobs
+	toWork  *faultnet.Relay   // to the worker
+	command *exec.Cmd
+}
+
+// fleet is a small deployment on loopback addresses.
+type fleet struct {
+	dir      string // for settings and logs
+	programs string // directory of the deployed programs
+	store    *standin.Store
+	journal  journal
+	sides    []*host
+	fronts   []*host
+	record   *os.File
+	began    time.Time
+	mu       sync.Mutex // guards record
+}
+
+func (f *fleet) note(format string, args ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fmt.Fprintf(f.record, "%8.3f  %s\n", time.Since(f.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	go http.Serve(l, h) //nolint:errcheck // ends with the process
+	return l.Addr().String(), nil
+}
+
+// newFleet starts the programs. The clocks of all workers run at speed times the true one.
+func newFleet(programs, dir string, record *os.File, sides, fronts int, speed float64) (*fleet, error) {
+	f := &fleet{dir: dir, programs: programs, store: standin.NewStore(1), record: record, began: time.Now()}
+	f.store.PutManifest()
+	for i := range sides {
+		h := &host{name: fmt.Sprintf("side-%d", i)}
+		h.worker = newRunner(h.name, speed, &f.journal)
+		address, err := serve(h.worker)
+		if err != nil {
+			return f, err
+		}
+		if h.toWork, err = faultnet.NewRelay(address, uint64(i)); err != nil {
+			return f, err
+		}
+		if err := f.launch(h, "bf-host", i+1); err != nil {
+			return f, err
+		}
+		f.sides = append(f.sides, h)
+		go func() {
+			client := &http.Client{Timeout: time.Second}
+			for ; ; time.Sleep(500 * time.Millisecond) {
+				h.worker.register(client, h.cfg.Listen.Registrations, h.toWork.Addr(), "ready")
+			}
+		}()
+	}
+	for i := range fronts {
+		h := &host{name: fmt.Sprintf("front-%d", i)}
+		if err := f.launch(h, "bf-front", sides+i+1); err != nil {
+			return f, err
+		}
+		f.fronts = append(f.fronts, h)
+	}
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if standin.IsReady(http.DefaultClient, f.fronts[0].cfg.Listen.Readiness) && f.store.OwnerName() != "" {
+			time.Sleep(time.Second)
+			return f, nil
+		}
+	}
+	return f, fmt.Errorf("the deployment was not ready in time")
+}
+
+// launch starts the program of the host. The index selects a loopback address for this program alone.
+func (f *fleet) launch(h *host, program string, index int) error {
+	ip := fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%200, os.Getpid()/200%250, index)
+	storeAddress, err := serve(f.store.NewEndpoint())
+	if err != nil {
+		return err
+	}
+	for _, target := range []string{storeAddress, ip + ":7001"} {
+		link, err := faultnet.NewRelay(target, uint64(index))
+		if err != nil {
+			return err
+		}
+		h.links = append(h.links, link)
+	}
+	h.cfg = hostconfig.Process{Name: h.name, MemoryMB: 152, Store: h.links[0].Addr(),
+		Listen: hostconfig.Listen{Peers: ip + ":7001", Advertise: h.links[1].Addr(), Callers: ip + ":7002", Readiness: ip + ":7003",
+			Registrations: ip + ":7004", Metrics: ip},
+		Bounds:      hostconfig.Bounds{MaxHoldMs: maxHoldMs, StopTimeoutMs: 200, GraceS: 6, StatusS: 120},
+		SilentStore: &hostconfig.SilentStore{MaxHeld: 2000, MaxHeldKB: 8192},
+		Colocation:  hostconfig.Colocation{PackServing: true},
+	}
+	if h.toWork != nil {
+		h.cfg.Worker = h.toWork.Addr()
+	}
+	data, err := yaml.Marshal(h.cfg)
+	if err != nil {
+		return err
+	}
+	settings := filepath.Join(f.dir, h.name+".yaml")
+	if err := os.WriteFile(settings, data, 0o600); err != nil {
+		return err
+	}
+	log, err := os.Create(filepath.Join(f.dir, h.name+".log"))
+	if err != nil {
+		return err
+	}
+	h.command = exec.Command(filepath.Join(f.programs, program), "--config", settings)
+	h.command.Stdout, h.command.Stderr = log, log
+	return h.command.Start()
+}
+
+// stop ends all programs.
+func (f *fleet) stop() {
+	for _, h := range append(append([]*host{}, f.sides...), f.fronts...) {
+		h.command.Process.Kill() //nolint:errcheck // it may have ended
+		h.command.Wait()         //nolint:errcheck // it was killed
+	}
+}
+
+// cut partitions the host from the store and from all other hosts until heal.
+func (h *host) cut() {
+	for _, link := range h.links {
+		link.SetFaults(faultnet.Faults{BlackholeNew: true})
+		link.Blackhole(faultnet.ToServer, faultnet.ToClient)
+	}
+}
+
+func (h *host) heal() {
+	for _, link := range h.links {
+		link.SetFaults(faultnet.Faults{})
+		link.Reset()
+	}
+}
+
+// submit hands in a job and returns the status.
+func (f *fleet) submit(id, body string) (int, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.fronts[0].cfg.Listen.Callers+standin.QueuePrefix+id, strings.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	req.Host = standin.QueueHost
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(standin.DeadlineHeader, "3000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	resp.Body.Close()
+	f.note("POST %s: %d", id, resp.StatusCode)
+	return resp.StatusCode, nil
+}
