Review: a lasting task is barred from the only worker of its kind

Jobs that can never be done keep the worker on probation, which the lasting task may not use after a failure of its own.

--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -56,13 +56,14 @@
 	return l.Addr().String(), nil
 }
 
-// newFleet starts the programs. The clocks of all workers run at speed times the true one.
-func newFleet(programs, dir string, record *os.File, sides, fronts int, speed float64) (*fleet, error) {
+// newFleet starts the programs. prepare is called with each worker before its host starts.
+func newFleet(programs, dir string, record *os.File, sides, fronts int, prepare func(i int, w *runner)) (*fleet, error) {
 	f := &fleet{dir: dir, programs: programs, store: standin.NewStore(1), record: record, began: time.Now()}
 	f.store.PutManifest()
 	for i := range sides {
 		h := &host{name: fmt.Sprintf("side-%d", i)}
-		h.worker = newRunner(h.name, speed, &f.journal)
+		h.worker = newRunner(h.name, &f.journal)
+		prepare(i, h.worker)
 		address, err := serve(h.worker)
 		if err != nil {
 			return f, err
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -19,7 +19,7 @@
 	os.Exit(run(os.Args[1], os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0"))
 }
 
-func run(scenario, programs, recordPath string, trouble bool) int {
+func run(name, programs, recordPath string, trouble bool) int {
 	record, err := os.Create(recordPath)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -36,17 +36,20 @@
 	} else {
 		fmt.Println(dir)
 	}
-	scenarios := map[string]func(*fleet, bool) (bool, error){"hold": hold}
-	play := scenarios[scenario]
-	if play == nil {
+	scenarios := map[string]scenario{
+		"hold":   {sides: 20, prepare: func(_ int, w *runner) { w.speed = 0.98 }, play: hold},
+		"barred": {sides: 6, prepare: prepareBarred, play: barred},
+	}
+	chosen, ok := scenarios[name]
+	if !ok {
 		fmt.Fprintln(os.Stderr, "no such scenario")
 		return 2
 	}
-	f, err := newFleet(programs, dir, record, 20, 1, 0.98)
+	f, err := newFleet(programs, dir, record, chosen.sides, 1, chosen.prepare)
 	defer f.stop()
 	broken := false
 	if err == nil {
-		broken, err = play(f, trouble)
+		broken, err = chosen.play(f, trouble)
 	}
 	switch {
 	case err != nil:
@@ -58,6 +61,14 @@
 	return 0
 }
 
+// scenario is a case: the number of hosts with a worker, what is special about the workers, and what happens. play reports whether the rule
+// was broken.
+type scenario struct {
+	sides   int
+	prepare func(i int, w *runner)
+	play    func(f *fleet, trouble bool) (bool, error)
+}
+
 const (
 	rounds       = 5
 	lossyHosts   = 4               // of 20: a share of 0.2
--- a/review/rig3/runner.go
+++ b/review/rig3/runner.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -75,11 +76,15 @@
 	ended      [][]any
 	seq        int64
 	changed    chan struct{}
+	// kind is the first label of the worker.
+	kind string
+	// fails reports after how long a run of the job fails by its own fault, and how long other runs take; 0: never.
+	fails, takes func(job string) time.Duration
 }
 
-func newRunner(host string, speed float64, seen *journal) *runner {
-	w := &runner{host: host, id: "i-" + host, speed: speed, journal: seen, born: time.Now(), active: map[string]*activeRun{},
-		last: map[string]int{}, changed: make(chan struct{})}
+func newRunner(host string, seen *journal) *runner {
+	w := &runner{host: host, id: "i-" + host, speed: 1, journal: seen, born: time.Now(), active: map[string]*activeRun{},
+		last: map[string]int{}, changed: make(chan struct{}), kind: "a"}
 	go func() {
 		for range time.Tick(time.Millisecond) {
 			w.mu.Lock()
@@ -195,10 +200,30 @@
 	case o.DeadlineMs <= w.clock():
 		return "late"
 	}
-	w.active[o.Task] = &activeRun{number: o.Run, seen: w.journal.begin(o.Task, w.host, o.Run)}
+	run := &activeRun{number: o.Run, seen: w.journal.begin(o.Task, w.host, o.Run)}
+	w.active[o.Task] = run
+	w.endAfter(o.Task, run, w.takes, "done")
+	w.endAfter(o.Task, run, w.fails, "failed")
 	return ""
 }
 
+// endAfter ends the run after the time for its job, unless the time is 0.
+func (w *runner) endAfter(task string, run *activeRun, after func(job string) time.Duration, how string) {
+	if after == nil {
+		return
+	}
+	job, _, _ := strings.Cut(task, ".")
+	if wait := after(job); wait > 0 {
+		time.AfterFunc(wait, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if w.active[task] == run {
+				w.finish(task, how, time.Now())
+			}
+		})
+	}
+}
+
 // answer releases the lock and writes the response.
 func (w *runner) answer(out http.ResponseWriter, status int, body map[string]any) {
 	body["clock_ms"], body["born"] = w.clock(), w.born.UnixMilli()
@@ -219,7 +244,7 @@
 	w.seq++ // heartbeats and ends may share a counter: both only have to rise
 	body, err := json.Marshal(map[string]any{"service": "pool", "address": address, "zone": "z", "version": "v1", "slots": 8, "state": state,
 		"cold_left_ms": 0, "born": w.born.UnixMilli(), "capacity": map[string]int{"cpu": 16000, "mem_mb": 64000, "gpu": 0},
-		"labels": []string{"a", "r1-1"}, "clock_ms": w.clock(), "seq": w.seq})
+		"labels": []string{w.kind, "r1-1"}, "clock_ms": w.clock(), "seq": w.seq})
 	w.mu.Unlock()
 	if err != nil {
 		return 0
