Review: a small job waits behind a lasting task that does not fit

The script breaks LOST: the small job has nothing running for 25 s, the whole case, although its worker has room for it eight times over (one play so far). The worker is held for the larger task without a bound.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -38,6 +38,7 @@
 	}
 	scenarios := map[string]scenario{
 		"hold":   {sides: 20, prepare: func(_ int, w *runner) { w.speed = 0.98 }, play: hold},
+		"held":   {sides: 6, prepare: prepareHeld, play: held},
 		"barred": {sides: 6, prepare: prepareBarred, play: barred},
 	}
 	chosen, ok := scenarios[name]
