--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -6,9 +6,11 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.yaml.in/yaml/v3"
@@ -60,8 +62,10 @@
 func newFleet(programs, dir string, record *os.File, sides, fronts int, prepare func(i int, w *runner)) (*fleet, error) {
 	f := &fleet{dir: dir, programs: programs, store: standin.NewStore(1), record: record, began: time.Now()}
 	f.store.PutManifest()
+	go f.stopOnSignal()
 	for i := range sides {
 		h := &host{name: fmt.Sprintf("side-%d", i)}
+		f.sides = append(f.sides, h)
 		h.worker = newRunner(h.name, &f.journal)
 		prepare(i, h.worker)
 		address, err := serve(h.worker)
@@ -74,7 +78,6 @@
 		if err := f.launch(h, "bf-host", i+1); err != nil {
 			return f, err
 		}
-		f.sides = append(f.sides, h)
 		go func() {
 			client := &http.Client{Timeout: time.Second}
 			for ; ; time.Sleep(500 * time.Millisecond) {
@@ -84,10 +87,10 @@
 	}
 	for i := range fronts {
 		h := &host{name: fmt.Sprintf("front-%d", i)}
+		f.fronts = append(f.fronts, h)
 		if err := f.launch(h, "bf-front", sides+i+1); err != nil {
 			return f, err
 		}
-		f.fronts = append(f.fronts, h)
 	}
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		if standin.IsReady(http.DefaultClient, f.fronts[0].cfg.Listen.Readiness) && f.store.OwnerName() != "" {
@@ -142,11 +145,23 @@
 // stop ends all programs.
 func (f *fleet) stop() {
 	for _, h := range append(append([]*host{}, f.sides...), f.fronts...) {
-		h.command.Process.Kill() //nolint:errcheck // it may have ended
-		h.command.Wait()         //nolint:errcheck // it was killed
+		if h.command != nil && h.command.Process != nil {
+			h.command.Process.Kill() //nolint:errcheck // it may have ended
+			h.command.Wait()         //nolint:errcheck // it was killed
+		}
 	}
 }
 
+// stopOnSignal ends all programs and this one if it is told to end.
+func (f *fleet) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	f.stop()
+	os.RemoveAll(f.dir) //nolint:errcheck // a temporary folder
+	os.Exit(2)
+}
+
 // cut partitions the host from the store and from all other hosts until heal.
 func (h *host) cut() {
 	for _, link := range h.links {
