--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -73,8 +73,9 @@
 
 const (
 	rounds       = 5
-	lossyHosts   = 6               // of 30: a share of 0.2
-	lossyTime    = 5 * time.Second // until half a second after the cut has begun
+	lossyHosts   = 6                     // of 30: a share of 0.2
+	lossyTime    = 5 * time.Second       // until all cuts have begun
+	cutGap       = 97 * time.Millisecond // between the cuts, so that they don't all hit the same moment of the owner's heartbeats
 	cutTime      = 12 * time.Second
 	leastOverlap = 10 * time.Millisecond // less may be the timers of the stand-ins
 )
@@ -97,25 +98,26 @@
 				h.toWork.SetFaults(faultnet.Faults{LossRate: 0.3})
 			}
 		}
-		time.Sleep(lossyTime - 500*time.Millisecond)
+		time.Sleep(lossyTime - lossyHosts*cutGap)
 		for _, h := range hosts {
 			if trouble {
 				f.note("cut off: %s", h.name)
 				h.cut()
 			}
+			time.Sleep(cutGap)
 		}
-		time.Sleep(500 * time.Millisecond)
 		for _, h := range hosts {
 			h.toWork.SetFaults(faultnet.Faults{})
 		}
-		time.Sleep(cutTime - 500*time.Millisecond)
+		time.Sleep(cutTime - lossyHosts*cutGap)
 		for _, h := range hosts {
 			if trouble {
 				f.note("back: %s", h.name)
 				h.heal()
 			}
+			time.Sleep(cutGap)
 		}
-		time.Sleep(2 * time.Second)
+		time.Sleep(1500 * time.Millisecond)
 	}
 	return f.reportOverlaps(), nil
 }
