hostagent: log a hold that is not extended, with what the worker's clock was read from

Nothing that the programs log tells by how much the agent's estimate of the worker's clock is off, or how old the reading was, so the possible causes can't be told apart.

Change: event 2720 hold_unconfirmed, once 2 s after the last confirmed report: the end of the hold, the estimate, the reading behind it, its age and the duration of its call. An acknowledgement that is repeated confirms nothing new and is ignored.

--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -75,9 +75,12 @@
 	listUnreported     bool            // the latest list has not been reported to the owner yet
 	clockMsByReport    map[int64]int64 // worker's clock in milliseconds when each report was sent, by report number
 	grantedUntilMs     int64           // time on the worker's clock until which the owner allows the worker to hold its runs
+	confirmedAt        time.Duration   // boot time at which the owner has acknowledged a report that it had not acknowledged before
+	unconfirmedLogged  bool            // HoldUnconfirmed was logged since confirmedAt
 
 	clockMs           int64         // latest reading of the worker's clock
 	clockReadAt       time.Duration // boot time at which the call that returned clockMs was sent
+	clockCallTime     time.Duration // duration of that call
 	heldUntilMs       int64         // latest hold deadline that this or an earlier agent process has sent, on the worker's clock
 	workerUnreachable bool          // the worker does not respond
 	// paceLimitPercent caps the pace of best-effort runs, in percent of full speed. A best-effort run uses only the CPU time that
@@ -223,7 +226,7 @@
 		return
 	}
 	if a.clockMs == 0 || clockMs > a.clockMs {
-		a.clockMs, a.clockReadAt = clockMs, sentAt
+		a.clockMs, a.clockReadAt, a.clockCallTime = clockMs, sentAt, boottime.Now()-sentAt
 	}
 }
 
@@ -293,8 +296,9 @@
 			maxHold = min(maxHold, session.MaxHoldBesideOwner)
 		}
 		a.grantedUntilMs = max(a.grantedUntilMs, sentMs+maxHold.Milliseconds())
+		a.confirmedAt, a.unconfirmedLogged = boottime.Now(), false
 		for reportSeq := range a.clockMsByReport {
-			if reportSeq < ackedSeq {
+			if reportSeq <= ackedSeq { // a repeated acknowledgement confirms nothing new
 				delete(a.clockMsByReport, reportSeq)
 			}
 		}
@@ -304,6 +308,20 @@
 	}
 }
 
+// maxUnconfirmed is the time without a confirmed report after which the agent logs that the hold is not extended.
+const maxUnconfirmed = 2 * time.Second
+
+// logUnconfirmedHold logs, once, that the owner has confirmed no report for maxUnconfirmed.
+func (a *Agent) logUnconfirmedHold() {
+	if a.unconfirmedLogged || len(a.runByTask) == 0 || boottime.Now() < a.confirmedAt+maxUnconfirmed {
+		return
+	}
+	a.unconfirmedLogged = true
+	events.HoldUnconfirmed.Log(&a.cfg.Log).Int64("life", a.worker.Lifetime).Int("runs", len(a.runByTask)).Int64("held_until_ms", a.grantedUntilMs).
+		Int64("clock_ms", a.workerClockMs()).Int64("read_ms", a.clockMs).Int64("read_age_ms", (boottime.Now()-a.clockReadAt).Milliseconds()).
+		Int64("call_ms", a.clockCallTime.Milliseconds()).Send()
+}
+
 // applyAck drops the ends that the owner has acknowledged as durable. The next Hold call acknowledges them to the worker,
 // which then forgets them.
 func (a *Agent) applyAck(message *session.ToMember) {
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -246,6 +246,7 @@
 		lastAckedEndSeq, waitMs = 0, 0
 	}
 	if token != 0 && a.grantedUntilMs > 0 && !a.workerUnreachable && a.registration.pending == nil {
+		a.logUnconfirmedHold()
 		deadlineMs = a.nextDeadlineMs() // the hold of an unreachable worker is not extended, so that its runs expire
 	}
 	a.mu.Unlock()
