hostagent: hold runs no longer than the owner allows if calls to the worker are late

Cause: the owner allows a worker to hold its runs for 8 s after a report. The agent asks the worker for that time on the worker's clock, which it estimated from the latest reading. A reading counted from the moment at which its call was sent, but the worker reads its clock when it responds. So the estimate was ahead by the time until then: 250 ms in each call that waits for an end, and up to 650 ms in a late one. The owner's margin is 300 ms, and its allowance for a clock that is 2% slow is used up by such a clock.

Change: the agent counts from the arrival of the response, at the slowest rate of the worker's clock, so that it has a time which the clock has certainly reached. No wait is longer: the owner waits as before, and the worker ends the runs earlier.

--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -70,19 +70,18 @@
 	reportedWorker     *session.Worker    // state of the worker in the last report to the current owner
 	lastCommandSeq     int64
 	lastReportSeq      int64
-	listedAt           time.Duration   // boot time at which the latest run list was requested from the worker
-	listCount          int64           // number of run lists received from the worker
-	listUnreported     bool            // the latest list has not been reported to the owner yet
-	clockMsByReport    map[int64]int64 // worker's clock in milliseconds when each report was sent, by report number
-	grantedUntilMs     int64           // time on the worker's clock until which the owner allows the worker to hold its runs
-	confirmedAt        time.Duration   // boot time at which the owner has acknowledged a report that it had not acknowledged before
-	unconfirmedLogged  bool            // HoldUnconfirmed was logged since confirmedAt
-
-	clockMs           int64         // latest reading of the worker's clock
-	clockReadAt       time.Duration // boot time at which the call that returned clockMs was sent
-	clockCallTime     time.Duration // duration of that call
-	heldUntilMs       int64         // latest hold deadline that this or an earlier agent process has sent, on the worker's clock
-	workerUnreachable bool          // the worker does not respond
+	listedAt           time.Duration // boot time at which the latest run list was requested from the worker
+	listCount          int64         // number of run lists received from the worker
+	listUnreported     bool          // the latest list has not been reported to the owner yet
+	// clockMsByReport is, by report number, a time in milliseconds that the worker's clock had reached when the report was sent.
+	clockMsByReport   map[int64]int64
+	grantedUntilMs    int64         // time on the worker's clock until which the owner allows the worker to hold its runs
+	confirmedAt       time.Duration // boot time at which the owner has acknowledged a report that it had not acknowledged before
+	unconfirmedLogged bool          // HoldUnconfirmed was logged since confirmedAt
+
+	clock             workerClock
+	heldUntilMs       int64 // latest hold deadline that this or an earlier agent process has sent, on the worker's clock
+	workerUnreachable bool  // the worker does not respond
 	// paceLimitPercent caps the pace of best-effort runs, in percent of full speed. A best-effort run uses only the CPU time that
 	// other runs leave.
 	paceLimitPercent int
@@ -203,7 +202,7 @@
 
 // resetLifetime discards the state of the worker's previous lifetime.
 func (a *Agent) resetLifetime() {
-	a.token, a.ackedEndSeq, a.reportedEndSeq, a.grantedUntilMs, a.clockMs, a.heldUntilMs = 0, 0, 0, 0, 0, 0
+	a.token, a.ackedEndSeq, a.reportedEndSeq, a.grantedUntilMs, a.heldUntilMs, a.clock = 0, 0, 0, 0, 0, workerClock{}
 	a.activeListed, a.runsListed, a.listIncomplete, a.unreadableRowsLogged, a.refusedConns = false, false, false, false, 0
 	a.runByTask, a.clockMsByReport, a.unackedEnds = map[string]*run{}, map[int64]int64{}, nil
 }
@@ -219,25 +218,6 @@
 	}
 }
 
-// recordClock stores a reading of the worker's clock unless it belongs to another lifetime or is not later than the stored
-// reading. sentAt is the boot time at which the call for the reading was sent.
-func (a *Agent) recordClock(lifetime, clockMs int64, sentAt time.Duration) {
-	if a.worker == nil || a.worker.Lifetime != lifetime || clockMs == 0 {
-		return
-	}
-	if a.clockMs == 0 || clockMs > a.clockMs {
-		a.clockMs, a.clockReadAt, a.clockCallTime = clockMs, sentAt, boottime.Now()-sentAt
-	}
-}
-
-// workerClockMs returns an estimate of the worker's clock in milliseconds. The estimate is ahead of the clock by at most the
-// duration of one call.
-//
-// A worker's clock may run up to 2% slower than the agent's clock, so the estimate is only used shortly after a reading.
-func (a *Agent) workerClockMs() int64 {
-	return a.clockMs + (boottime.Now() - a.clockReadAt).Milliseconds()
-}
-
 // OwnerConnected sends a complete report to a new owner.
 func (a *Agent) OwnerConnected(conn *ownerconn.Conn) {
 	a.mu.Lock()
@@ -318,8 +298,8 @@
 	}
 	a.unconfirmedLogged = true
 	events.HoldUnconfirmed.Log(&a.cfg.Log).Int64("life", a.worker.Lifetime).Int("runs", len(a.runByTask)).Int64("held_until_ms", a.grantedUntilMs).
-		Int64("clock_ms", a.workerClockMs()).Int64("read_ms", a.clockMs).Int64("read_age_ms", (boottime.Now()-a.clockReadAt).Milliseconds()).
-		Int64("call_ms", a.clockCallTime.Milliseconds()).Send()
+		Int64("clock_ms", a.clock.reachedMs()).Int64("read_ms", a.clock.readMs).Int64("read_age_ms", (boottime.Now()-a.clock.sentAt).Milliseconds()).
+		Int64("call_ms", (a.clock.receivedAt - a.clock.sentAt).Milliseconds()).Send()
 }
 
 // applyAck drops the ends that the owner has acknowledged as durable. The next Hold call acknowledges them to the worker,
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -145,7 +145,7 @@
 // time is never later than the owner has granted, because from then on the owner treats the runs of an unreachable worker as
 // ended.
 func (a *Agent) nextDeadlineMs() int64 {
-	deadlineMs := min(a.grantedUntilMs, a.workerClockMs()+a.cfg.MaxHoldDuration.Milliseconds())
+	deadlineMs := min(a.grantedUntilMs, a.clock.reachedMs()+a.cfg.MaxHoldDuration.Milliseconds())
 	a.heldUntilMs = max(a.heldUntilMs, deadlineMs)
 	return deadlineMs
 }
@@ -436,11 +436,11 @@
 
 // holdExpired reports whether the hold has certainly expired on the worker's clock, so that the worker has ended all runs.
 func (a *Agent) holdExpired() bool {
-	if a.heldUntilMs == 0 || a.clockMs == 0 {
+	if a.heldUntilMs == 0 || a.clock.readMs == 0 {
 		return false
 	}
-	elapsedMs := float64((boottime.Now() - a.clockReadAt).Milliseconds()) * (1 - session.WorkerClockDrift)
-	return a.clockMs+int64(elapsedMs) > a.heldUntilMs+expiryMarginMs
+	elapsedMs := float64((boottime.Now() - a.clock.sentAt).Milliseconds()) * (1 - session.WorkerClockDrift)
+	return a.clock.readMs+int64(elapsedMs) > a.heldUntilMs+expiryMarginMs
 }
 
 func (a *Agent) markReachable() {
@@ -496,17 +496,17 @@
 			a.reportedEndSeq = e.Seq
 		}
 	}
-	if a.worker != a.reportedWorker && (a.worker.Gone || a.clockMs != 0) { // the worker has confirmed the lifetime
+	if a.worker != a.reportedWorker && (a.worker.Gone || a.clock.readMs != 0) { // the worker has confirmed the lifetime
 		message.Worker, a.reportedWorker = a.worker, a.worker
 	}
 	if !isComplete && message.Worker == nil && len(message.Ends) == 0 && len(message.Refused) == 0 {
 		return
 	}
-	if a.worker != nil && (a.worker.Gone || (a.clockMs != 0 && a.activeListed)) {
+	if a.worker != nil && (a.worker.Gone || (a.clock.readMs != 0 && a.activeListed)) {
 		a.lastReportSeq++
 		message.ReportSeq = a.lastReportSeq
-		if a.clockMs != 0 {
-			a.clockMsByReport[a.lastReportSeq] = a.workerClockMs()
+		if a.clock.readMs != 0 {
+			a.clockMsByReport[a.lastReportSeq] = a.clock.reachedMs()
 		}
 		if isComplete && (a.worker.Gone || a.runsListed) {
 			message.RunsComplete = true
--- a/internal/hostagent/calls_test.go
+++ b/internal/hostagent/calls_test.go
@@ -109,7 +109,7 @@
 // registration of the worker may still arrive. Nothing starts before the worker itself has listed its runs.
 func TestRestartedAgentStartsNothingOnAWorkerThatHasLeft(t *testing.T) {
 	a := newTestAgent(nil)
-	a.activeListed, a.runsListed, a.token, a.clockMs = false, false, 0, 0 // as after a restart; the registration is a delayed one
+	a.activeListed, a.runsListed, a.token, a.clock = false, false, 0, workerClock{} // as after a restart; the registration is a delayed one
 	a.mu.Lock()
 	a.queueStart(&session.Start{Task: "j.0.0.0", Run: 1, Lifetime: 7, CPU: 1000})
 	qt.Check(t, a.runByTask, qt.HasLen, 0)
@@ -132,9 +132,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.grantedUntilMs = 5000
-	a.clockMs, a.clockReadAt = 1000, boottime.Now()-10*time.Second // the worker's clock is at 11,000 now
+	a.clock = workerClock{readMs: 1000, sentAt: boottime.Now() - 10*time.Second, receivedAt: boottime.Now() - 10*time.Second} // the worker's clock is at 11,000 now
 	qt.Check(t, a.nextDeadlineMs() <= 5000, qt.IsTrue)
-	qt.Check(t, a.workerClockMs() > 5000, qt.IsTrue)
+	qt.Check(t, a.clock.reachedMs() > 5000, qt.IsTrue)
 }
 
 // closedRunner is a worker whose port is closed, except for the calls with the given numbers, which get no response.
@@ -177,14 +177,14 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 3*callRetryDelay)
 	defer cancel()
 	a.mu.Lock()
-	a.clockReadAt = boottime.Now() - 2*maxAckAge
+	a.clock.sentAt = boottime.Now() - 2*maxAckAge
 	a.queueStart(&session.Start{Task: "j.0.0.0", Run: 1, Lifetime: 7, CPU: 1000})
 	queued := <-a.startQueue
 	a.mu.Unlock()
 	a.executeStart(ctx, queued)
 	qt.Check(t, r.calls(), qt.HasLen, 0)
 	a.mu.Lock()
-	a.clockReadAt = boottime.Now()
+	a.clock.sentAt = boottime.Now()
 	a.mu.Unlock()
 	a.executeStart(t.Context(), queued)
 	qt.Check(t, r.calls(), qt.DeepEquals, []string{"start"})
--- a/internal/hostagent/registration.go
+++ b/internal/hostagent/registration.go
@@ -39,7 +39,7 @@
 		if !current.Gone || a.refusedConns > 0 {
 			a.updateWorker(worker)
 		}
-	case current.Gone || a.workerUnreachable || a.clockMs == 0:
+	case current.Gone || a.workerUnreachable || a.clock.readMs == 0:
 		a.adoptWorker(worker)
 	default:
 		a.registration.pending, a.registration.pendingAt = &worker, boottime.Now()
@@ -93,7 +93,7 @@
 // this process was paused, or a registration that it has not refuted yet says so. It may have restarted under the same ID, and would then
 // execute calls that are meant for the earlier lifetime.
 func (a *Agent) lifetimeInDoubt() bool {
-	return a.workerUnreachable || a.registration.pending != nil || boottime.Now()-a.clockReadAt > maxAckAge
+	return a.workerUnreachable || a.registration.pending != nil || boottime.Now()-a.clock.sentAt > maxAckAge
 }
 
 // sameDescription reports whether the registrations agree on what does not change in a lifetime.
--- a/internal/hostagent/report_test.go
+++ b/internal/hostagent/report_test.go
@@ -20,7 +20,8 @@
 		MaxHoldDuration: 8 * time.Second, StopTimeout: 200 * time.Millisecond,
 	})
 	a.Register(session.Worker{ID: "i-1", Lifetime: 7, Service: "s", CPU: 16_000, MemMB: 1000})
-	a.activeListed, a.runsListed, a.token, a.clockMs, a.clockReadAt = true, true, 1000, 1000, boottime.Now()
+	a.activeListed, a.runsListed, a.token = true, true, 1000
+	a.clock = workerClock{readMs: 1000, sentAt: boottime.Now(), receivedAt: boottime.Now()}
 	return a
 }
 
--- a/internal/hostagent/token_test.go
+++ b/internal/hostagent/token_test.go
@@ -67,7 +67,8 @@
 func TestPausedAgentAcknowledgesNoEndsBeforeItReadsTheList(t *testing.T) {
 	worker := &fencedRunner{}
 	a := newTestAgent(worker)
-	a.token, a.ackedEndSeq, a.clockMs, a.clockReadAt = 5, 9, 500, boottime.Now()-2*maxAckAge
+	a.token, a.ackedEndSeq = 5, 9
+	a.clock = workerClock{readMs: 500, sentAt: boottime.Now() - 2*maxAckAge, receivedAt: boottime.Now() - 2*maxAckAge}
 	qt.Assert(t, a.renewHold(context.Background()), qt.IsNil)
 	qt.Check(t, worker.ackedEndSeqs, qt.DeepEquals, []int64{0})
 	qt.Assert(t, a.renewHold(context.Background()), qt.IsNil)
--- a/internal/hostagent/unknown_worker_test.go
+++ b/internal/hostagent/unknown_worker_test.go
@@ -29,7 +29,7 @@
 		isGone  bool
 	}{{ErrConnRefused, true}, {ErrNoResponse, false}, {ErrOtherLifetime, false}, {nil, false}} {
 		a := newTestAgent(&answeringRunner{holdErr: c.holdErr})
-		a.worker, a.activeListed, a.runsListed, a.token, a.clockMs = nil, false, false, 0, 0 // as after a restart
+		a.worker, a.activeListed, a.runsListed, a.token, a.clock = nil, false, false, 0, workerClock{} // as after a restart
 		for range maxRefusedConns {
 			qt.Check(t, a.renewHold(t.Context()), qt.Equals, errNoWorker)
 		}
--- /dev/null
+++ b/internal/hostagent/worker_clock_test.go
@@ -0,0 +1,110 @@
+package hostagent
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bamboofork/internal/boottime"
+	"bamboofork/internal/session"
+)
+
+// distantRunner is a worker with a slow clock behind a slow link.
+type distantRunner struct {
+	scriptedRunner
+	startedAt   time.Time
+	clockRate   float64 // of the worker's clock, relative to true time
+	suspended   time.Duration
+	thereDelay  time.Duration // of requests
+	backDelay   time.Duration // of responses
+	unreachable bool
+	deadlineMs  int64 // latest deadline of the runs
+}
+
+// clockMs returns the worker's clock, which does not count the time of a suspension.
+func (r *distantRunner) clockMs() int64 {
+	return 1000 + int64(r.clockRate*float64((time.Since(r.startedAt)-r.suspended).Milliseconds()))
+}
+
+func (r *distantRunner) Hold(ctx context.Context, who WorkerIdentity, _, deadlineMs, _ int64, waitMs int) (HoldResponse, error) {
+	if r.unreachable {
+		<-ctx.Done()
+		return HoldResponse{}, ErrNoResponse
+	}
+	time.Sleep(r.thereDelay)
+	r.deadlineMs = max(r.deadlineMs, deadlineMs)
+	time.Sleep(time.Duration(waitMs) * time.Millisecond)
+	clockMs := r.clockMs()
+	time.Sleep(r.backDelay)
+	return HoldResponse{Lifetime: who.Lifetime, ClockMs: clockMs, Active: []ActiveRun{{Task: "j.0.0.0", Run: 1}}}, nil
+}
+
+// testWithDistantWorker runs the test in virtual time, with an agent that has taken over the worker. Its runs are held by an owner that
+// confirms each report when confirm is called.
+func testWithDistantWorker(t *testing.T, r *distantRunner, test func(t *testing.T, a *Agent, confirm func())) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		bootClock := boottime.SetClock(func() time.Duration { return time.Hour + time.Since(start) })
+		defer func() { boottime.SetClock(bootClock) }()
+		r.startedAt = start
+		a := newTestAgent(r)
+		a.cfg.Follower.Name = "host-1" // the owner is on another host
+		a.resetLifetime()
+		conn, owner := newConnPair(t)
+		go func() {
+			for {
+				if _, err := owner.Receive(); err != nil {
+					return
+				}
+			}
+		}()
+		for range 2 { // the first call chooses the fencing token
+			qt.Assert(t, a.renewHold(t.Context()), qt.IsNil)
+		}
+		test(t, a, func() {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			a.sendReport(conn, true)
+			a.applyReportAck(a.lastReportSeq)
+		})
+		owner.Close()
+		conn.Close()
+	})
+}
+
+// slowLinks are the delays of requests and responses between an agent and its worker, from usual ones to those of lost segments.
+var slowLinks = []struct {
+	name        string
+	there, back time.Duration
+}{
+	{"usual", 0, 0},
+	{"late requests", 200 * time.Millisecond, 0},
+	{"late responses", 0, 200 * time.Millisecond},
+	{"late both ways", 190 * time.Millisecond, 190 * time.Millisecond},
+	{"requests just in time", 399 * time.Millisecond, 0},
+}
+
+// Guards against a task that runs twice (review/12): the owner allows a worker to hold its runs for a time after a report, and the agent's
+// estimate of the worker's clock at the report was ahead by the time that its call took. The runs outlived what the owner waits for.
+func TestHoldEndsInTimeOnASlowClockBehindASlowLink(t *testing.T) {
+	for _, link := range slowLinks {
+		t.Run(link.name, func(t *testing.T) {
+			r := &distantRunner{clockRate: 1 - session.WorkerClockDrift, thereDelay: link.there, backDelay: link.back}
+			testWithDistantWorker(t, r, func(t *testing.T, a *Agent, confirm func()) {
+				for range 20 {
+					confirm()
+					allowedMs := r.clockMs() + a.cfg.MaxHoldDuration.Milliseconds()
+					qt.Check(t, a.grantedUntilMs <= allowedMs, qt.IsTrue, qt.Commentf("%d ms too long", a.grantedUntilMs-allowedMs))
+					leastMs := allowedMs - (link.back + holdTimeout*2/100).Milliseconds() - 2
+					qt.Check(t, a.grantedUntilMs >= leastMs, qt.IsTrue, qt.Commentf("%d ms shorter than the link explains", leastMs-a.grantedUntilMs))
+					qt.Assert(t, a.renewHold(t.Context()), qt.IsNil)
+					qt.Check(t, r.deadlineMs <= allowedMs, qt.IsTrue, qt.Commentf("held %d ms too long", r.deadlineMs-allowedMs))
+					time.Sleep(70 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
