hostagent: report the runs of a silent worker as ended only after their hold

Callers can see a task run twice: on a worker that does not respond to its agent, and where the owner starts the task again.

Cause: an agent that is in touch with the owner reports the runs of a silent worker as ended when their hold must be over.

Change: it uses the time that the worker's clock has certainly reached. The margin only has to cover late timers of the worker now, because calls that are in flight carry no later deadline; with 100 ms the tasks wait no longer than before in the usual case of calls of 250 ms.

Result: TestRunsOfASilentWorkerAreReportedAsEndedAfterTheirHold failed before in 3 of 5 cases (reported 111, 121 and 318 ms before the runs end) and passes. The other tests of hostagent and deployed pass.

--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -19,9 +19,9 @@
 	callTimeout = 250 * time.Millisecond
 	// callRetryDelay is the delay before a start or stop call is repeated.
 	callRetryDelay = 60 * time.Millisecond
-	// expiryMarginMs is added to the deadline of a hold before its runs count as ended. It covers calls that are in flight when
-	// the hold expires.
-	expiryMarginMs = 300
+	// expiryMarginMs is added to the deadline of a hold before its runs count as ended. It covers late timers of the worker. Calls that
+	// are in flight carry no later deadline.
+	expiryMarginMs = 100
 	// maxRefusedConns is the number of consecutive refused connections after which the worker's process counts as ended.
 	maxRefusedConns = 3
 )
@@ -276,7 +276,8 @@
 		a.token = max(resp.ClockMs, a.token+a.tokenStepMs)
 		a.tokenStepMs = min(2*a.tokenStepMs, maxTokenStepMs)
 		a.recordClock(workerID.Lifetime, resp.ClockMs, sentAt)
-		// An earlier agent process may have held the runs by an estimate of the clock, which is ahead by at most one call.
+		// An earlier agent process may have held the runs until MaxHoldDuration from now. One of a version that took the clock for later
+		// than it was may have held them longer, by at most the duration of a call.
 		a.heldUntilMs = max(a.heldUntilMs, resp.ClockMs+(a.cfg.MaxHoldDuration+holdTimeout).Milliseconds())
 		events.WorkerLife.Log(&a.cfg.Log).Str("worker", workerID.ID).Int64("life", workerID.Lifetime).Int64("token", a.token).Send()
 		return nil
@@ -439,8 +440,7 @@
 	if a.heldUntilMs == 0 || a.clock.readMs == 0 {
 		return false
 	}
-	elapsedMs := float64((boottime.Now() - a.clock.sentAt).Milliseconds()) * (1 - session.WorkerClockDrift)
-	return a.clock.readMs+int64(elapsedMs) > a.heldUntilMs+expiryMarginMs
+	return a.clock.reachedMs() > a.heldUntilMs+expiryMarginMs
 }
 
 func (a *Agent) markReachable() {
--- a/internal/hostagent/worker_clock_test.go
+++ b/internal/hostagent/worker_clock_test.go
@@ -108,3 +108,28 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice: the agent reports the runs of a worker that does not respond as ended when their hold must be over,
+// and its estimate of the worker's clock was ahead by the time that its last call took. The runs went on.
+func TestRunsOfASilentWorkerAreReportedAsEndedAfterTheirHold(t *testing.T) {
+	for _, link := range slowLinks {
+		t.Run(link.name, func(t *testing.T) {
+			r := &distantRunner{clockRate: 1 - session.WorkerClockDrift, thereDelay: link.there, backDelay: link.back}
+			testWithDistantWorker(t, r, func(t *testing.T, a *Agent, confirm func()) {
+				for range 3 {
+					confirm()
+					qt.Assert(t, a.renewHold(t.Context()), qt.IsNil)
+				}
+				r.unreachable = true
+				for len(a.runByTask) > 0 && r.clockMs() < 30_000 {
+					a.handleHoldError(ErrNoResponse)
+					time.Sleep(10 * time.Millisecond)
+				}
+				lateMs := r.clockMs() - r.deadlineMs
+				qt.Check(t, lateMs >= 0, qt.IsTrue, qt.Commentf("reported %d ms before the runs end", -lateMs))
+				most := link.back + expiryMarginMs*time.Millisecond + 20*time.Millisecond
+				qt.Check(t, lateMs <= most.Milliseconds(), qt.IsTrue, qt.Commentf("reported %d ms after the runs have ended", lateMs))
+			})
+		})
+	}
+}
