hostagent: don't count the time of a suspension as time on the worker's clock

Callers can see a task run twice after a host with its worker was suspended.

Cause: the agent counted on from a reading of the worker's clock by the boot clock, which counts a suspension. The worker's steady clock does not. So a report that was sent before the next reading extended the hold by the time of the suspension, and an agent whose first call after it failed reported runs as ended that went on.

Change: the agent counts by the steady clock. If the worker was not suspended, its clock is later than the agent knows, and the hold is extended by less until the next reading, which takes 250 ms.

--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -298,8 +298,8 @@
 	}
 	a.unconfirmedLogged = true
 	events.HoldUnconfirmed.Log(&a.cfg.Log).Int64("life", a.worker.Lifetime).Int("runs", len(a.runByTask)).Int64("held_until_ms", a.grantedUntilMs).
-		Int64("clock_ms", a.clock.reachedMs()).Int64("read_ms", a.clock.readMs).Int64("read_age_ms", (boottime.Now()-a.clock.sentAt).Milliseconds()).
-		Int64("call_ms", (a.clock.receivedAt - a.clock.sentAt).Milliseconds()).Send()
+		Int64("clock_ms", a.clock.reachedMs()).Int64("read_ms", a.clock.readMs).Int64("read_age_ms", time.Since(a.clock.receivedAt).Milliseconds()).
+		Int64("call_ms", a.clock.callTime.Milliseconds()).Send()
 }
 
 // applyAck drops the ends that the owner has acknowledged as durable. The next Hold call acknowledges them to the worker,
--- a/internal/hostagent/calls_test.go
+++ b/internal/hostagent/calls_test.go
@@ -132,7 +132,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.grantedUntilMs = 5000
-	a.clock = workerClock{readMs: 1000, sentAt: boottime.Now() - 10*time.Second, receivedAt: boottime.Now() - 10*time.Second} // the worker's clock is at 11,000 now
+	a.clock = workerClock{readMs: 1000, sentAt: boottime.Now() - 10*time.Second, receivedAt: time.Now().Add(-10 * time.Second)} // the worker's clock is at 11,000 now
 	qt.Check(t, a.nextDeadlineMs() <= 5000, qt.IsTrue)
 	qt.Check(t, a.clock.reachedMs() > 5000, qt.IsTrue)
 }
--- a/internal/hostagent/report_test.go
+++ b/internal/hostagent/report_test.go
@@ -21,7 +21,7 @@
 	})
 	a.Register(session.Worker{ID: "i-1", Lifetime: 7, Service: "s", CPU: 16_000, MemMB: 1000})
 	a.activeListed, a.runsListed, a.token = true, true, 1000
-	a.clock = workerClock{readMs: 1000, sentAt: boottime.Now(), receivedAt: boottime.Now()}
+	a.clock = workerClock{readMs: 1000, sentAt: boottime.Now(), receivedAt: time.Now()}
 	return a
 }
 
--- a/internal/hostagent/token_test.go
+++ b/internal/hostagent/token_test.go
@@ -68,7 +68,7 @@
 	worker := &fencedRunner{}
 	a := newTestAgent(worker)
 	a.token, a.ackedEndSeq = 5, 9
-	a.clock = workerClock{readMs: 500, sentAt: boottime.Now() - 2*maxAckAge, receivedAt: boottime.Now() - 2*maxAckAge}
+	a.clock = workerClock{readMs: 500, sentAt: boottime.Now() - 2*maxAckAge, receivedAt: time.Now().Add(-2 * maxAckAge)}
 	qt.Assert(t, a.renewHold(context.Background()), qt.IsNil)
 	qt.Check(t, worker.ackedEndSeqs, qt.DeepEquals, []int64{0})
 	qt.Assert(t, a.renewHold(context.Background()), qt.IsNil)
--- a/internal/hostagent/worker_clock.go
+++ b/internal/hostagent/worker_clock.go
@@ -13,13 +13,13 @@
 type workerClock struct {
 	readMs     int64         // latest reading in milliseconds; 0: none
 	sentAt     time.Duration // boot time at which the call for the reading was sent
-	receivedAt time.Duration // boot time at which the response was processed
+	receivedAt time.Time     // when the response was processed, for the steady clock: like that of the worker, it does not count a suspension
+	callTime   time.Duration // duration of the call
 }
 
 // reachedMs returns a time in milliseconds that the worker's clock has certainly reached.
 func (c *workerClock) reachedMs() int64 {
-	elapsed := boottime.Now() - c.receivedAt
-	return c.readMs + int64(float64(elapsed.Milliseconds())*(1-session.WorkerClockDrift))
+	return c.readMs + int64(float64(time.Since(c.receivedAt).Milliseconds())*(1-session.WorkerClockDrift))
 }
 
 // recordClock stores a reading of the worker's clock unless it belongs to another lifetime or is not later than the stored
@@ -29,6 +29,6 @@
 		return
 	}
 	if a.clock.readMs == 0 || readMs > a.clock.readMs {
-		a.clock = workerClock{readMs: readMs, sentAt: sentAt, receivedAt: boottime.Now()}
+		a.clock = workerClock{readMs: readMs, sentAt: sentAt, receivedAt: time.Now(), callTime: boottime.Now() - sentAt}
 	}
 }
--- a/internal/hostagent/worker_clock_test.go
+++ b/internal/hostagent/worker_clock_test.go
@@ -16,17 +16,18 @@
 type distantRunner struct {
 	scriptedRunner
 	startedAt   time.Time
-	clockRate   float64 // of the worker's clock, relative to true time
-	suspended   time.Duration
+	clockRate   float64       // of the worker's clock, relative to true time
 	thereDelay  time.Duration // of requests
 	backDelay   time.Duration // of responses
 	unreachable bool
 	deadlineMs  int64 // latest deadline of the runs
+	// suspended is the time for which the host of the worker and the agent was suspended. The boot clock counts it.
+	suspended time.Duration
 }
 
-// clockMs returns the worker's clock, which does not count the time of a suspension.
+// clockMs returns the worker's clock. Like the virtual time, it does not count the time of a suspension.
 func (r *distantRunner) clockMs() int64 {
-	return 1000 + int64(r.clockRate*float64((time.Since(r.startedAt)-r.suspended).Milliseconds()))
+	return 1000 + int64(r.clockRate*float64(time.Since(r.startedAt).Milliseconds()))
 }
 
 func (r *distantRunner) Hold(ctx context.Context, who WorkerIdentity, _, deadlineMs, _ int64, waitMs int) (HoldResponse, error) {
@@ -47,7 +48,7 @@
 func testWithDistantWorker(t *testing.T, r *distantRunner, test func(t *testing.T, a *Agent, confirm func())) {
 	synctest.Test(t, func(t *testing.T) {
 		start := time.Now()
-		bootClock := boottime.SetClock(func() time.Duration { return time.Hour + time.Since(start) })
+		bootClock := boottime.SetClock(func() time.Duration { return time.Hour + time.Since(start) + r.suspended })
 		defer func() { boottime.SetClock(bootClock) }()
 		r.startedAt = start
 		a := newTestAgent(r)
@@ -133,3 +134,23 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice because its host was suspended: the worker's steady clock does not count that time. An agent that
+// does would extend the hold by it, and would report runs as ended that go on.
+func TestSuspensionOfTheHostDoesNotAdvanceTheWorkersClock(t *testing.T) {
+	for _, suspension := range []time.Duration{300 * time.Millisecond, 3 * time.Second, 20 * time.Second} {
+		t.Run(suspension.String(), func(t *testing.T) {
+			r := &distantRunner{clockRate: 1}
+			testWithDistantWorker(t, r, func(t *testing.T, a *Agent, confirm func()) {
+				confirm()
+				qt.Assert(t, a.renewHold(t.Context()), qt.IsNil)
+				r.suspended = suspension
+				a.handleHoldError(ErrNoResponse)
+				qt.Check(t, a.runByTask, qt.HasLen, 1, qt.Commentf("the runs go on until the worker's clock is at %d ms, which is at %d ms", r.deadlineMs, r.clockMs()))
+				confirm()
+				allowedMs := r.clockMs() + a.cfg.MaxHoldDuration.Milliseconds()
+				qt.Check(t, a.grantedUntilMs <= allowedMs, qt.IsTrue, qt.Commentf("%d ms too long", a.grantedUntilMs-allowedMs))
+			})
+		})
+	}
+}
