jobowner: confirm only reports that came on the current connection to an agent

Callers can see a task run twice: an agent that restarts soon after its start is confirmed a report that the owner has not received, and its host is cut off before the report arrives.

Cause: the numbers of reports begin anew with each process of an agent, and the owner kept the number of the last report over connections. Until the first report of the new process arrived, its heartbeats confirmed the number of the earlier one. A new process that had sent a report of the same number extended the hold by it, and the owner counted the hold from the report before.

Change: the number belongs to the connection. The first report on a connection is confirmed at once, as before.

--- a/internal/jobowner/members.go
+++ b/internal/jobowner/members.go
@@ -49,7 +49,7 @@
 	// runsListed is true once the current connection has delivered a complete list of runs.
 	runsListed       bool
 	lastReportAt     time.Duration // boot time of the last report whose confirmation extends the hold; 0: none in this term
-	lastReportSeq    int64         // number of the newest report, acknowledged to the agent
+	lastReportSeq    int64         // number of the newest report on this connection, acknowledged to the agent; 0: none yet
 	lastSentAt       time.Duration // boot time of the last message sent by sendCommands
 	commandSeq       int64         // number of the newest message sent on this connection
 	ackLifetime      int64         // worker lifetime to which ackedEndSeq and sentAckSeq refer
@@ -279,6 +279,7 @@
 	member.conn, member.runsListed, member.commandSeq, member.sentAckSeq, member.lastPollSeq = c, false, 0, 0, 0
 	member.announcedSilence, member.announcedDeparture, member.announcedDomains, member.sentSuspicion = 0, 0, 0, placement.Suspicion{}
 	member.runList, member.unackedStarts = session.RunList{}, nil
+	member.lastReportSeq = 0 // another process of the agent may use the same numbers
 	for _, placed := range o.placedByAgent[member.Name] {
 		placed.task.CommandSeq = 0 // the first list of runs on this connection reflects all earlier commands
 	}
@@ -330,9 +331,7 @@
 		o.endSilence(member.Name)
 		o.noteHeard(member)
 	}
-	if msg.ReportSeq > member.lastReportSeq || !member.runsListed {
-		member.lastReportSeq = msg.ReportSeq
-	}
+	member.lastReportSeq = max(member.lastReportSeq, msg.ReportSeq)
 	if member.Agent {
 		mayStart := member.handleCommandAck(msg.AckSeq)
 		o.handleReport(member, msg)
