jobowner: wait for a hold on the slowest clock of a worker

Cause: a hold of 8 s on a clock that is 2% slow takes 8 s / 0.98. The owner waited for 8 s x 1.02, which is 3 ms less, and took the rest from its margin for late timers.

Change: session.LongestHold divides.

Result: TestOwnerWaitsForAHoldOnTheSlowestClock failed before and passes.

--- a/internal/jobowner/hold_test.go
+++ b/internal/jobowner/hold_test.go
@@ -81,6 +81,19 @@
 	qt.Check(t, checkTimeoutsNow(o), qt.IsTrue)
 }
 
+// Guards against a task that runs twice because the owner waits for less than a hold takes on the slowest clock of a worker: a clock that is
+// 2% slow takes more than 2% longer. The hold is long, so that the difference exceeds the margin.
+func TestOwnerWaitsForAHoldOnTheSlowestClock(t *testing.T) {
+	o, member := ownerWithLastingRun(t, 0)
+	o.cfg.MaxHold = time.Hour
+	o.startedAt = -3 * time.Hour
+	hold := time.Duration(float64(o.cfg.MaxHold) / (1 - session.WorkerClockDrift))
+	member.lastReportAt = boottime.Now() - hold
+	qt.Check(t, checkTimeoutsNow(o), qt.IsFalse)
+	member.lastReportAt = boottime.Now() - hold - holdMargin
+	qt.Check(t, checkTimeoutsNow(o), qt.IsTrue)
+}
+
 // Guards against a perpetual task that waits for the reserve of short tasks again after it has been away for the whole hold.
 func TestWaitOfATaskCountsFromTheLastReportOfItsWorker(t *testing.T) {
 	o, member := ownerWithLastingRun(t, 20*time.Second)
--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -19,7 +19,7 @@
 // moment at which another process writes the key, it counts its lease as valid for less than election.LeaseTTL.
 const takeoverMargin = election.LeaseTTL
 
-// holdMargin is added to the hold of a worker to allow for delayed timers and messages.
+// holdMargin is added to the hold of a worker to allow for late timers of the worker.
 const holdMargin = 300 * time.Millisecond
 
 // checkTimeouts ends the runs of workers whose hold has expired, deletes jobs past their retention and stops runs that make no
@@ -173,8 +173,7 @@
 func (o *Owner) endRunsOfLostWorker(name string, tasks map[string]*placedTask) {
 	o.endRunsOfDepartedWorker(name)
 	lastReportAt := o.lastReportAt(name)
-	holdTimeout := o.cfg.MaxHold + time.Duration(float64(o.cfg.MaxHold)*session.WorkerClockDrift) + holdMargin
-	if boottime.Now() < lastReportAt+holdTimeout {
+	if boottime.Now() < lastReportAt+session.LongestHold(o.cfg.MaxHold)+holdMargin {
 		return
 	}
 	for _, placed := range tasks {
--- a/internal/session/messages.go
+++ b/internal/session/messages.go
@@ -152,6 +152,11 @@
 // a hold includes this drift.
 const WorkerClockDrift = 0.02
 
+// LongestHold returns the time, by the local clock, in which a hold expires that was granted for a time on a worker's clock.
+func LongestHold(granted time.Duration) time.Duration {
+	return time.Duration(float64(granted) / (1 - WorkerClockDrift))
+}
+
 // MaxLifetimeAhead is how far in the future the start of a worker's lifetime may lie by the local clock. It covers clocks that jump.
 const MaxLifetimeAhead = 24 * time.Hour
 
