hostagent: stop runs that outlived the owner's wait because their host was suspended

Callers can see a task run twice after a host with its worker was suspended for longer than a hold.

Cause: the owner waits for the longest hold by its own clock. The steady clock of a worker on a suspended host stands still, so after the suspension the worker holds its runs for the rest of the hold, and would carry out starts that were on their way, until the owner has listed its runs. Only the agent can tell, because the boot clock counts the suspension.

Change: the agent remembers by the boot clock when the hold that the owner confirmed last must be over. If the worker still holds runs then, it stops them and logs event 2721 hold_overdue; starts carry a deadline that has passed, until the owner confirms a new report.

Result: TestRunsEndOnceTheHostWasSuspendedForLongerThanTheHold failed before for suspensions of 8.5 and 20 s and passes; shorter ones stop nothing. Runs still overlap from the end of the suspension until the worker has stopped them. The tests of deployed, jobowner, jobfront and platform pass.

--- a/internal/events/jobowner.go
+++ b/internal/events/jobowner.go
@@ -50,6 +50,7 @@
 	WorkerRowsUnreadable = register(2718, "worker_rows_unreadable", zerolog.WarnLevel, "The worker listed runs or ends that cannot be decoded; until they are gone, the absence of a run proves nothing. Logged once for each lifetime.")
 	RegistrationRejected = register(2719, "registration_rejected", zerolog.WarnLevel, "A registration cannot be used and is ignored, because it is malformed or out of range; the earlier ones hold. Logged once for each process.")
 	HoldUnconfirmed      = register(2720, "hold_unconfirmed", zerolog.WarnLevel, "The owner has confirmed no report for some time, so the hold of the worker's runs is not extended. The line has the end of the hold and the estimate of the worker's clock, and what the estimate rests on: the latest reading, its age and the duration of its call. Logged once until a report is confirmed.")
+	HoldOverdue          = register(2721, "hold_overdue", zerolog.WarnLevel, "The worker still holds runs whose tasks the owner may have started elsewhere, because their host was suspended for longer than a hold; the runs are stopped.")
 	PaceChanged          = register(2717, "pace_changed", zerolog.InfoLevel, "The pace of a best-effort run was reduced or restored; the line has the serving run that required it.")
 
 	ManifestTaken      = register(5701, "manifest_taken", zerolog.InfoLevel, "A newer manifest is active.")
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -70,14 +70,14 @@
 	reportedWorker     *session.Worker    // state of the worker in the last report to the current owner
 	lastCommandSeq     int64
 	lastReportSeq      int64
-	listedAt           time.Duration // boot time at which the latest run list was requested from the worker
-	listCount          int64         // number of run lists received from the worker
-	listUnreported     bool          // the latest list has not been reported to the owner yet
-	// clockMsByReport is, by report number, a time in milliseconds that the worker's clock had reached when the report was sent.
-	clockMsByReport   map[int64]int64
-	grantedUntilMs    int64         // time on the worker's clock until which the owner allows the worker to hold its runs
-	confirmedAt       time.Duration // boot time at which the owner has acknowledged a report that it had not acknowledged before
-	unconfirmedLogged bool          // HoldUnconfirmed was logged since confirmedAt
+	listedAt           time.Duration        // boot time at which the latest run list was requested from the worker
+	listCount          int64                // number of run lists received from the worker
+	listUnreported     bool                 // the latest list has not been reported to the owner yet
+	sentReports        map[int64]sentReport // by number, since the last one that the owner has acknowledged
+	grantedUntilMs     int64                // time on the worker's clock until which the owner allows the worker to hold its runs
+	grantOverAt        time.Duration        // boot time at which the worker's clock has reached grantedUntilMs, unless its host was suspended; 0: no grant yet
+	confirmedAt        time.Duration        // boot time at which the owner has acknowledged a report that it had not acknowledged before
+	unconfirmedLogged  bool                 // HoldUnconfirmed was logged since confirmedAt
 
 	clock             workerClock
 	heldUntilMs       int64 // latest hold deadline that this or an earlier agent process has sent, on the worker's clock
@@ -90,6 +90,12 @@
 	unreadableRowsLogged bool
 }
 
+// sentReport is when a report was sent.
+type sentReport struct {
+	clockMs int64         // a time in milliseconds that the worker's clock had reached
+	at      time.Duration // boot time
+}
+
 // run is a run that this agent is responsible for.
 type run struct {
 	start          session.Start
@@ -117,7 +123,7 @@
 		departed:         make(chan int64, 1),
 		registered:       make(chan struct{}, 1),
 		paceLimitPercent: jobs.FullPacePercent, tokenStepMs: 1,
-		runByTask: map[string]*run{}, clockMsByReport: map[int64]int64{},
+		runByTask: map[string]*run{}, sentReports: map[int64]sentReport{},
 	}
 }
 
@@ -204,7 +210,7 @@
 func (a *Agent) resetLifetime() {
 	a.token, a.ackedEndSeq, a.reportedEndSeq, a.grantedUntilMs, a.heldUntilMs, a.clock = 0, 0, 0, 0, 0, workerClock{}
 	a.activeListed, a.runsListed, a.listIncomplete, a.unreadableRowsLogged, a.refusedConns = false, false, false, false, 0
-	a.runByTask, a.clockMsByReport, a.unackedEnds = map[string]*run{}, map[int64]int64{}, nil
+	a.runByTask, a.sentReports, a.unackedEnds, a.grantOverAt = map[string]*run{}, map[int64]sentReport{}, nil, 0
 }
 
 func (a *Agent) identity() WorkerIdentity {
@@ -270,16 +276,17 @@
 
 // applyReportAck processes the acknowledgement of a report; 0: none. The number may be that of an earlier process of the agent.
 func (a *Agent) applyReportAck(ackedSeq int64) {
-	if sentMs, ok := a.clockMsByReport[ackedSeq]; ok && ackedSeq != 0 {
+	if sent, ok := a.sentReports[ackedSeq]; ok {
 		maxHold := a.cfg.MaxHoldDuration
 		if a.cfg.Follower.IsOwnerLocal() {
 			maxHold = min(maxHold, session.MaxHoldBesideOwner)
 		}
-		a.grantedUntilMs = max(a.grantedUntilMs, sentMs+maxHold.Milliseconds())
+		a.grantedUntilMs = max(a.grantedUntilMs, sent.clockMs+maxHold.Milliseconds())
+		a.grantOverAt = max(a.grantOverAt, sent.at+session.LongestHold(maxHold))
 		a.confirmedAt, a.unconfirmedLogged = boottime.Now(), false
-		for reportSeq := range a.clockMsByReport {
+		for reportSeq := range a.sentReports {
 			if reportSeq <= ackedSeq { // a repeated acknowledgement confirms nothing new
-				delete(a.clockMsByReport, reportSeq)
+				delete(a.sentReports, reportSeq)
 			}
 		}
 	}
@@ -288,6 +295,28 @@
 	}
 }
 
+// isGrantOver reports whether the owner may have started the tasks of the worker's runs elsewhere, because it has confirmed no report for the
+// time of a hold. The runs have then ended, unless the worker's clock stood still while its host was suspended.
+func (a *Agent) isGrantOver() bool { return a.grantOverAt != 0 && boottime.Now() > a.grantOverAt }
+
+// stopOverdueRuns stops the runs that the worker still holds although the grant is over.
+func (a *Agent) stopOverdueRuns() {
+	if !a.isGrantOver() || a.clock.reachedMs() > a.grantedUntilMs {
+		return
+	}
+	stopped := 0
+	for _, r := range a.runByTask {
+		if !r.stopRequested {
+			stopped++
+			a.queueStop(&session.Stop{Task: r.start.Task, Run: r.start.Run})
+		}
+	}
+	if stopped > 0 {
+		events.HoldOverdue.Log(&a.cfg.Log).Int("runs", stopped).Int64("over_ms", (boottime.Now()-a.grantOverAt).Milliseconds()).
+			Int64("held_until_ms", a.grantedUntilMs).Int64("clock_ms", a.clock.reachedMs()).Send()
+	}
+}
+
 // maxUnconfirmed is the time without a confirmed report after which the agent logs that the hold is not extended.
 const maxUnconfirmed = 2 * time.Second
 
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -146,6 +146,9 @@
 // ended.
 func (a *Agent) nextDeadlineMs() int64 {
 	deadlineMs := min(a.grantedUntilMs, a.clock.reachedMs()+a.cfg.MaxHoldDuration.Milliseconds())
+	if a.isGrantOver() {
+		deadlineMs = min(deadlineMs, a.clock.readMs) // has passed, so that the worker rejects starts
+	}
 	a.heldUntilMs = max(a.heldUntilMs, deadlineMs)
 	return deadlineMs
 }
@@ -247,6 +250,7 @@
 	}
 	if token != 0 && a.grantedUntilMs > 0 && !a.workerUnreachable && a.registration.pending == nil {
 		a.logUnconfirmedHold()
+		a.stopOverdueRuns()
 		deadlineMs = a.nextDeadlineMs() // the hold of an unreachable worker is not extended, so that its runs expire
 	}
 	a.mu.Unlock()
@@ -506,7 +510,7 @@
 		a.lastReportSeq++
 		message.ReportSeq = a.lastReportSeq
 		if a.clock.readMs != 0 {
-			a.clockMsByReport[a.lastReportSeq] = a.clock.reachedMs()
+			a.sentReports[a.lastReportSeq] = sentReport{clockMs: a.clock.reachedMs(), at: boottime.Now()}
 		}
 		if isComplete && (a.worker.Gone || a.runsListed) {
 			message.RunsComplete = true
--- a/internal/hostagent/unknown_worker_test.go
+++ b/internal/hostagent/unknown_worker_test.go
@@ -40,7 +40,7 @@
 		qt.Check(t, report.Worker != nil && report.Worker.Gone, qt.Equals, c.isGone, qt.Commentf("%v", c.holdErr))
 		qt.Check(t, report.RunsComplete, qt.Equals, c.isGone)
 		qt.Check(t, report.Runs, qt.HasLen, 0)
-		qt.Check(t, a.clockMsByReport, qt.HasLen, 0, qt.Commentf("an acknowledgement of the report would extend a hold"))
+		qt.Check(t, a.sentReports, qt.HasLen, 0, qt.Commentf("an acknowledgement of the report would extend a hold"))
 		a.Register(session.Worker{ID: "i-1", Lifetime: 8})
 		qt.Check(t, a.worker.Gone, qt.IsFalse)
 	}
--- a/internal/hostagent/worker_clock_test.go
+++ b/internal/hostagent/worker_clock_test.go
@@ -154,3 +154,26 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice for as long as its worker holds it: the host was suspended with its worker for longer than the owner
+// waits before it starts the tasks elsewhere. The worker's clock does not count that time, so its runs are still held.
+func TestRunsEndOnceTheHostWasSuspendedForLongerThanTheHold(t *testing.T) {
+	for _, c := range []struct {
+		suspension time.Duration
+		isOver     bool
+	}{{3 * time.Second, false}, {7500 * time.Millisecond, false}, {8500 * time.Millisecond, true}, {20 * time.Second, true}} {
+		t.Run(c.suspension.String(), func(t *testing.T) {
+			r := &distantRunner{clockRate: 1}
+			testWithDistantWorker(t, r, func(t *testing.T, a *Agent, confirm func()) {
+				confirm()
+				r.suspended = c.suspension
+				qt.Assert(t, a.renewHold(t.Context()), qt.IsNil)
+				qt.Check(t, len(a.stopQueue) == 1, qt.Equals, c.isOver)
+				qt.Check(t, a.nextDeadlineMs() <= r.clockMs(), qt.Equals, c.isOver, qt.Commentf("a start that was on its way would begin now"))
+				a.runByTask["j.0.0.0"].stopRequested = false
+				confirm()
+				qt.Check(t, a.nextDeadlineMs() > r.clockMs(), qt.IsTrue, qt.Commentf("the owner allows a new hold"))
+			})
+		})
+	}
+}
