--- a/internal/deployed/lost_host_test.go
+++ b/internal/deployed/lost_host_test.go
@@ -178,7 +178,7 @@
 // playSilentHost cuts a host with running tasks off from other machines several times, for the last time for longer than a hold, while
 // owners end, are cut off and lose their key.
 func playSilentHost(t *testing.T, seed uint64) {
-	f := newVirtualFleet(t, seed)
+	f := newVirtualFleet(t, seed, slowWorkers(seed))
 	_, silent := f.startPerpetualJobs()
 	cut := func(length time.Duration) {
 		faults := memnet.LinkFaults{Cut: true}
--- a/internal/deployed/virtual_test.go
+++ b/internal/deployed/virtual_test.go
@@ -303,7 +303,7 @@
 }
 
 func playVirtualFleet(t *testing.T, seed uint64) {
-	f := newVirtualFleet(t, seed)
+	f := newVirtualFleet(t, seed, slowWorkers(seed))
 	ctx, stopCallers := context.WithCancel(t.Context())
 	var callers sync.WaitGroup
 	time.Sleep(time.Second)
