placement: bound what is learned of images in bytes

Cause: each planning pass made an entry of the interference model for each serving image, and nothing took one out. The model outlives the jobs, is not part of the limit on what is kept of jobs, and was encoded as a whole every 3 s, beyond what the store takes.

Change: the model has a budget in bytes, 1% of the memory for jobs and at most half of a value of the store, which covers memory and encoded size; pairs count as pairs, and what was used least recently is forgotten first. To ask for the limit of an image makes no entry.

--- a/internal/jobowner/interference_store.go
+++ b/internal/jobowner/interference_store.go
@@ -17,13 +17,26 @@
 	// interferenceStoreTimeout bounds one store call that loads or stores the model. A failed write is retried after the next
 	// interval.
 	interferenceStoreTimeout = 500 * time.Millisecond
+	// learnedShare is the share of the memory for jobs that what is learned of their images may take beside them.
+	learnedShare = 0.01
+	// maxLearnedBytes leaves room in the stored value for the loads of the groups.
+	maxLearnedBytes = store.MaxValueBytes / 2
 )
 
+// learnedBudget returns the budget of the interference model in bytes. memoryLimit is the limit of what is kept of the jobs; 0: none.
+func learnedBudget(memoryLimit int64) int64 {
+	if memoryLimit == 0 {
+		return maxLearnedBytes
+	}
+	return min(maxLearnedBytes, int64(learnedShare*float64(memoryLimit)))
+}
+
 func (o *Owner) interferenceKey() string { return o.cfg.Prefix + "/learned" }
 
 // loadInterference loads the interference model that the previous owner stored. If that fails, the owner learns the model
 // again, because the model only guides placement.
 func (o *Owner) loadInterference(ctx context.Context) {
+	defer func() { o.interference.SetLearnedBudget(learnedBudget(o.cfg.MemoryLimit)) }()
 	callCtx, cancel := context.WithTimeout(ctx, interferenceStoreTimeout)
 	defer cancel()
 	kv, err := o.cfg.Store.Get(callCtx, o.interferenceKey())
@@ -49,6 +62,8 @@
 		o.mu.Lock()
 		data, err := o.interference.Encode()
 		shouldSkip := !o.isCurrent()
+		learned, _ := o.interference.LearnedBytes()
+		o.cfg.Metrics.Gauge("owner_learned_bytes").Update(learned)
 		o.mu.Unlock()
 		if shouldSkip {
 			return // the model is stored after a later interval
--- a/internal/placement/interference.go
+++ b/internal/placement/interference.go
@@ -16,18 +16,21 @@
 	modelByImage map[string]*servingModel // by serving image
 	loadByGroup  map[string]*groupLoad    // by group
 	backlog      float64                  // see SetBacklog
+	learned      learnedBytes
 }
 
 // servingModel is the model of one serving image.
 type servingModel struct {
 	unloadedMs      float64                 // lowest latency measured; before the first measurement an assumed value
 	pressureByImage map[string]*coefficient // by best-effort image
+	lastUse         int64                   // see learnedBytes
 }
 
 // coefficient is the estimated pressure of a best-effort image on a serving image, as a normal distribution.
 type coefficient struct {
 	mean, variance float64
 	atMs           int64 // boot clock time to which the variance is up to date
+	lastUse        int64 // see learnedBytes
 }
 
 const (
@@ -74,27 +77,31 @@
 
 // NewInterference returns an Interference without measurements.
 func NewInterference() *Interference {
-	return &Interference{modelByImage: map[string]*servingModel{}, loadByGroup: map[string]*groupLoad{}}
+	return &Interference{modelByImage: map[string]*servingModel{}, loadByGroup: map[string]*groupLoad{},
+		learned: learnedBytes{budget: DefaultLearnedBudget}}
 }
 
 // model returns the model of a serving image. A new model assumes a latency without load from targetMs.
 func (f *Interference) model(image string, targetMs float64) *servingModel {
 	imageModel := f.modelByImage[image]
 	if imageModel == nil {
-		imageModel = &servingModel{unloadedMs: unloadedFraction * targetMs, pressureByImage: map[string]*coefficient{}}
-		f.modelByImage[image] = imageModel
+		imageModel = &servingModel{unloadedMs: unloadedFraction * targetMs, pressureByImage: map[string]*coefficient{}, lastUse: f.learned.nextUse()}
+		f.keepModel(image, imageModel)
 	}
+	imageModel.lastUse = f.learned.nextUse()
 	return imageModel
 }
 
-// estimateAt returns the estimated pressure of a best-effort image on the image of m. The variance includes the drift until nowMs.
-// An image without an estimate gets the prior.
-func (m *servingModel) estimateAt(bestEffort string, nowMs int64) *coefficient {
+// estimateAt returns the estimated pressure of a best-effort image on a serving image with the model m. The variance includes the drift until
+// nowMs. An image without an estimate gets the prior.
+func (f *Interference) estimateAt(m *servingModel, serving, bestEffort string, nowMs int64) *coefficient {
 	c := m.pressureByImage[bestEffort]
 	if c == nil {
-		c = &coefficient{mean: priorPressure, variance: priorPressureVariance, atMs: nowMs}
-		m.pressureByImage[bestEffort] = c
+		c = &coefficient{mean: priorPressure, variance: priorPressureVariance, atMs: nowMs, lastUse: f.learned.nextUse()}
+		f.keepPair(serving, bestEffort, c)
 	}
+	c.lastUse = f.learned.nextUse()
+	m.lastUse = c.lastUse
 	if elapsedMs := nowMs - c.atMs; elapsedMs > 0 {
 		c.variance = min(priorPressureVariance, c.variance+pressureDriftPerSecond*float64(elapsedMs)/1000)
 		c.atMs = nowMs
@@ -112,7 +119,9 @@
 // estimate returns the mean and the variance of the pressure of a best-effort image on a serving image, or the prior without samples.
 func (f *Interference) estimate(serving, bestEffort string) (mean, variance float64) {
 	if imageModel := f.modelByImage[serving]; imageModel != nil {
+		imageModel.lastUse = f.learned.nextUse()
 		if known := imageModel.pressureByImage[bestEffort]; known != nil {
+			known.lastUse = imageModel.lastUse
 			return known.mean, known.variance
 		}
 	}
@@ -146,8 +155,12 @@
 
 // UtilisationLimit returns the highest utilisation that plans allow for a serving task of the image with the latency target.
 func (f *Interference) UtilisationLimit(image string, targetMs int64) float64 {
-	imageModel := f.model(image, float64(targetMs))
-	return 1 - imageModel.unloadedMs/float64(targetMs) - f.interpolate(marginNoBacklog, marginFullBacklog)
+	unloadedMs := unloadedFraction * float64(targetMs)
+	if imageModel := f.modelByImage[image]; imageModel != nil {
+		imageModel.lastUse = f.learned.nextUse()
+		unloadedMs = imageModel.unloadedMs
+	}
+	return 1 - unloadedMs/float64(targetMs) - f.interpolate(marginNoBacklog, marginFullBacklog)
 }
 
 // Observe updates the model with the samples of all tasks of one worker at one time. nowMs is that time on the boot clock.
@@ -192,7 +205,7 @@
 	g.advance(nowMs)
 	interference, variance := 0.0, sampleVariance+g.levelVariance
 	for image, fraction := range cpuFractions {
-		c := imageModel.estimateAt(image, nowMs)
+		c := f.estimateAt(imageModel, first.Image, image, nowMs)
 		interference += c.mean * fraction
 		variance += c.variance * fraction * fraction
 	}
@@ -204,7 +217,7 @@
 	residual = min(maxResidual, max(-maxResidual, residual))
 	g.correct(residual, variance)
 	for image, fraction := range cpuFractions {
-		c := imageModel.estimateAt(image, nowMs)
+		c := f.estimateAt(imageModel, first.Image, image, nowMs)
 		gain := c.variance * fraction / variance
 		c.mean = max(0, c.mean+gain*residual)
 		c.variance -= gain * fraction * c.variance
--- a/internal/placement/interference_state.go
+++ b/internal/placement/interference_state.go
@@ -45,11 +45,11 @@
 	}
 	for image, stored := range storedState.Serving {
 		imageModel := &servingModel{unloadedMs: max(1, stored.Unloaded), pressureByImage: map[string]*coefficient{}}
+		f.keepModel(image, imageModel)
 		for bestEffort, c := range stored.Pressure {
-			imageModel.pressureByImage[bestEffort] = &coefficient{mean: max(0, c[0]),
-				variance: min(priorPressureVariance, max(0, c[1])), atMs: nowMs}
+			f.keepPair(image, bestEffort, &coefficient{mean: max(0, c[0]),
+				variance: min(priorPressureVariance, max(0, c[1])), atMs: nowMs})
 		}
-		f.modelByImage[image] = imageModel
 	}
 	return f, nil
 }
