--- a/internal/delaycost/runtimes.go
+++ b/internal/delaycost/runtimes.go
@@ -35,6 +35,7 @@
 	if declaredMs <= 0 || measuredMs <= 0 {
 		return
 	}
+	kind = kindKey(kind)
 	f := r.byKind[kind]
 	if f == nil {
 		if len(r.byKind) >= maxKinds {
@@ -58,6 +59,7 @@
 // Expect returns the expected run time in ms of a task with the declared run time, and the standard deviation of its logarithm.
 func (r *RunTimes) Expect(kind string, declaredMs float64) (expectedMs, spread float64) {
 	declaredMs = max(1, declaredMs)
+	kind = kindKey(kind)
 	f := r.byKind[kind]
 	if f == nil {
 		return declaredMs, priorSpread
@@ -106,7 +108,7 @@
 	if mean <= 0 || longest < mean {
 		return
 	}
-	key := tailKey{kind, bucketOf(tasks)}
+	key := tailKey{kindKey(kind), bucketOf(tasks)}
 	known := t.byKind[key]
 	if known == nil {
 		if len(t.byKind) >= maxKinds {
@@ -123,7 +125,7 @@
 
 // Expect returns the expected run time of the longest task of a step as a multiple of the mean.
 func (t *Tails) Expect(kind string, tasks int) float64 {
-	known := t.byKind[tailKey{kind, bucketOf(tasks)}]
+	known := t.byKind[tailKey{kindKey(kind), bucketOf(tasks)}]
 	if known == nil {
 		return 1
 	}
