--- a/internal/crowdtest/crowd_test.go
+++ b/internal/crowdtest/crowd_test.go
@@ -9,7 +9,9 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"bamboofork/platform/standin"
 )
@@ -32,6 +34,11 @@
 	largeJobs       = 500 // of all clients together
 	largeJobClients = 8   // each hands in one job after the other
 	largeJobSteps   = 250 // each runs after all earlier ones
+
+	imageJobs       = 500 // of all clients together, each with an image of its own
+	imageJobClients = 8   // each hands in one job after the other, and cancels it
+	imageNameBytes  = 200_000
+	imageJobTime    = 60 * time.Millisecond // until it is cancelled; its task is placed meanwhile
 )
 
 var (
@@ -240,6 +247,41 @@
 	}
 }
 
+// Guards against an owner that keeps the names of images after their jobs have ended (review/11): it ended, and so did each successor.
+func TestOwnerForgetsTheNamesOfImages(t *testing.T) {
+	s := newSystem(t, wide, loweredOwner)
+	filling, numbers := strings.Repeat("x", imageNameBytes), make(chan int)
+	var accepted atomic.Int64
+	var wg sync.WaitGroup
+	for range imageJobClients {
+		wg.Go(func() {
+			for n := range numbers {
+				id := fmt.Sprintf("a%015x", n)
+				body := fmt.Sprintf(`{"spec":"x","steps":[{"count":1,"cpu":100,"mem_mb":1,"estimate_ms":1000,"perpetual":true,"target_ms":100,"image":"%08d%s"}]}`, n, filling)
+				if status, _ := s.send(http.MethodPost, id, body); status != http.StatusOK {
+					continue
+				}
+				accepted.Add(1)
+				for status := 0; status != http.StatusOK && status != http.StatusGone; {
+					time.Sleep(imageJobTime)
+					status, _ = s.send(http.MethodDelete, id, "") // repeated until it is answered
+				}
+			}
+		})
+	}
+	for n := range imageJobs {
+		numbers <- n
+	}
+	close(numbers)
+	wg.Wait()
+	t.Logf("%d of %d jobs accepted", accepted.Load(), imageJobs)
+	s.checkOrdinaryCaller("c1")
+	s.checkLimits(s.host)
+	s.replaceHost()
+	s.checkOrdinaryCaller("c2")
+	s.checkLimits(s.host)
+}
+
 // Played by hand: the limits of the smallest entry host, and as many connections as it has descriptors for.
 func TestEntryHoldsALargeCrowd(t *testing.T) {
 	if !*large {
