hostagent: withdraw a start that isn't answered once its worker drains

Cause: a start is repeated until the worker answers.

A start whose attempts were not answered is withdrawn by a stop, one that was not sent is refused.

--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -393,11 +393,11 @@
 		return "no worker"
 	case worker.Lifetime != start.Lifetime:
 		return "another lifetime of the worker"
-	case worker.Draining:
-		return "the worker drains"
-	case a.isOutOfService():
-		a.cfg.Metrics.Counter("agent_starts_refused_out_of_service").Inc(1)
-		return reasonOutOfService
+	case a.closedReason() != "":
+		if a.isOutOfService() {
+			a.cfg.Metrics.Counter("agent_starts_refused_out_of_service").Inc(1)
+		}
+		return a.closedReason()
 	case start.Label != "" && !slices.Contains(worker.Labels, start.Label):
 		return "the worker lacks the label"
 	case !a.runsListed:
@@ -425,8 +425,22 @@
 	return ""
 }
 
-// reasonOutOfService is the reason given for refusing a start while the failure domain of the worker is out of service.
-const reasonOutOfService = "the failure domain is out of service"
+// Reasons given for refusing a start.
+const (
+	reasonDraining     = "the worker drains"
+	reasonOutOfService = "the failure domain is out of service"
+)
+
+// closedReason returns why the worker takes no starts of any task, or "" if it takes them.
+func (a *Agent) closedReason() string {
+	switch {
+	case a.worker != nil && a.worker.Draining:
+		return reasonDraining
+	case a.isOutOfService():
+		return reasonOutOfService
+	}
+	return ""
+}
 
 // isOutOfService reports whether the failure domain of the worker is out of service, as far as this agent knows.
 func (a *Agent) isOutOfService() bool {
--- a/internal/hostagent/calls.go
+++ b/internal/hostagent/calls.go
@@ -27,8 +27,8 @@
 )
 
 // executeStarts executes queued starts. An unanswered start is repeated with the same run number, which the worker treats as
-// the same run, until the worker responds, the run is stopped, the worker enters a new lifetime, or its failure domain is taken out of
-// service.
+// the same run, until the worker responds, the run is stopped, the worker enters a new lifetime or drains, or its failure domain is taken
+// out of service.
 func (a *Agent) executeStarts(ctx context.Context) {
 	for {
 		select {
@@ -48,8 +48,8 @@
 			a.mu.Unlock()
 			return
 		}
-		if a.isOutOfService() {
-			a.withdrawStart(r, attempt)
+		if reason := a.closedReason(); reason != "" {
+			a.withdrawStart(r, attempt, reason)
 			a.mu.Unlock()
 			return
 		}
@@ -72,19 +72,21 @@
 	}
 }
 
-// withdrawStart makes a start that the worker has not confirmed have no effect, because the failure domain of the worker is out of service.
+// withdrawStart makes a start that the worker has not confirmed have no effect, because the worker takes no starts any more for the reason.
 // attempt is the number of the next attempt. An earlier attempt may be carried out seconds later, unless a stop makes the worker reject it.
 // A run that the worker has listed has begun and goes on.
-func (a *Agent) withdrawStart(r *run, attempt int) {
+func (a *Agent) withdrawStart(r *run, attempt int, reason string) {
 	switch {
 	case r.startConfirmed:
 	case attempt > 1:
 		a.cfg.Metrics.Counter("agent_starts_withdrawn").Inc(1)
 		a.queueStop(&session.Stop{Task: r.start.Task, Run: r.start.Run})
 	default:
-		a.cfg.Metrics.Counter("agent_starts_refused_out_of_service").Inc(1)
+		if reason == reasonOutOfService {
+			a.cfg.Metrics.Counter("agent_starts_refused_out_of_service").Inc(1)
+		}
 		a.removeRun(r)
-		a.recordRefusal(r.start.Task, r.start.Run, reasonOutOfService)
+		a.recordRefusal(r.start.Task, r.start.Run, reason)
 	}
 }
 
