placement: start a lasting task on a suspect worker if no other can ever take it

Cause: a worker on which jobs fail is left out of planning, or refuses jobs that have failed there, so that tasks go to sound workers. Nobody asked whether another worker can serve the task at all, and each job that can never be done began the wait again.

Change: an overdue lasting task that only workers with limited starts can ever take starts on one of them.

--- a/internal/jobowner/plan.go
+++ b/internal/jobowner/plan.go
@@ -210,7 +210,7 @@
 	}
 	snapshot := o.placementSnapshot()
 	o.reportLimitedStarts(snapshot)
-	if len(snapshot.Jobs) == 0 || len(snapshot.Workers) == 0 {
+	if len(snapshot.Jobs) == 0 || len(snapshot.Workers)+len(snapshot.Quarantined) == 0 {
 		o.interference.SetBacklog(0)
 		return
 	}
--- a/internal/jobowner/suspicion.go
+++ b/internal/jobowner/suspicion.go
@@ -62,7 +62,7 @@
 	reportedAt  time.Duration
 }
 
-// limitStarts limits the starts on suspect workers and removes those that take none from the snapshot.
+// limitStarts limits the starts on suspect workers and sets those that take none apart in the snapshot.
 func (o *Owner) limitStarts(snapshot *placement.Snapshot) {
 	o.workerHealth.LimitStarts(snapshot.Workers, snapshot.BootTimeMs)
 	l := &o.limitedStarts
@@ -73,6 +73,7 @@
 		}
 		if w.MaxStarts == 0 {
 			l.quarantined++
+			snapshot.Quarantined = append(snapshot.Quarantined, w)
 		}
 		return w.MaxStarts == 0
 	})
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -85,6 +85,11 @@
 			worker, speed = starvedChooser.choose(task)
 			c.isStarved = c.isStarved && step.Gang // one task is enough for a job to go on, but a gang starts whole
 		}
+		isLastResort := false
+		if worker == nil && overdue {
+			worker = s.lastResort(c.job, step, stepState)
+			isLastResort, speed = worker != nil, 1
+		}
 		if worker == nil {
 			if step.Gang {
 				changed.restore()
@@ -106,7 +111,9 @@
 			stepTasksByRack[worker.Rack]++
 		}
 		for _, chooser := range choosers {
-			chooser.update(worker)
+			if !isLastResort { // the choosers don't know a worker in quarantine, and find no other worker for the step
+				chooser.update(worker)
+			}
 		}
 		runNumber := task.Run + 1
 		if step.Gang {
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -109,6 +109,8 @@
 	WallMs     int64 // current time in Unix milliseconds
 	Jobs       []*jobs.Job
 	Workers    []*Worker
+	// Quarantined are the workers that would take no starts now, see HealthTracker. Only tasks that no other worker can ever take start there.
+	Quarantined []*Worker
 	// Interference is the learned interference between images; nil: none is assumed.
 	Interference *Interference
 	// DelayCost is the learned model by which jobs are ordered in shortage; nil: they are ordered by standing and slack alone.
