Revert "lease: a lease isn't valid after its host was suspended for as long"

Cause: the tests of internal/dev run in virtual time, and the true boot clock goes on beside it. With many trials at once a trial takes longer in true time than a lease is valid.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -1,6 +1,6 @@
 // Package lease keeps one store lease alive for a process. The process treats the lease as valid only until a deadline on its
-// own monotonic clock and its boot clock, which are counted from the time before the renewal was sent. A process that was paused, or whose
-// host was suspended, therefore never relies on a lease that the store may have ended.
+// own monotonic clock, which is counted from the time before the renewal was sent. A process that was paused therefore never
+// relies on a lease that the store may have ended.
 package lease
 
 import (
@@ -11,7 +11,6 @@
 
 	"github.com/rs/zerolog"
 
-	"bamboofork/internal/boottime"
 	"bamboofork/internal/events"
 	"bamboofork/internal/store"
 )
@@ -32,8 +31,7 @@
 	mu          sync.Mutex
 	id          store.LeaseID
 	validUntil  time.Time
-	validByBoot time.Duration // boot time until which the lease is valid; the monotonic clock does not count a suspension of the host
-	loggedUntil time.Time     // validUntil of the lease whose loss was logged
+	loggedUntil time.Time // validUntil of the lease whose loss was logged
 }
 
 // NewKeeper returns a keeper without a lease; Run obtains one.
@@ -45,7 +43,7 @@
 func (k *Keeper) Current() (id store.LeaseID, until time.Time, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.id, k.validUntil, k.id != 0 && time.Now().Before(k.validUntil) && boottime.Now() < k.validByBoot
+	return k.id, k.validUntil, k.id != 0 && time.Now().Before(k.validUntil)
 }
 
 // TTL returns the lease's time to live in the store.
@@ -70,7 +68,7 @@
 	k.mu.Lock()
 	id, until := k.id, k.validUntil
 	k.mu.Unlock()
-	sentAt := sendTime{time.Now(), boottime.Now()}
+	sentAt := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, k.ttl/renewalsPerTTL)
 	defer cancel()
 	if id == 0 {
@@ -83,7 +81,7 @@
 		k.setLease(id, sentAt)
 	case errors.Is(err, store.ErrLeaseNotFound):
 		events.LeaseLost.Log(&k.log).Int64("lease", int64(id)).Msg("lease not found in the store")
-		k.setLease(0, sendTime{})
+		k.setLease(0, time.Time{})
 	case time.Now().After(until) && k.markLossLogged(until):
 		events.LeaseLost.Log(&k.log).Int64("lease", int64(id)).Err(err).Msg("lease expired before a renewal succeeded")
 	}
@@ -99,24 +97,18 @@
 	return isFirst
 }
 
-func (k *Keeper) grant(ctx context.Context, sentAt sendTime) {
+func (k *Keeper) grant(ctx context.Context, sentAt time.Time) {
 	id, err := k.store.GrantLease(ctx, k.ttl)
 	if err == nil {
 		k.setLease(id, sentAt)
 	}
 }
 
-// sendTime is when a call was sent: on the monotonic clock, and boot time.
-type sendTime struct {
-	at   time.Time
-	boot time.Duration
-}
-
-func (k *Keeper) setLease(id store.LeaseID, sentAt sendTime) {
+func (k *Keeper) setLease(id store.LeaseID, sentAt time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	validity := time.Duration(float64(k.ttl) * (1 - driftMarginFraction))
-	k.id, k.validUntil, k.validByBoot = id, sentAt.at.Add(validity), sentAt.boot+validity
+	k.id = id
+	k.validUntil = sentAt.Add(time.Duration(float64(k.ttl) * (1 - driftMarginFraction)))
 }
 
 const revokeTimeout = time.Second
@@ -131,5 +123,5 @@
 	if err := k.store.RevokeLease(ctx, id); err != nil {
 		events.LeaseLost.Log(&k.log).Int64("lease", int64(id)).Err(err).Msg("failed to revoke the lease; it expires after its time to live")
 	}
-	k.setLease(0, sendTime{})
+	k.setLease(0, time.Time{})
 }
